Lay out the workspace and the links between processes

Cause: nothing existed yet. Change: a package for each peer, the wire frames, the document's types, and links that prove the fleet key both ways and replace a silent connection. Conclusion: the parts can grow side by side over fixed interfaces.

--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/peer/src/hub/accept.rs
@@ -0,0 +1,64 @@
+//! Links that peers open.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+use super::Shared;
+use super::run;
+use crate::Error;
+use crate::handshake;
+use crate::link::Direction;
+
+/// Handshakes at once; more wait in the listener's queue.
+const HANDSHAKES_MAX: usize = 64;
+/// How long to wait after the system refused to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts links until the hub closes.
+pub(super) async fn run(shared: Arc<Shared>, listener: TcpListener) {
+    let handshakes = Arc::new(Semaphore::new(HANDSHAKES_MAX));
+    let mut closing = shared.closing.subscribe();
+    loop {
+        let Ok(permit) = handshakes.clone().acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(shared.clone(), stream, permit));
+            }
+            // Out of file descriptors, or a connection that broke already.
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve(shared: Arc<Shared>, stream: TcpStream, permit: OwnedSemaphorePermit) {
+    let greeting = handshake::accept(stream, &shared.key, &shared.identity);
+    let greeted = match timeout(handshake::LIMIT, greeting).await {
+        Ok(greeted) => greeted,
+        Err(_) => Err(Error::Slow {
+            limit_ms: handshake::LIMIT.as_millis() as u64,
+        }),
+    };
+    drop(permit);
+    match greeted {
+        Ok(greeted) => {
+            run::run(&shared, greeted, Direction::Accepted).await;
+        }
+        Err(error) => {
+            let kind = error.kind();
+            shared.metrics.refused.with_label_values(&[kind]).inc();
+            log::warn!("E1101 peer refused: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,17 @@
+//! Authenticated links between snipewinch processes.
+//!
+//! A [`hub::Hub`] listens for peers, keeps links to the peers it was asked to
+//! dial, proves the fleet key in both directions, sends heartbeats, and
+//! replaces a link that has gone silent. Frames arrive at the part that they
+//! are for, in the order of the link that carried them.
+
+mod codec;
+mod error;
+mod handshake;
+pub mod hub;
+pub mod link;
+mod metrics;
+mod watched;
+
+pub use crate::error::Error;
+pub use crate::handshake::FleetKey;
--- /dev/null
+++ b/crates/snipewinch/src/digest.rs
@@ -0,0 +1,87 @@
+//! BLAKE3 digests of documents, manifests and chunks.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+use serde::Serializer;
+use serde::de;
+
+/// Length of a digest in bytes.
+pub const LENGTH_BYTES: usize = 32;
+
+/// A BLAKE3 digest: the name of a chunk, a manifest or a document.
+///
+/// Written as 64 hexadecimal digits in text formats and as 32 raw bytes in
+/// binary ones.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Digest([u8; LENGTH_BYTES]);
+
+impl Digest {
+    /// The digest of `bytes`.
+    pub fn of(bytes: &[u8]) -> Digest {
+        Digest(*blake3::hash(bytes).as_bytes())
+    }
+
+    /// A digest from its raw bytes.
+    pub const fn from_bytes(bytes: [u8; LENGTH_BYTES]) -> Digest {
+        Digest(bytes)
+    }
+
+    /// The raw bytes.
+    pub const fn as_bytes(&self) -> &[u8; LENGTH_BYTES] {
+        &self.0
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(blake3::Hash::from_bytes(self.0).to_hex().as_str())
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Digest({self})")
+    }
+}
+
+/// The text is not 64 hexadecimal digits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, snafu::Snafu)]
+#[snafu(display("not a digest: write the 64 hexadecimal digits that `snipewinch weights` prints"))]
+pub struct ParseError;
+
+impl FromStr for Digest {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Digest, ParseError> {
+        match blake3::Hash::from_hex(text) {
+            Ok(hash) => Ok(Digest(*hash.as_bytes())),
+            Err(_) => Err(ParseError),
+        }
+    }
+}
+
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        match serializer.is_human_readable() {
+            true => serializer.collect_str(self),
+            false => serializer.serialize_bytes(&self.0),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Digest, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            return text.parse().map_err(de::Error::custom);
+        }
+        let bytes = serde_bytes::ByteBuf::deserialize(deserializer)?;
+        <[u8; LENGTH_BYTES]>::try_from(bytes.as_slice())
+            .map(Digest)
+            .map_err(|_| de::Error::invalid_length(bytes.len(), &"32 bytes"))
+    }
+}
--- /dev/null
+++ b/crates/snipewinch/src/wire.rs
@@ -0,0 +1,126 @@
+//! The frames that snipewinch processes send each other.
+//!
+//! A link carries frames of several parts at once. Each part owns its own
+//! `Message`; the link only needs to know its [`Class`], which decides what is
+//! sent first when several frames wait.
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::call;
+use crate::configuration;
+use crate::limit;
+use crate::membership;
+use crate::weights;
+
+/// One frame on a link between two processes.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Frame {
+    /// Liveness and the sender's summary.
+    #[serde(rename = "h")]
+    Heartbeat(Heartbeat),
+    /// A call between an entry and an agent.
+    #[serde(rename = "c")]
+    Call(call::Message),
+    /// Weights between agents.
+    #[serde(rename = "w")]
+    Weights(weights::Message),
+    /// The accepted configuration.
+    #[serde(rename = "f")]
+    Configuration(configuration::Message),
+    /// What a peer knows of other hosts.
+    #[serde(rename = "m")]
+    Membership(membership::Message),
+    /// What customers use, between entries.
+    #[serde(rename = "l")]
+    Limit(limit::Message),
+}
+
+/// What a frame is for: its priority on the link and its row in the metrics.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Class {
+    /// Heartbeats, configuration, membership and limits.
+    Control,
+    /// Live calls.
+    Call,
+    /// Weights: who has which chunk, requests for chunks.
+    Exchange,
+    /// Weights: the bytes of chunks.
+    Chunk,
+}
+
+impl Frame {
+    /// The class of this frame.
+    pub fn class(&self) -> Class {
+        match self {
+            Frame::Call(_) => Class::Call,
+            Frame::Weights(message) if message.is_bulk() => Class::Chunk,
+            Frame::Weights(_) => Class::Exchange,
+            Frame::Configuration(_)
+            | Frame::Heartbeat(_)
+            | Frame::Limit(_)
+            | Frame::Membership(_) => Class::Control,
+        }
+    }
+}
+
+impl Class {
+    /// The name used in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Class::Control => "control",
+            Class::Call => "call",
+            Class::Exchange => "exchange",
+            Class::Chunk => "chunk",
+        }
+    }
+}
+
+/// Sent on every link while nothing else is.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// Counts the sender's heartbeats on this link, from 1.
+    #[serde(rename = "n")]
+    pub sequence: u64,
+    /// The last sequence the sender received on this link, 0 before the first.
+    #[serde(rename = "e", default)]
+    pub echo: u64,
+    /// The sender's summary, left out while it has not changed on this link.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub summary: Option<Summary>,
+}
+
+/// What a process tells each peer about itself.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Summary {
+    /// The configuration in force at the sender.
+    #[serde(rename = "f", default)]
+    pub configuration: configuration::Stamp,
+    /// The sender is leaving and takes no new work.
+    #[serde(rename = "l", default)]
+    pub leaving: bool,
+    /// Calls the sender's backend server runs now, for agents.
+    #[serde(rename = "r", default)]
+    pub running: u32,
+    /// Calls that wait at the sender, for agents.
+    #[serde(rename = "q", default)]
+    pub waiting: u32,
+    /// The most calls that the sender runs at once, for agents; 0 if unknown.
+    #[serde(rename = "k", default)]
+    pub capacity: u32,
+    /// The versions that the sender's engine has confirmed, for agents.
+    #[serde(rename = "v", default)]
+    pub confirmed: Vec<Confirmed>,
+}
+
+/// A model or adapter version that an engine has confirmed as loaded.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Confirmed {
+    /// The model's or adapter's name.
+    #[serde(rename = "m")]
+    pub model: SmolStr,
+    /// Its version.
+    #[serde(rename = "v")]
+    pub version: SmolStr,
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
