Lay the daemon's spine: settings, logs, traces, HTTP, graceful stop

Cause: the parts need one process to live in. Change: settings as flags and variables, all faults reported at once; numbered log events as text or JSON; spans exported over OTLP/HTTP; metrics, health and readiness; a stop that announces itself, drains and then closes. Conclusion: each part has its own file and its own inbox.

--- /dev/null
+++ b/crates/daemon/src/agent.rs
@@ -0,0 +1,28 @@
+//! The agent role: runs calls on the backend server of its host and spreads
+//! weights.
+
+use peer::link::Event;
+use poem::EndpointExt;
+use poem::Route;
+use snipewinch::call;
+use tokio::sync::mpsc;
+
+use crate::http::Routes;
+use crate::node::Node;
+
+mod calls;
+mod weights;
+
+/// Starts the parts of the role; answers its HTTP routes.
+pub(crate) fn spawn(
+    node: &Node,
+    calls_inbox: mpsc::Receiver<Event<call::Message>>,
+    weights_inbox: mpsc::Receiver<Event<snipewinch::weights::Message>>,
+) -> Routes {
+    calls::spawn(node, calls_inbox);
+    Routes {
+        callers: weights::spawn(node, weights_inbox),
+        console: None,
+        status: Route::new().boxed(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry.rs
@@ -0,0 +1,29 @@
+//! The entry role: callers' requests, the console, routing and limits.
+
+use peer::link::Event;
+use snipewinch::call;
+use snipewinch::limit;
+use tokio::sync::mpsc;
+
+use crate::http::Routes;
+use crate::node::Node;
+
+mod calls;
+mod console;
+mod limits;
+mod routes;
+
+/// Starts the parts of the role; answers its HTTP routes.
+pub(crate) fn spawn(
+    node: &Node,
+    calls: mpsc::Receiver<Event<call::Message>>,
+    limits: mpsc::Receiver<Event<limit::Message>>,
+) -> Routes {
+    let router = routes::spawn(node);
+    let limiter = limits::spawn(node, limits);
+    Routes {
+        callers: calls::spawn(node, calls, router, limiter),
+        console: Some(console::routes(node)),
+        status: console::status(node),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http.rs
@@ -0,0 +1,153 @@
+//! HTTP of every role: metrics, health and readiness beside the role's own
+//! routes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use poem::Endpoint;
+use poem::EndpointExt;
+use poem::IntoResponse;
+use poem::Route;
+use poem::endpoint::BoxEndpoint;
+use poem::handler;
+use poem::http::StatusCode;
+use poem::listener::Acceptor;
+use poem::listener::Listener;
+use poem::listener::TcpListener;
+use poem::web::Data;
+use prometheus::TextEncoder;
+use snafu::ResultExt;
+use tokio::task::JoinHandle;
+
+use crate::Error;
+use crate::error::HttpSnafu;
+use crate::node::Node;
+use crate::shutdown::Phase;
+
+/// How long open connections may take after the last call has ended.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
+
+/// The routes of a role.
+pub(crate) struct Routes {
+    /// For callers, or for the engine on the host.
+    pub(crate) callers: BoxEndpoint<'static>,
+    /// For operators, under `/console`; none where there is no console.
+    pub(crate) console: Option<BoxEndpoint<'static>>,
+    /// What this process knows, as JSON.
+    pub(crate) status: BoxEndpoint<'static>,
+}
+
+/// The HTTP listeners of a running daemon.
+#[derive(Debug)]
+pub(crate) struct Server {
+    address: SocketAddr,
+    operators: Option<SocketAddr>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Server {
+    /// Binds the listeners and serves the routes until the node stops.
+    pub(crate) async fn bind(node: &Node, routes: Routes) -> Result<Server, Error> {
+        let mut operator_routes = Route::new()
+            .at("/metrics", metrics)
+            .at("/healthz", health)
+            .at("/readyz", ready)
+            .at("/status.json", routes.status);
+        if let Some(console) = routes.console {
+            operator_routes = operator_routes.nest("/console", console);
+        }
+        let callers = Route::new().nest("/", routes.callers);
+        let listen = node.config.listen_http;
+        match node.config.listen_operators {
+            None => {
+                let all = operator_routes.nest("/", callers);
+                let (address, task) = serve(node, listen, all).await?;
+                Ok(Server {
+                    address,
+                    operators: None,
+                    tasks: vec![task],
+                })
+            }
+            Some(apart) => {
+                let callers = callers.at("/healthz", health).at("/readyz", ready);
+                let (address, callers_task) = serve(node, listen, callers).await?;
+                let (operators, operators_task) = serve(node, apart, operator_routes).await?;
+                Ok(Server {
+                    address,
+                    operators: Some(operators),
+                    tasks: vec![callers_task, operators_task],
+                })
+            }
+        }
+    }
+
+    /// Where callers are served.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where operators are served.
+    pub(crate) fn operators_address(&self) -> SocketAddr {
+        self.operators.unwrap_or(self.address)
+    }
+
+    /// Waits until every connection has closed.
+    pub(crate) async fn closed(self) {
+        for task in self.tasks {
+            let _ = task.await;
+        }
+    }
+}
+
+async fn serve(
+    node: &Node,
+    listen: SocketAddr,
+    routes: impl Endpoint + 'static,
+) -> Result<(SocketAddr, JoinHandle<()>), Error> {
+    let acceptor = TcpListener::bind(listen)
+        .into_acceptor()
+        .await
+        .context(HttpSnafu { address: listen })?;
+    let address = acceptor
+        .local_addr()
+        .first()
+        .and_then(|address| address.as_socket_addr().copied())
+        .unwrap_or(listen);
+    let routes = routes.data(node.clone());
+    let shutdown = node.shutdown.clone();
+    let task = tokio::spawn(async move {
+        let stopped = async move { shutdown.reached(Phase::Stopped).await };
+        let server = poem::Server::new_with_acceptor(acceptor);
+        let served = server
+            .run_with_graceful_shutdown(routes, stopped, Some(CLOSE_LIMIT))
+            .await;
+        if let Err(error) = served {
+            log::error!("E1005 HTTP ended: {error}");
+        }
+    });
+    Ok((address, task))
+}
+
+#[handler]
+fn metrics(Data(node): Data<&Node>) -> impl IntoResponse {
+    let families = node.registry.gather();
+    let text = TextEncoder::new()
+        .encode_to_string(&families)
+        .unwrap_or_default();
+    text.with_content_type(prometheus::TEXT_FORMAT)
+}
+
+#[handler]
+fn health() -> &'static str {
+    "ok\n"
+}
+
+#[handler]
+fn ready(Data(node): Data<&Node>) -> (StatusCode, &'static str) {
+    let version = node.configuration.borrow().version;
+    match version {
+        _ if node.shutdown.is_leaving() => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
+        0 => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n"),
+        _ => (StatusCode::OK, "ready\n"),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,44 @@
-//! Placeholder.
+//! The snipewinch daemon as a library.
+//!
+//! [`Config`] gathers every setting before anything starts, and
+//! [`Daemon::open`] starts the role and returns a running handle:
+//!
+//! ```no_run
+//! # async fn start() -> Result<(), daemon::Error> {
+//! let config = daemon::Config::builder("entry-1", daemon::Role::Entry)
+//!     .fleet_key("a secret that all hosts share")
+//!     .build()?;
+//! let daemon = daemon::Daemon::open(config).await?;
+//! println!("callers reach it at {}", daemon.http_address());
+//! daemon.shutdown().await;
+//! # Ok(())
+//! # }
+//! ```
+
+// Until every part is in its place.
+#![allow(dead_code)]
+
+mod agent;
+pub mod command;
+mod config;
+mod configuration;
+mod entry;
+mod error;
+mod http;
+mod log;
+mod membership;
+mod node;
+mod setting;
+mod shutdown;
+mod trace;
+
+pub use snipewinch::host::Role;
+
+pub use crate::config::Builder;
+pub use crate::config::Config;
+pub use crate::config::LogFormat;
+pub use crate::error::Error;
+pub use crate::node::Daemon;
+pub use crate::setting::Fault;
+pub use crate::setting::SETTINGS;
+pub use crate::setting::Setting;
--- /dev/null
+++ b/crates/daemon/src/log.rs
@@ -0,0 +1,84 @@
+//! Log lines, as text or as one JSON object a line, on standard error.
+
+use std::time::SystemTime;
+
+use fern::Dispatch;
+use log::Record;
+use serde::Serialize;
+
+use crate::Config;
+use crate::Error;
+use crate::LogFormat;
+
+#[derive(Serialize)]
+struct Line<'a> {
+    time: String,
+    level: &'a str,
+    host: &'a str,
+    event: Option<&'a str>,
+    message: &'a str,
+    target: &'a str,
+}
+
+/// Installs the logger of this process.
+pub(crate) fn install(config: &Config) -> Result<(), Error> {
+    let host = config.host.clone();
+    let format = config.log;
+    Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for("snipewinch", config.log_level)
+        .level_for("caller", config.log_level)
+        .level_for("operator", config.log_level)
+        .level_for("backend", config.log_level)
+        .level_for("platform", config.log_level)
+        .level_for("peer", config.log_level)
+        .level_for("daemon", config.log_level)
+        .level_for("snipewinch_caller", config.log_level)
+        .level_for("snipewinch_operator", config.log_level)
+        .level_for("snipewinch_backend", config.log_level)
+        .level_for("snipewinch_platform", config.log_level)
+        .level_for("snipewinch_peer", config.log_level)
+        .level_for("snipewinch_daemon", config.log_level)
+        .format(move |out, message, record| {
+            let message = message.to_string();
+            match format {
+                LogFormat::Json => out.finish(format_args!("{}", json(&host.0, &message, record))),
+                LogFormat::Text => out.finish(format_args!(
+                    "{} {:5} {} {}",
+                    humantime::format_rfc3339_millis(SystemTime::now()),
+                    record.level(),
+                    host,
+                    message
+                )),
+            }
+        })
+        .chain(std::io::stderr())
+        .apply()
+        .map_err(|_| Error::Log)
+}
+
+fn json(host: &str, message: &str, record: &Record<'_>) -> String {
+    let (event, rest) = split(message);
+    let line = Line {
+        time: humantime::format_rfc3339_millis(SystemTime::now()).to_string(),
+        level: record.level().as_str(),
+        host,
+        event,
+        message: rest,
+        target: record.target(),
+    };
+    serde_json::to_string(&line).unwrap_or_default()
+}
+
+/// The event number at the start of a message, and the rest.
+fn split(message: &str) -> (Option<&str>, &str) {
+    match message.split_once(' ') {
+        Some((event, rest)) if is_event(event) => (Some(event), rest),
+        _ => (None, message),
+    }
+}
+
+fn is_event(word: &str) -> bool {
+    let mut bytes = word.bytes();
+    word.len() == 5 && bytes.next() == Some(b'E') && bytes.all(|byte| byte.is_ascii_digit())
+}
--- /dev/null
+++ b/crates/daemon/src/setting.rs
@@ -0,0 +1,277 @@
+//! Every setting of the daemon: its flag, its environment variable, and how a
+//! bad value is reported.
+
+use std::fmt;
+use std::str::FromStr;
+
+use smol_str::SmolStr;
+
+/// One setting.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Setting {
+    /// The flag without its dashes; the environment variable is
+    /// `SNIPEWINCH_` and the same in capitals.
+    pub name: &'static str,
+    /// The value unless set; empty if there is none.
+    pub default: &'static str,
+    /// What it is for.
+    pub help: &'static str,
+    /// What a right value looks like.
+    pub expects: &'static str,
+}
+
+/// All settings, in the order of the documentation.
+pub const SETTINGS: &[Setting] = &[
+    setting(
+        "role",
+        "",
+        "Which part this process plays.",
+        "`entry` or `agent`",
+    ),
+    setting(
+        "host",
+        "",
+        "This host's name, unique in the fleet.",
+        "a name such as `entry-1`",
+    ),
+    setting(
+        "zone",
+        "zone-1",
+        "The availability zone of this host.",
+        "a name",
+    ),
+    setting("region", "region-1", "The region of this host.", "a name"),
+    setting(
+        "service",
+        "",
+        "The service whose backend server stands on this host (agents).",
+        "a service's name in the document",
+    ),
+    setting(
+        "listen-peers",
+        "127.0.0.1:0",
+        "Where to listen for other snipewinch processes.",
+        "an address such as `10.0.0.4:7400`",
+    ),
+    setting(
+        "advertise",
+        "",
+        "Where other processes reach this one, if not at --listen-peers.",
+        "an address such as `10.0.0.4:7400`",
+    ),
+    setting(
+        "listen-http",
+        "127.0.0.1:0",
+        "Where to listen for HTTP: callers, console, metrics and health.",
+        "an address such as `10.0.0.4:8080`",
+    ),
+    setting(
+        "listen-operators",
+        "",
+        "Where to listen for the console and metrics instead, apart from callers.",
+        "an address such as `10.0.0.4:8081`",
+    ),
+    setting(
+        "platform",
+        "http://127.0.0.1:7000",
+        "The platform's table service, object store and membership list.",
+        "a URL such as `http://10.0.0.2:7000`",
+    ),
+    setting(
+        "origin",
+        "",
+        "The origin of weights, if not at --platform.",
+        "a URL such as `http://10.0.0.2:7100`",
+    ),
+    setting(
+        "backend",
+        "",
+        "The backend server on this host (agents).",
+        "a URL such as `http://127.0.0.1:8000`",
+    ),
+    setting(
+        "fleet-key",
+        "",
+        "The secret that all processes of the fleet share.",
+        "at least 16 characters, the same on every host",
+    ),
+    setting(
+        "first-operator-key-digest",
+        "",
+        "The BLAKE3 digest of the key that may sign in until a document names operators.",
+        "64 hexadecimal digits",
+    ),
+    setting(
+        "upload-mbit",
+        "0",
+        "The most this host sends to other hosts for weights, in Mbit/s; 0 means no limit (agents).",
+        "a whole number",
+    ),
+    setting(
+        "chunk-memory-mib",
+        "4096",
+        "The most memory for chunks of weights, in MiB (agents).",
+        "a whole number above 0",
+    ),
+    setting(
+        "collector",
+        "",
+        "Where traces go, as OTLP over HTTP; none means no traces.",
+        "a URL such as `http://10.0.0.9:4318`",
+    ),
+    setting("log", "text", "How log lines look.", "`text` or `json`"),
+    setting(
+        "log-level",
+        "info",
+        "The least severe level that is logged.",
+        "`error`, `warn`, `info`, `debug` or `trace`",
+    ),
+    setting(
+        "workers",
+        "1",
+        "Threads that run the daemon.",
+        "a whole number from 1 to 64",
+    ),
+    setting(
+        "leave-grace-ms",
+        "500",
+        "How long a stopping entry keeps accepting while the balancer notices, in milliseconds.",
+        "a whole number",
+    ),
+    setting(
+        "drain-limit-ms",
+        "60000",
+        "How long a stopping process waits for its calls, in milliseconds.",
+        "a whole number",
+    ),
+];
+
+const fn setting(
+    name: &'static str,
+    default: &'static str,
+    help: &'static str,
+    expects: &'static str,
+) -> Setting {
+    Setting {
+        name,
+        default,
+        help,
+        expects,
+    }
+}
+
+impl Setting {
+    /// The environment variable.
+    pub fn variable(&self) -> String {
+        let name = self.name.replace('-', "_").to_ascii_uppercase();
+        format!("SNIPEWINCH_{name}")
+    }
+}
+
+/// A bad value of a setting.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// The setting's flag without its dashes.
+    pub name: &'static str,
+    /// The value; empty if it is missing.
+    pub value: SmolStr,
+    /// What a right value looks like.
+    pub expects: &'static str,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Fault {
+            name,
+            value,
+            expects,
+        } = self;
+        let variable = format!("SNIPEWINCH_{}", name.replace('-', "_").to_ascii_uppercase());
+        match value.is_empty() {
+            true => write!(
+                f,
+                "--{name} is missing: set it (or {variable}) to {expects}"
+            ),
+            false => write!(
+                f,
+                "--{name} is `{value}`: set it (or {variable}) to {expects}"
+            ),
+        }
+    }
+}
+
+/// Reads settings one by one and collects every fault.
+pub(crate) struct Reader<'a> {
+    lookup: &'a dyn Fn(&Setting) -> Option<String>,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Reader<'a> {
+    pub(crate) fn new(lookup: &'a dyn Fn(&Setting) -> Option<String>) -> Reader<'a> {
+        Reader {
+            lookup,
+            faults: Vec::new(),
+        }
+    }
+
+    /// The text of a setting; its default, or empty, if it is not set.
+    pub(crate) fn text(&self, name: &'static str) -> String {
+        let setting = find(name);
+        (self.lookup)(setting).unwrap_or_else(|| setting.default.to_owned())
+    }
+
+    /// A setting that must be there and parse.
+    pub(crate) fn required<T: FromStr>(&mut self, name: &'static str) -> Option<T> {
+        let text = self.text(name);
+        let parsed = text.parse().ok().filter(|_| !text.is_empty());
+        if parsed.is_none() {
+            self.fault(name, &text);
+        }
+        parsed
+    }
+
+    /// A setting that may be missing but must parse.
+    pub(crate) fn optional<T: FromStr>(&mut self, name: &'static str) -> Option<T> {
+        match self.text(name).is_empty() {
+            true => None,
+            false => self.required(name),
+        }
+    }
+
+    pub(crate) fn fault(&mut self, name: &'static str, value: &str) {
+        self.faults.push(Fault {
+            name,
+            value: value.into(),
+            expects: find(name).expects,
+        });
+    }
+
+    pub(crate) fn into_faults(self) -> Vec<Fault> {
+        self.faults
+    }
+}
+
+fn find(name: &str) -> &'static Setting {
+    SETTINGS
+        .iter()
+        .find(|setting| setting.name == name)
+        .expect("a setting of the table")
+}
+
+/// The base of an HTTP URL, `http://host:port`, without a closing slash.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Base(pub(crate) String);
+
+impl FromStr for Base {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Base, ()> {
+        let text = text.trim_end_matches('/');
+        match text.strip_prefix("http://") {
+            Some(rest) if !rest.is_empty() && !rest.contains(['/', ' ', '?']) => {
+                Ok(Base(text.to_owned()))
+            }
+            _ => Err(()),
+        }
+    }
+}
