--- a/crates/peer/src/handshake.rs
+++ b/crates/peer/src/handshake.rs
@@ -125,7 +125,11 @@
     send(&mut socket, &challenge).await?;
     let hello: Hello = receive(&mut socket).await?;
     let expected = key.prove(Side::Dial, &ours, &hello.nonce, &hello.identity);
-    check(&expected, &hello.proof)?;
+    if let Err(error) = check(&expected, &hello.proof) {
+        // The dialer learns that it was refused rather than cut off.
+        let _ = socket.close(None).await;
+        return Err(error);
+    }
     // Only a proven peer may send long messages. The dialer sends nothing
     // between its hello and our welcome, so no buffered byte is lost here.
     let limits = self::limits(codec::MESSAGE_MAX_BYTES);
