Spread weights by chunk: who brings, who passes on, when to load

A version must reach every host near the time of one copy over the narrowest link, with about one copy from the origin, and no host may serve a mix.

Hosts that die, pause, corrupt or restart cost a patience.

--- /dev/null
+++ b/crates/snipewinch/src/weights/manifest.rs
@@ -0,0 +1,187 @@
+//! What a version of a model or adapter consists of.
+
+use std::collections::HashSet;
+use std::fmt;
+use std::ops::Range;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use snafu::Snafu;
+
+use crate::Digest;
+
+/// The longest chunk that a manifest may have.
+pub const CHUNK_MAX_BYTES: u32 = 16 << 20;
+/// The most chunks that a manifest may have.
+pub const CHUNKS_MAX: usize = 1 << 20;
+
+/// All chunks of one version, by digest.
+///
+/// The manifest's own name is the digest of its canonical JSON; the accepted
+/// configuration names it, so that nothing else can take its place.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Manifest {
+    /// The model or adapter.
+    pub model: SmolStr,
+    /// The version.
+    pub version: SmolStr,
+    /// The length of all weights, in bytes.
+    pub size: u64,
+    /// The length of every chunk but the last, in bytes.
+    pub chunk_bytes: u32,
+    /// The digest of all weights.
+    pub whole: Digest,
+    /// The digest of each chunk.
+    pub chunks: Vec<Digest>,
+}
+
+/// A short name of a manifest for messages: the first bytes of its digest.
+///
+/// Chunks are checked against the manifest, so that a clash costs time and
+/// never mixes weights.
+#[derive(Clone, Copy, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Id(pub u64);
+
+impl Id {
+    /// The short name of the manifest with this digest.
+    pub fn of(digest: &Digest) -> Id {
+        let bytes = digest.as_bytes();
+        let first = bytes.first_chunk().expect("a digest is longer");
+        Id(u64::from_le_bytes(*first))
+    }
+}
+
+impl fmt::Debug for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Id({:016x})", self.0)
+    }
+}
+
+/// Why a manifest is refused.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum Error {
+    /// Its digest is not the one named.
+    #[snafu(display(
+        "the manifest's digest is {found}, not {expected}; store the manifest that `snipewinch weights` made"
+    ))]
+    Digest {
+        /// The digest named.
+        expected: Digest,
+        /// The digest of the bytes.
+        found: Digest,
+    },
+    /// It is not a manifest.
+    #[snafu(display("not a manifest ({detail}); make it with `snipewinch weights`"))]
+    Malformed {
+        /// What is wrong.
+        detail: SmolStr,
+    },
+    /// Its lengths do not agree.
+    #[snafu(display(
+        "a manifest of {size} bytes in chunks of {chunk_bytes} can't have {chunks} chunks; make it with `snipewinch weights`"
+    ))]
+    Shape {
+        /// The length of all weights.
+        size: u64,
+        /// The length of a chunk.
+        chunk_bytes: u32,
+        /// The number of chunks.
+        chunks: usize,
+    },
+}
+
+impl Manifest {
+    /// The manifest of `weights`, cut into chunks of `chunk_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Shape`] if the chunk length is out of range.
+    pub fn build(
+        model: &str,
+        version: &str,
+        chunk_bytes: u32,
+        weights: &[u8],
+    ) -> Result<Manifest, Error> {
+        let length = chunk_bytes.max(1) as usize;
+        let manifest = Manifest {
+            model: model.into(),
+            version: version.into(),
+            size: weights.len() as u64,
+            chunk_bytes,
+            whole: Digest::of(weights),
+            chunks: weights.chunks(length).map(Digest::of).collect(),
+        };
+        manifest.check()?;
+        Ok(manifest)
+    }
+
+    /// Reads a manifest and checks that it is the one named `expected`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if it is another one, or none.
+    pub fn parse(bytes: &[u8], expected: &Digest) -> Result<Manifest, Error> {
+        let found = Digest::of(bytes);
+        if found != *expected {
+            return Err(Error::Digest {
+                expected: *expected,
+                found,
+            });
+        }
+        let manifest: Manifest =
+            serde_json::from_slice(bytes).map_err(|error| Error::Malformed {
+                detail: error.to_string().into(),
+            })?;
+        manifest.check()?;
+        Ok(manifest)
+    }
+
+    /// The canonical JSON.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a manifest is serializable")
+    }
+
+    /// The digest of the canonical JSON.
+    pub fn digest(&self) -> Digest {
+        Digest::of(&self.to_bytes())
+    }
+
+    /// The place of a chunk within the weights.
+    pub fn range(&self, chunk: u32) -> Range<u64> {
+        let start = u64::from(chunk) * u64::from(self.chunk_bytes);
+        start..(start + u64::from(self.chunk_bytes)).min(self.size)
+    }
+
+    /// The length of a chunk, in bytes.
+    pub fn length(&self, chunk: u32) -> u32 {
+        let range = self.range(chunk);
+        (range.end - range.start) as u32
+    }
+
+    /// How many bytes of `self` are in chunks that `other` does not have.
+    pub fn changed_bytes(&self, other: &Manifest) -> u64 {
+        let known: HashSet<&Digest> = other.chunks.iter().collect();
+        (0..self.chunks.len() as u32)
+            .filter(|chunk| !known.contains(&self.chunks[*chunk as usize]))
+            .map(|chunk| u64::from(self.length(chunk)))
+            .sum()
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        let chunks = self.chunks.len();
+        let valid = (1..=CHUNK_MAX_BYTES).contains(&self.chunk_bytes)
+            && (1..=CHUNKS_MAX).contains(&chunks)
+            && self.size.div_ceil(u64::from(self.chunk_bytes)) == chunks as u64;
+        match valid {
+            true => Ok(()),
+            false => Err(Error::Shape {
+                size: self.size,
+                chunk_bytes: self.chunk_bytes,
+                chunks,
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipewinch/src/weights/rollout.rs
@@ -0,0 +1,91 @@
+//! Who may reload now, decided without a leader.
+//!
+//! The backend servers of a service stand in one order, by rendezvous hash of
+//! the manifest, and are dealt into as many chains as may reload at once. Each
+//! waits until the one before it in its chain has confirmed the version, so
+//! that no more reload at once than there are chains, and each watches one
+//! other host however many there are.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::Digest;
+use crate::host;
+use crate::host::Role;
+use crate::membership::Member;
+use crate::membership::State;
+use crate::membership::View;
+use crate::weights::plan::Candidate;
+use crate::weights::plan::weight;
+
+/// How long to wait for a host that is up and does not confirm.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+/// The purpose of the order among other uses of the hash.
+const PURPOSE: &[u8] = b"rollout";
+
+/// How many backend servers of a service may reload at once.
+pub fn width(count: usize, percent: u8) -> usize {
+    (count * usize::from(percent.min(100)) / 100).max(1)
+}
+
+/// The hosts before `me` in its chain, the nearest first.
+pub fn before(
+    view: &View,
+    me: &host::Name,
+    service: &SmolStr,
+    manifest: &Digest,
+    percent: u8,
+) -> Vec<Candidate> {
+    let mut order: Vec<&Member> = view
+        .members
+        .iter()
+        .filter(|one| one.role == Role::Agent && one.service.as_ref() == Some(service))
+        .filter(|one| one.state != State::Leaving || one.host == *me)
+        .collect();
+    order.sort_by_cached_key(|one| Reverse(weight(manifest, PURPOSE, &one.host)));
+    let Some(own) = order.iter().position(|one| one.host == *me) else {
+        return Vec::new();
+    };
+    let width = width(order.len(), percent);
+    (0..own)
+        .rev()
+        .filter(|place| (own - place) % width == 0)
+        .map(|place| Candidate {
+            host: order[place].host.clone(),
+            address: order[place].address,
+        })
+        .collect()
+}
+
+/// What is seen of a host further ahead in the chain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Seen {
+    /// Its engine has confirmed the version.
+    Confirmed,
+    /// It is up and its engine has not.
+    Waiting,
+    /// There is no link to it.
+    Absent,
+}
+
+/// How long a host without a link is waited for: its link may be coming.
+pub const ABSENT_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Whether this host may reload, after `waited` for its turn, given what is
+/// seen of those before it, the nearest first.
+///
+/// A host that is not there does not answer calls either, so it holds up the
+/// chain no longer than it takes to be sure.
+pub fn may_reload(seen: &[Seen], waited: Duration) -> bool {
+    for one in seen {
+        match one {
+            Seen::Confirmed => return true,
+            Seen::Waiting => return waited >= PATIENCE,
+            Seen::Absent if waited < ABSENT_PATIENCE => return false,
+            Seen::Absent => {}
+        }
+    }
+    true
+}
--- /dev/null
+++ b/crates/snipewinch/src/weights/swarm/exchange.rs
@@ -0,0 +1,524 @@
+//! What agents say to each other, and what follows from it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::RngExt;
+
+use super::Action;
+use super::Link;
+use super::PeerKey;
+use super::Swarm;
+use super::transfer::Source;
+use crate::Digest;
+use crate::weights::Message;
+use crate::weights::Refusal;
+use crate::weights::bitmap::Bitmap;
+use crate::weights::manifest::Id;
+use crate::weights::manifest::Manifest;
+use crate::weights::upload::Request;
+
+/// How long a peer that has no free slot is left alone.
+const BUSY: Duration = Duration::from_millis(60);
+/// How long a peer may take to send a manifest.
+const MANIFEST_LIMIT: Duration = Duration::from_secs(2);
+/// How long hosts that bring no chunks leave the object store alone.
+const MANIFEST_PATIENCE: Duration = Duration::from_millis(1500);
+
+impl Swarm {
+    pub(super) fn receive(&mut self, now: Duration, link: Link, message: Message) {
+        let Some(key) = self.links.get(&link).copied() else {
+            return;
+        };
+        match message {
+            Message::Have { manifest, chunks } => self.hear_all(now, key, manifest, &chunks),
+            Message::Got { manifest, chunks } => self.hear_news(now, key, manifest, &chunks),
+            Message::Ask {
+                manifest,
+                chunk,
+                offset,
+                length,
+            } => self.asked(now, key, manifest, chunk, offset, length),
+            Message::Cancel { manifest, chunk } => self.uploads.cancel(key, manifest, chunk),
+            Message::Refuse {
+                manifest,
+                chunk,
+                why,
+            } => self.refused(now, key, manifest, chunk, why),
+            Message::Data {
+                manifest,
+                chunk,
+                offset,
+                held_us,
+                bytes,
+            } => {
+                let held = Duration::from_micros(u64::from(held_us));
+                self.data(now, key, manifest, chunk, offset, held, &bytes);
+            }
+            Message::AskManifest { manifest } => self.manifest_asked(key, manifest),
+            Message::Manifest { manifest, bytes } => {
+                let digest = self.transfers.get(&manifest).map(|one| one.digest);
+                if let Some(digest) = digest {
+                    self.adopt(now, &digest, bytes);
+                }
+            }
+        }
+    }
+
+    fn hear_all(&mut self, now: Duration, key: PeerKey, id: Id, chunks: &[u8]) {
+        let Some(peer) = self.peers.get_mut(key) else {
+            return;
+        };
+        let first = peer.knows.insert(id);
+        let Some(transfer) = self.transfers.get_mut(&id) else {
+            return;
+        };
+        if transfer.manifest.is_none() {
+            return;
+        }
+        let held = Bitmap::from_bytes(chunks, transfer.held.length());
+        let before = peer.held.insert(id, held);
+        if peer.counts() {
+            for chunk in peer.held[&id].iter() {
+                transfer.see(chunk, now);
+            }
+            if let Some(before) = before {
+                transfer.lose(&before);
+            }
+        }
+        // The peer may have had no use for what it was told before.
+        if first {
+            self.tell_all(key, id);
+        }
+    }
+
+    fn hear_news(&mut self, now: Duration, key: PeerKey, id: Id, chunks: &[u32]) {
+        let Some(peer) = self.peers.get_mut(key) else {
+            return;
+        };
+        let Some(transfer) = self.transfers.get_mut(&id) else {
+            return;
+        };
+        let length = transfer.held.length();
+        let counts = peer.counts();
+        let held = peer.held.entry(id);
+        let held = held.or_insert_with(|| Bitmap::new(length));
+        for chunk in chunks.iter().copied() {
+            if held.insert(chunk) && counts {
+                transfer.see(chunk, now);
+            }
+        }
+    }
+
+    /// Tells peers which chunks have come, but for those that they hold.
+    pub(super) fn tell_news(&mut self, id: Id) {
+        let Some(transfer) = self.transfers.get_mut(&id) else {
+            return;
+        };
+        let news = std::mem::take(&mut transfer.news);
+        if news.is_empty() {
+            return;
+        }
+        let mut messages = Vec::new();
+        for (key, peer) in &self.peers {
+            let held = peer.held.get(&id);
+            if !peer.knows.contains(&id) || held.is_some_and(Bitmap::is_full) {
+                continue;
+            }
+            let chunks: Vec<u32> = news
+                .iter()
+                .copied()
+                .filter(|chunk| !peer.holds(id, *chunk))
+                .collect();
+            if !chunks.is_empty() {
+                messages.push((key, chunks));
+            }
+        }
+        for (key, chunks) in messages {
+            let message = Message::Got {
+                manifest: id,
+                chunks,
+            };
+            self.send(key, message);
+        }
+    }
+
+    fn asked(&mut self, now: Duration, key: PeerKey, id: Id, chunk: u32, offset: u32, length: u32) {
+        let Some(peer) = self.peers.get(key) else {
+            return;
+        };
+        let held = self
+            .transfers
+            .get(&id)
+            .filter(|transfer| transfer.held.contains(chunk));
+        let manifest = held.and_then(|transfer| transfer.manifest.as_ref());
+        let valid = manifest.is_some_and(|manifest| {
+            let end = offset.checked_add(length);
+            end.is_some_and(|end| end <= manifest.length(chunk)) && length > 0
+        });
+        let request = Request {
+            peer: key,
+            manifest: id,
+            chunk,
+            offset,
+            end: offset.saturating_add(length),
+            asked: now,
+        };
+        let why = match valid {
+            false => Some(Refusal::Absent),
+            true if peer.local => (!self.uploads.push_local(request)).then_some(Refusal::Busy),
+            true => (!self.uploads.push_remote(request)).then_some(Refusal::Busy),
+        };
+        if let Some(why) = why {
+            let refuse = Message::Refuse {
+                manifest: id,
+                chunk,
+                why,
+            };
+            self.send(key, refuse);
+        }
+    }
+
+    /// Sends what the pace allows.
+    pub(super) fn serve(&mut self, now: Duration) {
+        while let Some(piece) = self.uploads.next(now) {
+            let digest = self
+                .transfers
+                .get(&piece.manifest)
+                .and_then(|one| one.manifest.as_ref())
+                .map(|manifest| manifest.chunks[piece.chunk as usize]);
+            let Some(bytes) = digest.and_then(|digest| self.store.get(&digest)) else {
+                continue;
+            };
+            let bytes = bytes.slice(piece.offset as usize..piece.end as usize);
+            let length = bytes.len() as u64;
+            self.counts.sent_bytes += length;
+            if self.peers.get(piece.peer).is_some_and(|peer| !peer.local) {
+                self.counts.sent_remote_bytes += length;
+            }
+            let held = now.saturating_sub(piece.asked).as_micros();
+            let message = Message::Data {
+                manifest: piece.manifest,
+                chunk: piece.chunk,
+                offset: piece.offset,
+                held_us: held.min(u128::from(u32::MAX)) as u32,
+                bytes,
+            };
+            self.send(piece.peer, message);
+        }
+    }
+
+    fn refused(&mut self, now: Duration, key: PeerKey, id: Id, chunk: u32, why: Refusal) {
+        let jitter = self.rng.random_range(0.5..1.5);
+        let Some(peer) = self.peers.get_mut(key) else {
+            return;
+        };
+        peer.asked.remove(&(id, chunk));
+        let Some(transfer) = self.transfers.get_mut(&id) else {
+            return;
+        };
+        let source = match peer.local {
+            true => Source::Local(key),
+            false => Source::Remote(key),
+        };
+        if let Some(partial) = transfer.take(chunk, source) {
+            self.counts.wasted_bytes += partial.buffer.len() as u64;
+            if peer.local {
+                self.downloads.refund(partial.asked);
+            }
+        }
+        self.counts.refused_requests += 1;
+        match why {
+            Refusal::Busy => peer.choke(now + BUSY.mul_f64(jitter)),
+            Refusal::Absent => {
+                let counts = peer.counts();
+                let held = peer.held.get_mut(&id);
+                if held.is_some_and(|held| held.remove(chunk)) && counts {
+                    transfer.lose_one(chunk);
+                }
+            }
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
+    fn data(
+        &mut self,
+        now: Duration,
+        key: PeerKey,
+        id: Id,
+        chunk: u32,
+        offset: u32,
+        held: Duration,
+        bytes: &Bytes,
+    ) {
+        self.counts.received_bytes += bytes.len() as u64;
+        let Some(peer) = self.peers.get_mut(key) else {
+            return;
+        };
+        let source = match peer.local {
+            true => Source::Local(key),
+            false => Source::Remote(key),
+        };
+        let Some(transfer) = self.transfers.get_mut(&id) else {
+            self.counts.wasted_bytes += bytes.len() as u64;
+            return;
+        };
+        let partials = transfer.partials.get_mut(&chunk);
+        let partial = partials.and_then(|all| all.iter_mut().find(|one| one.source == source));
+        let expected = partial.filter(|one| {
+            let end = one.buffer.len() + bytes.len();
+            one.buffer.len() == offset as usize && end <= one.asked as usize
+        });
+        let Some(partial) = expected else {
+            self.counts.wasted_bytes += bytes.len() as u64;
+            return;
+        };
+        partial.buffer.extend_from_slice(bytes);
+        partial.progressed = now;
+        let asked = partial.requests.pop_front();
+        if let (Some(flow), Some(asked)) = (peer.flow.as_mut(), asked) {
+            flow.sample(now, now.saturating_sub(asked).saturating_sub(held));
+        }
+        let length = transfer.manifest.as_ref().map(|one| one.length(chunk));
+        let done = length == Some(partial.buffer.len() as u32);
+        if !peer.local {
+            transfer.progress(chunk, now);
+        }
+        if done {
+            peer.asked.remove(&(id, chunk));
+            if let Some(partial) = transfer.take(chunk, source) {
+                self.complete(now, id, chunk, source, partial.buffer.freeze());
+            }
+        }
+    }
+
+    /// The origin answered.
+    pub(super) fn fetched(&mut self, now: Duration, id: Id, chunk: u32, bytes: Option<Bytes>) {
+        let jitter = self.rng.random_range(0.0..1.0);
+        let Some(transfer) = self.transfers.get_mut(&id) else {
+            return;
+        };
+        transfer.take(chunk, Source::Origin);
+        match bytes {
+            Some(bytes) => {
+                self.counts.origin_bytes += bytes.len() as u64;
+                self.complete(now, id, chunk, Source::Origin, bytes);
+            }
+            None => transfer.origin.fail(now, jitter),
+        }
+    }
+
+    /// Checks a chunk and keeps it.
+    fn complete(&mut self, now: Duration, id: Id, chunk: u32, source: Source, bytes: Bytes) {
+        let Some(transfer) = self.transfers.get_mut(&id) else {
+            return;
+        };
+        let Some(manifest) = transfer.manifest.clone() else {
+            return;
+        };
+        let length = bytes.len() as u64;
+        if transfer.held.contains(chunk) {
+            self.counts.wasted_bytes += length;
+            return;
+        }
+        let digest = manifest.chunks[chunk as usize];
+        if !self.store.insert(&digest, bytes) {
+            self.corrupt(now, id, chunk, source, length);
+            return;
+        }
+        match source.peer().and_then(|key| self.peers.get_mut(key)) {
+            Some(peer) => peer.note_good(length),
+            None => transfer.origin.succeed(),
+        }
+        for other in transfer.partials.remove(&chunk).unwrap_or_default() {
+            self.counts.wasted_bytes += other.buffer.len() as u64;
+            self.cancel(other.source, id, chunk);
+        }
+        self.hold(now, &digest);
+        self.shrink();
+    }
+
+    /// Enters a chunk that is in the store into every manifest that has it.
+    pub(super) fn hold(&mut self, now: Duration, digest: &Digest) {
+        let mut whole = Vec::new();
+        for transfer in self.transfers.values_mut() {
+            let Some(manifest) = transfer.manifest.clone() else {
+                continue;
+            };
+            let places = manifest.chunks.iter().enumerate();
+            for (place, _) in places.filter(|(_, one)| *one == digest) {
+                let chunk = place as u32;
+                if transfer.held.insert(chunk) {
+                    transfer.news.push(chunk);
+                    transfer.progress(chunk, now);
+                }
+            }
+            if transfer.held.is_full() && transfer.whole_at.is_none() {
+                transfer.whole_at = Some(now);
+                whole.push(transfer.digest);
+            }
+        }
+        for manifest in whole {
+            self.actions.push(Action::Whole { manifest });
+        }
+    }
+
+    fn cancel(&mut self, source: Source, id: Id, chunk: u32) {
+        let Some(key) = source.peer() else { return };
+        if let Some(peer) = self.peers.get_mut(key) {
+            peer.asked.remove(&(id, chunk));
+        }
+        let message = Message::Cancel {
+            manifest: id,
+            chunk,
+        };
+        self.send(key, message);
+    }
+
+    fn corrupt(&mut self, now: Duration, id: Id, chunk: u32, source: Source, length: u64) {
+        self.counts.corrupt_chunks += 1;
+        self.counts.wasted_bytes += length;
+        let jitter = self.rng.random_range(0.0..1.0);
+        let peer = source.peer().and_then(|key| self.peers.get(key));
+        let host = peer.map(|peer| peer.identity.host.clone());
+        if let Some(key) = source.peer() {
+            self.blame(now, key);
+        }
+        if host.is_none()
+            && let Some(transfer) = self.transfers.get_mut(&id)
+        {
+            transfer.origin.fail(now, jitter);
+        }
+        self.actions.push(Action::Corrupt {
+            manifest: id,
+            chunk,
+            source: host,
+        });
+    }
+
+    fn manifest_asked(&mut self, key: PeerKey, id: Id) {
+        let transfer = self.transfers.get(&id);
+        let known = transfer.filter(|one| one.manifest.is_some());
+        if let Some(transfer) = known {
+            let bytes = transfer.manifest_bytes.clone();
+            let message = Message::Manifest {
+                manifest: id,
+                bytes,
+            };
+            self.send(key, message);
+        }
+    }
+
+    /// Gets a manifest that is not here yet: gateways from the object store,
+    /// others from a neighbour, and from the store if that takes too long.
+    pub(super) fn seek_manifest(&mut self, now: Duration, id: Id) {
+        let jitter = self.rng.random_range(0.5..1.5);
+        let Some(transfer) = self.transfers.get_mut(&id) else {
+            return;
+        };
+        if transfer.manifest.is_some() || transfer.rejected {
+            return;
+        }
+        let patience = MANIFEST_PATIENCE.mul_f64(jitter);
+        let due = transfer.plan.is_gateway() || now >= transfer.started + patience;
+        if due && transfer.manifest_read.is_ready(now) {
+            transfer.manifest_read.busy = true;
+            let digest = transfer.digest;
+            self.actions.push(Action::ReadManifest { digest });
+        }
+        let waiting = transfer
+            .manifest_asked
+            .is_some_and(|asked| now < asked + MANIFEST_LIMIT);
+        if waiting {
+            return;
+        }
+        let knows: Vec<PeerKey> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.knows.contains(&id))
+            .map(|(key, _)| key)
+            .collect();
+        if knows.is_empty() {
+            return;
+        }
+        transfer.manifest_asked = Some(now);
+        let chosen = knows[self.rng.random_range(0..knows.len())];
+        self.send(chosen, Message::AskManifest { manifest: id });
+    }
+
+    /// The object store answered.
+    pub(super) fn read(&mut self, now: Duration, digest: &Digest, bytes: Option<Bytes>) {
+        let jitter = self.rng.random_range(0.0..1.0);
+        if let Some(bytes) = bytes
+            && self.adopt(now, digest, bytes)
+        {
+            return;
+        }
+        if let Some(transfer) = self.transfers.get_mut(&Id::of(digest)) {
+            transfer.manifest_read.fail(now, jitter);
+        }
+    }
+
+    /// Takes a manifest's bytes in; answers whether they are the manifest.
+    fn adopt(&mut self, now: Duration, digest: &Digest, bytes: Bytes) -> bool {
+        let id = Id::of(digest);
+        let Some(transfer) = self.transfers.get_mut(&id) else {
+            return false;
+        };
+        if transfer.manifest.is_some() || transfer.rejected {
+            return true;
+        }
+        let manifest = match Manifest::parse(&bytes, digest) {
+            Ok(manifest) => manifest,
+            // Another copy may be right.
+            Err(crate::weights::manifest::Error::Digest { .. }) => return false,
+            Err(error) => {
+                self.reject(id, error.to_string());
+                return true;
+            }
+        };
+        if manifest.size > self.store.max_bytes() {
+            let needed = manifest.size.div_ceil(1 << 20);
+            self.reject(id, format!("set --chunk-memory-mib to {needed} or more"));
+            return true;
+        }
+        let length = manifest.chunks.len();
+        transfer.held = Bitmap::new(length);
+        transfer.available = vec![0; length];
+        transfer.known = now;
+        transfer.progressed = Default::default();
+        transfer.progressed.fill(now);
+        transfer.manifest_bytes = bytes;
+        transfer.manifest_read.succeed();
+        transfer.manifest = Some(Arc::new(manifest));
+        self.recall(now, id);
+        let keys: Vec<PeerKey> = self.peers.keys().collect();
+        for key in keys {
+            self.tell_all(key, id);
+        }
+        true
+    }
+
+    fn reject(&mut self, id: Id, reason: String) {
+        if let Some(transfer) = self.transfers.get_mut(&id) {
+            transfer.rejected = true;
+            let manifest = transfer.digest;
+            self.actions.push(Action::Reject { manifest, reason });
+        }
+    }
+
+    /// Finds the chunks of a manifest that are held already.
+    fn recall(&mut self, now: Duration, id: Id) {
+        let manifest = self.transfers.get(&id).and_then(|one| one.manifest.clone());
+        let Some(manifest) = manifest else { return };
+        for digest in &manifest.chunks {
+            if self.store.contains(digest) {
+                self.hold(now, digest);
+            }
+        }
+        if let Some(transfer) = self.transfers.get_mut(&id) {
+            transfer.news.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipewinch/tests/weights.rs
@@ -0,0 +1,281 @@
+//! Fleets of agents under seeded faults: whole, unmixed, bounded, finishing.
+
+use std::time::Duration;
+
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use snipewinch::document::Weigh;
+
+mod fleet;
+
+use fleet::Faults;
+use fleet::Fleet;
+use fleet::Setup;
+
+const KIB: usize = 1 << 10;
+const MIB: usize = 1 << 20;
+const REGION_MBIT: f64 = 20.0;
+/// When a run that has not finished is taken to hang.
+const END: Duration = Duration::from_secs(300);
+
+fn setup(agents: usize, seed: u64) -> Setup {
+    Setup {
+        agents,
+        regions: 3,
+        host_mbit: 2.0 * REGION_MBIT,
+        region_mbit: REGION_MBIT,
+        origin_mbit: 4.0 * REGION_MBIT,
+        memory_bytes: 64 << 20,
+        weigh: Weigh::Time,
+        seed,
+    }
+}
+
+fn copies(bytes: u64, size: usize) -> f64 {
+    bytes as f64 / size as f64
+}
+
+/// What a run cost, in copies and in times of the bound.
+#[derive(Debug)]
+struct Cost {
+    ratio: f64,
+    origin: f64,
+    region_link: f64,
+    host_link: f64,
+    wasted: f64,
+    refused: u64,
+    stalled: u64,
+    control_bytes_per_host: u64,
+}
+
+fn cost(fleet: &Fleet, size: usize, since: Duration) -> Cost {
+    let bound = size as f64 * 8.0 / (REGION_MBIT * 1e6);
+    let link = fleet.region_bytes.values().copied().max().unwrap_or(0);
+    let counts = || fleet.agents.iter().map(|one| one.swarm.counts());
+    Cost {
+        ratio: (fleet.now - since).as_secs_f64() / bound,
+        origin: copies(fleet.origin_bytes, size),
+        region_link: copies(link, size),
+        host_link: copies(fleet.sent_max(), size),
+        wasted: copies(counts().map(|one| one.wasted_bytes).sum(), size),
+        refused: counts().map(|one| one.refused_requests).sum(),
+        stalled: counts().map(|one| one.stalled_requests).sum(),
+        control_bytes_per_host: fleet.control_bytes / fleet.agents.len() as u64,
+    }
+}
+
+#[test]
+fn a_burst_without_faults_is_near_the_bound() {
+    let size = 8 * MIB;
+    for (agents, seed) in [(25, 7), (100, 8)] {
+        let mut fleet = Fleet::open(setup(agents, seed));
+        let bytes = fleet::weights(size, seed);
+        let manifest = fleet.publish("v1", 64 << 10, &bytes);
+        fleet.accept(manifest);
+        let done = fleet.run(END, |fleet| fleet.all_whole(&manifest));
+        let cost = cost(&fleet, size, Duration::ZERO);
+        println!("{agents} agents, seed {seed}: {cost:.3?}");
+        assert!(done, "seed {seed}");
+        assert!(cost.ratio <= 1.25, "seed {seed}: {cost:?}");
+        assert!(cost.origin <= 1.10, "seed {seed}: {cost:?}");
+        assert!(cost.region_link <= 1.05, "seed {seed}: {cost:?}");
+        assert!(cost.host_link <= 2.0, "seed {seed}: {cost:?}");
+    }
+}
+
+#[test]
+fn a_tenth_changed_moves_a_tenth() {
+    let size = 4 * MIB;
+    let mut fleet = Fleet::open(setup(30, 3));
+    let mut bytes = fleet::weights(size, 3);
+    let first = fleet.publish("v1", 32 << 10, &bytes);
+    fleet.accept(first);
+    assert!(fleet.run(END, |fleet| fleet.all_whole(&first)));
+    fleet.origin_bytes = 0;
+    let changed = size / 10;
+    let start = size / 2;
+    bytes[start..start + changed].copy_from_slice(&fleet::weights(changed, 4));
+    let second = fleet.publish("v2", 32 << 10, &bytes);
+    fleet.accept(second);
+    assert!(fleet.run(fleet.now + END, |fleet| fleet.all_whole(&second)));
+    let origin = copies(fleet.origin_bytes, size);
+    assert!(origin <= 0.12, "{origin} copies from the origin");
+}
+
+/// A row of the table of faults.
+struct Case {
+    name: &'static str,
+    faults: Faults,
+    strike: fn(&mut Fleet, &mut ChaCha8Rng),
+    origin_max: f64,
+}
+
+const NONE: Faults = Faults {
+    lost: 0,
+    doubled: 0,
+    late: 0,
+    origin_corrupt: 0,
+    origin_fails: 0,
+    corrupting: 0,
+};
+
+const CASES: &[Case] = &[
+    Case {
+        name: "hosts die",
+        faults: NONE,
+        strike: |fleet, rng| {
+            for _ in 0..3 {
+                let place = rng.random_range(0..fleet.agents.len());
+                fleet.kill(place);
+            }
+        },
+        origin_max: 1.3,
+    },
+    Case {
+        name: "hosts restart empty",
+        faults: NONE,
+        strike: |fleet, rng| {
+            for _ in 0..3 {
+                let place = rng.random_range(0..fleet.agents.len());
+                fleet.restart(place);
+            }
+        },
+        origin_max: 1.3,
+    },
+    Case {
+        name: "gateways pause past their patience and come back",
+        faults: NONE,
+        strike: |fleet, rng| {
+            for _ in 0..4 {
+                let place = rng.random_range(0..fleet.agents.len());
+                fleet.pause(place, Duration::from_secs(5));
+            }
+        },
+        origin_max: 1.3,
+    },
+    Case {
+        name: "a region is cut off and comes back",
+        faults: NONE,
+        strike: |fleet, _| fleet.set_cut(Some((0, 1))),
+        origin_max: 1.6,
+    },
+    Case {
+        name: "hosts corrupt what they send",
+        faults: Faults {
+            corrupting: 3,
+            ..NONE
+        },
+        strike: |_, _| {},
+        origin_max: 1.3,
+    },
+    Case {
+        name: "the origin fails and corrupts",
+        faults: Faults {
+            origin_corrupt: 5,
+            origin_fails: 20,
+            ..NONE
+        },
+        strike: |_, _| {},
+        origin_max: 1.3,
+    },
+    Case {
+        name: "messages are lost, doubled and late",
+        faults: Faults {
+            lost: 2,
+            doubled: 2,
+            late: 5,
+            ..NONE
+        },
+        strike: |_, _| {},
+        origin_max: 1.5,
+    },
+];
+
+#[test]
+fn every_fault_ends_whole_and_bounded() {
+    let size = MIB;
+    for case in CASES {
+        for seed in [1, 2, 3] {
+            let name = case.name;
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let mut fleet = Fleet::faulty(setup(36, seed), case.faults.clone());
+            let bytes = fleet::weights(size, seed);
+            let manifest = fleet.publish("v1", 16 << 10, &bytes);
+            fleet.accept(manifest);
+            fleet.run(Duration::from_millis(300), |_| false);
+            (case.strike)(&mut fleet, &mut rng);
+            fleet.run(Duration::from_secs(3), |fleet| fleet.all_whole(&manifest));
+            fleet.refresh();
+            fleet.run(Duration::from_secs(20), |fleet| fleet.all_whole(&manifest));
+            fleet.heal();
+            let done = fleet.run(END, |fleet| fleet.all_whole(&manifest));
+            let cost = cost(&fleet, size, Duration::ZERO);
+            println!("{name}, seed {seed}: {cost:.3?}");
+            assert!(done, "{name}, seed {seed}: {cost:?}");
+            assert!(
+                cost.origin <= case.origin_max,
+                "{name}, seed {seed}: {cost:?}"
+            );
+        }
+    }
+}
+
+/// Whatever strikes, in whatever order: once it ends, every host holds the
+/// last version, whole and unmixed (the driver compares every byte).
+fn survives(seed: u64) -> bool {
+    println!("seed {seed}");
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let agents = rng.random_range(2..60);
+    let mut setup = setup(agents, seed);
+    setup.regions = rng.random_range(1..=3);
+    setup.memory_bytes = rng.random_range(1..4) * 768 * KIB as u64;
+    if rng.random() {
+        setup.weigh = Weigh::Origin;
+    }
+    let faults = Faults {
+        lost: rng.random_range(0..3),
+        doubled: rng.random_range(0..3),
+        late: rng.random_range(0..10),
+        origin_corrupt: rng.random_range(0..10),
+        origin_fails: rng.random_range(0..30),
+        corrupting: rng.random_range(0..=agents / 12),
+    };
+    let regions = setup.regions;
+    let mut fleet = Fleet::faulty(setup, faults);
+    let mut bytes = fleet::weights(512 * KIB, seed);
+    let mut last = None;
+    for version in 0..3 {
+        let start = rng.random_range(0..bytes.len() / 2);
+        bytes[start..start + 8 * KIB].copy_from_slice(&fleet::weights(8 * KIB, rng.random()));
+        let manifest = fleet.publish(&format!("v{version}"), 16 << 10, &bytes);
+        fleet.accept(manifest);
+        last = Some(manifest);
+        for _ in 0..rng.random_range(0..6) {
+            let place = rng.random_range(0..agents);
+            match rng.random_range(0..5) {
+                0 if place > 0 => fleet.kill(place),
+                1 => fleet.restart(place),
+                2 => fleet.pause(place, Duration::from_millis(rng.random_range(100..8000))),
+                3 => fleet.set_cut(Some((0, rng.random_range(0..regions)))),
+                _ => fleet.refresh(),
+            }
+            let span = Duration::from_millis(rng.random_range(10..1500));
+            fleet.run(fleet.now + span, |_| false);
+        }
+    }
+    let manifest = last.expect("three were published");
+    fleet.heal();
+    fleet.refresh();
+    fleet.run(fleet.now + END, |fleet| fleet.all_whole(&manifest))
+}
+
+#[test]
+fn any_order_of_faults_ends_whole() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(64, 20_261_203))
+        .tests(60)
+        .quickcheck(survives as fn(u64) -> bool);
+}
