Add the call protocol's two ends and the backend client

An entry and an agent need to agree on what became of each call when links and processes are lost. The library gains the messages and both state machines; the backend package speaks HTTP to engines and plain services, sends a call once and never by itself again.

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -1,1 +1,12 @@
-//! Placeholder.
+//! Client of the model engines and plain services on a backend server host.
+
+pub mod call;
+pub mod engine;
+pub mod error;
+pub mod events;
+pub mod server;
+
+pub use crate::call::Reply;
+pub use crate::engine::Engine;
+pub use crate::error::Error;
+pub use crate::server::Server;
--- /dev/null
+++ b/crates/snipewinch/src/call/agent/queue.rs
@@ -0,0 +1,41 @@
+//! Calls that wait at an agent, the highest priority first.
+
+use std::collections::VecDeque;
+
+use crate::call::Attempt;
+
+/// Priorities run from 0 to 9.
+const LEVELS: usize = 10;
+
+/// The waiting calls.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    levels: [VecDeque<Attempt>; LEVELS],
+    len: usize,
+}
+
+impl Queue {
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(super) fn push(&mut self, priority: u8, attempt: Attempt) {
+        let level = usize::from(priority).min(LEVELS - 1);
+        self.levels[level].push_back(attempt);
+        self.len += 1;
+    }
+
+    pub(super) fn pop(&mut self) -> Option<Attempt> {
+        let attempt = self.levels.iter_mut().rev().find_map(VecDeque::pop_front)?;
+        self.len -= 1;
+        Some(attempt)
+    }
+
+    pub(super) fn remove(&mut self, attempt: Attempt) {
+        for level in &mut self.levels {
+            let before = level.len();
+            level.retain(|waiting| *waiting != attempt);
+            self.len -= before - level.len();
+        }
+    }
+}
