Carry calls from the callers' interface to the backend servers

The entry reads callers' HTTP, drives the call state machine over the links and writes answers; the agent admits attempts and runs each one once.

--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -22,6 +23,7 @@
 use crate::error::CutSnafu;
 use crate::error::JsonSnafu;
 use crate::error::RequestSnafu;
+use crate::error::StatusSnafu;
 use crate::events::Parser;
 
 /// The longest piece of an answer that is passed on as one.
@@ -64,7 +66,14 @@
     pub async fn call(&self, start: &Start) -> Result<Reply, Error> {
         let request = self.request(start)?;
         let response = self.send(request).await?;
-        Ok(Reply::open(response, start))
+        let status = response.status();
+        let reply = Reply::open(response, start);
+        let streamed = start.request.is_streamed(&reply.head);
+        match start.request.model {
+            Some(_) if is_failure(status) => StatusSnafu { status }.fail(),
+            _ if streamed && reply.parser.is_none() => StatusSnafu { status }.fail(),
+            _ => Ok(reply),
+        }
     }
 
     fn request(&self, start: &Start) -> Result<Request<Full<Bytes>>, Error> {
@@ -87,6 +96,16 @@
     }
 }
 
+/// Whether an engine's status speaks of the engine and not of the request.
+fn is_failure(status: StatusCode) -> bool {
+    let of_engine = [
+        StatusCode::CONFLICT,
+        StatusCode::NOT_FOUND,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    status.is_server_error() || of_engine.contains(&status)
+}
+
 /// What the backend server knows the attempt as.
 pub fn request_id(start: &Start) -> SmolStr {
     match &start.request.key {
@@ -124,13 +143,14 @@
             .collect();
         let is_events =
             text(CONTENT_TYPE.as_str()).is_some_and(|kind| kind.starts_with("text/event-stream"));
-        let parser = start.request.stream && start.request.model.is_some() && is_events;
+        let head = Head {
+            status: parts.status.as_u16(),
+            headers,
+            version: text(MODEL_VERSION),
+        };
+        let parser = is_events && start.request.is_streamed(&head);
         Reply {
-            head: Head {
-                status: parts.status.as_u16(),
-                headers,
-                version: text(MODEL_VERSION),
-            },
+            head,
             body,
             parser: parser.then(Parser::open),
             ready: None,
--- a/crates/daemon/src/entry/calls.rs
+++ b/crates/daemon/src/entry/calls.rs
@@ -1,23 +1,134 @@
-//! Calls at the entry.
+//! Calls at the entry: from the callers' interface to the agents and back.
 
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use caller::Answer;
+use caller::Call;
+use caller::Callers;
+use caller::Problem;
+use opentelemetry::trace::SpanKind;
 use peer::link::Event;
 use poem::EndpointExt;
-use poem::Route;
 use poem::endpoint::BoxEndpoint;
 use snipewinch::call::Message;
+use snipewinch::call::Run;
+use snipewinch::call::entry::Failure;
+use snipewinch::call::entry::Kind;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time::Instant;
 
+use self::driver::Begin;
+use self::driver::Command;
+use self::driver::Driver;
 use super::limits::Limiter;
 use super::routes::Router;
 use crate::node::Node;
+use crate::shutdown::Phase;
+
+mod choose;
+mod driver;
+mod sink;
+
+/// A stopping entry refuses this much before the end of its grace, so that no
+/// call slips in once the last one has been waited for.
+const GRACE_MARGIN: Duration = Duration::from_millis(20);
 
 /// Starts the part; answers the callers' routes.
 pub(crate) fn spawn(
-    _node: &Node,
-    mut inbox: mpsc::Receiver<Event<Message>>,
-    _router: Router,
-    _limiter: Limiter,
+    node: &Node,
+    inbox: mpsc::Receiver<Event<Message>>,
+    router: Router,
+    limiter: Limiter,
 ) -> BoxEndpoint<'static> {
-    tokio::spawn(async move { while inbox.recv().await.is_some() {} });
-    Route::new().boxed()
+    let (commands, queue) = mpsc::unbounded_channel();
+    let refusing = watch::Sender::new(false);
+    let gateway = Gateway {
+        node: node.clone(),
+        commands: commands.clone(),
+        refusing: refusing.subscribe(),
+    };
+    tokio::spawn(refuse_after_grace(node.clone(), refusing));
+    let driver = Driver::open(node, router, limiter, commands);
+    tokio::spawn(driver.run(inbox, queue));
+    let callers = Callers::open(
+        Arc::new(gateway),
+        node.configuration.clone(),
+        &node.registry,
+    );
+    callers.boxed()
+}
+
+/// A stopping entry takes calls until the balancer has noticed.
+async fn refuse_after_grace(node: Node, refusing: watch::Sender<bool>) {
+    node.shutdown.reached(Phase::Leaving).await;
+    let grace = node.config.leave_grace.saturating_sub(GRACE_MARGIN);
+    tokio::time::sleep(grace).await;
+    refusing.send_replace(true);
+    // Kept while anybody may look.
+    refusing.closed().await;
+}
+
+/// Hands callers' requests to the driver.
+struct Gateway {
+    node: Node,
+    commands: mpsc::UnboundedSender<Command>,
+    refusing: watch::Receiver<bool>,
+}
+
+impl caller::Gateway for Gateway {
+    fn call(
+        &self,
+        call: Call,
+    ) -> Pin<Box<dyn Future<Output = Result<Answer, Problem>> + Send + '_>> {
+        Box::pin(self.run(call))
+    }
+}
+
+impl Gateway {
+    async fn run(&self, mut call: Call) -> Result<Answer, Problem> {
+        if *self.refusing.borrow() {
+            return Err(Problem::Failed(leaving()));
+        }
+        let work = self.node.shutdown.work();
+        let parent = call.request.traceparent.as_deref();
+        let mut span = self.node.tracer.start("entry", SpanKind::Server, parent);
+        span.set("service", call.request.service.to_string());
+        span.set("customer", call.customer.to_string());
+        call.request.traceparent = span.traceparent();
+        let deadline = Instant::now() + call.budget;
+        let (reply, replied) = oneshot::channel();
+        let begin = Begin {
+            call,
+            deadline,
+            reply,
+            hold: sink::Hold { span, _work: work },
+        };
+        let begun = self.commands.send(Command::Begin(Box::new(begin)));
+        match begun {
+            Ok(()) => replied.await.unwrap_or(Err(Problem::Failed(leaving()))),
+            Err(_) => Err(Problem::Failed(leaving())),
+        }
+    }
+}
+
+fn leaving() -> Failure {
+    Failure {
+        kind: Kind::Leaving,
+        run: Run::No,
+        retry_ms: 0,
+    }
+}
+
+/// The entry itself lost the call.
+fn lost() -> Failure {
+    Failure {
+        kind: Kind::OutcomeUnknown,
+        run: Run::Unknown,
+        retry_ms: 0,
+    }
 }
--- a/crates/snipewinch/src/call.rs
+++ b/crates/snipewinch/src/call.rs
@@ -129,6 +129,17 @@
     pub traceparent: Option<SmolStr>,
 }
 
+impl Request {
+    /// Whether an answer that begins so is passed on as it comes; any other is
+    /// collected first.
+    pub fn is_streamed(&self, head: &Head) -> bool {
+        self.stream && self.model.is_some() && head.status == STATUS_OK
+    }
+}
+
+/// The HTTP status of a usual answer.
+const STATUS_OK: u16 = 200;
+
 fn is_false(flag: &bool) -> bool {
     !flag
 }
@@ -241,9 +252,6 @@
     /// Cancelled after the start.
     #[serde(rename = "c")]
     Cancelled,
-    /// The agent no longer has what it had sent.
-    #[serde(rename = "l")]
-    Lost,
     /// The agent no longer knows whether it ran the attempt.
     #[serde(rename = "f")]
     Forgotten,
--- a/crates/snipewinch/src/call/agent.rs
+++ b/crates/snipewinch/src/call/agent.rs
@@ -336,11 +336,7 @@
             return;
         };
         record.attach(link);
-        if !record.rewind(received, allowed) {
-            let fail = Message::Fail(attempt, Fault::Lost, Run::Yes);
-            self.out.push(Action::Send(link, fail));
-            return;
-        }
+        record.rewind(received, allowed);
         if !matches!(record.state, State::Over(_)) {
             self.out.push(Action::Send(link, Message::Alive(attempt)));
         }
@@ -428,6 +424,10 @@
                 State::Waiting(_) if now >= record.deadline => {
                     late.push((*attempt, Refusal::Deadline));
                 }
+                // It runs to its end, but nobody takes its answer any more.
+                State::Running if record.once && (orphan || now >= record.deadline) => {
+                    record.abandon(*attempt, &mut self.out);
+                }
                 State::Running if record.once => {}
                 State::Running if orphan => {
                     record.stop(*attempt, Fault::Cancelled, &mut self.out);
--- a/crates/snipewinch/src/call/agent/record.rs
+++ b/crates/snipewinch/src/call/agent/record.rs
@@ -79,6 +79,8 @@
     hasher: blake3::Hasher,
     ending_sent: bool,
     paused: bool,
+    /// Its answer is no longer kept.
+    abandoned: bool,
 }
 
 impl Record {
@@ -116,6 +118,7 @@
             hasher: blake3::Hasher::new(),
             ending_sent: false,
             paused: false,
+            abandoned: false,
         }
     }
 
@@ -163,6 +166,26 @@
         self.length += data.bytes.len() as u64;
         self.hasher.update(&data.bytes);
         self.parts.push_back(Part::Data(data));
+        if self.abandoned {
+            self.forget_parts();
+        }
+    }
+
+    /// Lets the rest run without being held back by an entry that has gone.
+    pub(super) fn abandon(&mut self, attempt: Attempt, out: &mut Vec<Action>) {
+        if !self.abandoned {
+            self.abandoned = true;
+            self.forget_parts();
+            self.flow(attempt, out);
+        }
+    }
+
+    fn forget_parts(&mut self) {
+        self.first += self.parts.len() as u32;
+        self.next = self.first;
+        self.parts.clear();
+        self.acknowledged = self.length;
+        self.sent = self.length;
     }
 
     pub(super) fn finish(&mut self, now: Duration, ending: Ending) {
@@ -209,16 +232,13 @@
         }
     }
 
-    /// Starts again from part `received`; false if that is no longer kept.
-    pub(super) fn rewind(&mut self, received: u32, allowed: u64) -> bool {
-        if received < self.first {
-            return false;
-        }
+    /// Starts again from part `received`, or from the first that is kept if a
+    /// later message has acknowledged more.
+    pub(super) fn rewind(&mut self, received: u32, allowed: u64) {
         self.acknowledge(received, allowed);
         self.next = self.first;
         self.sent = self.acknowledged;
         self.ending_sent = false;
-        true
     }
 
     /// Sends what may be sent.
--- a/crates/snipewinch/src/call/entry/pending.rs
+++ b/crates/snipewinch/src/call/entry/pending.rs
@@ -215,18 +215,16 @@
 
     /// Whether another attempt does no harm and can make the answer whole.
     pub(super) fn may_repeat(&self) -> bool {
-        let begun = self.head.is_some();
-        match &self.request {
-            request if request.once => false,
-            request if request.stream && begun => request.model.is_some(),
-            _ => true,
-        }
+        // A stream of events goes on at another engine, after the tokens that
+        // the caller has; any other answer is collected and can start again.
+        !self.request.once
     }
 
     /// Forgets an answer that is collected before it is passed on; false for a
     /// stream, which goes on from where it is.
     pub(super) fn restart(&mut self) -> bool {
-        if self.request.stream || self.head.is_none() {
+        let streamed = |head: &Head| self.request.is_streamed(head);
+        if self.head.as_ref().is_none_or(streamed) {
             return false;
         }
         self.head = None;
