Add the platform client: tables, objects, membership

A host must not spend a deadline on each request of an outage, must not repeat a write whose answer was lost, and must stay within its share of what the platform bears. The client gives each request a deadline, a circuit breaker for its interface and a token from the host's share; reads are retried with full jitter within a budget of repeats, and a read on a caller's path may be hedged. Writes go out once, and their errors say whether they may have taken effect.

--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,97 @@
+//! Why a request to the platform failed, and whether it may have taken effect.
+
+use smol_str::SmolStr;
+use snafu::Snafu;
+
+use crate::tables::Conflict;
+
+/// Why a request to the platform failed.
+#[derive(Clone, Debug, PartialEq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum Error {
+    /// The request never left this host.
+    #[snafu(display("the platform was not asked ({detail}); try again in a moment"))]
+    Unsent {
+        /// Why.
+        detail: SmolStr,
+    },
+    /// The platform said that it is out of reach; nothing took effect.
+    #[snafu(display(
+        "the platform answers {status}: out of reach; try again when its outage is over"
+    ))]
+    Down {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// No answer arrived: a write may or may not have taken effect.
+    #[snafu(display(
+        "no answer from the platform ({detail}); read back whether the request took effect"
+    ))]
+    Unknown {
+        /// What happened.
+        detail: SmolStr,
+    },
+    /// There is no such row or object.
+    #[snafu(display("the platform has no {name}; check the name"))]
+    Absent {
+        /// What was asked for.
+        name: SmolStr,
+    },
+    /// A condition of the transaction did not hold; nothing took effect.
+    #[snafu(display("{} rows changed meanwhile; read them again and decide anew", conflicts.len()))]
+    Conflict {
+        /// The rows that changed.
+        conflicts: Vec<Conflict>,
+    },
+    /// The platform refused the request; nothing took effect.
+    #[snafu(display("the platform refuses the request with {status}; bring both to one release"))]
+    Refused {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The answer makes no sense.
+    #[snafu(display("the platform's answer can't be read ({detail}); bring both to one release"))]
+    Decode {
+        /// What the codec said.
+        detail: SmolStr,
+    },
+}
+
+impl Error {
+    /// Whether it is certain that the request had no effect.
+    pub fn had_no_effect(&self) -> bool {
+        match self {
+            Error::Absent { .. }
+            | Error::Conflict { .. }
+            | Error::Down { .. }
+            | Error::Refused { .. }
+            | Error::Unsent { .. } => true,
+            Error::Decode { .. } | Error::Unknown { .. } => false,
+        }
+    }
+
+    /// Whether the platform, rather than the request, is at fault: another
+    /// attempt may do better.
+    pub fn is_outage(&self) -> bool {
+        match self {
+            Error::Down { .. } | Error::Unknown { .. } | Error::Unsent { .. } => true,
+            Error::Absent { .. }
+            | Error::Conflict { .. }
+            | Error::Decode { .. }
+            | Error::Refused { .. } => false,
+        }
+    }
+
+    /// A short name for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Error::Absent { .. } => "absent",
+            Error::Conflict { .. } => "conflict",
+            Error::Decode { .. } => "decode",
+            Error::Down { .. } => "down",
+            Error::Refused { .. } => "refused",
+            Error::Unknown { .. } => "unknown",
+            Error::Unsent { .. } => "unsent",
+        }
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder.
+//! Client of the platform: tables, objects and the membership list.
+//!
+//! Every request has a deadline, goes through a circuit breaker for its
+//! interface and is charged to this host's share of what the platform can
+//! bear. Reads are retried within a budget. Writes are never retried here: an
+//! answer that was lost may hide a write that took effect, so whoever wrote
+//! resolves it by reading.
+
+mod breaker;
+mod budget;
+pub mod client;
+mod error;
+mod latency;
+pub mod membership;
+mod metrics;
+pub mod objects;
+pub mod tables;
+
+pub use crate::client::Client;
+pub use crate::error::Error;
--- /dev/null
+++ b/crates/platform/src/objects.rs
@@ -0,0 +1,77 @@
+//! The object store: whole objects by name.
+
+use bytes::Bytes;
+use http::Method;
+use http::header::CONTENT_LENGTH;
+use snipewinch::Digest;
+
+use crate::Client;
+use crate::Error;
+use crate::client::Ask;
+use crate::client::Interface;
+use crate::client::WRITE_LIMIT;
+use crate::tables::escape;
+
+/// The name of the object that holds the manifest with this digest.
+pub fn manifest_name(digest: &Digest) -> String {
+    format!("manifests/{digest}")
+}
+
+impl Client {
+    /// Reads an object; none if it is absent.
+    ///
+    /// # Errors
+    ///
+    /// When the platform is out of reach.
+    pub async fn get_object(&self, name: &str) -> Result<Option<Bytes>, Error> {
+        let ask = Ask::get(Interface::Objects, path(name));
+        match self.read(ask).await {
+            Ok(answer) => Ok(Some(answer.body)),
+            Err(Error::Absent { .. }) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// The length of an object in bytes; none if it is absent.
+    ///
+    /// # Errors
+    ///
+    /// When the platform is out of reach.
+    pub async fn head_object(&self, name: &str) -> Result<Option<u64>, Error> {
+        let ask = Ask {
+            method: Method::HEAD,
+            ..Ask::get(Interface::Objects, path(name))
+        };
+        let answer = match self.read(ask).await {
+            Ok(answer) => answer,
+            Err(Error::Absent { .. }) => return Ok(None),
+            Err(error) => return Err(error),
+        };
+        let length = answer.headers.get(CONTENT_LENGTH);
+        Ok(length
+            .and_then(|length| length.to_str().ok())
+            .and_then(|length| length.parse().ok()))
+    }
+
+    /// Stores an object. The same body under the same name may be stored again.
+    ///
+    /// # Errors
+    ///
+    /// When the platform is out of reach.
+    pub async fn put_object(&self, name: &str, body: Bytes) -> Result<(), Error> {
+        let ask = Ask {
+            interface: Interface::Objects,
+            method: Method::PUT,
+            path: path(name),
+            body,
+            limit: WRITE_LIMIT,
+            range: None,
+        };
+        self.write(ask).await.map(drop)
+    }
+}
+
+fn path(name: &str) -> String {
+    let parts: Vec<String> = name.split('/').map(escape).collect();
+    format!("/objects/{}", parts.join("/"))
+}
--- /dev/null
+++ b/crates/platform/src/tables.rs
@@ -0,0 +1,170 @@
+//! The table service: rows with revisions, conditional transactions.
+
+use bytes::Bytes;
+use http::Method;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use smol_str::SmolStr;
+
+use crate::Client;
+use crate::Error;
+use crate::client::Answer;
+use crate::client::Ask;
+use crate::client::Interface;
+use crate::client::WRITE_LIMIT;
+use crate::client::decode;
+
+/// A row as it was read.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Row {
+    /// Its key; empty where it was asked for by key.
+    #[serde(default)]
+    pub key: String,
+    /// Its value.
+    pub value: Value,
+    /// The revision of its last write; grows with every write to the service.
+    pub revision: u64,
+}
+
+/// What a transaction demands: the row has this revision, 0 if it is absent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Condition {
+    /// The table.
+    pub table: SmolStr,
+    /// The row's key.
+    pub key: SmolStr,
+    /// The revision.
+    pub revision: u64,
+}
+
+/// A row that did not have the revision demanded.
+pub type Conflict = Condition;
+
+/// What a transaction writes.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Write {
+    /// The table.
+    pub table: SmolStr,
+    /// The row's key.
+    pub key: SmolStr,
+    /// The new value; null deletes the row.
+    pub value: Value,
+}
+
+/// Writes that all take effect, or none.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Transaction {
+    /// Names the attempt; put it into a row to know it again when reading back.
+    pub operation: SmolStr,
+    /// What must hold.
+    pub conditions: Vec<Condition>,
+    /// What is written.
+    pub writes: Vec<Write>,
+}
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct Conflicts {
+    pub(crate) conflicts: Vec<Conflict>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Rows {
+    rows: Vec<Row>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Committed {
+    revision: u64,
+}
+
+impl Client {
+    /// Reads a row; none if it is absent.
+    ///
+    /// # Errors
+    ///
+    /// When the platform is out of reach.
+    pub async fn get(&self, table: &str, key: &str) -> Result<Option<Row>, Error> {
+        let answer = self.read(row(table, key)).await;
+        one(answer)
+    }
+
+    /// Reads a row for a caller that waits: asks a second time if the first
+    /// answer is late.
+    ///
+    /// # Errors
+    ///
+    /// When the platform is out of reach.
+    pub async fn get_hedged(&self, table: &str, key: &str) -> Result<Option<Row>, Error> {
+        let answer = self.read_hedged(row(table, key)).await;
+        one(answer)
+    }
+
+    /// Reads up to `limit` rows whose key starts with `prefix` and comes after
+    /// `after`, in key order.
+    ///
+    /// # Errors
+    ///
+    /// When the platform is out of reach.
+    pub async fn scan(
+        &self,
+        table: &str,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> Result<Vec<Row>, Error> {
+        let mut path = format!(
+            "/tables/{}?prefix={}&limit={limit}",
+            escape(table),
+            escape(prefix)
+        );
+        if let Some(after) = after {
+            path.push_str("&after=");
+            path.push_str(&escape(after));
+        }
+        let answer = self.read(Ask::get(Interface::Tables, path)).await?;
+        decode::<Rows>(&answer.body).map(|rows| rows.rows)
+    }
+
+    /// Writes all or nothing, and answers the revision of the writes. Sent
+    /// once: when the error says that it may have taken effect, read back.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`] when a condition did not hold; see
+    /// [`Error::had_no_effect`] for the others.
+    pub async fn transact(&self, transaction: &Transaction) -> Result<u64, Error> {
+        let body = serde_json::to_vec(transaction).map_err(|error| Error::Unsent {
+            detail: error.to_string().into(),
+        })?;
+        let ask = Ask {
+            interface: Interface::Tables,
+            method: Method::POST,
+            path: "/tables/transaction".to_owned(),
+            body: Bytes::from(body),
+            limit: WRITE_LIMIT,
+            range: None,
+        };
+        let answer = self.write(ask).await?;
+        decode::<Committed>(&answer.body).map(|committed| committed.revision)
+    }
+}
+
+fn row(table: &str, key: &str) -> Ask {
+    let path = format!("/tables/{}/{}", escape(table), escape(key));
+    Ask::get(Interface::Tables, path)
+}
+
+fn one(answer: Result<Answer, Error>) -> Result<Option<Row>, Error> {
+    match answer {
+        Ok(answer) => decode(&answer.body).map(Some),
+        Err(Error::Absent { .. }) => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+pub(crate) fn escape(text: &str) -> String {
+    utf8_percent_encode(text, NON_ALPHANUMERIC).to_string()
+}
