Follow the configuration and the hosts in every process

Every process needs one accepted configuration that never goes back, and one view of hosts. The follower asks a single peer for the parts that changed when a heartbeat names a newer version; entries poll a small row of the table as well. The roster merges the platform's list, links with accrual suspicion and hearsay with incarnations by one documented rule. The daemon feeds both to its parts, and entries keep links to a few other entries chosen by rendezvous hashing. Publishing and leases are state machines beside them.

Documents report every fault with its path and remedy, can be taken apart by name and compared field by field. A link now tells how long it has been quiet.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -15,6 +15,7 @@
 use snipewinch::host::Role;
 use snipewinch::membership::View;
 use snipewinch::wire;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -36,6 +37,9 @@
     pub(crate) identity: Arc<Identity>,
     pub(crate) hub: Hub,
     pub(crate) registry: Registry,
+    pub(crate) platform: platform::Client,
+    /// Where the console hands over what it has published.
+    pub(crate) publications: mpsc::Sender<InForce>,
     pub(crate) tracer: Tracer,
     pub(crate) shutdown: Shutdown,
     /// The configuration in force.
@@ -89,11 +93,14 @@
         };
         let (hub, inbox) = Hub::bind(hub_config, &registry).await.context(PeersSnafu)?;
         let (configuration, configuration_feed) = configuration::channel();
+        let (publications, published) = configuration::publications();
         let (view, view_feed) = membership::channel();
         let node = Node {
             identity: hub.identity().clone(),
             config: config.clone(),
             hub,
+            platform: platform::Client::open(&config.platform, &registry),
+            publications,
             registry,
             tracer,
             shutdown: Shutdown::new(),
@@ -105,6 +112,7 @@
         tokio::spawn(configuration::run(
             node.clone(),
             inbox.configuration,
+            published,
             configuration_feed,
         ));
         tokio::spawn(membership::run(node.clone(), inbox.membership, view_feed));
--- a/crates/peer/src/hub.rs
+++ b/crates/peer/src/hub.rs
@@ -32,6 +32,7 @@
 use crate::link;
 use crate::link::Event;
 use crate::metrics::Metrics;
+use crate::watched::Activity;
 
 mod accept;
 mod dial;
@@ -126,6 +127,7 @@
     bulk: mpsc::Sender<Frame>,
     peer: Arc<Identity>,
     end: Arc<watch::Sender<Option<link::Reason>>>,
+    activity: Activity,
 }
 
 impl Hub {
@@ -251,6 +253,12 @@
             .map(|outbound| outbound.peer.clone())
     }
 
+    /// How long ago bytes last arrived on a link; none if it is gone.
+    pub fn quiet(&self, link: link::Key) -> Option<Duration> {
+        let links = self.shared.links.lock();
+        links.get(link).map(|outbound| outbound.activity.quiet())
+    }
+
     /// Changes what heartbeats say; peers learn of it at once.
     pub fn change_summary(&self, change: impl FnOnce(&mut Summary)) {
         self.shared.summary.send_if_modified(|summary| {
--- a/crates/peer/src/hub/run.rs
+++ b/crates/peer/src/hub/run.rs
@@ -51,6 +51,7 @@
         bulk,
         peer: peer.clone(),
         end: end.clone(),
+        activity: greeted.activity.clone(),
     });
     // Removes the link and tells the parts, also if this task is aborted.
     let mut up = Up {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod breaker;
 mod budget;
 pub mod client;
+pub mod configuration;
 mod error;
 mod latency;
 pub mod membership;
--- a/crates/snipewinch/src/digest.rs
+++ b/crates/snipewinch/src/digest.rs
@@ -1,8 +1,13 @@
 //! BLAKE3 digests of documents, manifests and chunks.
 
+use std::borrow::Cow;
 use std::fmt;
 use std::str::FromStr;
 
+use schemars::JsonSchema;
+use schemars::Schema;
+use schemars::SchemaGenerator;
+use schemars::json_schema;
 use serde::Deserialize;
 use serde::Deserializer;
 use serde::Serialize;
@@ -64,6 +69,20 @@
     }
 }
 
+impl JsonSchema for Digest {
+    fn schema_name() -> Cow<'static, str> {
+        "Digest".into()
+    }
+
+    fn json_schema(_: &mut SchemaGenerator) -> Schema {
+        json_schema!({
+            "type": "string",
+            "pattern": "^[0-9a-f]{64}$",
+            "description": "A BLAKE3 digest, 64 hexadecimal digits.",
+        })
+    }
+}
+
 impl Serialize for Digest {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         match serializer.is_human_readable() {
--- a/crates/snipewinch/src/document.rs
+++ b/crates/snipewinch/src/document.rs
@@ -1,5 +1,6 @@
 //! The configuration document: everything that operators decide.
 
+use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -7,8 +8,12 @@
 use crate::Digest;
 use crate::host;
 
+pub mod check;
+pub mod difference;
+pub mod part;
+
 /// The document that the console accepts and every process obeys.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// The fleet's name, shown to operators.
@@ -31,7 +36,7 @@
 }
 
 /// A model and the version that hosts must hold.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Model {
     /// The name that callers ask for.
@@ -46,7 +51,7 @@
 }
 
 /// An adapter of a model: a small model of its own.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Adapter {
     /// The name that callers ask for.
@@ -58,7 +63,7 @@
 }
 
 /// A service and the backend servers that answer for it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// The service's name; agents name the service they stand beside.
@@ -80,7 +85,7 @@
 }
 
 /// What answers for a service.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub enum Backend {
     /// A model engine.
@@ -96,7 +101,7 @@
 }
 
 /// Whether a call may run twice.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Repeat {
     /// Running it again does no harm.
@@ -107,7 +112,7 @@
 }
 
 /// A customer.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Customer {
     /// The customer's name.
@@ -126,7 +131,7 @@
 }
 
 /// An operator.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Operator {
     /// The operator's name, shown in the history.
@@ -136,7 +141,7 @@
 }
 
 /// How weights spread and versions roll over.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Rollout {
     /// What to spend when time and origin bytes pull apart.
@@ -147,7 +152,7 @@
 }
 
 /// What to spend when time and origin bytes pull apart.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Weigh {
     /// Reach every replica as early as possible.
@@ -166,6 +171,67 @@
 /// The share of backend servers that may reload at once, in percent.
 pub const DEFAULT_WIDTH_PERCENT: u8 = 25;
 
+/// The longest canonical text of a document, in bytes.
+pub const TEXT_MAX_BYTES: usize = 1 << 20;
+
+impl Document {
+    /// Reads a document from JSON.
+    ///
+    /// # Errors
+    ///
+    /// [`ParseError`] when the text is not JSON or says what this build does
+    /// not know.
+    pub fn parse(json: &str) -> Result<Document, ParseError> {
+        serde_json::from_str(json).map_err(|error| ParseError {
+            detail: error.to_string().into(),
+        })
+    }
+
+    /// The same document with every list ordered by name: the order carries no
+    /// meaning, so equal documents get equal texts.
+    pub fn canonical(mut self) -> Document {
+        self.models.sort_by(|a, b| a.name.cmp(&b.name));
+        for model in &mut self.models {
+            model.adapters.sort_by(|a, b| a.name.cmp(&b.name));
+        }
+        self.services.sort_by(|a, b| a.name.cmp(&b.name));
+        for service in &mut self.services {
+            service.zones.sort();
+        }
+        self.customers.sort_by(|a, b| a.name.cmp(&b.name));
+        self.operators.sort_by(|a, b| a.name.cmp(&b.name));
+        self
+    }
+
+    /// The JSON text; canonical if the document is.
+    pub fn json(&self) -> String {
+        serde_json::to_string(self).expect("a document is plain data")
+    }
+
+    /// The JSON text for people.
+    pub fn pretty(&self) -> String {
+        serde_json::to_string_pretty(self).expect("a document is plain data")
+    }
+
+    /// The digest of the canonical JSON text.
+    pub fn digest(&self) -> Digest {
+        Digest::of(self.json().as_bytes())
+    }
+
+    /// The JSON Schema of documents.
+    pub fn schema() -> serde_json::Value {
+        schemars::schema_for!(Document).to_value()
+    }
+}
+
+/// The text is not a document that this build understands.
+#[derive(Clone, Debug, Eq, PartialEq, snafu::Snafu)]
+#[snafu(display("not a document ({detail}); compare it with docs/document.schema.json"))]
+pub struct ParseError {
+    /// What the parser said, with line and column.
+    pub detail: SmolStr,
+}
+
 fn default_concurrency() -> u32 {
     DEFAULT_CONCURRENCY
 }
--- a/crates/snipewinch/src/host.rs
+++ b/crates/snipewinch/src/host.rs
@@ -2,22 +2,29 @@
 
 use std::net::SocketAddr;
 
+use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
 
 /// The name of a host, stable while the host keeps its slot.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(transparent)]
 pub struct Name(pub SmolStr);
 
 /// An availability zone.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(transparent)]
 pub struct Zone(pub SmolStr);
 
 /// A region: one or more availability zones with fast links between them.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(transparent)]
 pub struct Region(pub SmolStr);
 
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod digest;
 pub mod document;
 pub mod host;
+pub mod lease;
 pub mod limit;
 pub mod membership;
 pub mod weights;
--- a/crates/snipewinch/src/membership.rs
+++ b/crates/snipewinch/src/membership.rs
@@ -8,9 +8,75 @@
 
 use crate::host;
 
+mod accrual;
+mod merge;
+pub mod neighbours;
+pub mod roster;
+
+pub use crate::membership::roster::Roster;
+
 /// What peers tell each other about other hosts.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum Message {}
+pub enum Message {
+    /// What the sender has seen or heard.
+    #[serde(rename = "n")]
+    News(Vec<Rumor>),
+    /// Send all that you know: the sender has no list yet.
+    #[serde(rename = "q")]
+    Ask,
+}
+
+/// What is said of one process on a host.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Rumor {
+    /// The host.
+    #[serde(rename = "h")]
+    pub host: host::Name,
+    /// The process's start number.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    /// How often the process has denied that it is gone.
+    #[serde(rename = "d", default)]
+    pub denials: u32,
+    /// What is said.
+    #[serde(rename = "s")]
+    pub state: State,
+    /// Where the process stands.
+    #[serde(rename = "p")]
+    pub place: Place,
+}
+
+/// Where a process stands and how it is reached.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Place {
+    /// Which program it is.
+    #[serde(rename = "r")]
+    pub role: host::Role,
+    /// Its availability zone.
+    #[serde(rename = "z")]
+    pub zone: host::Zone,
+    /// Its region.
+    #[serde(rename = "g")]
+    pub region: host::Region,
+    /// The service whose backend server stands there, for agents.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<SmolStr>,
+    /// Where it listens for peers, as reached from its own region.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+}
+
+impl From<&host::Identity> for Place {
+    fn from(identity: &host::Identity) -> Place {
+        Place {
+            role: identity.role,
+            zone: identity.zone.clone(),
+            region: identity.region.clone(),
+            service: identity.service.clone(),
+            address: identity.address,
+        }
+    }
+}
 
 /// Whether a host takes work.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -55,3 +121,13 @@
     /// The hosts.
     pub members: Vec<Member>,
 }
+
+impl View {
+    /// How many hosts of a role there are, those leaving included.
+    pub fn count(&self, role: host::Role) -> usize {
+        self.members
+            .iter()
+            .filter(|member| member.role == role)
+            .count()
+    }
+}
