Add stand-ins for the platform, engines, services and a collector

Every program under test needs something to talk to whose faults can be switched on and that counts what really happened.

--- /dev/null
+++ b/crates/standin/src/collector.rs
@@ -0,0 +1,97 @@
+//! A trace collector that counts the spans it is sent over OTLP/HTTP.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::Method;
+use http::StatusCode;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::http::Handler;
+use crate::http::Refusal;
+use crate::http::Reply;
+use crate::http::Request;
+use crate::http::Response;
+use crate::http::error;
+use crate::http::json;
+use crate::http::read_json;
+
+/// Spans that are kept.
+const SPANS_MAX: usize = 100_000;
+
+/// One span as the collector saw it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Span {
+    /// The trace it belongs to.
+    pub trace: String,
+    /// Its own id.
+    pub span: String,
+    /// The span it is a part of, empty for a root.
+    pub parent: String,
+    /// What it measured.
+    pub name: String,
+}
+
+#[derive(Debug, Default)]
+struct Collector {
+    spans: Mutex<Vec<Span>>,
+}
+
+/// Starts a collector and returns where it listens.
+///
+/// # Errors
+///
+/// What the system says when the address can't be bound.
+pub async fn spawn(listen: SocketAddr) -> io::Result<SocketAddr> {
+    crate::http::spawn(listen, Arc::new(Collector::default())).await
+}
+
+impl Handler for Collector {
+    async fn handle(self: Arc<Self>, request: Request) -> Reply {
+        self.collect(request).await.into()
+    }
+}
+
+impl Collector {
+    async fn collect(&self, request: Request) -> Result<Response, Refusal> {
+        match (request.method().clone(), request.uri().path()) {
+            (Method::POST, "/v1/traces") => {
+                let body: Value = read_json(request).await?;
+                let mut spans = self.spans.lock();
+                spans.extend(parse(&body));
+                spans.truncate(SPANS_MAX);
+                Ok(json(StatusCode::OK, &serde_json::json!({})))
+            }
+            (Method::GET, "/admin/spans") => Ok(json(StatusCode::OK, &*self.spans.lock())),
+            (Method::GET, "/admin/names") => {
+                let mut names: BTreeMap<String, u64> = BTreeMap::new();
+                for span in self.spans.lock().iter() {
+                    *names.entry(span.name.clone()).or_default() += 1;
+                }
+                Ok(json(StatusCode::OK, &names))
+            }
+            _ => Err(Refusal(error(StatusCode::NOT_FOUND, "path"))),
+        }
+    }
+}
+
+fn parse(body: &Value) -> Vec<Span> {
+    let list = |value: &Value| value.as_array().cloned().unwrap_or_default();
+    let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+    list(&body["resourceSpans"])
+        .iter()
+        .flat_map(|resource| list(&resource["scopeSpans"]))
+        .flat_map(|scope| list(&scope["spans"]))
+        .map(|span| Span {
+            trace: text(&span["traceId"]),
+            span: text(&span["spanId"]),
+            parent: text(&span["parentSpanId"]),
+            name: text(&span["name"]),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,281 @@
+//! Model engines: many in one process, one listener each.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::Method;
+use http::StatusCode;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::http::Handler;
+use crate::http::Refusal;
+use crate::http::Reply;
+use crate::http::Request;
+use crate::http::Response;
+use crate::http::change;
+use crate::http::error;
+use crate::http::json;
+use crate::http::read_json;
+
+mod batch;
+mod cache;
+mod completion;
+mod orders;
+mod runs;
+
+use batch::Batch;
+use cache::Cache;
+use orders::Orders;
+pub use runs::Run;
+use runs::Runs;
+pub use runs::Served;
+pub use runs::State;
+
+/// How the engines of one process behave.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Where the administration listens.
+    pub listen: SocketAddr,
+    /// How many engines.
+    pub count: usize,
+    /// Sequences that one engine generates at once.
+    pub slots: usize,
+    /// Time of one step: one token for each running sequence.
+    pub step: Duration,
+    /// Time to read one block of the prompt that is not cached.
+    pub prefill: Duration,
+    /// Time to swap weights in once they have arrived.
+    pub swap: Duration,
+    /// How far the load report lags.
+    pub lag: Duration,
+    /// Prompt blocks that the prefix cache holds.
+    pub blocks: usize,
+    /// Whether orders below the highest fencing number are refused.
+    pub check_fence: bool,
+}
+
+/// The faults that are switched on, changed by `POST /admin/faults` for all
+/// engines or `POST /admin/engines/{index}/faults` for one.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Answers 503 to everything.
+    pub down: bool,
+    /// Accepts requests and never answers.
+    pub silent: bool,
+    /// Percent of calls that break off in the middle of the answer.
+    pub cut_percent: u8,
+    /// Percent of calls that run and whose reply is lost.
+    pub lose_percent: u8,
+    /// Loses the reply to orders after they took effect.
+    pub lose_orders: bool,
+    /// Steps take this many times as long; 0 counts as 1.
+    pub slow_factor: u32,
+}
+
+/// All engines of one process.
+#[derive(Debug)]
+pub struct Group {
+    engines: Vec<Arc<Engine>>,
+    addresses: Vec<SocketAddr>,
+    runs: Arc<Runs>,
+}
+
+/// One engine.
+#[derive(Debug)]
+pub struct Engine {
+    index: usize,
+    config: Config,
+    batch: Arc<Batch>,
+    cache: Mutex<Cache>,
+    orders: Orders,
+    runs: Arc<Runs>,
+    faults: RwLock<Faults>,
+    served: AtomicUsize,
+}
+
+/// Where a group listens.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Ready {
+    /// The administration of all engines.
+    pub admin: SocketAddr,
+    /// Each engine.
+    pub engines: Vec<SocketAddr>,
+}
+
+/// Starts a group of engines.
+///
+/// # Errors
+///
+/// What the system says when an address can't be bound.
+pub async fn spawn(config: Config) -> io::Result<Ready> {
+    let runs = Arc::new(Runs::default());
+    let mut engines = Vec::with_capacity(config.count);
+    let mut addresses = Vec::with_capacity(config.count);
+    for index in 0..config.count {
+        let engine = Arc::new(Engine::open(index, &config, runs.clone()));
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        addresses.push(crate::http::spawn(any, engine.clone()).await?);
+        engines.push(engine);
+    }
+    let group = Arc::new(Group {
+        engines,
+        addresses: addresses.clone(),
+        runs,
+    });
+    let admin = crate::http::spawn(config.listen, group).await?;
+    Ok(Ready {
+        admin,
+        engines: addresses,
+    })
+}
+
+impl Engine {
+    fn open(index: usize, config: &Config, runs: Arc<Runs>) -> Engine {
+        Engine {
+            index,
+            batch: Batch::open(config.slots, config.lag),
+            cache: Mutex::new(Cache::open(config.blocks)),
+            orders: Orders::default(),
+            runs,
+            faults: RwLock::default(),
+            served: AtomicUsize::new(0),
+            config: config.clone(),
+        }
+    }
+
+    /// Whether a fault of so many percent hits the call of this number.
+    fn hits(percent: u8, number: usize) -> bool {
+        // A stride coprime to 100 spreads the hits over the calls.
+        (number * 37) % 100 < usize::from(percent)
+    }
+
+    /// The time of one step now.
+    fn step(&self) -> Duration {
+        self.config.step * self.faults.read().slow_factor.max(1)
+    }
+
+    /// Forgets everything, as a host that was replaced by an empty one.
+    fn reset(&self) {
+        self.orders.reset();
+        *self.cache.lock() = Cache::open(self.config.blocks);
+        self.runs.cut(self.index);
+        *self.faults.write() = Faults::default();
+    }
+}
+
+impl Handler for Engine {
+    async fn handle(self: Arc<Self>, request: Request) -> Reply {
+        let faults = self.faults.read().clone();
+        if faults.silent {
+            std::future::pending::<()>().await;
+        }
+        if faults.down {
+            return Reply::Answer(error(StatusCode::SERVICE_UNAVAILABLE, "down"));
+        }
+        let path = request.uri().path().to_owned();
+        match (request.method().clone(), path.as_str()) {
+            (Method::POST, "/v1/chat/completions") => self.complete(true, request).await,
+            (Method::POST, "/v1/completions") => self.complete(false, request).await,
+            (Method::POST, "/orders") => {
+                let result = self.clone().order(request).await;
+                match self.faults.read().lose_orders {
+                    true => Reply::Hangup,
+                    false => result.into(),
+                }
+            }
+            (Method::GET, "/state") => Reply::Answer(json(StatusCode::OK, &self.orders.state())),
+            (Method::GET, "/load") => Reply::Answer(json(StatusCode::OK, &self.load())),
+            (Method::GET, "/healthz") => Reply::Answer(json(StatusCode::OK, &"ok")),
+            (Method::GET, "/cache-events") => self.cache_events(&request).into(),
+            (method, path) => match path.trim_start_matches('/').split_once('/') {
+                Some(("cancel", id)) if method == Method::POST => {
+                    let state = self.runs.cancel(id);
+                    Reply::Answer(json(StatusCode::OK, &json!({ "state": state })))
+                }
+                Some(("kv", prefix)) => self.kv(prefix, request).await.into(),
+                _ => Reply::Answer(error(StatusCode::NOT_FOUND, "path")),
+            },
+        }
+    }
+}
+
+impl Handler for Group {
+    async fn handle(self: Arc<Self>, request: Request) -> Reply {
+        self.admin(request).await.into()
+    }
+}
+
+impl Group {
+    async fn admin(&self, request: Request) -> Result<Response, Refusal> {
+        let path = request.uri().path().to_owned();
+        let Some(path) = path.strip_prefix("/admin/") else {
+            return Err(Refusal(error(StatusCode::NOT_FOUND, "path")));
+        };
+        match (request.method().clone(), path) {
+            (Method::GET, "runs") => Ok(json(StatusCode::OK, &self.runs.by_request())),
+            (Method::GET, "effects") => Ok(json(StatusCode::OK, &self.runs.by_effect())),
+            (Method::GET, "served") => Ok(json(StatusCode::OK, &self.runs.served())),
+            (Method::GET, "states") => {
+                let states: Vec<_> = self.engines.iter().map(|e| e.orders.state()).collect();
+                Ok(json(StatusCode::OK, &states))
+            }
+            (Method::GET, "engines") => Ok(json(StatusCode::OK, &self.addresses)),
+            (Method::GET, "counts") => {
+                let counts: BTreeMap<usize, usize> = self
+                    .engines
+                    .iter()
+                    .map(|e| (e.index, e.served.load(Ordering::Relaxed)))
+                    .collect();
+                Ok(json(StatusCode::OK, &counts))
+            }
+            (Method::POST, "faults") => {
+                let wanted: serde_json::Value = read_json(request).await?;
+                for engine in &self.engines {
+                    engine.change_faults(wanted.clone())?;
+                }
+                Ok(json(StatusCode::OK, &json!({})))
+            }
+            (Method::POST, path) => {
+                let mut parts = path.trim_start_matches("engines/").split('/');
+                let index = parts.next().and_then(|text| text.parse::<usize>().ok());
+                let engine = index.and_then(|index| self.engines.get(index));
+                match (engine, parts.next()) {
+                    (Some(engine), Some("faults")) => {
+                        engine.change_faults(read_json(request).await?)?;
+                        Ok(json(StatusCode::OK, &*engine.faults.read()))
+                    }
+                    (Some(engine), Some("reset")) => {
+                        engine.reset();
+                        Ok(json(StatusCode::OK, &json!({})))
+                    }
+                    _ => Err(Refusal(error(StatusCode::NOT_FOUND, "path"))),
+                }
+            }
+            _ => Err(Refusal(error(StatusCode::NOT_FOUND, "path"))),
+        }
+    }
+}
+
+impl Engine {
+    fn change_faults(&self, wanted: serde_json::Value) -> Result<(), Refusal> {
+        let mut faults = self.faults.write();
+        *faults = change(&*faults, wanted)?;
+        Ok(())
+    }
+
+    fn load(&self) -> batch::Load {
+        let hits = self.cache.lock().hits();
+        self.batch.report(self.config.blocks, hits)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/http.rs
@@ -0,0 +1,232 @@
+//! The HTTP server that all stand-ins share.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+/// The largest request body that is read, in bytes.
+pub const BODY_BYTES_MAX: usize = 1 << 30;
+
+/// A response body.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+/// A request as received.
+pub type Request = http::Request<Incoming>;
+/// An answer.
+pub type Response = http::Response<Body>;
+
+/// What a handler does with a request.
+#[derive(Debug)]
+pub enum Reply {
+    /// Answers it.
+    Answer(Response),
+    /// Drops the connection without an answer.
+    Hangup,
+}
+
+/// A request that is refused, with its answer.
+#[derive(Debug)]
+pub struct Refusal(pub Response);
+
+impl From<Result<Response, Refusal>> for Reply {
+    fn from(result: Result<Response, Refusal>) -> Reply {
+        match result {
+            Ok(answer) | Err(Refusal(answer)) => Reply::Answer(answer),
+        }
+    }
+}
+
+/// What answers the requests of one listener.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(self: Arc<Self>, request: Request) -> impl Future<Output = Reply> + Send;
+}
+
+/// Listens on `address` and answers with `handler` until the runtime ends.
+///
+/// # Errors
+///
+/// What the system says when the address can't be bound.
+pub async fn spawn<H: Handler>(address: SocketAddr, handler: Arc<H>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address).await?;
+    let bound = listener.local_addr()?;
+    tokio::spawn(accept(listener, handler));
+    Ok(bound)
+}
+
+async fn accept<H: Handler>(listener: TcpListener, handler: Arc<H>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, handler.clone()));
+            }
+            Err(error) => {
+                log::warn!("E5001 can't accept a connection: {error}");
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn serve<H: Handler>(stream: TcpStream, handler: Arc<H>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move {
+            match handler.handle(request).await {
+                Reply::Answer(answer) => Ok(answer),
+                Reply::Hangup => Err(io::Error::other("the reply is lost")),
+            }
+        }
+    });
+    let connection =
+        hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    // A broken connection is the client's business.
+    let _ = connection.await;
+}
+
+/// A body of bytes already at hand.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
+
+/// An answer with a JSON body.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = http::Response::new(full(bytes));
+    *response.status_mut() = status;
+    let kind = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// An answer with raw bytes.
+pub fn bytes(status: StatusCode, body: impl Into<Bytes>) -> Response {
+    let mut response = http::Response::new(full(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// An error answer.
+pub fn error(status: StatusCode, kind: &str) -> Response {
+    json(status, &json!({ "error": kind }))
+}
+
+/// Reads a whole request body.
+///
+/// # Errors
+///
+/// A refusal to send when the body is too large or breaks off.
+pub async fn read(request: Request) -> Result<Bytes, Refusal> {
+    match Limited::new(request.into_body(), BODY_BYTES_MAX)
+        .collect()
+        .await
+    {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(_) => Err(Refusal(error(StatusCode::BAD_REQUEST, "body"))),
+    }
+}
+
+/// Reads a JSON request body.
+///
+/// # Errors
+///
+/// A refusal to send when the body is not what is expected.
+pub async fn read_json<T: DeserializeOwned>(request: Request) -> Result<T, Refusal> {
+    let body = read(request).await?;
+    parse(&body)
+}
+
+/// Parses a JSON body.
+///
+/// # Errors
+///
+/// A refusal to send when the body is not what is expected.
+pub fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body)
+        .map_err(|e| Refusal(error(StatusCode::BAD_REQUEST, &e.to_string())))
+}
+
+/// One parameter of a query string, percent-decoded.
+pub fn parameter(request: &Request, name: &str) -> Option<String> {
+    request.uri().query()?.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then(|| decode(value))
+    })
+}
+
+/// Decodes percent escapes.
+pub fn decode(text: &str) -> String {
+    let mut out = Vec::with_capacity(text.len());
+    let mut bytes = text.bytes();
+    while let Some(byte) = bytes.next() {
+        match byte {
+            b'%' => {
+                let digits = [bytes.next().unwrap_or(0), bytes.next().unwrap_or(0)];
+                let digits = std::str::from_utf8(&digits).unwrap_or("");
+                out.push(u8::from_str_radix(digits, 16).unwrap_or(b'?'));
+            }
+            b'+' => out.push(b' '),
+            other => out.push(other),
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+/// The range of a `Range: bytes=a-b` header within `length` bytes, both ends
+/// included in the text and the end excluded in the result.
+pub fn range(request: &Request, length: usize) -> Option<std::ops::Range<usize>> {
+    let text = request.headers().get(header::RANGE)?.to_str().ok()?;
+    let (first, last) = text.strip_prefix("bytes=")?.split_once('-')?;
+    let first: usize = first.parse().ok()?;
+    let end = match last {
+        "" => length,
+        last => last.parse::<usize>().ok()?.saturating_add(1).min(length),
+    };
+    (first < end).then_some(first..end)
+}
+
+/// Merges `change` into `target`, objects field by field.
+pub fn merge(target: &mut serde_json::Value, change: serde_json::Value) {
+    match (target, change) {
+        (serde_json::Value::Object(target), serde_json::Value::Object(change)) => {
+            for (key, value) in change {
+                merge(target.entry(key).or_insert(serde_json::Value::Null), value);
+            }
+        }
+        (target, change) => *target = change,
+    }
+}
+
+/// Merges a JSON change into typed faults.
+///
+/// # Errors
+///
+/// A refusal to send when a field is unknown or has the wrong type.
+pub fn change<T: DeserializeOwned + Serialize>(
+    current: &T,
+    change: serde_json::Value,
+) -> Result<T, Refusal> {
+    let mut value = serde_json::to_value(current).unwrap_or_default();
+    merge(&mut value, change);
+    serde_json::from_value(value)
+        .map_err(|e| Refusal(error(StatusCode::BAD_REQUEST, &e.to_string())))
+}
--- /dev/null
+++ b/crates/standin/src/platform/origin.rs
@@ -0,0 +1,171 @@
+//! The weight origin: one rate over all readers.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+
+use super::Fault;
+use super::Platform;
+use crate::http::Refusal;
+use crate::http::Request;
+use crate::http::Response;
+use crate::http::error;
+use crate::http::json;
+use crate::http::range;
+use crate::http::read;
+use crate::pace::BYTES_PER_MBIT;
+use crate::pace::Pace;
+
+/// Bytes that one reader gets in one turn.
+const TURN_BYTES: usize = 16 << 10;
+/// What a reader that is one too many is told to wait, in seconds.
+const RETRY_AFTER_S: &str = "1";
+
+/// Weights by manifest digest, and the rate at which they leave.
+#[derive(Debug)]
+pub(super) struct Origin {
+    weights: Mutex<HashMap<String, Bytes>>,
+    pace: Pace,
+    readers: AtomicUsize,
+    readers_max: usize,
+}
+
+/// What `POST /admin/origin` changes.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Settings {
+    rate_mbit: f64,
+}
+
+impl Origin {
+    pub(super) fn open(rate_mbit: f64, readers_max: usize) -> Origin {
+        Origin {
+            weights: Mutex::default(),
+            pace: Pace::open(rate_mbit * BYTES_PER_MBIT),
+            readers: AtomicUsize::new(0),
+            readers_max,
+        }
+    }
+
+    pub(super) fn set(&self, settings: &Settings) {
+        self.pace.set(settings.rate_mbit * BYTES_PER_MBIT);
+    }
+}
+
+/// One reader at work; counts itself out when dropped.
+struct Reader {
+    platform: Arc<Platform>,
+    manifest: String,
+    rest: Bytes,
+    corrupt_percent: u8,
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.platform.origin.readers.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Reader {
+    async fn turn(&mut self) -> Option<Bytes> {
+        if self.rest.is_empty() {
+            return None;
+        }
+        let piece = self.rest.split_to(TURN_BYTES.min(self.rest.len()));
+        self.platform.origin.pace.take(piece.len()).await;
+        let mut counters = self.platform.counters.lock();
+        let sent = counters.origin_bytes.entry(self.manifest.clone());
+        *sent.or_default() += piece.len() as u64;
+        drop(counters);
+        match self.platform.hits(self.corrupt_percent) {
+            true => Some(corrupt(&piece, self.platform.draw())),
+            false => Some(piece),
+        }
+    }
+}
+
+fn corrupt(piece: &Bytes, draw: u64) -> Bytes {
+    let mut bytes = piece.to_vec();
+    let position = draw as usize % bytes.len();
+    bytes[position] ^= 0x55;
+    Bytes::from(bytes)
+}
+
+impl Platform {
+    pub(super) async fn weights(
+        self: Arc<Self>,
+        manifest: &str,
+        request: Request,
+        fault: &Fault,
+    ) -> Result<Response, Refusal> {
+        match request.method().clone() {
+            Method::PUT => {
+                let body = read(request).await?;
+                let mut weights = self.origin.weights.lock();
+                weights.insert(manifest.to_owned(), body);
+                Ok(json(StatusCode::OK, &json!({})))
+            }
+            Method::GET => self.send(manifest, &request, fault),
+            _ => Err(Refusal(error(StatusCode::METHOD_NOT_ALLOWED, "method"))),
+        }
+    }
+
+    fn send(
+        self: Arc<Self>,
+        manifest: &str,
+        request: &Request,
+        fault: &Fault,
+    ) -> Result<Response, Refusal> {
+        let Some(weights) = self.origin.weights.lock().get(manifest).cloned() else {
+            return Err(Refusal(error(StatusCode::NOT_FOUND, "absent")));
+        };
+        self.counters.lock().origin_requests += 1;
+        if self.origin.readers.fetch_add(1, Ordering::Relaxed) >= self.origin.readers_max {
+            self.origin.readers.fetch_sub(1, Ordering::Relaxed);
+            self.counters.lock().origin_refused += 1;
+            let mut refusal = error(StatusCode::TOO_MANY_REQUESTS, "too many readers");
+            let wait = HeaderValue::from_static(RETRY_AFTER_S);
+            refusal.headers_mut().insert(header::RETRY_AFTER, wait);
+            return Err(Refusal(refusal));
+        }
+        let wanted = range(request, weights.len());
+        let status = match wanted {
+            Some(_) => StatusCode::PARTIAL_CONTENT,
+            None => StatusCode::OK,
+        };
+        let rest = weights.slice(wanted.unwrap_or(0..weights.len()));
+        let length = rest.len();
+        let reader = Reader {
+            platform: self,
+            manifest: manifest.to_owned(),
+            rest,
+            corrupt_percent: fault.corrupt_percent,
+        };
+        let pieces = stream::unfold(reader, async |mut reader| {
+            let piece = reader.turn().await?;
+            Some((Ok::<_, io::Error>(Frame::data(piece)), reader))
+        });
+        let mut response = http::Response::new(StreamBody::new(pieces).boxed_unsync());
+        *response.status_mut() = status;
+        let length = HeaderValue::from(length);
+        response
+            .headers_mut()
+            .insert(header::CONTENT_LENGTH, length);
+        Ok(response)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/relay.rs
@@ -0,0 +1,1 @@
+//! The links between regions.
--- /dev/null
+++ b/crates/standin/src/tokens.rs
@@ -0,0 +1,82 @@
+//! The tokens that a stand-in engine answers: a pure function of the prompt
+//! and the position, so that a cut, doubled or foreign token is seen.
+
+use serde::Deserialize;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+/// Bytes of output that make one token.
+const TOKEN_BYTES: usize = 2;
+/// Bytes of a prompt in one block of the prefix cache.
+pub const BLOCK_BYTES: usize = 256;
+/// Hexadecimal digits in the name of a prefix.
+const PREFIX_DIGITS: usize = 16;
+
+/// The answer to one prompt.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    reader: blake3::OutputReader,
+}
+
+impl Answer {
+    /// The answer to `prompt`.
+    pub fn of(prompt: &str) -> Answer {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(prompt.as_bytes());
+        Answer {
+            reader: hasher.finalize_xof(),
+        }
+    }
+
+    /// The token at `position`, from 0.
+    pub fn token(&mut self, position: u64) -> SmolStr {
+        let mut bytes = [0; TOKEN_BYTES];
+        self.reader.set_position(position * TOKEN_BYTES as u64);
+        self.reader.fill(&mut bytes);
+        format_smolstr!("{:04x} ", u16::from_be_bytes(bytes))
+    }
+
+    /// The text of the tokens from `first` up to and without `end`.
+    pub fn text(&mut self, first: u64, end: u64) -> String {
+        let mut text = String::new();
+        for position in first..end {
+            text.push_str(&self.token(position));
+        }
+        text
+    }
+}
+
+/// One message of a chat.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Message {
+    /// Who speaks.
+    pub role: SmolStr,
+    /// What is said.
+    pub content: String,
+}
+
+/// The prompt that a chat amounts to.
+pub fn chat(messages: &[Message]) -> String {
+    messages
+        .iter()
+        .map(|message| format!("{}: {}\n", message.role, message.content))
+        .collect()
+}
+
+/// The names of all whole-block prefixes of a prompt, shortest first.
+pub fn prefixes(prompt: &str) -> Vec<SmolStr> {
+    let mut hasher = blake3::Hasher::new();
+    prompt
+        .as_bytes()
+        .chunks_exact(BLOCK_BYTES)
+        .map(|block| {
+            hasher.update(block);
+            SmolStr::new(&hasher.finalize().to_hex()[..PREFIX_DIGITS])
+        })
+        .collect()
+}
+
+/// What names the effect that a call has: the last word of its text.
+pub fn effect(text: &str) -> Option<SmolStr> {
+    text.split_whitespace().next_back().map(SmolStr::new)
+}
