--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -220,7 +220,7 @@
     async fn admin(&self, request: Request) -> Result<Response, Refusal> {
         let path = request.uri().path().to_owned();
         let Some(path) = path.strip_prefix("/admin/") else {
-            return Err(Refusal(error(StatusCode::NOT_FOUND, "path")));
+            return Err(Refusal::of(error(StatusCode::NOT_FOUND, "path")));
         };
         match (request.method().clone(), path) {
             (Method::GET, "runs") => Ok(json(StatusCode::OK, &self.runs.by_request())),
@@ -259,10 +259,10 @@
                         engine.reset();
                         Ok(json(StatusCode::OK, &json!({})))
                     }
-                    _ => Err(Refusal(error(StatusCode::NOT_FOUND, "path"))),
+                    _ => Err(Refusal::of(error(StatusCode::NOT_FOUND, "path"))),
                 }
             }
-            _ => Err(Refusal(error(StatusCode::NOT_FOUND, "path"))),
+            _ => Err(Refusal::of(error(StatusCode::NOT_FOUND, "path"))),
         }
     }
 }
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -132,16 +132,16 @@
             Method::GET if self.cache.lock().held.contains_key(prefix) => {
                 Ok(bytes(StatusCode::OK, contents(prefix)))
             }
-            Method::GET => Err(Refusal(error(StatusCode::NOT_FOUND, "absent"))),
+            Method::GET => Err(Refusal::of(error(StatusCode::NOT_FOUND, "absent"))),
             Method::PUT => {
                 let body = read(request).await?;
                 if body != contents(prefix) {
-                    return Err(Refusal(error(StatusCode::BAD_REQUEST, "foreign cache")));
+                    return Err(Refusal::of(error(StatusCode::BAD_REQUEST, "foreign cache")));
                 }
                 self.cache.lock().store(SmolStr::new(prefix));
                 Ok(json(StatusCode::OK, &json!({})))
             }
-            _ => Err(Refusal(error(StatusCode::METHOD_NOT_ALLOWED, "method"))),
+            _ => Err(Refusal::of(error(StatusCode::METHOD_NOT_ALLOWED, "method"))),
         }
     }
 }
--- a/crates/standin/src/engine/completion.rs
+++ b/crates/standin/src/engine/completion.rs
@@ -92,7 +92,7 @@
             .map_or_else(|| format_smolstr!("{}-{number}", self.index), SmolStr::new);
         let (sequence, stream) = match self.clone().begin(chat, id, number, request).await {
             Ok(begun) => begun,
-            Err(Refusal(answer)) => return Reply::Answer(answer),
+            Err(Refusal(answer)) => return Reply::Answer(*answer),
         };
         let lose = Engine::hits(self.faults.read().lose_percent, number);
         match stream {
@@ -120,16 +120,16 @@
             _ = guard.stop.changed() => None,
         };
         let Some(slot) = slot else {
-            return Err(Refusal(error(StatusCode::CONFLICT, "cancelled")));
+            return Err(Refusal::of(error(StatusCode::CONFLICT, "cancelled")));
         };
         // What is in force decides when the call begins, not when it arrived.
         let loaded = match self.orders.serving(&wanted.model) {
             Some(loaded) => loaded,
             None if self.orders.empty() => {
                 let refusal = error(StatusCode::SERVICE_UNAVAILABLE, "nothing loaded");
-                return Err(Refusal(refusal));
+                return Err(Refusal::of(refusal));
             }
-            None => return Err(Refusal(error(StatusCode::NOT_FOUND, "model"))),
+            None => return Err(Refusal::of(error(StatusCode::NOT_FOUND, "model"))),
         };
         guard.start(tokens::effect(&prompt));
         self.runs.serve(Served {
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -133,7 +133,12 @@
     pub(super) async fn order(self: Arc<Self>, request: Request) -> Result<Response, Refusal> {
         let fenced: Fenced = read_json(request).await?;
         let carried = tokio::spawn(async move { self.carry_out(fenced).await }).await;
-        carried.unwrap_or_else(|_| Err(Refusal(error(StatusCode::INTERNAL_SERVER_ERROR, "order"))))
+        carried.unwrap_or_else(|_| {
+            Err(Refusal::of(error(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "order",
+            )))
+        })
     }
 
     async fn carry_out(&self, fenced: Fenced) -> Result<Response, Refusal> {
@@ -193,7 +198,7 @@
         let mut holding = self.orders.holding.lock();
         if self.config.check_fence && fence < holding.fence {
             let highest = json!({ "fence": holding.fence });
-            return Err(Refusal(json(StatusCode::CONFLICT, &highest)));
+            return Err(Refusal::of(json(StatusCode::CONFLICT, &highest)));
         }
         holding.fence = holding.fence.max(fence);
         Ok(holding.life)
@@ -208,7 +213,7 @@
     ) -> Result<(), Refusal> {
         let mut holding = self.orders.holding.lock();
         if holding.life != life {
-            return Err(Refusal(error(StatusCode::SERVICE_UNAVAILABLE, "reset")));
+            return Err(Refusal::of(error(StatusCode::SERVICE_UNAVAILABLE, "reset")));
         }
         holding.loading = false;
         holding.models.retain(|m| m.model != name);
@@ -217,7 +222,7 @@
                 holding.models.push(loaded);
                 Ok(())
             }
-            Err(why) => Err(Refusal(error(StatusCode::BAD_GATEWAY, &why))),
+            Err(why) => Err(Refusal::of(error(StatusCode::BAD_GATEWAY, &why))),
         }
     }
 
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -42,12 +42,20 @@
 
 /// A request that is refused, with its answer.
 #[derive(Debug)]
-pub struct Refusal(pub Response);
+pub struct Refusal(pub Box<Response>);
+
+impl Refusal {
+    /// A refusal with this answer.
+    pub fn of(answer: Response) -> Refusal {
+        Refusal(Box::new(answer))
+    }
+}
 
 impl From<Result<Response, Refusal>> for Reply {
     fn from(result: Result<Response, Refusal>) -> Reply {
         match result {
-            Ok(answer) | Err(Refusal(answer)) => Reply::Answer(answer),
+            Ok(answer) => Reply::Answer(answer),
+            Err(Refusal(answer)) => Reply::Answer(*answer),
         }
     }
 }
@@ -141,7 +149,7 @@
         .await
     {
         Ok(body) => Ok(body.to_bytes()),
-        Err(_) => Err(Refusal(error(StatusCode::BAD_REQUEST, "body"))),
+        Err(_) => Err(Refusal::of(error(StatusCode::BAD_REQUEST, "body"))),
     }
 }
 
@@ -162,7 +170,7 @@
 /// A refusal to send when the body is not what is expected.
 pub fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
     serde_json::from_slice(body)
-        .map_err(|e| Refusal(error(StatusCode::BAD_REQUEST, &e.to_string())))
+        .map_err(|e| Refusal::of(error(StatusCode::BAD_REQUEST, &e.to_string())))
 }
 
 /// One parameter of a query string, percent-decoded.
@@ -228,5 +236,5 @@
     let mut value = serde_json::to_value(current).unwrap_or_default();
     merge(&mut value, change);
     serde_json::from_value(value)
-        .map_err(|e| Refusal(error(StatusCode::BAD_REQUEST, &e.to_string())))
+        .map_err(|e| Refusal::of(error(StatusCode::BAD_REQUEST, &e.to_string())))
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -245,7 +245,7 @@
                 self.listing.lock().set_lag(Duration::from_millis(lag_ms));
                 Ok(json(StatusCode::OK, &lag_ms))
             }
-            _ => Err(Refusal(error(StatusCode::NOT_FOUND, "path"))),
+            _ => Err(Refusal::of(error(StatusCode::NOT_FOUND, "path"))),
         }
     }
 }
--- a/crates/standin/src/platform/listing.rs
+++ b/crates/standin/src/platform/listing.rs
@@ -124,7 +124,7 @@
                 self.listing.lock().change(|hosts| drop(hosts.remove(host)));
                 Ok(json(StatusCode::OK, &json!({})))
             }
-            _ => Err(Refusal(error(StatusCode::METHOD_NOT_ALLOWED, "method"))),
+            _ => Err(Refusal::of(error(StatusCode::METHOD_NOT_ALLOWED, "method"))),
         }
     }
 }
--- a/crates/standin/src/platform/objects.rs
+++ b/crates/standin/src/platform/objects.rs
@@ -34,10 +34,10 @@
                 self.counters.lock().object_reads += 1;
                 match self.objects.0.lock().get(name) {
                     Some(object) => Ok(part(&request, object)),
-                    None => Err(Refusal(error(StatusCode::NOT_FOUND, "absent"))),
+                    None => Err(Refusal::of(error(StatusCode::NOT_FOUND, "absent"))),
                 }
             }
-            _ => Err(Refusal(error(StatusCode::METHOD_NOT_ALLOWED, "method"))),
+            _ => Err(Refusal::of(error(StatusCode::METHOD_NOT_ALLOWED, "method"))),
         }
     }
 }
--- a/crates/standin/src/platform/origin.rs
+++ b/crates/standin/src/platform/origin.rs
@@ -121,7 +121,7 @@
                 Ok(json(StatusCode::OK, &json!({})))
             }
             Method::GET => self.send(manifest, &request, fault),
-            _ => Err(Refusal(error(StatusCode::METHOD_NOT_ALLOWED, "method"))),
+            _ => Err(Refusal::of(error(StatusCode::METHOD_NOT_ALLOWED, "method"))),
         }
     }
 
@@ -132,7 +132,7 @@
         fault: &Fault,
     ) -> Result<Response, Refusal> {
         let Some(weights) = self.origin.weights.lock().get(manifest).cloned() else {
-            return Err(Refusal(error(StatusCode::NOT_FOUND, "absent")));
+            return Err(Refusal::of(error(StatusCode::NOT_FOUND, "absent")));
         };
         self.counters.lock().origin_requests += 1;
         if self.origin.readers.fetch_add(1, Ordering::Relaxed) >= self.origin.readers_max {
@@ -141,7 +141,7 @@
             let mut refusal = error(StatusCode::TOO_MANY_REQUESTS, "too many readers");
             let wait = HeaderValue::from_static(RETRY_AFTER_S);
             refusal.headers_mut().insert(header::RETRY_AFTER, wait);
-            return Err(Refusal(refusal));
+            return Err(Refusal::of(refusal));
         }
         let wanted = range(request, weights.len());
         let status = match wanted {
--- a/crates/standin/src/platform/tables.rs
+++ b/crates/standin/src/platform/tables.rs
@@ -154,7 +154,7 @@
                         StatusCode::OK,
                         &json!({"value": value, "revision": revision}),
                     )),
-                    None => Err(Refusal(error(StatusCode::NOT_FOUND, "absent"))),
+                    None => Err(Refusal::of(error(StatusCode::NOT_FOUND, "absent"))),
                 }
             }
             (Method::GET, None) => {
@@ -168,7 +168,7 @@
                 let rows = self.tables.lock().page(rest, &query, when);
                 Ok(json(StatusCode::OK, &json!({ "rows": rows })))
             }
-            _ => Err(Refusal(error(StatusCode::METHOD_NOT_ALLOWED, "method"))),
+            _ => Err(Refusal::of(error(StatusCode::METHOD_NOT_ALLOWED, "method"))),
         }
     }
 
@@ -176,7 +176,7 @@
         let transaction: Transaction = read_json(request).await?;
         let size = transaction.conditions.len() + transaction.writes.len();
         if size > TRANSACTION_MAX || transaction.operation.is_empty() {
-            return Err(Refusal(error(StatusCode::BAD_REQUEST, "transaction")));
+            return Err(Refusal::of(error(StatusCode::BAD_REQUEST, "transaction")));
         }
         let committed = self.tables.lock().commit(transaction);
         let mut counters = self.counters.lock();
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -133,7 +133,7 @@
             .unwrap_or_else(|| format_smolstr!("{}-{number}", self.index));
         let body = match read(request).await {
             Ok(body) => String::from_utf8_lossy(&body).into_owned(),
-            Err(Refusal(answer)) => return Reply::Answer(answer),
+            Err(Refusal(answer)) => return Reply::Answer(*answer),
         };
         let run = self.run(&key, &body);
         tokio::time::sleep(self.work + faults.extra(number)).await;
@@ -227,10 +227,10 @@
                         service.change_faults(read_json(request).await?)?;
                         Ok(json(StatusCode::OK, &json!({})))
                     }
-                    _ => Err(Refusal(error(StatusCode::NOT_FOUND, "path"))),
+                    _ => Err(Refusal::of(error(StatusCode::NOT_FOUND, "path"))),
                 }
             }
-            _ => Err(Refusal(error(StatusCode::NOT_FOUND, "path"))),
+            _ => Err(Refusal::of(error(StatusCode::NOT_FOUND, "path"))),
         }
     }
 }
