--- a/crates/standin/src/flags.rs
+++ b/crates/standin/src/flags.rs
@@ -54,6 +54,11 @@
             /// How long an ordinary call takes.
             optional --work-ms ms: u64
         }
+        /// The links between regions.
+        cmd relay {
+            /// Where the administration listens.
+            optional --listen address: SocketAddr
+        }
         /// A trace collector.
         cmd collector {
             /// Where to listen.
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -8,10 +8,11 @@
 
 use serde_json::Value;
 use serde_json::json;
-use snipewinch_standin::collector;
-use snipewinch_standin::engine;
-use snipewinch_standin::platform;
-use snipewinch_standin::service;
+use standin::collector;
+use standin::engine;
+use standin::platform;
+use standin::relay;
+use standin::service;
 
 mod flags;
 
@@ -47,6 +48,10 @@
         StandinCmd::Platform(flags) => platform(flags).await?,
         StandinCmd::Engines(flags) => engines(flags).await?,
         StandinCmd::Services(flags) => services(flags).await?,
+        StandinCmd::Relay(flags) => {
+            let address = relay::spawn(listen(flags.listen)).await?;
+            json!({"ready": true, "admin": address})
+        }
         StandinCmd::Collector(flags) => {
             let address = collector::spawn(listen(flags.listen)).await?;
             json!({"ready": true, "collector": address})
--- a/crates/standin/tests/backends.rs
+++ b/crates/standin/tests/backends.rs
@@ -9,12 +9,12 @@
 use http_body_util::Full;
 use serde_json::Value;
 use serde_json::json;
-use snipewinch_standin::client::Answer;
-use snipewinch_standin::client::Client;
-use snipewinch_standin::engine;
-use snipewinch_standin::platform;
-use snipewinch_standin::service;
-use snipewinch_standin::tokens;
+use standin::client::Answer;
+use standin::client::Client;
+use standin::engine;
+use standin::platform;
+use standin::service;
+use standin::tokens;
 
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -7,8 +7,8 @@
 use http::Method;
 use serde_json::Value;
 use serde_json::json;
-use snipewinch_standin::client::Client;
-use snipewinch_standin::platform;
+use standin::client::Client;
+use standin::platform;
 
 async fn open() -> (Client, SocketAddr) {
     let config = platform::Config {
