Launch a whole fleet of real processes for experiments

Cause: figures and fault tests need the real programs, many at once, on one machine, and nothing may outlive an experiment.

--- /dev/null
+++ b/crates/bench/src/fleet/hosts.rs
@@ -0,0 +1,417 @@
+//! The entry and agent hosts of a fleet: started, killed, stopped, replaced.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::TryStreamExt;
+use futures_util::stream;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snipewinch::Digest;
+use snipewinch::host;
+use snipewinch::host::Role;
+use snipewinch::membership;
+
+use super::Error;
+use super::FLEET_KEY;
+use super::Fleet;
+use super::HostSnafu;
+use super::PLATFORM_HOST;
+use super::ProcessSnafu;
+use super::address;
+use super::plan::flags;
+use crate::process::Process;
+use crate::process::Usage;
+
+/// Programs that are started side by side.
+const STARTS_AT_ONCE: usize = 16;
+
+/// What stands beside an agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Backend {
+    /// The model engine of this index.
+    Engine(usize, SocketAddr),
+    /// The plain service of this index.
+    Plain(usize, SocketAddr),
+}
+
+impl Backend {
+    fn address(self) -> SocketAddr {
+        match self {
+            Backend::Engine(_, address) | Backend::Plain(_, address) => address,
+        }
+    }
+}
+
+/// One host of a fleet.
+#[derive(Debug)]
+pub struct Host {
+    /// Its name.
+    pub name: host::Name,
+    /// Which program runs there.
+    pub role: Role,
+    /// Its availability zone.
+    pub zone: host::Zone,
+    /// Its region.
+    pub region: host::Region,
+    /// The service beside it, for agents.
+    pub service: Option<SmolStr>,
+    /// What stands beside it, for agents.
+    pub backend: Option<Backend>,
+    /// Where it listens for peers.
+    pub peers: SocketAddr,
+    /// Where it serves HTTP.
+    pub http: SocketAddr,
+    /// The program, unless it was killed.
+    pub process: Option<Process>,
+}
+
+impl Host {
+    /// What the program has used of the machine.
+    pub fn usage(&self) -> Usage {
+        self.process
+            .as_ref()
+            .map(Process::usage)
+            .unwrap_or_default()
+    }
+
+    /// The index of its engine.
+    pub fn engine(&self) -> Option<usize> {
+        match self.backend {
+            Some(Backend::Engine(index, _)) => Some(index),
+            Some(Backend::Plain(..)) | None => None,
+        }
+    }
+}
+
+/// Where a host is to stand and what for.
+#[derive(Clone, Debug)]
+struct Place {
+    name: host::Name,
+    role: Role,
+    zone: host::Zone,
+    region: host::Region,
+    service: Option<SmolStr>,
+    backend: Option<Backend>,
+}
+
+impl Fleet {
+    /// Starts every host of the plan, spread evenly over the zones.
+    pub(super) async fn start_hosts(
+        &mut self,
+        engines: Vec<Backend>,
+        plain: Vec<Backend>,
+    ) -> Result<(), Error> {
+        let mut engines = engines.into_iter();
+        let mut plain = plain.into_iter();
+        let mut places = Vec::new();
+        for index in 0..self.plan.deployment.entries {
+            let name = format_smolstr!("entry-{index}");
+            places.push(self.place(name, index, Role::Entry, None, None));
+        }
+        for service in &self.plan.deployment.services {
+            for index in 0..service.runners {
+                let backend = match self.plan.is_engine(&service.name) {
+                    true => engines.next(),
+                    false => plain.next(),
+                };
+                let name = format_smolstr!("{}-{index}", service.name);
+                let service = Some(service.name.clone());
+                places.push(self.place(name, index, Role::Agent, service, backend));
+            }
+        }
+        self.spare_engines = engines.collect();
+        let started = stream::iter(places)
+            .map(|place| self.start_host(place))
+            .buffer_unordered(STARTS_AT_ONCE);
+        let started: Vec<Host> = started.try_collect().await?;
+        for host in &started {
+            self.announce(host, membership::State::Live).await?;
+        }
+        for host in started {
+            self.hosts.insert(host.name.clone(), host);
+        }
+        self.balance();
+        Ok(())
+    }
+
+    fn place(
+        &self,
+        name: SmolStr,
+        index: usize,
+        role: Role,
+        service: Option<SmolStr>,
+        backend: Option<Backend>,
+    ) -> Place {
+        let regions = &self.plan.deployment.regions;
+        let region = &regions[index % regions.len()];
+        let zone = &region.zones[(index / regions.len()) % region.zones.len()];
+        Place {
+            name: host::Name(name),
+            role,
+            zone: host::Zone(zone.clone()),
+            region: host::Region(region.name.clone()),
+            service,
+            backend,
+        }
+    }
+
+    async fn start_host(&self, place: Place) -> Result<Host, Error> {
+        let arguments = self.daemon_flags(&place);
+        let program = &self.binaries.snipewinchd;
+        let (process, ready) = Process::spawn(place.name.as_str(), program, &arguments)
+            .await
+            .context(ProcessSnafu)?;
+        Ok(Host {
+            name: place.name,
+            role: place.role,
+            zone: place.zone,
+            region: place.region,
+            service: place.service,
+            backend: place.backend,
+            peers: address(&ready, "peers")?,
+            http: address(&ready, "http")?,
+            process: Some(process),
+        })
+    }
+
+    fn daemon_flags(&self, place: &Place) -> Vec<String> {
+        let platform = self.platform_by_region.get(&place.region);
+        let platform = format!("http://{}", platform.unwrap_or(&self.platform));
+        let role = match place.role {
+            Role::Entry => "entry",
+            Role::Agent => "agent",
+        };
+        let mut list = flags(&[
+            ("--role", role.to_owned()),
+            ("--host", place.name.to_string()),
+            ("--zone", place.zone.to_string()),
+            ("--region", place.region.to_string()),
+            ("--platform", platform),
+            ("--fleet-key", FLEET_KEY.to_owned()),
+            ("--log-level", self.plan.log_level.to_owned()),
+            ("--leave-grace-ms", self.plan.leave_grace_ms.to_string()),
+        ]);
+        if let Some(collector) = self.collector {
+            list.extend(flags(&[("--collector", format!("http://{collector}"))]));
+        }
+        match (&place.service, place.backend) {
+            (Some(service), Some(backend)) => list.extend(flags(&[
+                ("--service", service.to_string()),
+                ("--backend", format!("http://{}", backend.address())),
+                ("--upload-mbit", self.plan.upload_mbit.to_string()),
+                ("--chunk-memory-mib", self.plan.chunk_memory_mib.to_string()),
+            ])),
+            _ => {
+                let digest = Digest::of(self.operator_key().as_bytes());
+                list.extend(flags(&[(
+                    "--first-operator-key-digest",
+                    digest.to_string(),
+                )]));
+            }
+        }
+        list
+    }
+
+    /// Tells the membership list of a host, as the platform's deployer does.
+    async fn announce(&self, host: &Host, state: membership::State) -> Result<(), Error> {
+        let mut reached = serde_json::Map::new();
+        for region in &self.plan.deployment.regions {
+            if let Some(relay) = self.relay
+                && *region.name != *host.region.as_str()
+            {
+                let route = json!({"from": region.name, "to": host.region,
+                    "host": host.name, "target": host.peers});
+                let answer = self.post(relay, "/admin/routes", route).await?;
+                reached.insert(region.name.to_string(), answer["address"].clone());
+            }
+        }
+        let member = json!({"host": host.name, "role": host.role, "zone": host.zone,
+            "region": host.region, "service": host.service, "address": host.peers,
+            "state": state, "reached": reached});
+        let path = format!("/membership/{}", host.name);
+        self.put(self.platform, &path, member.to_string()).await?;
+        Ok(())
+    }
+
+    /// Lays the links between regions and the ways to the platform.
+    pub(super) async fn lay_links(&mut self) -> Result<(), Error> {
+        let Some(relay) = self.relay else {
+            return Ok(());
+        };
+        let deployment = self.plan.deployment.clone();
+        for from in &deployment.regions {
+            for to in deployment.regions.iter().filter(|to| to.name != from.name) {
+                let link = json!({"from": from.name, "to": to.name,
+                    "mbit": deployment.region_mbit, "delay_ms": deployment.region_delay_ms});
+                self.post(relay, "/admin/links", link).await?;
+            }
+            if from.name != deployment.store_region {
+                let route = json!({"from": from.name, "to": deployment.store_region,
+                    "host": PLATFORM_HOST, "target": self.platform});
+                let answer = self.post(relay, "/admin/routes", route).await?;
+                let region = host::Region(from.name.clone());
+                let reached = address(&answer, "address")?;
+                self.platform_by_region.insert(region, reached);
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells the balancer which entries run.
+    fn balance(&self) {
+        let entries = self.hosts.values();
+        *self.balanced.write() = entries
+            .filter(|host| host.role == Role::Entry && host.process.is_some())
+            .map(|host| host.http)
+            .collect();
+    }
+
+    fn host_mut(&mut self, name: &host::Name) -> Result<&mut Host, Error> {
+        let key = name.as_str();
+        self.hosts.get_mut(name).context(HostSnafu { name: key })
+    }
+
+    /// Kills a host; the list still names it until [`Fleet::unlist`].
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Host`] if there is none.
+    pub async fn kill(&mut self, name: &host::Name) -> Result<(), Error> {
+        let host = self.host_mut(name)?;
+        if let Some(mut process) = host.process.take() {
+            process.kill().await;
+        }
+        self.balance();
+        Ok(())
+    }
+
+    /// Takes a host off the membership list.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the platform does not answer.
+    pub async fn unlist(&self, name: &host::Name) -> Result<(), Error> {
+        let path = format!("/membership/{name}");
+        let answer = self
+            .client
+            .call(http::Method::DELETE, self.platform, &path, "")
+            .await;
+        answer.context(super::HttpSnafu)?;
+        Ok(())
+    }
+
+    /// Marks a host as leaving in the membership list only.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if there is no such host or the platform does not answer.
+    pub async fn mark_leaving(&self, name: &host::Name) -> Result<(), Error> {
+        let host = self.host(name.as_str())?;
+        self.announce(host, membership::State::Leaving).await
+    }
+
+    /// Asks a host to stop gracefully; whether it did within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Host`] if there is none.
+    pub async fn stop(&mut self, name: &host::Name, limit: Duration) -> Result<bool, Error> {
+        let host = self.host_mut(name)?;
+        let address = host.http;
+        let Some(mut process) = host.process.take() else {
+            return Ok(true);
+        };
+        process.signal(Signal::SIGTERM);
+        let grace = Duration::from_millis(self.plan.leave_grace_ms / 2);
+        let balanced = self.balanced.clone();
+        let unbalance = async {
+            // The balancer notices a little later, as by readiness.
+            tokio::time::sleep(grace).await;
+            balanced.write().retain(|entry| *entry != address);
+        };
+        let wait = tokio::time::timeout(limit, process.wait());
+        let (ended, ()) = tokio::join!(wait, unbalance);
+        self.balance();
+        Ok(ended.unwrap_or(false))
+    }
+
+    /// Sends a signal to a host, such as `SIGSTOP` and `SIGCONT`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Host`] if there is none.
+    pub fn signal(&self, name: &host::Name, signal: Signal) -> Result<(), Error> {
+        if let Some(process) = &self.host(name.as_str())?.process {
+            process.signal(signal);
+        }
+        Ok(())
+    }
+
+    /// Starts a host that was killed or stopped again, empty, under its name.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if it does not come up.
+    pub async fn replace(&mut self, name: &host::Name) -> Result<(), Error> {
+        self.kill(name).await?;
+        if let Some(index) = self.host(name.as_str())?.engine() {
+            let path = format!("/admin/engines/{index}/reset");
+            self.post(self.engines, &path, json!({})).await?;
+        }
+        self.restart(name).await
+    }
+
+    /// Starts a host's program again beside the same backend server.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if it does not come up.
+    pub async fn restart(&mut self, name: &host::Name) -> Result<(), Error> {
+        self.kill(name).await?;
+        let old = self.host(name.as_str())?;
+        let place = Place {
+            name: old.name.clone(),
+            role: old.role,
+            zone: old.zone.clone(),
+            region: old.region.clone(),
+            service: old.service.clone(),
+            backend: old.backend,
+        };
+        self.add(place).await
+    }
+
+    /// Starts one more engine host beside a spare engine; none when all spare
+    /// engines are taken.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if it does not come up.
+    pub async fn join(&mut self) -> Result<Option<host::Name>, Error> {
+        let Some(backend) = self.spare_engines.pop() else {
+            return Ok(None);
+        };
+        let services = &self.plan.deployment.services;
+        let service = services.iter().find(|s| self.plan.is_engine(&s.name));
+        let service = service.map(|service| service.name.clone());
+        let index = self.hosts.len();
+        let name = format_smolstr!("joined-{index}");
+        let place = self.place(name, index, Role::Agent, service, Some(backend));
+        let name = place.name.clone();
+        self.add(place).await?;
+        Ok(Some(name))
+    }
+
+    async fn add(&mut self, place: Place) -> Result<(), Error> {
+        let host = self.start_host(place).await?;
+        self.announce(&host, membership::State::Live).await?;
+        self.hosts.insert(host.name.clone(), host);
+        self.balance();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,22 @@
+//! Launches the real programs and the stand-ins on loopback, runs experiments
+//! on them and prints what they show.
+//!
+//! A [`fleet::Fleet`] is a set of running processes; [`load::Load`] sends calls
+//! to it and checks every answer; what really ran is counted by the stand-ins.
+
+pub mod binaries;
+pub mod burst;
+pub mod calls;
+pub mod config;
+pub mod deployment;
+pub mod drill;
+mod error;
+pub mod fleet;
+pub mod load;
+pub mod process;
+pub mod report;
+pub mod slopes;
+pub mod weights;
+
+pub use error::Error;
+pub use error::usage;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,2 +1,87 @@
-//! Placeholder.
-fn main() {}
+//! `bench`: runs an experiment and prints one JSON line last.
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use bench::Error;
+
+/// Threads of a bench process, which also sends the calls.
+const WORKERS: usize = 4;
+
+const HELP: &str = "\
+bench: launches the real programs on loopback and measures them
+
+  demo     a new model version reaches every host while calls flow
+  burst    weights: time to all replicas, origin and link copies
+  calls    live calls under load and faults
+  config   publishing and spreading configurations
+  slopes   cost for each host against the size of the fleet
+  drill    everything that fails, together, against the seven promises
+  report   a page with plots from stored JSON lines
+
+`bench EXPERIMENT --help` tells its flags.";
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args_os().skip(1);
+    let name = arguments.next().unwrap_or_default();
+    let rest: Vec<OsString> = arguments.collect();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return failed(&error.to_string()),
+    };
+    let result = match name.to_str() {
+        Some("demo") => runtime.block_on(interruptible(bench::burst::run(rest))),
+        Some("burst") => runtime.block_on(interruptible(bench::burst::run(rest))),
+        Some("calls") => runtime.block_on(interruptible(bench::calls::run(rest))),
+        Some("config") => runtime.block_on(interruptible(bench::config::run(rest))),
+        Some("slopes") => runtime.block_on(interruptible(bench::slopes::run(rest))),
+        Some("drill") => runtime.block_on(interruptible(bench::drill::run(rest))),
+        Some("report") => bench::report::run(rest),
+        Some("--version") => {
+            println!("bench {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Some("--help" | "-h") => {
+            println!("{HELP}");
+            Ok(())
+        }
+        _ => Err(Error::Usage {
+            detail: HELP.to_owned(),
+        }),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Error::Help { text }) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => failed(&error.to_string()),
+    }
+}
+
+/// Ends the experiment, and with it all its processes, on a signal.
+async fn interruptible(experiment: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
+    let mut terminate =
+        match tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()) {
+            Ok(terminate) => terminate,
+            Err(error) => {
+                return Err(Error::Usage {
+                    detail: error.to_string(),
+                });
+            }
+        };
+    tokio::select! {
+        result = experiment => result,
+        _ = tokio::signal::ctrl_c() => Err(Error::Interrupted),
+        _ = terminate.recv() => Err(Error::Interrupted),
+    }
+}
+
+fn failed(why: &str) -> ExitCode {
+    eprintln!("E5101 the experiment ended early: {why}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,14 @@
+//! The experiment `report`.
+
+use std::ffi::OsString;
+
+use crate::Error;
+
+/// Runs the experiment with the flags after its name.
+///
+/// # Errors
+///
+/// [`Error`] if it ends early.
+pub fn run(_arguments: Vec<OsString>) -> Result<(), Error> {
+    Err(Error::Absent { name: "report" })
+}
