--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -2,13 +2,12 @@
 //! weights.
 
 use peer::link::Event;
-use poem::EndpointExt;
-use poem::Route;
 use snipewinch::call;
 use tokio::sync::mpsc;
 
 use crate::http::Routes;
 use crate::node::Node;
+use crate::status;
 
 mod calls;
 mod weights;
@@ -23,6 +22,6 @@
     Routes {
         callers: weights::spawn(node, weights_inbox),
         console: None,
-        status: Route::new().boxed(),
+        status: status::routes(node),
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,6 +30,7 @@
 mod node;
 mod setting;
 mod shutdown;
+mod status;
 mod trace;
 
 pub use snipewinch::host::Role;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -1,8 +1,10 @@
 //! Keeps the view of hosts current.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use peer::link;
 use peer::link::Direction;
 use peer::link::Event;
@@ -11,6 +13,7 @@
 use slotmap::Key;
 use slotmap::KeyData;
 use snipewinch::host;
+use snipewinch::host::Identity;
 use snipewinch::host::Role;
 use snipewinch::membership::Message;
 use snipewinch::membership::Roster;
@@ -20,6 +23,7 @@
 use snipewinch::membership::roster;
 use snipewinch::membership::roster::Action;
 use snipewinch::wire::Frame;
+use snipewinch::wire::Summary;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
@@ -28,6 +32,44 @@
 use crate::node::Node;
 use crate::shutdown::Phase;
 
+/// What each linked process last said of itself.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Reports {
+    reports: Arc<Mutex<HashMap<link::Key, Said>>>,
+}
+
+#[derive(Clone, Debug)]
+struct Said {
+    peer: Arc<Identity>,
+    summary: Arc<Summary>,
+}
+
+impl Reports {
+    /// The reports by host; of two links to one host, the later process's.
+    pub(crate) fn by_host(&self) -> HashMap<host::Name, Arc<Summary>> {
+        let mut said: Vec<Said> = self.reports.lock().values().cloned().collect();
+        said.sort_by_key(|said| (said.peer.incarnation, said.summary.configuration));
+        said.into_iter()
+            .map(|said| (said.peer.host.clone(), said.summary))
+            .collect()
+    }
+
+    fn up(&self, link: link::Key, peer: Arc<Identity>) {
+        let summary = Arc::default();
+        self.reports.lock().insert(link, Said { peer, summary });
+    }
+
+    fn down(&self, link: link::Key) {
+        self.reports.lock().remove(&link);
+    }
+
+    fn hear(&self, link: link::Key, summary: Arc<Summary>) {
+        if let Some(said) = self.reports.lock().get_mut(&link) {
+            said.summary = summary;
+        }
+    }
+}
+
 /// How often silence is looked at and the view renewed.
 const TICK: Duration = Duration::from_millis(100);
 /// Reads of the list that wait to be taken in.
@@ -120,6 +162,7 @@
                 direction,
             } => {
                 self.links.push(link);
+                self.node.reports.up(link, peer.clone());
                 self.handle(roster::Event::Up {
                     link: number(link),
                     peer: (*peer).clone(),
@@ -128,6 +171,7 @@
             }
             Event::Down { link, reason, .. } => {
                 self.links.retain(|other| *other != link);
+                self.node.reports.down(link);
                 self.handle(roster::Event::Down {
                     link: number(link),
                     silent: reason == Reason::Silent,
@@ -135,6 +179,7 @@
                 });
             }
             Event::Summary { link, summary } => {
+                self.node.reports.hear(link, summary.clone());
                 self.handle(roster::Event::Announced {
                     link: number(link),
                     leaving: summary.leaving,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -46,6 +46,8 @@
     pub(crate) configuration: watch::Receiver<Arc<InForce>>,
     /// The hosts that this process knows.
     pub(crate) view: watch::Receiver<Arc<View>>,
+    /// What the linked processes last said of themselves.
+    pub(crate) reports: membership::Reports,
     /// The versions that this host's engine has confirmed, for agents.
     pub(crate) confirmed: watch::Sender<Vec<wire::Confirmed>>,
     /// The start of the process: the epoch of the library's time.
@@ -106,6 +108,7 @@
             shutdown: Shutdown::new(),
             configuration,
             view,
+            reports: membership::Reports::default(),
             confirmed: watch::Sender::new(Vec::new()),
             started: Instant::now(),
         };
--- /dev/null
+++ b/crates/operator/src/check.rs
@@ -0,0 +1,53 @@
+//! From a draft to a review: checks, and who else has to be asked.
+
+use platform::Client;
+use platform::objects::manifest_name;
+use rand::RngExt;
+use smol_str::SmolStr;
+use snipewinch::Digest;
+use snipewinch::configuration::InForce;
+use snipewinch::document::Document;
+use snipewinch::document::check::Fault;
+use snipewinch::document::check::Stored;
+
+/// Everything that keeps a document from being accepted. Manifests that the
+/// version in force names already are not looked up again.
+pub(crate) async fn faults(
+    platform: &Client,
+    document: &Document,
+    in_force: &InForce,
+) -> Vec<Fault> {
+    let mut faults = document.check();
+    if !faults.is_empty() {
+        return faults;
+    }
+    let accepted = in_force.document.references();
+    for reference in document.references() {
+        let known = accepted
+            .iter()
+            .any(|known| known.manifest == reference.manifest);
+        if known {
+            continue;
+        }
+        let name = manifest_name(&reference.manifest);
+        let stored = match platform.get_object(&name).await {
+            Ok(Some(bytes)) => Stored::Present(Digest::of(&bytes)),
+            Ok(None) => Stored::Absent,
+            Err(_) => Stored::Unknown,
+        };
+        faults.extend(reference.judge(stored));
+    }
+    faults
+}
+
+/// A name that no other operation ever has.
+pub(crate) fn operation() -> SmolStr {
+    let bytes: [u8; 16] = rand::rng().random();
+    let digits: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    digits.into()
+}
+
+/// Whether a text is what [`operation`] makes.
+pub(crate) fn is_operation(text: &str) -> bool {
+    text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
--- /dev/null
+++ b/crates/operator/src/draft.rs
@@ -0,0 +1,233 @@
+//! A document while an operator works on it.
+//!
+//! The draft travels in the form: as the document it started from, with the
+//! fields typed laid over it. What does not fit its field is kept as typed.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+use serde_json::json;
+use snipewinch::document::Document;
+use snipewinch::document::check::Fault;
+
+use crate::field;
+use crate::field::Field;
+use crate::field::LISTS;
+use crate::field::List;
+use crate::field::ROLLOUT;
+use crate::field::SINGLE;
+use crate::request::Fields;
+
+/// A document that may still have faults.
+#[derive(Clone, Debug)]
+pub(crate) struct Draft {
+    /// The document as far as it can be read.
+    pub(crate) value: Value,
+    /// What was typed and does not fit its field, by path.
+    pub(crate) typed: BTreeMap<String, String>,
+    /// What is wrong, by path.
+    pub(crate) problems: BTreeMap<String, Vec<String>>,
+}
+
+impl Draft {
+    pub(crate) fn of(document: &Document) -> Draft {
+        Draft {
+            value: serde_json::to_value(document).unwrap_or_default(),
+            typed: BTreeMap::new(),
+            problems: BTreeMap::new(),
+        }
+    }
+
+    /// Reads the draft out of a form.
+    pub(crate) fn read(fields: &Fields) -> Option<Draft> {
+        let value: Value = serde_json::from_str(fields.get("draft")).ok()?;
+        if !value.is_object() {
+            return None;
+        }
+        let mut draft = Draft {
+            value,
+            typed: BTreeMap::new(),
+            problems: BTreeMap::new(),
+        };
+        draft.rollout();
+        let typed: BTreeMap<&str, &str> = fields.iter().collect();
+        draft.lay_over(&typed);
+        Some(draft)
+    }
+
+    /// The document, if every field fits; the problems otherwise.
+    pub(crate) fn document(&mut self) -> Option<Document> {
+        if !self.problems.is_empty() {
+            return None;
+        }
+        self.find_bad_digests();
+        if !self.problems.is_empty() {
+            return None;
+        }
+        match serde_json::from_value(self.value.clone()) {
+            Ok(document) => Some(document),
+            Err(error) => {
+                self.add_problem("", error.to_string());
+                None
+            }
+        }
+    }
+
+    /// Takes in what the checks of the whole document found.
+    pub(crate) fn add_faults(&mut self, faults: &[Fault]) {
+        for fault in faults {
+            let path = form_path(&fault.path);
+            self.add_problem(&path, format!("{}; {}", fault.problem, fault.remedy));
+        }
+    }
+
+    /// Adds a row to the list at `path`.
+    pub(crate) fn add_row(&mut self, path: &str) {
+        let name = path.rsplit('.').next().unwrap_or(path);
+        let Some(list) = self.list_mut(path) else {
+            return;
+        };
+        match list {
+            Value::Array(rows) => rows.push(field::fresh(name)),
+            other => *other = json!([field::fresh(name)]),
+        }
+    }
+
+    /// Removes the row at `path`, such as `models[1]`. Problems of other rows
+    /// are found anew by the next check.
+    pub(crate) fn remove_row(&mut self, path: &str) {
+        let Some((list, index)) = split_index(path) else {
+            return;
+        };
+        if let Some(Value::Array(rows)) = self.list_mut(list)
+            && index < rows.len()
+        {
+            rows.remove(index);
+        }
+        self.typed.clear();
+        self.problems.clear();
+    }
+
+    fn add_problem(&mut self, path: &str, problem: String) {
+        self.problems
+            .entry(path.to_owned())
+            .or_default()
+            .push(problem);
+    }
+
+    fn rollout(&mut self) {
+        if !self.value["rollout"].is_object() {
+            let rollout = snipewinch::document::Rollout::default();
+            self.value["rollout"] = serde_json::to_value(rollout).unwrap_or_default();
+        }
+    }
+
+    fn lay_over(&mut self, typed: &BTreeMap<&str, &str>) {
+        let mut value = std::mem::take(&mut self.value);
+        self.lay_entry("", SINGLE, &mut value, typed);
+        self.lay_entry("rollout.", ROLLOUT, &mut value["rollout"], typed);
+        for list in LISTS {
+            self.lay_list("", list, &mut value[list.name], typed);
+        }
+        self.value = value;
+    }
+
+    fn lay_list(
+        &mut self,
+        prefix: &str,
+        list: &List,
+        rows: &mut Value,
+        typed: &BTreeMap<&str, &str>,
+    ) {
+        let Value::Array(rows) = rows else {
+            *rows = json!([]);
+            return;
+        };
+        for (index, row) in rows.iter_mut().enumerate() {
+            let path = format!("{prefix}{}[{index}].", list.name);
+            if !row.is_object() {
+                *row = field::fresh(list.name);
+            }
+            self.lay_entry(&path, list.fields, row, typed);
+            if let Some(inner) = list.inner {
+                self.lay_list(&path, inner, &mut row[inner.name], typed);
+            }
+        }
+    }
+
+    fn lay_entry(
+        &mut self,
+        prefix: &str,
+        fields: &[Field],
+        entry: &mut Value,
+        typed: &BTreeMap<&str, &str>,
+    ) {
+        for field in fields {
+            let path = format!("{prefix}{}", field.name);
+            let Some(text) = typed.get(path.as_str()) else {
+                continue;
+            };
+            if let Err(problem) = field::read(field.kind, field.name, text, entry) {
+                self.add_problem(&path, problem);
+                self.typed.insert(path, (*text).to_owned());
+            }
+        }
+    }
+
+    fn find_bad_digests(&mut self) {
+        let mut bad = Vec::new();
+        for list in LISTS {
+            bad_digests("", list, &self.value[list.name], &mut bad);
+        }
+        for path in bad {
+            let problem = snipewinch::digest::ParseError.to_string();
+            self.add_problem(&path, problem);
+        }
+    }
+
+    fn list_mut(&mut self, path: &str) -> Option<&mut Value> {
+        let Some((outer, inner)) = path.split_once("].") else {
+            let known = LISTS.iter().any(|list| list.name == path);
+            return known.then(|| &mut self.value[path]);
+        };
+        let (list, index) = outer.split_once('[')?;
+        let known = LISTS.iter().find(|known| known.name == list)?;
+        let inner = known.inner.filter(|known| known.name == inner)?;
+        let row = self.value[list].get_mut(index.parse::<usize>().ok()?)?;
+        Some(&mut row[inner.name])
+    }
+}
+
+fn bad_digests(prefix: &str, list: &List, rows: &Value, bad: &mut Vec<String>) {
+    let rows = rows.as_array().map(Vec::as_slice).unwrap_or_default();
+    for (index, row) in rows.iter().enumerate() {
+        let path = format!("{prefix}{}[{index}].", list.name);
+        for field in list.fields {
+            let text = row[field.name].as_str().unwrap_or_default();
+            let fits = text.parse::<snipewinch::Digest>().is_ok();
+            if field.kind == field::Kind::Digest && !fits {
+                bad.push(format!("{path}{}", field.name));
+            }
+        }
+        if let Some(inner) = list.inner {
+            bad_digests(&path, inner, &row[inner.name], bad);
+        }
+    }
+}
+
+/// `models[1]` as the list and the index.
+fn split_index(path: &str) -> Option<(&str, usize)> {
+    let (list, index) = path.strip_suffix(']')?.rsplit_once('[')?;
+    Some((list, index.parse().ok()?))
+}
+
+/// Where the form shows a fault of the document.
+fn form_path(path: &str) -> String {
+    match path.split_once(".backend.") {
+        Some((service, _)) => format!("{service}.target"),
+        None => match path.split_once(".zones[") {
+            Some((service, _)) => format!("{service}.zones"),
+            None => path.to_owned(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/operator/src/field.rs
@@ -0,0 +1,307 @@
+//! The fields of the forms: how each is shown and read.
+
+use serde_json::Value;
+use serde_json::json;
+use snipewinch::Digest;
+
+/// How a field is read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Kind {
+    /// Any text; the document's checks judge it.
+    Text,
+    /// A whole number.
+    Number,
+    /// A whole number, or nothing.
+    OptionalNumber,
+    /// A digest.
+    Digest,
+    /// A key in clear, of which only the digest is kept, in the field named.
+    Secret(&'static str),
+    /// One of these values.
+    Choice(&'static [(&'static str, &'static str)]),
+    /// Names between commas.
+    Names,
+    /// What answers for a service: the kind, beside [`Kind::Target`].
+    Backend,
+    /// What answers for a service: a model or a prefix.
+    Target,
+}
+
+/// One field.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Field {
+    /// Its name in the document.
+    pub(crate) name: &'static str,
+    /// Its name for people.
+    pub(crate) label: &'static str,
+    /// What to write.
+    pub(crate) hint: &'static str,
+    pub(crate) kind: Kind,
+}
+
+/// A list of the document.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct List {
+    pub(crate) name: &'static str,
+    /// What one entry is called.
+    pub(crate) entry: &'static str,
+    pub(crate) fields: &'static [Field],
+    /// A list within each entry.
+    pub(crate) inner: Option<&'static List>,
+}
+
+const fn field(name: &'static str, label: &'static str, hint: &'static str, kind: Kind) -> Field {
+    Field {
+        name,
+        label,
+        hint,
+        kind,
+    }
+}
+
+const NAME: Field = field("name", "Name", "letters, digits, - _ .", Kind::Text);
+const VERSION: Field = field("version", "Version", "such as 2026-12-03", Kind::Text);
+const MANIFEST: Field = field(
+    "manifest",
+    "Manifest digest",
+    "64 hexadecimal digits, as `snipewinch weights` prints them",
+    Kind::Digest,
+);
+const KEY: Field = field(
+    "key",
+    "Key digest",
+    "64 hexadecimal digits, or type a key beside",
+    Kind::Digest,
+);
+const NEW_KEY: Field = field(
+    "new_key",
+    "New key",
+    "only its digest is kept",
+    Kind::Secret("key"),
+);
+
+/// What answers for a service.
+pub(crate) const BACKENDS: &[(&str, &str)] =
+    &[("engine", "model engine"), ("plain", "plain service")];
+
+/// The lists of the document, in the order of the page.
+pub(crate) const LISTS: &[List] = &[MODELS, SERVICES, CUSTOMERS, OPERATORS];
+
+const ADAPTERS: List = List {
+    name: "adapters",
+    entry: "adapter",
+    fields: &[NAME, VERSION, MANIFEST],
+    inner: None,
+};
+const MODELS: List = List {
+    name: "models",
+    entry: "model",
+    fields: &[NAME, VERSION, MANIFEST],
+    inner: Some(&ADAPTERS),
+};
+const SERVICES: List = List {
+    name: "services",
+    entry: "service",
+    fields: &[
+        NAME,
+        field("backend", "Answered by", "", Kind::Backend),
+        field(
+            "target",
+            "Model or path prefix",
+            "verse-1, or /desk",
+            Kind::Target,
+        ),
+        field(
+            "zones",
+            "Availability zones",
+            "between commas; empty means all",
+            Kind::Names,
+        ),
+        field(
+            "repeat",
+            "A call may run twice",
+            "",
+            Kind::Choice(&[("allowed", "yes"), ("never", "no, at most once")]),
+        ),
+        field(
+            "concurrency",
+            "Calls at once per backend server",
+            "",
+            Kind::Number,
+        ),
+        field("deadline_ms", "Deadline of a call, ms", "", Kind::Number),
+    ],
+    inner: None,
+};
+const CUSTOMERS: List = List {
+    name: "customers",
+    entry: "customer",
+    fields: &[
+        NAME,
+        KEY,
+        NEW_KEY,
+        field(
+            "share",
+            "Share",
+            "1 to 100, against the others",
+            Kind::Number,
+        ),
+        field(
+            "requests_per_second",
+            "Requests a second",
+            "empty means no fixed limit",
+            Kind::OptionalNumber,
+        ),
+        field(
+            "priority",
+            "Priority",
+            "0 to 9, higher goes first",
+            Kind::Number,
+        ),
+    ],
+    inner: None,
+};
+const OPERATORS: List = List {
+    name: "operators",
+    entry: "operator",
+    fields: &[NAME, KEY, NEW_KEY],
+    inner: None,
+};
+
+/// The fields that stand in no list.
+pub(crate) const SINGLE: &[Field] = &[field(
+    "fleet",
+    "Fleet",
+    "its name, shown to operators",
+    Kind::Text,
+)];
+/// The fields of the rollout.
+pub(crate) const ROLLOUT: &[Field] = &[
+    field(
+        "weigh",
+        "When time and origin bytes pull apart",
+        "",
+        Kind::Choice(&[
+            ("time", "reach every host early"),
+            ("origin", "spare the origin"),
+        ]),
+    ),
+    field(
+        "width_percent",
+        "Backend servers that reload at once, %",
+        "1 to 100",
+        Kind::Number,
+    ),
+];
+
+/// An entry as a new row of a list starts.
+pub(crate) fn fresh(list: &str) -> Value {
+    match list {
+        "services" => json!({
+            "name": "",
+            "backend": {"engine": {"model": ""}},
+            "concurrency": snipewinch::document::DEFAULT_CONCURRENCY,
+            "deadline_ms": snipewinch::document::DEFAULT_DEADLINE_MS,
+        }),
+        "customers" => json!({
+            "name": "",
+            "key": "",
+            "share": snipewinch::document::DEFAULT_SHARE,
+            "priority": 0,
+        }),
+        "operators" => json!({"name": "", "key": ""}),
+        _ => json!({"name": "", "version": "", "manifest": ""}),
+    }
+}
+
+/// Reads what was typed into one field of an entry. The problem, if any.
+pub(crate) fn read(kind: Kind, name: &str, typed: &str, entry: &mut Value) -> Result<(), String> {
+    let typed = typed.trim();
+    let value = match kind {
+        Kind::Text => json!(typed),
+        Kind::Number => json!(number(typed)?),
+        Kind::OptionalNumber if typed.is_empty() => Value::Null,
+        Kind::OptionalNumber => json!(number(typed)?),
+        Kind::Digest => json!(typed),
+        Kind::Secret(_) if typed.is_empty() => return Ok(()),
+        Kind::Secret(target) => {
+            entry[target] = json!(Digest::of(typed.as_bytes()));
+            return Ok(());
+        }
+        Kind::Choice(choices) => match choices.iter().any(|(value, _)| *value == typed) {
+            true => json!(typed),
+            false => return Err("choose one of the list".to_owned()),
+        },
+        Kind::Names => typed
+            .split(',')
+            .map(str::trim)
+            .filter(|name| !name.is_empty())
+            .collect(),
+        Kind::Backend => {
+            let target = target(entry).to_owned();
+            set_backend(entry, typed, &target)?;
+            return Ok(());
+        }
+        Kind::Target => {
+            let kind = backend(entry).to_owned();
+            set_backend(entry, &kind, typed)?;
+            return Ok(());
+        }
+    };
+    entry[name] = value;
+    Ok(())
+}
+
+/// The text of a field as the document has it.
+pub(crate) fn show(kind: Kind, name: &str, entry: &Value) -> String {
+    match kind {
+        Kind::Secret(_) => String::new(),
+        Kind::Backend => backend(entry).to_owned(),
+        Kind::Target => target(entry).to_owned(),
+        Kind::Names => {
+            let names = entry[name]
+                .as_array()
+                .map(Vec::as_slice)
+                .unwrap_or_default();
+            let names: Vec<&str> = names.iter().filter_map(Value::as_str).collect();
+            names.join(", ")
+        }
+        Kind::Choice(_) | Kind::Digest | Kind::Number | Kind::OptionalNumber | Kind::Text => {
+            match &entry[name] {
+                Value::Null => String::new(),
+                Value::String(text) => text.clone(),
+                other => other.to_string(),
+            }
+        }
+    }
+}
+
+fn number(typed: &str) -> Result<u64, String> {
+    typed
+        .parse()
+        .map_err(|_| format!("`{typed}` is not a whole number: write one such as 16"))
+}
+
+fn backend(entry: &Value) -> &'static str {
+    match entry["backend"].get("plain") {
+        Some(_) => "plain",
+        None => "engine",
+    }
+}
+
+fn target(entry: &Value) -> &str {
+    let backend = &entry["backend"];
+    let target = backend["plain"]["prefix"].as_str();
+    target
+        .or(backend["engine"]["model"].as_str())
+        .unwrap_or_default()
+}
+
+fn set_backend(entry: &mut Value, kind: &str, target: &str) -> Result<(), String> {
+    entry["backend"] = match kind {
+        "engine" => json!({"engine": {"model": target}}),
+        "plain" => json!({"plain": {"prefix": target}}),
+        _ => return Err("choose one of the list".to_owned()),
+    };
+    Ok(())
+}
--- /dev/null
+++ b/crates/operator/src/handlers.rs
@@ -0,0 +1,364 @@
+//! What each page does.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use poem::Addr;
+use poem::IntoResponse;
+use poem::Response;
+use poem::handler;
+use poem::http::StatusCode;
+use poem::http::header;
+use poem::web::Data;
+use poem::web::Json;
+use poem::web::Path;
+use poem::web::Query;
+use poem::web::RemoteAddr;
+use serde::Deserialize;
+use snipewinch::Digest;
+use snipewinch::configuration::InForce;
+use snipewinch::configuration::publish::Outcome;
+use snipewinch::document::Document;
+use snipewinch::document::check::Fault;
+
+use crate::check;
+use crate::console::Console;
+use crate::console::wall_clock;
+use crate::draft::Draft;
+use crate::error::Error;
+use crate::page;
+use crate::page::Review;
+use crate::publisher;
+use crate::publisher::Proposal;
+use crate::request::Form;
+use crate::request::SignIn;
+use crate::session;
+use crate::session::Operators;
+use crate::session::Session;
+use crate::status::Status;
+
+/// Versions on one page of the history.
+const HISTORY_PAGE: usize = 50;
+/// The longest note, in characters.
+const NOTE_MAX: usize = 200;
+
+#[handler]
+pub(crate) fn style() -> impl IntoResponse {
+    page::STYLE.with_content_type("text/css; charset=utf-8")
+}
+
+#[handler]
+pub(crate) fn status_json(Data(console): Data<&Console>) -> Json<Status> {
+    Json(console.shared.status.gather())
+}
+
+#[handler]
+pub(crate) fn sign_in_page() -> Response {
+    page::sign_in(StatusCode::OK, None)
+}
+
+#[handler]
+pub(crate) fn sign_in(
+    Data(console): Data<&Console>,
+    RemoteAddr(address): &RemoteAddr,
+    SignIn(fields): SignIn,
+) -> Response {
+    let shared = &console.shared;
+    let address = ip(address);
+    let now = shared.now();
+    if !shared.throttle.lock().allows(now, address) {
+        let problem = "Too many wrong keys: wait a minute, then try again.";
+        return page::sign_in(StatusCode::TOO_MANY_REQUESTS, Some(problem));
+    }
+    let key = Digest::of(fields.get("key").as_bytes());
+    let in_force = shared.in_force.borrow().clone();
+    let operators = Operators {
+        document: &in_force.document,
+        first: shared.first_operator.as_ref(),
+    };
+    let text = key.to_string();
+    match operators.find(|digest| session::same(&digest.to_string(), &text)) {
+        Some(operator) => {
+            log::info!("E4201 operator {operator} signed in");
+            let cookie = shared.signer.issue(&key, wall_clock());
+            page::redirect("/console/")
+                .with_header(
+                    header::SET_COOKIE,
+                    set_cookie(&cookie, session::LENGTH.as_secs()),
+                )
+                .into_response()
+        }
+        None => {
+            log::warn!("E4202 wrong operator's key from {address}");
+            shared.throttle.lock().count_wrong(now, address);
+            let problem = "This key is not that of an operator: check it and type it again.";
+            page::sign_in(StatusCode::FORBIDDEN, Some(problem))
+        }
+    }
+}
+
+#[handler]
+pub(crate) fn sign_out(_form: Form) -> Response {
+    page::redirect("/console/sign-in")
+        .with_header(header::SET_COOKIE, set_cookie("", 0))
+        .into_response()
+}
+
+fn set_cookie(value: &str, age_s: u64) -> String {
+    let name = session::COOKIE;
+    format!("{name}={value}; Path=/console; HttpOnly; SameSite=Strict; Max-Age={age_s}")
+}
+
+fn ip(address: &Addr) -> IpAddr {
+    match address {
+        Addr::SocketAddr(address) => address.ip(),
+        Addr::Custom(..) | Addr::Unix(_) => IpAddr::V4(Ipv4Addr::UNSPECIFIED),
+    }
+}
+
+#[handler]
+pub(crate) fn overview(Data(console): Data<&Console>, session: Session) -> Response {
+    let in_force = console.shared.in_force.borrow().clone();
+    let status = console.shared.status.gather();
+    page::overview(&session, &in_force, &status)
+}
+
+#[handler]
+pub(crate) fn fleet(Data(console): Data<&Console>, session: Session) -> Response {
+    let status = console.shared.status.gather();
+    page::fleet(&session, &status)
+}
+
+#[handler]
+pub(crate) fn edit_page(Data(console): Data<&Console>, session: Session) -> Response {
+    let in_force = console.shared.in_force.borrow().clone();
+    page::edit(&session, &Draft::of(&in_force.document))
+}
+
+#[handler]
+pub(crate) async fn submit_edit(Data(console): Data<&Console>, form: Form) -> Response {
+    let Some(mut draft) = Draft::read(&form.fields) else {
+        return Error::Unreadable.into_page();
+    };
+    match form.fields.get("action").split_once(':') {
+        Some(("add", path)) => draft.add_row(path),
+        Some(("remove", path)) => draft.remove_row(path),
+        Some(_) => return Error::Unreadable.into_page(),
+        None if form.fields.get("action") == "review" => {
+            return review_draft(console, &form.session, draft).await;
+        }
+        None => {}
+    }
+    // Rows come and go without complaint about what is not finished yet.
+    draft.problems.clear();
+    page::edit(&form.session, &draft)
+}
+
+async fn review_draft(console: &Console, session: &Session, mut draft: Draft) -> Response {
+    let Some(document) = draft.document() else {
+        return page::edit(session, &draft);
+    };
+    let in_force = console.shared.in_force.borrow().clone();
+    let faults = check::faults(&console.shared.platform, &document, &in_force).await;
+    if !faults.is_empty() {
+        draft.add_faults(&faults);
+        return page::edit(session, &draft);
+    }
+    first_review(session, document, &in_force)
+}
+
+fn first_review(session: &Session, document: Document, in_force: &InForce) -> Response {
+    let review = Review {
+        document: document.canonical(),
+        operation: check::operation(),
+        sent: false,
+        note: String::new(),
+        problem: None,
+    };
+    page::review(StatusCode::OK, session, &review, in_force)
+}
+
+#[handler]
+pub(crate) fn document_page(Data(console): Data<&Console>, session: Session) -> Response {
+    let in_force = console.shared.in_force.borrow().clone();
+    page::document(&session, &in_force.document.pretty(), &[])
+}
+
+#[handler]
+pub(crate) async fn submit_document(Data(console): Data<&Console>, form: Form) -> Response {
+    let text = form.fields.get("text");
+    let document = match Document::parse(text) {
+        Ok(document) => document,
+        Err(error) => return page::document(&form.session, text, &[error.to_string()]),
+    };
+    let in_force = console.shared.in_force.borrow().clone();
+    let faults = check::faults(&console.shared.platform, &document, &in_force).await;
+    if !faults.is_empty() {
+        let problems: Vec<String> = faults.iter().map(Fault::to_string).collect();
+        return page::document(&form.session, text, &problems);
+    }
+    first_review(&form.session, document, &in_force)
+}
+
+#[handler]
+pub(crate) async fn publish(Data(console): Data<&Console>, form: Form) -> Response {
+    let fields = &form.fields;
+    let operation = fields.get("operation");
+    let base: Result<u64, _> = fields.get("base").parse();
+    let (Ok(document), Ok(base)) = (Document::parse(fields.get("draft")), base) else {
+        return Error::Unreadable.into_page();
+    };
+    if !check::is_operation(operation) {
+        return Error::Unreadable.into_page();
+    }
+    let in_force = console.shared.in_force.borrow().clone();
+    let faults = check::faults(&console.shared.platform, &document, &in_force).await;
+    if !faults.is_empty() {
+        let mut draft = Draft::of(&document);
+        draft.add_faults(&faults);
+        return page::edit(&form.session, &draft);
+    }
+    let document = document.canonical();
+    let review = Review {
+        operation: operation.into(),
+        sent: fields.get("sent") == "1",
+        note: fields.get("note").chars().take(NOTE_MAX).collect(),
+        problem: None,
+        document,
+    };
+    let proposal = Proposal {
+        operation: review.operation.clone(),
+        operator: form.session.operator.clone(),
+        note: review.note.clone(),
+        base,
+        sent: review.sent,
+        text: review.document.json(),
+    };
+    let outcome = publisher::publish(&console.shared.platform, &proposal).await;
+    conclude(console, &form.session, review, outcome).await
+}
+
+async fn conclude(
+    console: &Console,
+    session: &Session,
+    review: Review,
+    outcome: Outcome,
+) -> Response {
+    let operator = &session.operator;
+    let (status, problem, review) = match outcome {
+        Outcome::Accepted { version } => {
+            log::info!("E4203 version {version} by {operator} is accepted");
+            let in_force = InForce::new(version, review.document);
+            // The table has it; should this process end now, others read it.
+            let _ = console.shared.published.send(in_force).await;
+            return page::accepted(session, version);
+        }
+        Outcome::Conflict => {
+            log::info!("E4204 a version by {operator} came second and is not accepted");
+            let review = Review {
+                operation: check::operation(),
+                sent: false,
+                ..review
+            };
+            let problem = "Not accepted: another operator published first. Your draft is kept; \
+                           look at how it differs now, then publish it or go back to the forms.";
+            (StatusCode::CONFLICT, problem, review)
+        }
+        Outcome::OutOfReach => {
+            log::warn!("E4205 the table is out of reach: a version by {operator} is not accepted");
+            let problem = "Not accepted: the platform's table is out of reach. Your draft is \
+                           kept on this page; press publish again when the outage is over.";
+            (StatusCode::SERVICE_UNAVAILABLE, problem, review)
+        }
+        Outcome::Open => {
+            log::warn!("E4206 no answer from the table about a version by {operator}");
+            let review = Review {
+                sent: true,
+                ..review
+            };
+            let problem = "Not known yet whether this is accepted: the platform's table did not \
+                           answer. Your draft is kept; press publish again to find out. It is \
+                           never published twice.";
+            (StatusCode::GATEWAY_TIMEOUT, problem, review)
+        }
+    };
+    let review = Review {
+        problem: Some(problem.to_owned()),
+        ..review
+    };
+    let base = newest(console, status).await;
+    page::review(status, session, &review, &base)
+}
+
+/// What the draft is compared with from now on: after a conflict the newest
+/// that the table holds, which may not have arrived here yet.
+async fn newest(console: &Console, status: StatusCode) -> Arc<InForce> {
+    let in_force = console.shared.in_force.borrow().clone();
+    if status != StatusCode::CONFLICT {
+        return in_force;
+    }
+    let record = console.shared.platform.current().await.ok().flatten();
+    let read = record.and_then(|record| InForce::parse(record.version, &record.text).ok());
+    match read {
+        Some(read) if read.version > in_force.version => Arc::new(read),
+        _ => in_force,
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct Before {
+    before: Option<u64>,
+}
+
+#[handler]
+pub(crate) async fn history_page(
+    Data(console): Data<&Console>,
+    session: Session,
+    Query(query): Query<Before>,
+) -> Response {
+    match console
+        .shared
+        .platform
+        .history(query.before, HISTORY_PAGE)
+        .await
+    {
+        Ok(records) => page::history(&session, &records, records.len() == HISTORY_PAGE),
+        Err(source) => Error::Platform { source }.into_page(),
+    }
+}
+
+#[handler]
+pub(crate) async fn version_page(
+    Data(console): Data<&Console>,
+    session: Session,
+    Path(version): Path<u64>,
+) -> Response {
+    let record = match console.shared.platform.version(version).await {
+        Ok(Some(record)) => record,
+        Ok(None) => return Error::Absent.into_page(),
+        Err(source) => return Error::Platform { source }.into_page(),
+    };
+    let in_force = console.shared.in_force.borrow().clone();
+    match InForce::parse(record.version, &record.text) {
+        Ok(content) => page::version(&session, &record, Ok(&content), &in_force),
+        Err(error) => page::version(&session, &record, Err(&error.to_string()), &in_force),
+    }
+}
+
+#[handler]
+pub(crate) async fn restore(
+    Data(console): Data<&Console>,
+    form: Form,
+    Path(version): Path<u64>,
+) -> Response {
+    let record = match console.shared.platform.version(version).await {
+        Ok(Some(record)) => record,
+        Ok(None) => return Error::Absent.into_page(),
+        Err(source) => return Error::Platform { source }.into_page(),
+    };
+    match Document::parse(&record.text) {
+        Ok(document) => review_draft(console, &form.session, Draft::of(&document)).await,
+        Err(error) => page::document(&form.session, &record.text, &[error.to_string()]),
+    }
+}
--- /dev/null
+++ b/crates/operator/src/html.rs
@@ -0,0 +1,67 @@
+//! Markup whose text is always escaped.
+
+use std::fmt::Display;
+use std::fmt::Write;
+
+/// A piece of a page.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Html(String);
+
+impl Html {
+    pub(crate) fn new() -> Html {
+        Html::default()
+    }
+
+    /// Adds markup of the program's own.
+    pub(crate) fn raw(mut self, markup: &'static str) -> Html {
+        self.0.push_str(markup);
+        self
+    }
+
+    /// Adds text from anywhere, escaped; safe between tags and in quoted
+    /// attributes.
+    pub(crate) fn text(mut self, text: impl Display) -> Html {
+        for c in text.to_string().chars() {
+            match c {
+                '&' => self.0.push_str("&amp;"),
+                '<' => self.0.push_str("&lt;"),
+                '>' => self.0.push_str("&gt;"),
+                '"' => self.0.push_str("&quot;"),
+                '\'' => self.0.push_str("&#39;"),
+                // Control characters have no place in a page.
+                c if c.is_control() && !matches!(c, '\n' | '\t') => self.0.push('\u{fffd}'),
+                c => self.0.push(c),
+            }
+        }
+        self
+    }
+
+    /// Adds ` name="value"`.
+    pub(crate) fn attribute(mut self, name: &'static str, value: impl Display) -> Html {
+        let _ = write!(self.0, " {name}=\"");
+        self.text(value).raw("\"")
+    }
+
+    /// Adds another piece.
+    pub(crate) fn add(mut self, other: Html) -> Html {
+        self.0.push_str(&other.0);
+        self
+    }
+
+    /// Adds pieces one after the other.
+    pub(crate) fn all(self, pieces: impl IntoIterator<Item = Html>) -> Html {
+        pieces.into_iter().fold(self, Html::add)
+    }
+
+    /// Adds a hidden field.
+    pub(crate) fn hidden(self, name: &'static str, value: impl Display) -> Html {
+        self.raw("<input type=\"hidden\"")
+            .attribute("name", name)
+            .attribute("value", value)
+            .raw(">")
+    }
+
+    pub(crate) fn into_string(self) -> String {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/operator/src/page/history.rs
@@ -0,0 +1,103 @@
+//! The versions so far.
+
+use poem::Response;
+use poem::http::StatusCode;
+use snipewinch::configuration::InForce;
+use snipewinch::configuration::Record;
+use snipewinch::document::difference;
+
+use super::Frame;
+use super::page;
+use super::review;
+use crate::html::Html;
+use crate::request::TOKEN;
+use crate::session::Session;
+
+/// The list of versions, newest first.
+pub(crate) fn history(session: &Session, records: &[Record], more: bool) -> Response {
+    let frame = Frame {
+        title: "History",
+        session: Some(session),
+        ..Frame::default()
+    };
+    let mut body = Html::new()
+        .raw("<div class=\"scroll\"><table><thead><tr><th scope=\"col\">Version</th>")
+        .raw("<th scope=\"col\">By</th><th scope=\"col\">When</th>")
+        .raw("<th scope=\"col\">Note</th></tr></thead><tbody>");
+    for record in records {
+        body = body
+            .raw("<tr><th scope=\"row\"><a")
+            .attribute("href", format_args!("/console/history/{}", record.version))
+            .raw(">")
+            .text(record.version)
+            .raw("</a></th><td>")
+            .text(&record.operator)
+            .raw("</td><td>")
+            .text(time(record.at_ms))
+            .raw("</td><td>")
+            .text(&record.note)
+            .raw("</td></tr>");
+    }
+    body = body.raw("</tbody></table></div>");
+    if let Some(last) = records.last().filter(|_| more) {
+        body = body
+            .raw("<p><a")
+            .attribute(
+                "href",
+                format_args!("/console/history?before={}", last.version),
+            )
+            .raw(">Older versions</a></p>");
+    }
+    page(StatusCode::OK, frame, body)
+}
+
+/// One version, and what taking it up again would change.
+pub(crate) fn version(
+    session: &Session,
+    record: &Record,
+    content: Result<&InForce, &str>,
+    in_force: &InForce,
+) -> Response {
+    let title = format!("Version {}", record.version);
+    let frame = Frame {
+        title: &title,
+        session: Some(session),
+        ..Frame::default()
+    };
+    let body = Html::new()
+        .raw("<p>By ")
+        .text(&record.operator)
+        .raw(" at ")
+        .text(time(record.at_ms))
+        .raw(". ")
+        .text(&record.note)
+        .raw("</p>");
+    let content = match content {
+        Ok(content) => content,
+        Err(problem) => return page(StatusCode::OK, frame, body.add(super::notice(problem))),
+    };
+    let changes = difference::between(&in_force.document, &content.document);
+    let body = body
+        .raw("<h2>Against version ")
+        .text(in_force.version)
+        .raw(", in force here</h2>")
+        .add(review::table(&changes))
+        .raw("<form method=\"post\"")
+        .attribute(
+            "action",
+            format_args!("/console/restore/{}", record.version),
+        )
+        .raw(">")
+        .hidden(TOKEN, &session.form_token)
+        .raw("<button>Take this content up again, as a new version</button></form>")
+        .raw("<h2>Content</h2><pre class=\"scroll\">")
+        .text(content.document.pretty())
+        .raw("</pre>");
+    page(StatusCode::OK, frame, body)
+}
+
+/// A time of the day and date in UTC.
+fn time(at_ms: u64) -> String {
+    let at = std::time::UNIX_EPOCH + std::time::Duration::from_millis(at_ms);
+    humantime::format_rfc3339_seconds(at).to_string()
+}
--- /dev/null
+++ b/crates/operator/src/page/review.rs
@@ -0,0 +1,110 @@
+//! The page that shows what publishing would change.
+
+use poem::Response;
+use poem::http::StatusCode;
+use smol_str::SmolStr;
+use snipewinch::configuration::InForce;
+use snipewinch::document::Document;
+use snipewinch::document::difference;
+use snipewinch::document::difference::Change;
+
+use super::Frame;
+use super::notice;
+use super::page;
+use crate::html::Html;
+use crate::request::TOKEN;
+use crate::session::Session;
+
+/// Differences shown; the rest is counted.
+const CHANGES_MAX: usize = 500;
+
+/// What is under review.
+#[derive(Clone, Debug)]
+pub(crate) struct Review {
+    pub(crate) document: Document,
+    pub(crate) operation: SmolStr,
+    /// The operation was sent before and its outcome is open.
+    pub(crate) sent: bool,
+    pub(crate) note: String,
+    /// Why this page is shown again.
+    pub(crate) problem: Option<String>,
+}
+
+/// The review page; the draft travels in it.
+pub(crate) fn review(
+    status: StatusCode,
+    session: &Session,
+    review: &Review,
+    base: &InForce,
+) -> Response {
+    let frame = Frame {
+        title: "Review",
+        session: Some(session),
+        ..Frame::default()
+    };
+    let changes = difference::between(&base.document, &review.document);
+    let mut body = Html::new();
+    if let Some(problem) = &review.problem {
+        body = body.add(notice(problem));
+    }
+    body = body
+        .raw("<p>Against version ")
+        .text(base.version)
+        .raw(", which is in force here:</p>")
+        .add(table(&changes));
+    let body = body
+        .raw("<form method=\"post\" action=\"/console/publish\" class=\"card\">")
+        .hidden(TOKEN, &session.form_token)
+        .hidden("draft", review.document.json())
+        .hidden("base", base.version)
+        .hidden("operation", &review.operation)
+        .hidden("sent", u8::from(review.sent))
+        .raw("<label for=\"note\">Note for the history</label>")
+        .raw("<input id=\"note\" name=\"note\" maxlength=\"200\"")
+        .attribute("value", &review.note)
+        .raw("><button>Publish as version ")
+        .text(base.version + 1)
+        .raw("</button><button class=\"plain\" formaction=\"/console/edit\" name=\"action\"")
+        .raw(" value=\"back\">Back to the forms</button></form>");
+    page(status, frame, body)
+}
+
+/// A table of differences.
+pub(super) fn table(changes: &[Change]) -> Html {
+    if changes.is_empty() {
+        return Html::new().raw("<p>Nothing differs.</p>");
+    }
+    let mut html = Html::new()
+        .raw("<div class=\"scroll\"><table><thead><tr><th scope=\"col\">Field</th>")
+        .raw("<th scope=\"col\">Before</th><th scope=\"col\">After</th></tr></thead><tbody>");
+    for change in changes.iter().take(CHANGES_MAX) {
+        html = html
+            .raw("<tr><th scope=\"row\">")
+            .text(&change.path)
+            .raw("</th><td><del>")
+            .text(change.before.as_deref().unwrap_or("-"))
+            .raw("</del></td><td><ins>")
+            .text(change.after.as_deref().unwrap_or("-"))
+            .raw("</ins></td></tr>");
+    }
+    html = html.raw("</tbody></table></div>");
+    match changes.len().checked_sub(CHANGES_MAX) {
+        Some(more) if more > 0 => html.raw("<p>and ").text(more).raw(" more.</p>"),
+        _ => html,
+    }
+}
+
+/// The page that says that a version is accepted; shown only when it is.
+pub(crate) fn accepted(session: &Session, version: u64) -> Response {
+    let frame = Frame {
+        title: "Accepted",
+        session: Some(session),
+        ..Frame::default()
+    };
+    let body = Html::new()
+        .raw("<p role=\"status\" class=\"done\">Version <output id=\"accepted\">")
+        .text(version)
+        .raw("</output> is accepted. It comes into force everywhere within seconds.</p>")
+        .raw("<p><a href=\"/console/fleet\">Watch it spread</a></p>");
+    page(StatusCode::OK, frame, body)
+}
