--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -47,6 +47,8 @@
     pub(crate) configuration: watch::Receiver<Arc<InForce>>,
     /// The hosts that this process knows.
     pub(crate) view: watch::Receiver<Arc<View>>,
+    /// What the linked processes last said of themselves.
+    pub(crate) reports: membership::Reports,
     /// The versions that this host's engine has confirmed, for agents.
     pub(crate) confirmed: watch::Sender<Vec<wire::Confirmed>>,
     /// Where HTTP is served, once it is.
@@ -109,6 +111,7 @@
             shutdown: Shutdown::new(),
             configuration,
             view,
+            reports: membership::Reports::default(),
             confirmed: watch::Sender::new(Vec::new()),
             http_address: Arc::default(),
             started: Instant::now(),
