Claim idempotency keys in the platform's table

A call under an idempotency key is claimed before it runs, on condition that the row is absent; claims and outcomes that wait share a transaction. Lost answers are resolved by reading the holder, and a row that reads as absent is written again on the same condition, as the lost write may still land.

--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -10,6 +10,7 @@
 //! chooses and that never goes back, usually the start of its process.
 
 pub mod call;
+pub mod claim;
 pub mod configuration;
 pub mod digest;
 pub mod document;
--- a/crates/snipewinch/tests/call_world/mod.rs
+++ b/crates/snipewinch/tests/call_world/mod.rs
@@ -667,7 +667,7 @@
                     wire.to_entry.push_back(message);
                 }
             }
-            agent::Action::Run(start) => self.run_job(index, start),
+            agent::Action::Run(start) => self.run_job(index, &start),
             agent::Action::Stop(attempt) => {
                 if let Some(job) = backend.get_mut(&attempt) {
                     job.stopping = true;
@@ -686,7 +686,7 @@
         }
     }
 
-    fn run_job(&mut self, index: usize, start: Box<Start>) {
+    fn run_job(&mut self, index: usize, start: &Start) {
         let text = std::str::from_utf8(&start.request.body).expect("a number");
         let call: u64 = text.parse().expect("a number");
         let attempt = start.attempt;
