Decide where a call goes, how long it may wait and who is refused

An entry host had no way to choose a backend server, to divide customers' limits with the other entry hosts or to bound its links.

- routing::Table: zone first, least load of two, prompt-prefix affinity with a bounded load, slow start, ejection with a floor, leaving.
- routing::subset: the agents and entry hosts that an entry host links to.
- limit::Limiter: rates divided by gossip, fair queueing, early refusal.
- concurrency::Limit, deadline::Deadline, retry::Budget and retry::Backoff.

The interfaces are in place; the policy's behaviour under load is not yet shown by tests.

--- /dev/null
+++ b/crates/snipewinch/src/deadline/tests.rs
@@ -0,0 +1,32 @@
+use super::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn travels_as_time_left() {
+    let reserve = Duration::from_millis(5);
+    let table = [
+        // (now at the sender, time left there, what is sent)
+        (SECOND, SECOND, 995),
+        (SECOND, Duration::from_millis(5), 0),
+        (SECOND, Duration::ZERO, 0),
+    ];
+    for (now, left, sent) in table {
+        let deadline = Deadline::after(now, left);
+        assert_eq!(deadline.sent(now, reserve), sent, "{left:?} left");
+        let elsewhere = Deadline::received(100 * SECOND, sent);
+        assert!(elsewhere.left(100 * SECOND) <= left);
+    }
+}
+
+#[test]
+fn passes_once_and_for_all() {
+    let deadline = Deadline::after(SECOND, SECOND);
+    assert!(!deadline.is_over(2 * SECOND - Duration::from_nanos(1)));
+    assert!(deadline.is_over(2 * SECOND));
+    assert_eq!(deadline.left(3 * SECOND), Duration::ZERO);
+    assert_eq!(
+        deadline.sooner(Deadline::after(SECOND, 2 * SECOND)),
+        deadline
+    );
+}
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -10,12 +10,17 @@
 //! chooses and that never goes back, usually the start of its process.
 
 pub mod call;
+pub mod concurrency;
 pub mod configuration;
+pub mod deadline;
 pub mod digest;
 pub mod document;
 pub mod host;
 pub mod limit;
 pub mod membership;
+mod mix;
+pub mod retry;
+pub mod routing;
 pub mod weights;
 pub mod wire;
 
--- /dev/null
+++ b/crates/snipewinch/src/routing.rs
@@ -0,0 +1,537 @@
+//! Which backend server answers a call.
+//!
+//! A [`Table`] knows the hosts that this process has links to, what they last
+//! said about themselves, and what became of the calls sent to them. It is fed
+//! with [`Event`]s and answers [`Table::pick`].
+//!
+//! - The own availability zone goes first, then the region, then the rest: a
+//!   farther host is taken only where it is clearly less loaded.
+//! - Of two hosts drawn at random the less loaded one is taken (Mitzenmacher,
+//!   "The power of two choices in randomized load balancing", 2001). Load is the
+//!   count of own calls in flight, which is exact, plus what others have sent
+//!   there, which is a report that lags; mixing both keeps entries from rushing
+//!   to one host on one stale report (Mitzenmacher, "How useful is old
+//!   information?", 2000).
+//! - Calls with the same prompt prefix go to the same host while its load stays
+//!   within a factor of the average (Mirrokni, Thorup and Zadimoghaddam,
+//!   "Consistent hashing with bounded loads", 2018).
+//! - New hosts are given load slowly, bad ones are ejected for a while, and at
+//!   least half of a zone always stays.
+//! - A host that is leaving gets no new call, whether it said so itself or the
+//!   membership list did.
+//!
+//! [`subset`] decides which hosts to have links to.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use snipewinch::host;
+//! use snipewinch::routing::Event;
+//! use snipewinch::routing::Outcome;
+//! use snipewinch::routing::Reason;
+//! use snipewinch::routing::Request;
+//! use snipewinch::routing::Table;
+//!
+//! let mut table = Table::new("atlanta-a".into(), "atlanta".into());
+//! let now = Duration::from_secs(1);
+//! let request = Request::new("logbook", 7);
+//! assert_eq!(table.pick(now, &request).unwrap_err().reason, Reason::Unknown);
+//!
+//! let identity = host::Identity {
+//!     host: "logbook-1".into(),
+//!     incarnation: 1,
+//!     role: host::Role::Agent,
+//!     zone: "atlanta-a".into(),
+//!     region: "atlanta".into(),
+//!     service: Some("logbook".into()),
+//!     address: ([127, 0, 0, 1], 7000).into(),
+//! };
+//! table.handle(now, Event::Up { peer: &identity });
+//! let key = table.pick(now, &request).unwrap();
+//! table.start(now, key, request.prefixes);
+//! table.end(now + Duration::from_millis(20), key, &Outcome::success(Duration::from_millis(20)));
+//! assert_eq!(table.host(key).unwrap().as_str(), "logbook-1");
+//! ```
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+
+use crate::Digest;
+use crate::host;
+use crate::membership;
+use crate::wire;
+
+mod affinity;
+mod eject;
+mod node;
+mod pick;
+pub mod subset;
+#[cfg(test)]
+mod tests;
+
+use affinity::Affinity;
+use node::Node;
+
+slotmap::new_key_type! {
+    /// Names one host in a [`Table`]; never used again after the host is gone.
+    pub struct Key;
+}
+
+/// What a table learns of.
+#[derive(Clone, Copy, Debug)]
+pub enum Event<'a> {
+    /// The list of hosts as this process sees it.
+    View(&'a membership::View),
+    /// A link to a host is open.
+    Up {
+        /// Who is at the other end.
+        peer: &'a host::Identity,
+    },
+    /// The last link to a host is gone.
+    Down {
+        /// The host.
+        host: &'a host::Name,
+    },
+    /// A host has said how it fares.
+    Summary {
+        /// The host.
+        host: &'a host::Name,
+        /// What it said.
+        summary: &'a wire::Summary,
+    },
+    /// An engine has stored a prompt prefix in its cache.
+    Stored {
+        /// The host.
+        host: &'a host::Name,
+        /// The prefix.
+        prefix: Digest,
+    },
+    /// An engine has removed a prompt prefix from its cache.
+    Removed {
+        /// The host.
+        host: &'a host::Name,
+        /// The prefix.
+        prefix: Digest,
+    },
+    /// Cache events of an engine were lost.
+    Gap {
+        /// The host.
+        host: &'a host::Name,
+    },
+}
+
+/// A call that looks for a host.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// What the host's engine must have confirmed, all of it.
+    pub needs: &'a [Need<'a>],
+    /// Digests of the prompt's prefixes, the longest first.
+    pub prefixes: &'a [Digest],
+    /// Hosts that this call has already been to.
+    pub tried: &'a [Key],
+    /// How long the call may still wait to be run; none means any time.
+    pub patience: Option<Duration>,
+    /// Decides the draws: a different number for each attempt.
+    pub seed: u64,
+}
+
+impl<'a> Request<'a> {
+    /// A request that any host of `service` may answer.
+    pub fn new(service: &'a str, seed: u64) -> Request<'a> {
+        Request {
+            service,
+            needs: &[],
+            prefixes: &[],
+            tried: &[],
+            patience: None,
+            seed,
+        }
+    }
+}
+
+/// A model or adapter that a call needs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Need<'a> {
+    /// The model's or adapter's name.
+    pub model: &'a str,
+    /// The version; none means any that is confirmed.
+    pub version: Option<&'a str>,
+}
+
+/// Why no host was found.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Reason {
+    /// No host is known for the service.
+    Unknown,
+    /// Hosts are known, but there is a link to none of them.
+    Unreachable,
+    /// Hosts are linked, but none has confirmed what the call needs.
+    Version,
+    /// All linked hosts are leaving.
+    Leaving,
+    /// The call has been to every host that could answer.
+    Tried,
+    /// Every host is so loaded that the call would not be run in time.
+    Busy,
+}
+
+impl Reason {
+    /// The name used in metrics and answers.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::Unknown => "no_backend",
+            Reason::Unreachable => "unreachable",
+            Reason::Version => "version_not_loaded",
+            Reason::Leaving => "leaving",
+            Reason::Tried => "all_tried",
+            Reason::Busy => "busy",
+        }
+    }
+}
+
+/// No host was found.
+#[derive(Clone, Debug, PartialEq, snafu::Snafu)]
+#[snafu(display(
+    "no backend server for the call ({}): retry after {} ms",
+    reason.name(),
+    retry_after.as_millis()
+))]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When a new attempt has a chance.
+    pub retry_after: Duration,
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Outcome {
+    /// What came of it.
+    pub result: Result,
+    /// From the start to the first byte of the answer, where there was one.
+    pub first_byte: Option<Duration>,
+    /// From the start to the end.
+    pub total: Duration,
+}
+
+/// What came of a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Result {
+    /// The answer is whole.
+    Success,
+    /// The host failed: an error, a cut answer, a timeout, a lost link.
+    Failure,
+    /// The host refused for want of room, and wishes to be left alone so long.
+    Refused(Duration),
+    /// The host refused since it is leaving.
+    Leaving,
+    /// The call ended for a reason that says nothing about the host.
+    Cancelled,
+}
+
+impl Outcome {
+    /// A whole answer whose first byte came at its end.
+    pub fn success(total: Duration) -> Outcome {
+        Outcome {
+            result: Result::Success,
+            first_byte: Some(total),
+            total,
+        }
+    }
+
+    /// An end without an answer.
+    pub fn without_answer(result: Result, total: Duration) -> Outcome {
+        Outcome {
+            result,
+            first_byte: None,
+            total,
+        }
+    }
+}
+
+/// How far a host is from this process.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Tier {
+    /// The same availability zone.
+    Zone,
+    /// The same region.
+    Region,
+    /// Another region.
+    Far,
+}
+
+const TIERS: [Tier; 3] = [Tier::Zone, Tier::Region, Tier::Far];
+
+/// The hosts of one service.
+#[derive(Clone, Debug, Default)]
+struct Service {
+    /// Hosts with a link, by how far they are.
+    linked: [Vec<Key>; TIERS.len()],
+    /// All hosts, with a link or without.
+    known: usize,
+}
+
+/// Counts what a table did, for metrics.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Picks by how far the host was: zone, region, far.
+    pub picked: [u64; TIERS.len()],
+    /// Picks that followed a prompt prefix.
+    pub by_prefix: u64,
+    /// Hosts ejected so far.
+    pub ejected: u64,
+    /// Ejections not done since too much of a zone was ejected already.
+    pub ejection_held: u64,
+}
+
+/// The hosts that can answer calls.
+#[derive(Clone, Debug)]
+pub struct Table {
+    zone: host::Zone,
+    region: host::Region,
+    nodes: SlotMap<Key, Node>,
+    names: HashMap<host::Name, Key>,
+    services: HashMap<SmolStr, Service>,
+    affinity: Affinity,
+    counts: Counts,
+}
+
+impl Table {
+    /// A table for a process that stands in `zone` of `region`.
+    pub fn new(zone: host::Zone, region: host::Region) -> Table {
+        Table {
+            zone,
+            region,
+            nodes: SlotMap::default(),
+            names: HashMap::default(),
+            services: HashMap::default(),
+            affinity: Affinity::default(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Takes in what has happened.
+    pub fn handle(&mut self, now: Duration, event: Event<'_>) {
+        match event {
+            Event::View(view) => self.view(now, view),
+            Event::Up { peer } => self.up(now, peer),
+            Event::Down { host } => self.down(host),
+            Event::Summary { host, summary } => {
+                if let Some(node) = self.named(host) {
+                    node.report(now, summary);
+                }
+            }
+            Event::Stored { host, prefix } => {
+                if let Some(&key) = self.names.get(host) {
+                    self.affinity.note(now, prefix, key);
+                }
+            }
+            Event::Removed { host, prefix } => {
+                if let Some(&key) = self.names.get(host) {
+                    self.affinity.forget(prefix, key);
+                }
+            }
+            Event::Gap { host } => {
+                if let Some(&key) = self.names.get(host) {
+                    self.affinity.doubt(key);
+                }
+            }
+        }
+    }
+
+    /// A call is sent to `key`; its prefixes will be in that engine's cache.
+    pub fn start(&mut self, now: Duration, key: Key, prefixes: &[Digest]) {
+        let Some(node) = self.nodes.get_mut(key) else {
+            return;
+        };
+        node.inflight += 1;
+        for &prefix in prefixes {
+            self.affinity.note(now, prefix, key);
+        }
+    }
+
+    /// A call that was sent to `key` has ended.
+    pub fn end(&mut self, now: Duration, key: Key, outcome: &Outcome) {
+        let Some(node) = self.nodes.get_mut(key) else {
+            return;
+        };
+        node.end(now, outcome);
+        self.judge(now, key, outcome);
+        self.drop_if_done(key);
+    }
+
+    /// The name of a host.
+    pub fn host(&self, key: Key) -> Option<&host::Name> {
+        self.nodes.get(key).map(|node| &node.name)
+    }
+
+    /// The key of a host.
+    pub fn key(&self, host: &host::Name) -> Option<Key> {
+        self.names.get(host).copied()
+    }
+
+    /// What the engine on a host has confirmed.
+    pub fn confirmed(&self, key: Key) -> &[wire::Confirmed] {
+        self.nodes.get(key).map_or(&[], |node| &node.confirmed)
+    }
+
+    /// Own calls in flight on a host.
+    pub fn inflight(&self, key: Key) -> u32 {
+        self.nodes.get(key).map_or(0, |node| node.inflight)
+    }
+
+    /// Hosts known.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Whether no host is known.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
+    /// Hosts that are ejected now.
+    pub fn ejected(&self, now: Duration) -> usize {
+        self.nodes
+            .values()
+            .filter(|node| node.is_ejected(now))
+            .count()
+    }
+
+    /// What the table has done so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    fn named(&mut self, host: &host::Name) -> Option<&mut Node> {
+        let key = *self.names.get(host)?;
+        self.nodes.get_mut(key)
+    }
+
+    fn tier(&self, zone: &host::Zone, region: &host::Region) -> Tier {
+        match () {
+            () if *zone == self.zone => Tier::Zone,
+            () if *region == self.region => Tier::Region,
+            () => Tier::Far,
+        }
+    }
+
+    fn view(&mut self, now: Duration, view: &membership::View) {
+        for node in self.nodes.values_mut() {
+            node.listed = false;
+        }
+        for member in &view.members {
+            let Some(service) = &member.service else {
+                continue;
+            };
+            if member.role != host::Role::Agent {
+                continue;
+            }
+            let key = self.ensure(&member.host, service, &member.zone, &member.region);
+            if let Some(node) = self.nodes.get_mut(key) {
+                node.list(now, member);
+            }
+        }
+        let gone: Vec<Key> = self.nodes.keys().collect();
+        for key in gone {
+            self.drop_if_done(key);
+        }
+    }
+
+    fn up(&mut self, now: Duration, peer: &host::Identity) {
+        let Some(service) = &peer.service else {
+            return;
+        };
+        if peer.role != host::Role::Agent {
+            return;
+        }
+        let key = self.ensure(&peer.host, service, &peer.zone, &peer.region);
+        let Some(node) = self.nodes.get_mut(key) else {
+            return;
+        };
+        if node.incarnation != peer.incarnation {
+            // A new process: its engine's cache is not the old one's.
+            self.affinity.doubt(key);
+        }
+        let was_linked = node.linked;
+        node.up(now, peer.incarnation);
+        let (service, tier) = (node.service.clone(), node.tier);
+        if was_linked {
+            return;
+        }
+        let service = self.services.entry(service).or_default();
+        service.linked[tier as usize].push(key);
+    }
+
+    fn down(&mut self, host: &host::Name) {
+        let Some(&key) = self.names.get(host) else {
+            return;
+        };
+        let Some(node) = self.nodes.get_mut(key) else {
+            return;
+        };
+        node.linked = false;
+        let (service, tier) = (node.service.clone(), node.tier);
+        if let Some(service) = self.services.get_mut(&service) {
+            service.linked[tier as usize].retain(|&linked| linked != key);
+        }
+        self.drop_if_done(key);
+    }
+
+    /// The record of a host; one whose place or service changed starts anew.
+    fn ensure(
+        &mut self,
+        host: &host::Name,
+        service: &SmolStr,
+        zone: &host::Zone,
+        region: &host::Region,
+    ) -> Key {
+        let tier = self.tier(zone, region);
+        if let Some(&key) = self.names.get(host) {
+            let same = self
+                .nodes
+                .get(key)
+                .is_some_and(|node| node.service == *service && node.tier == tier);
+            if same {
+                return key;
+            }
+            self.remove(key);
+        }
+        let node = Node::new(host.clone(), service.clone(), zone.clone(), tier);
+        let key = self.nodes.insert(node);
+        self.names.insert(host.clone(), key);
+        self.services.entry(service.clone()).or_default().known += 1;
+        key
+    }
+
+    /// Forgets a host that is neither listed, linked nor at work.
+    fn drop_if_done(&mut self, key: Key) {
+        let done = self
+            .nodes
+            .get(key)
+            .is_some_and(|node| !node.listed && !node.linked && node.inflight == 0);
+        if done {
+            self.remove(key);
+        }
+    }
+
+    fn remove(&mut self, key: Key) {
+        let Some(node) = self.nodes.remove(key) else {
+            return;
+        };
+        self.names.remove(&node.name);
+        let Some(service) = self.services.get_mut(&node.service) else {
+            return;
+        };
+        service.known -= 1;
+        service.linked[node.tier as usize].retain(|&linked| linked != key);
+        if service.known == 0 {
+            self.services.remove(&node.service);
+        }
+    }
+}
