Keep the routing table and the limiter fed at the entry

The decisions had no edge: nothing told them of links, the membership view or the configuration, and nothing dialed the hosts that the subset names.

Router answers with a host's name and counts own calls; Limiter::admit waits until a call may go on and its Permit says how the call ended. Links that are no longer wanted are kept while calls run on them.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -20,7 +20,7 @@
     limits: mpsc::Receiver<Event<limit::Message>>,
 ) -> Routes {
     let router = routes::spawn(node);
-    let limiter = limits::spawn(node, limits);
+    let limiter = limits::spawn(node, limits, router.clone());
     Routes {
         callers: calls::spawn(node, calls, router, limiter),
         console: Some(console::routes(node)),
--- a/crates/daemon/src/entry/limits.rs
+++ b/crates/daemon/src/entry/limits.rs
@@ -1,17 +1,309 @@
 //! Customers' limits at the entry, corrected by what other entries tell.
+//!
+//! The edge around [`limit::Limiter`]: calls wait in [`Limiter::admit`], and a
+//! task keeps the state machine's time, feeds it with the configuration, the
+//! membership view and the news of other entry hosts, and sends its own.
 
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use peer::link;
 use peer::link::Event;
+use smol_str::SmolStr;
+use snipewinch::deadline::Deadline;
+use snipewinch::host;
+use snipewinch::limit;
+use snipewinch::limit::Action;
+use snipewinch::limit::Arrival;
 use snipewinch::limit::Message;
+use snipewinch::limit::Refusal;
+use snipewinch::limit::Sample;
+use snipewinch::limit::Ticket;
+use snipewinch::limit::spread;
+use snipewinch::wire::Frame;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
 
+use super::routes::Router;
 use crate::node::Node;
 
-/// Admits customers' calls.
-#[derive(Clone, Debug)]
-pub(crate) struct Limiter;
+mod metrics;
+
+use metrics::Metrics;
+
+/// How often calls that have waited too long are looked for.
+const TICK: Duration = Duration::from_millis(50);
+/// How often the bounds of services are worked out.
+const BOUND: Duration = Duration::from_secs(1);
+/// The least that one service may run at once from one entry host.
+const LEAST: u32 = 4;
+/// Calls that an entry host sends at once, as a multiple of what the linked
+/// hosts run at once.
+const OVERSUBSCRIBED: f64 = 1.25;
+
+/// Admits customers' calls; clones share one state.
+#[derive(Clone)]
+pub(crate) struct Limiter {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    node: Node,
+    state: Mutex<State>,
+    metrics: Metrics,
+}
+
+type Answer = oneshot::Sender<Result<(), Refusal>>;
+
+struct State {
+    limiter: limit::Limiter,
+    waiting: HashMap<Ticket, Answer>,
+    next: Ticket,
+    /// Open links to other entry hosts.
+    links: HashMap<link::Key, host::Name>,
+}
+
+/// Lets one call go on; say by [`Permit::finish`] how it ended.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    limiter: Limiter,
+    ticket: Ticket,
+    sample: Sample,
+}
+
+impl Permit {
+    /// The call has ended.
+    pub(crate) fn finish(mut self, sample: Sample) {
+        self.sample = sample;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.limiter.shared.node.now();
+        let mut state = self.limiter.shared.state.lock();
+        let actions = match self.sample {
+            // Also for a call whose caller went away while it waited.
+            Sample::Ignored => state.limiter.cancel(now, self.ticket),
+            sample => state.limiter.finish(now, self.ticket, sample),
+        };
+        state.waiting.remove(&self.ticket);
+        self.limiter.shared.act(&mut state, actions);
+    }
+}
+
+impl fmt::Debug for Limiter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Limiter").finish_non_exhaustive()
+    }
+}
 
 /// Starts the part.
-pub(crate) fn spawn(_node: &Node, mut inbox: mpsc::Receiver<Event<Message>>) -> Limiter {
-    tokio::spawn(async move { while inbox.recv().await.is_some() {} });
-    Limiter
+pub(crate) fn spawn(node: &Node, inbox: mpsc::Receiver<Event<Message>>, router: Router) -> Limiter {
+    let state = State {
+        limiter: limit::Limiter::new(rand::random()),
+        waiting: HashMap::new(),
+        next: 1,
+        links: HashMap::new(),
+    };
+    let limiter = Limiter {
+        shared: Arc::new(Shared {
+            node: node.clone(),
+            state: Mutex::new(state),
+            metrics: Metrics::open(&node.registry),
+        }),
+    };
+    tokio::spawn(run(limiter.clone(), inbox, router));
+    limiter
+}
+
+impl Limiter {
+    /// Waits until a call may go on. Dropping the future gives the call up.
+    pub(crate) async fn admit(
+        &self,
+        service: &SmolStr,
+        customer: &SmolStr,
+        cost: u32,
+        left: Duration,
+    ) -> Result<Permit, Refusal> {
+        let (answer, answered) = oneshot::channel();
+        let permit = self.arrive(service, customer, cost, left, answer);
+        let result = match answered.await {
+            Ok(Ok(())) => Ok(permit),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => Err(Refusal {
+                reason: limit::Reason::Overload,
+                retry_after: BOUND,
+            }),
+        };
+        let outcome = result.as_ref().map(|_| ()).map_err(Clone::clone);
+        self.shared.metrics.count(customer, &outcome);
+        result
+    }
+
+    fn arrive(
+        &self,
+        service: &SmolStr,
+        customer: &SmolStr,
+        cost: u32,
+        left: Duration,
+        answer: Answer,
+    ) -> Permit {
+        let now = self.shared.node.now();
+        let mut state = self.shared.state.lock();
+        let ticket = state.next;
+        state.next += 1;
+        state.waiting.insert(ticket, answer);
+        let arrival = Arrival {
+            ticket,
+            service: service.clone(),
+            customer: customer.clone(),
+            cost,
+            deadline: Deadline::after(now, left),
+        };
+        let actions = state.limiter.arrive(now, arrival);
+        self.shared.act(&mut state, actions);
+        drop(state);
+        Permit {
+            limiter: self.clone(),
+            ticket,
+            sample: Sample::Ignored,
+        }
+    }
+
+    fn link(&self, event: &Event<Message>) {
+        let mut state = self.shared.state.lock();
+        let State { limiter, links, .. } = &mut *state;
+        match event {
+            Event::Up { link, peer, .. } if peer.role == host::Role::Entry => {
+                links.insert(*link, peer.host.clone());
+                limiter.neighbour_up(peer.host.clone());
+            }
+            Event::Messages { link, messages } => {
+                if let Some(host) = links.get(link) {
+                    for message in messages {
+                        limiter.receive(host, message.clone());
+                    }
+                }
+            }
+            Event::Down { link, .. } => {
+                let Some(host) = links.remove(link) else {
+                    return;
+                };
+                if !links.values().any(|other| *other == host) {
+                    limiter.neighbour_down(&host);
+                }
+            }
+            Event::Summary { .. } | Event::Up { .. } => {}
+        }
+    }
+
+    fn tick(&self) {
+        let now = self.shared.node.now();
+        let mut state = self.shared.state.lock();
+        let actions = state.limiter.tick(now);
+        self.shared.act(&mut state, actions);
+    }
+
+    fn gossip(&self) {
+        let now = self.shared.node.now();
+        let mut state = self.shared.state.lock();
+        let messages = state.limiter.gossip(now);
+        for (host, message) in messages {
+            let link = state.links.iter().find(|(_, other)| **other == host);
+            if let Some((&link, _)) = link {
+                // A lost message does no harm: the next one says it again.
+                let _ = self.shared.node.hub.send(link, Frame::Limit(message));
+            }
+        }
+    }
+
+    fn configure(&self) {
+        let document = self.shared.node.configuration.borrow().document.clone();
+        let mut state = self.shared.state.lock();
+        state.limiter.configure(&document.customers);
+    }
+
+    fn count_entries(&self) {
+        let view = self.shared.node.view.borrow().clone();
+        let me = &self.shared.node.identity.host;
+        let others = view.members.iter().filter(|member| {
+            member.role == host::Role::Entry
+                && member.host != *me
+                && member.state != snipewinch::membership::State::Leaving
+        });
+        let count = others.count() + 1;
+        self.shared.state.lock().limiter.entries(count);
+    }
+
+    fn bound(&self, router: &Router) {
+        let document = self.shared.node.configuration.borrow().document.clone();
+        for service in &document.services {
+            let capacity = f64::from(router.capacity(&service.name));
+            let most = (capacity * OVERSUBSCRIBED) as u32;
+            let mut state = self.shared.state.lock();
+            state.limiter.bound(&service.name, LEAST, most.max(LEAST));
+        }
+        let status: Vec<limit::Status> = self.shared.state.lock().limiter.status().collect();
+        self.shared.metrics.set(&status);
+    }
+}
+
+impl Shared {
+    fn act(&self, state: &mut State, actions: Vec<Action>) {
+        for action in actions {
+            let (ticket, result) = match action {
+                Action::Admit { ticket } => (ticket, Ok(())),
+                Action::Refuse { ticket, refusal } => (ticket, Err(refusal)),
+            };
+            if let Some(answer) = state.waiting.remove(&ticket) {
+                // A caller who has gone away drops the permit.
+                let _ = answer.send(result);
+            }
+        }
+    }
+}
+
+async fn run(limiter: Limiter, mut inbox: mpsc::Receiver<Event<Message>>, router: Router) {
+    let node = limiter.shared.node.clone();
+    let mut configuration = node.configuration.clone();
+    let mut view = node.view.clone();
+    let mut tick = interval(TICK);
+    let mut gossip = interval(spread::PERIOD);
+    let mut bound = interval(BOUND);
+    configuration.mark_changed();
+    view.mark_changed();
+    loop {
+        tokio::select! {
+            event = inbox.recv() => match event {
+                Some(event) => {
+                    router.link(&event);
+                    limiter.link(&event);
+                }
+                None => return,
+            },
+            Ok(()) = configuration.changed() => {
+                configuration.mark_unchanged();
+                limiter.configure();
+                limiter.bound(&router);
+            }
+            Ok(()) = view.changed() => {
+                view.mark_unchanged();
+                limiter.count_entries();
+            }
+            _ = tick.tick() => limiter.tick(),
+            _ = gossip.tick() => limiter.gossip(),
+            _ = bound.tick() => limiter.bound(&router),
+        }
+    }
+}
+
+fn interval(period: Duration) -> tokio::time::Interval {
+    let mut interval = tokio::time::interval(period);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    interval
 }
--- a/crates/daemon/src/entry/routes.rs
+++ b/crates/daemon/src/entry/routes.rs
@@ -1,12 +1,236 @@
 //! Chooses backend servers for calls, and which hosts are linked to.
+//!
+//! The edge around [`routing::Table`]: it feeds the table with the membership
+//! view and with what links tell, and dials the hosts that
+//! [`routing::subset`] names.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use peer::link;
+use peer::link::Event;
+use snipewinch::Digest;
+use snipewinch::host;
+use snipewinch::membership::View;
+use snipewinch::routing;
+use snipewinch::routing::Need;
+use snipewinch::routing::Notice;
+use snipewinch::routing::Outcome;
+use snipewinch::routing::Refusal;
+use snipewinch::routing::Table;
+use snipewinch::wire::Confirmed;
 
 use crate::node::Node;
 
-/// Chooses backend servers for calls.
-#[derive(Clone, Debug)]
-pub(crate) struct Router;
+mod links;
+mod metrics;
+
+use metrics::Metrics;
+
+/// A call that looks for a host.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ask<'a> {
+    /// The service.
+    pub(crate) service: &'a str,
+    /// What the host's engine must have confirmed.
+    pub(crate) needs: &'a [Need<'a>],
+    /// Digests of the prompt's prefixes, the longest first.
+    pub(crate) prefixes: &'a [Digest],
+    /// Hosts that the call has been to.
+    pub(crate) avoid: &'a [host::Name],
+    /// How long the call may still wait to be run.
+    pub(crate) patience: Option<Duration>,
+}
+
+/// Chooses backend servers for calls; clones share one table.
+#[derive(Clone)]
+pub(crate) struct Router {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    node: Node,
+    state: Mutex<State>,
+    seed: AtomicU64,
+    metrics: Metrics,
+}
+
+struct State {
+    table: Table,
+    /// Open links to agents; a host may for a moment have two.
+    links: HashMap<link::Key, host::Name>,
+}
+
+impl fmt::Debug for Router {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Router").finish_non_exhaustive()
+    }
+}
 
 /// Starts the part.
-pub(crate) fn spawn(_node: &Node) -> Router {
-    Router
+pub(crate) fn spawn(node: &Node) -> Router {
+    let table = Table::new(node.identity.zone.clone(), node.identity.region.clone());
+    let state = State {
+        table,
+        links: HashMap::new(),
+    };
+    let router = Router {
+        shared: Arc::new(Shared {
+            node: node.clone(),
+            state: Mutex::new(state),
+            seed: AtomicU64::new(rand::random()),
+            metrics: Metrics::open(&node.registry),
+        }),
+    };
+    tokio::spawn(links::run(router.clone()));
+    router
+}
+
+impl Router {
+    /// The host that shall answer a call. [`Router::started`] must follow, or
+    /// nothing if the call is not sent after all.
+    pub(crate) fn pick(&self, ask: &Ask<'_>) -> Result<host::Name, Refusal> {
+        let shared = &self.shared;
+        let mut state = shared.state.lock();
+        let table = &mut state.table;
+        let tried: Vec<routing::Key> = ask
+            .avoid
+            .iter()
+            .filter_map(|host| table.key(host))
+            .collect();
+        let request = routing::Request {
+            service: ask.service,
+            needs: ask.needs,
+            prefixes: ask.prefixes,
+            tried: &tried,
+            patience: ask.patience,
+            seed: shared.seed.fetch_add(1, Ordering::Relaxed),
+        };
+        let picked = table.pick(shared.node.now(), &request);
+        match picked {
+            Ok(key) => Ok(table.host(key).cloned().unwrap_or_else(|| "".into())),
+            Err(refusal) => {
+                shared.metrics.refused(refusal.reason);
+                Err(refusal)
+            }
+        }
+    }
+
+    /// A call is sent to `host`.
+    pub(crate) fn started(&self, host: &host::Name, prefixes: &[Digest]) {
+        let now = self.shared.node.now();
+        let table = &mut self.shared.state.lock().table;
+        if let Some(key) = table.key(host) {
+            table.start(now, key, prefixes);
+        }
+    }
+
+    /// A call that was sent to `host` has ended.
+    pub(crate) fn ended(&self, host: &host::Name, outcome: &Outcome) {
+        let now = self.shared.node.now();
+        let mut state = self.shared.state.lock();
+        if let Some(key) = state.table.key(host) {
+            state.table.end(now, key, outcome);
+        }
+        let notices = state.table.notices();
+        drop(state);
+        tell(notices);
+    }
+
+    /// What the engine on `host` has confirmed.
+    pub(crate) fn confirmed(&self, host: &host::Name) -> Vec<Confirmed> {
+        let table = &self.shared.state.lock().table;
+        match table.key(host) {
+            Some(key) => table.confirmed(key).to_vec(),
+            None => Vec::new(),
+        }
+    }
+
+    /// Calls that the linked hosts of a service run at once, all together.
+    pub(crate) fn capacity(&self, service: &str) -> u32 {
+        self.shared.state.lock().table.capacity(service)
+    }
+
+    /// An engine's cache has changed.
+    pub(crate) fn cached(&self, event: routing::Event<'_>) {
+        let now = self.shared.node.now();
+        self.shared.state.lock().table.handle(now, event);
+    }
+
+    /// Something has happened on a link.
+    pub(crate) fn link<M>(&self, event: &Event<M>) {
+        let now = self.shared.node.now();
+        let mut state = self.shared.state.lock();
+        let State { table, links } = &mut *state;
+        match event {
+            Event::Up { link, peer, .. } if peer.role == host::Role::Agent => {
+                links.insert(*link, peer.host.clone());
+                table.handle(now, routing::Event::Up { peer });
+            }
+            Event::Summary { link, summary } => {
+                if let Some(host) = links.get(link) {
+                    table.handle(now, routing::Event::Summary { host, summary });
+                }
+            }
+            Event::Down { link, .. } => {
+                let Some(host) = links.remove(link) else {
+                    return;
+                };
+                if !links.values().any(|other| *other == host) {
+                    table.handle(now, routing::Event::Down { host: &host });
+                }
+            }
+            Event::Messages { .. } | Event::Up { .. } => {}
+        }
+        let notices = state.table.notices();
+        drop(state);
+        tell(notices);
+    }
+
+    fn view(&self, view: &View) {
+        let now = self.shared.node.now();
+        let mut state = self.shared.state.lock();
+        state.table.handle(now, routing::Event::View(view));
+        let notices = state.table.notices();
+        drop(state);
+        tell(notices);
+    }
+
+    /// Whether a link to `host` is of use although it is not wanted any more.
+    fn is_busy(&self, host: &host::Name, listed: bool) -> bool {
+        let state = self.shared.state.lock();
+        let Some(key) = state.table.key(host) else {
+            return false;
+        };
+        let linked = state.table.is_linked(host);
+        state.table.inflight(key) > 0 || (linked && !listed)
+    }
+
+    fn measure(&self) {
+        let now = self.shared.node.now();
+        let state = self.shared.state.lock();
+        let (known, ejected) = (state.table.len(), state.table.ejected(now));
+        let (links, counts) = (state.links.len(), state.table.counts());
+        drop(state);
+        self.shared.metrics.set(known, links, ejected, counts);
+    }
+}
+
+fn tell(notices: Vec<Notice>) {
+    for notice in notices {
+        match notice {
+            Notice::Ejected { host, time } => {
+                log::warn!("E2201 {host} fails or is slow: no calls for {time:?}");
+            }
+            Notice::Held { host } => {
+                log::warn!("E2202 {host} fails or is slow, but too much of its zone is out");
+            }
+            Notice::Leaving { host } => log::info!("E2203 {host} is leaving: no new calls"),
+        }
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/entry/routes/metrics.rs
@@ -0,0 +1,93 @@
+//! What the router counts.
+
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use snipewinch::routing::Counts;
+use snipewinch::routing::Reason;
+
+pub(super) struct Metrics {
+    hosts: IntGaugeVec,
+    picks: IntCounterVec,
+    ejections: IntCounterVec,
+    links: IntGauge,
+    refused: IntCounterVec,
+}
+
+impl Metrics {
+    /// Registers the metrics. Registering twice in one registry is an error of
+    /// the program.
+    pub(super) fn open(registry: &Registry) -> Metrics {
+        let hosts = Opts::new(
+            "snipewinch_routing_hosts",
+            "Backend server hosts, by what this entry host knows of them.",
+        );
+        let picks = Opts::new(
+            "snipewinch_routing_picks_total",
+            "Calls sent since the start, by how far the host was or what it followed.",
+        );
+        let ejections = Opts::new(
+            "snipewinch_routing_ejections_total",
+            "Ejections since the start, by whether they were done or held back.",
+        );
+        let refused = Opts::new(
+            "snipewinch_routing_refused_total",
+            "Calls for which there was no host, by reason.",
+        );
+        let metrics = Metrics {
+            hosts: IntGaugeVec::new(hosts, &["state"]).expect("name"),
+            picks: IntCounterVec::new(picks, &["by"]).expect("name"),
+            ejections: IntCounterVec::new(ejections, &["outcome"]).expect("name"),
+            links: IntGauge::new(
+                "snipewinch_routing_links",
+                "Open links to backend server hosts.",
+            )
+            .expect("name"),
+            refused: IntCounterVec::new(refused, &["reason"]).expect("name"),
+        };
+        registry
+            .register(Box::new(metrics.hosts.clone()))
+            .expect("unique");
+        registry
+            .register(Box::new(metrics.picks.clone()))
+            .expect("unique");
+        registry
+            .register(Box::new(metrics.ejections.clone()))
+            .expect("unique");
+        registry
+            .register(Box::new(metrics.links.clone()))
+            .expect("unique");
+        registry
+            .register(Box::new(metrics.refused.clone()))
+            .expect("unique");
+        metrics
+    }
+
+    pub(super) fn refused(&self, reason: Reason) {
+        self.refused.with_label_values(&[reason.name()]).inc();
+    }
+
+    pub(super) fn set(&self, known: usize, links: usize, ejected: usize, counts: Counts) {
+        let state = |label, count: usize| {
+            self.hosts.with_label_values(&[label]).set(count as i64);
+        };
+        state("known", known);
+        state("ejected", ejected);
+        let [zone, region, far] = counts.picked;
+        raise(&self.picks, "zone", zone);
+        raise(&self.picks, "region", region);
+        raise(&self.picks, "far", far);
+        raise(&self.picks, "prefix", counts.by_prefix);
+        raise(&self.ejections, "done", counts.ejected);
+        raise(&self.ejections, "held", counts.ejection_held);
+        self.links.set(links as i64);
+    }
+}
+
+/// Brings a counter up to a total that is counted elsewhere.
+fn raise(counters: &IntCounterVec, label: &str, total: u64) {
+    let counter = counters.with_label_values(&[label]);
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
--- a/crates/snipewinch/src/limit.rs
+++ b/crates/snipewinch/src/limit.rs
@@ -278,18 +278,21 @@
         actions
     }
 
-    /// The caller has gone away: a call that waits is dropped without an action.
-    /// One that was admitted ends by [`Limiter::finish`].
-    pub fn cancel(&mut self, ticket: Ticket) {
+    /// The caller has gone away, whether the call waits or has been admitted.
+    pub fn cancel(&mut self, now: Duration, ticket: Ticket) -> Vec<Action> {
         let Some(service) = self.tickets.get(&ticket) else {
-            return;
+            return Vec::new();
         };
         let waiting = self
             .gates
             .get_mut(service)
             .is_some_and(|gate| gate.queue.remove(ticket));
-        if waiting {
-            self.tickets.remove(&ticket);
+        match waiting {
+            true => {
+                self.tickets.remove(&ticket);
+                Vec::new()
+            }
+            false => self.finish(now, ticket, Sample::Ignored),
         }
     }
 
--- a/crates/snipewinch/src/routing.rs
+++ b/crates/snipewinch/src/routing.rs
@@ -265,6 +265,9 @@
     Far,
 }
 
+/// Notices kept until they are taken.
+const NOTICES_MAX: usize = 64;
+
 const TIERS: [Tier; 3] = [Tier::Zone, Tier::Region, Tier::Far];
 
 /// The hosts of one service.
@@ -289,6 +292,28 @@
     pub ejection_held: u64,
 }
 
+/// What a table has noticed, for logs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Notice {
+    /// A host gets no calls for a while.
+    Ejected {
+        /// The host.
+        host: host::Name,
+        /// How long.
+        time: Duration,
+    },
+    /// A host would have been ejected, but too much of its zone already is.
+    Held {
+        /// The host.
+        host: host::Name,
+    },
+    /// A host is leaving and gets no new call.
+    Leaving {
+        /// The host.
+        host: host::Name,
+    },
+}
+
 /// The hosts that can answer calls.
 #[derive(Clone, Debug)]
 pub struct Table {
@@ -299,6 +324,7 @@
     services: HashMap<SmolStr, Service>,
     affinity: Affinity,
     counts: Counts,
+    notices: Vec<Notice>,
 }
 
 impl Table {
@@ -312,19 +338,21 @@
             services: HashMap::default(),
             affinity: Affinity::default(),
             counts: Counts::default(),
+            notices: Vec::new(),
         }
     }
 
     /// Takes in what has happened.
     pub fn handle(&mut self, now: Duration, event: Event<'_>) {
         match event {
-            Event::View(view) => self.view(now, view),
+            Event::View(view) => self.view(view),
             Event::Up { peer } => self.up(now, peer),
             Event::Down { host } => self.down(host),
             Event::Summary { host, summary } => {
                 if let Some(node) = self.named(host) {
                     node.report(now, summary);
                 }
+                self.note_leaving(host);
             }
             Event::Stored { host, prefix } => {
                 if let Some(&key) = self.names.get(host) {
@@ -361,7 +389,9 @@
             return;
         };
         node.end(now, outcome);
+        let host = node.name.clone();
         self.judge(now, key, outcome);
+        self.note_leaving(&host);
         self.drop_if_done(key);
     }
 
@@ -408,6 +438,45 @@
         self.counts
     }
 
+    /// What was noticed since the last time.
+    pub fn notices(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    /// Calls that the linked hosts of a service run at once, all together.
+    pub fn capacity(&self, service: &str) -> u32 {
+        let Some(service) = self.services.get(service) else {
+            return 0;
+        };
+        let linked = service.linked.iter().flatten();
+        linked.map(|&key| self.nodes[key].capacity() as u32).sum()
+    }
+
+    /// Whether a host is linked to.
+    pub fn is_linked(&self, host: &host::Name) -> bool {
+        self.names
+            .get(host)
+            .is_some_and(|&key| self.nodes[key].linked)
+    }
+
+    fn note_leaving(&mut self, host: &host::Name) {
+        let Some(node) = self.named(host) else {
+            return;
+        };
+        let news = node.is_leaving() && !node.noted_leaving;
+        node.noted_leaving = node.is_leaving();
+        if news {
+            let host = host.clone();
+            self.notice(Notice::Leaving { host });
+        }
+    }
+
+    fn notice(&mut self, notice: Notice) {
+        if self.notices.len() < NOTICES_MAX {
+            self.notices.push(notice);
+        }
+    }
+
     fn named(&mut self, host: &host::Name) -> Option<&mut Node> {
         let key = *self.names.get(host)?;
         self.nodes.get_mut(key)
@@ -421,7 +490,7 @@
         }
     }
 
-    fn view(&mut self, now: Duration, view: &membership::View) {
+    fn view(&mut self, view: &membership::View) {
         for node in self.nodes.values_mut() {
             node.listed = false;
         }
@@ -434,8 +503,9 @@
             }
             let key = self.ensure(&member.host, service, &member.zone, &member.region);
             if let Some(node) = self.nodes.get_mut(key) {
-                node.list(now, member);
+                node.list(member);
             }
+            self.note_leaving(&member.host);
         }
         let gone: Vec<Key> = self.nodes.keys().collect();
         for key in gone {
--- a/crates/snipewinch/src/routing/eject.rs
+++ b/crates/snipewinch/src/routing/eject.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::Key;
+use super::Notice;
 use super::Outcome;
 use super::Result;
 use super::Table;
@@ -41,7 +42,11 @@
         };
         match cause {
             true if self.may_eject(now, key) => self.eject(now, key),
-            true => self.counts.ejection_held += 1,
+            true => {
+                self.counts.ejection_held += 1;
+                let host = self.nodes[key].name.clone();
+                self.notice(Notice::Held { host });
+            }
             false => self.forgive(now, key),
         }
     }
@@ -55,7 +60,9 @@
         node.failures = 0;
         node.samples = 0;
         node.first_byte = 0.0;
+        let host = node.name.clone();
         self.counts.ejected += 1;
+        self.notice(Notice::Ejected { host, time });
     }
 
     /// Takes one ejection off a host that has done well for a while.
--- a/crates/snipewinch/src/routing/node.rs
+++ b/crates/snipewinch/src/routing/node.rs
@@ -44,6 +44,8 @@
     listed_leaving: bool,
     /// The newest incarnation that is known to be leaving.
     leaving: Option<u64>,
+    /// A notice has said that the host is leaving.
+    pub(super) noted_leaving: bool,
     /// When the first link of this incarnation came up.
     since: Duration,
     pub(super) inflight: u32,
@@ -84,6 +86,7 @@
             suspect: false,
             listed_leaving: false,
             leaving: None,
+            noted_leaving: false,
             since: Duration::ZERO,
             inflight: 0,
             capacity: 0,
@@ -101,7 +104,7 @@
         }
     }
 
-    pub(super) fn list(&mut self, _now: Duration, member: &membership::Member) {
+    pub(super) fn list(&mut self, member: &membership::Member) {
         self.listed = true;
         self.suspect = member.state == membership::State::Suspect;
         self.listed_leaving = member.state == membership::State::Leaving;
