--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -11,13 +11,18 @@
 
 pub mod call;
 pub mod claim;
+pub mod concurrency;
 pub mod configuration;
+pub mod deadline;
 pub mod digest;
 pub mod document;
 pub mod host;
 pub mod lease;
 pub mod limit;
 pub mod membership;
+mod mix;
+pub mod retry;
+pub mod routing;
 pub mod weights;
 pub mod wire;
 
