Add the command-line tool: check, status, weights, explain

Cause: operators and developers need to look at documents, manifests, event numbers and a running entry without a browser; nothing but the console may change a fleet.

Change: four read-only commands with errors that name the remedy; explain reads the catalogue of events.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,58 @@
-//! Placeholder.
-fn main() {}
+//! `snipewinch`: checks, shows and explains. It changes nothing in a fleet.
+
+use std::process::ExitCode;
+
+mod check;
+mod error;
+mod explain;
+mod flags;
+mod status;
+mod weights;
+
+use error::Error;
+use flags::Snipewinch;
+use flags::SnipewinchCmd;
+use flags::WeightsCmd;
+
+/// The exit code for a bad command line.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    if std::env::args().nth(1).as_deref() == Some("--version") {
+        println!("snipewinch {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let flags = match Snipewinch::from_env() {
+        Ok(flags) => flags,
+        Err(error) if error.is_help() => {
+            println!("{error}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("snipewinch: {error}; `snipewinch --help` tells the commands");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match run(flags.subcommand) {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("snipewinch: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: SnipewinchCmd) -> Result<String, Error> {
+    match command {
+        SnipewinchCmd::Check(flags) => check::run(&flags.document),
+        SnipewinchCmd::Explain(flags) => explain::run(&flags.number),
+        SnipewinchCmd::Status(flags) => status::run(flags.entry, flags.json),
+        SnipewinchCmd::Weights(flags) => match flags.subcommand {
+            WeightsCmd::Make(flags) => weights::make(&flags),
+            WeightsCmd::Verify(flags) => weights::verify(&flags),
+        },
+    }
+}
