--- a/crates/daemon/src/agent/weights.rs
+++ b/crates/daemon/src/agent/weights.rs
@@ -63,6 +63,7 @@
         host: node.config.host.clone(),
         region: node.config.region.clone(),
         origin_region: node.config.origin_region.clone(),
+        policy: node.config.weights_policy,
         host_mbit: node.config.upload_mbit.map(|mbit| mbit as f64),
         region_mbit: node.config.region_mbit.map(|mbit| mbit as f64),
         memory_bytes: node.config.chunk_memory_bytes,
--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -66,6 +66,8 @@
             optional --region-mbit text: String
             /// The region in which the origin of weights stands; the first by name unless set (agents).
             optional --origin-region text: String
+            /// By which scheme weights spread: `swarm`, or `tree` or `origin` for comparing (agents).
+            optional --weights-policy text: String
             /// The most memory for chunks of weights, in MiB (agents).
             optional --chunk-memory-mib text: String
             /// Where traces go, as OTLP over HTTP; none means no traces.
@@ -109,6 +111,7 @@
             "role" => &self.role,
             "service" => &self.service,
             "upload-mbit" => &self.upload_mbit,
+            "weights-policy" => &self.weights_policy,
             "workers" => &self.workers,
             "zone" => &self.zone,
             _ => return None,
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -10,6 +10,7 @@
 use snipewinch::Digest;
 use snipewinch::host;
 use snipewinch::host::Role;
+use snipewinch::weights::plan::Policy;
 
 use crate::Error;
 use crate::setting::Base;
@@ -58,6 +59,8 @@
     pub upload_mbit: Option<u64>,
     /// The rate of a link between regions, in Mbit/s; none if it is not known.
     pub region_mbit: Option<u64>,
+    /// By which scheme weights spread.
+    pub weights_policy: Policy,
     /// The region of the origin of weights; none means the first by name.
     pub origin_region: Option<host::Region>,
     /// The most memory for chunks, in bytes.
@@ -150,6 +153,7 @@
         let first_operator = reader.optional("first-operator-key-digest");
         let upload_mbit = reader.required::<u64>("upload-mbit");
         let region_mbit = reader.required::<u64>("region-mbit");
+        let weights_policy = reader.required::<Policy>("weights-policy");
         let origin_region = reader.optional::<SmolStr>("origin-region");
         let chunk_memory_mib = bounded(reader, "chunk-memory-mib", 1, u64::MAX >> 20);
         let collector = reader.optional::<Base>("collector");
@@ -182,6 +186,7 @@
             first_operator,
             upload_mbit: upload_mbit.filter(|mbit| *mbit > 0),
             region_mbit: region_mbit.filter(|mbit| *mbit > 0),
+            weights_policy: weights_policy?,
             origin_region: origin_region.map(host::Region),
             chunk_memory_bytes: chunk_memory_mib? << 20,
             collector: collector.map(|base| base.0),
--- a/crates/daemon/src/setting.rs
+++ b/crates/daemon/src/setting.rs
@@ -113,6 +113,12 @@
         "The rate of a link between regions, each way, in Mbit/s; 0 means that it is found out by measuring (agents).",
         "a whole number",
     ),
+    setting(
+        "weights-policy",
+        "swarm",
+        "By which scheme weights spread; the others are for comparing only (agents).",
+        "`swarm`, `tree` or `origin`",
+    ),
     setting(
         "origin-region",
         "",
--- a/crates/snipewinch/src/weights/plan.rs
+++ b/crates/snipewinch/src/weights/plan.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 use crate::Digest;
 use crate::host;
@@ -20,6 +21,9 @@
 /// The fewest peers that an agent dials in its region, if there are as many.
 const DIALS_MIN: usize = 4;
 
+/// Hosts that take from one host in a tree.
+const FANOUT: usize = 2;
+
 /// A host as plans see it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
@@ -29,9 +33,36 @@
     pub address: SocketAddr,
 }
 
+/// By which scheme chunks spread.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Policy {
+    /// Gateways bring chunks into a region and neighbours pass them on.
+    #[default]
+    Swarm,
+    /// Every host takes every chunk from its parent in a tree; a baseline.
+    Tree,
+    /// Every host takes every chunk from the origin; a baseline.
+    Origin,
+}
+
+impl FromStr for Policy {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Policy, ()> {
+        match text {
+            "origin" => Ok(Policy::Origin),
+            "swarm" => Ok(Policy::Swarm),
+            "tree" => Ok(Policy::Tree),
+            _ => Err(()),
+        }
+    }
+}
+
 /// What one agent does for one manifest.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
+    /// The scheme.
+    pub policy: Policy,
     /// Whom to dial in the own region.
     pub neighbours: Vec<Candidate>,
     /// This agent's rank for each stripe, where it has one: 0 brings the
@@ -53,6 +84,7 @@
 impl Plan {
     /// The plan of `me` among `members`, all of which want the manifest.
     pub fn of(
+        policy: Policy,
         manifest: &Digest,
         me: &host::Name,
         region: &Region,
@@ -66,9 +98,16 @@
         let home = home.or(regions.keys().next().copied()).cloned();
         let gateways: BTreeMap<Region, _> = regions
             .iter()
-            .map(|(region, members)| ((*region).clone(), gateways(manifest, members)))
+            .map(|(region, members)| {
+                let gateways = match policy {
+                    Policy::Swarm | Policy::Origin => gateways(manifest, members),
+                    Policy::Tree => roots(manifest, members),
+                };
+                ((*region).clone(), gateways)
+            })
             .collect();
         let ranks = match gateways.get(region) {
+            _ if policy == Policy::Origin => [Some(0); STRIPES as usize],
             Some(stripes) => {
                 std::array::from_fn(|stripe| stripes[stripe].iter().position(|one| one.host == *me))
             }
@@ -76,7 +115,12 @@
         };
         let local = regions.get(region).map_or(&[][..], |members| members);
         Plan {
-            neighbours: neighbours(manifest, me, local),
+            policy,
+            neighbours: match policy {
+                Policy::Swarm => neighbours(manifest, me, local),
+                Policy::Tree => parent(manifest, me, local),
+                Policy::Origin => Vec::new(),
+            },
             ranks,
             remote: gateways
                 .keys()
@@ -99,9 +143,12 @@
     /// at each of them in turn, so that every link between regions carries an
     /// equal part.
     pub fn upstream(&self, region: &Region, chunk: u32) -> Option<&Region> {
-        if Some(region) == self.home.as_ref() {
+        if Some(region) == self.home.as_ref() || self.policy == Policy::Origin {
             return None;
         }
+        if self.policy == Policy::Tree {
+            return self.home.as_ref();
+        }
         let own = self.remote.iter().position(|remote| remote == region)?;
         let count = self.remote.len();
         let first = (chunk / STRIPES) as usize % count;
@@ -157,6 +204,27 @@
     orders.map(|order| order.into_iter().map(candidate).collect())
 }
 
+/// All hosts of a region in the order of its tree, the root first.
+fn tree<'a>(manifest: &Digest, members: &[&'a Member]) -> Vec<&'a Member> {
+    let mut order = members.to_vec();
+    order.sort_by_cached_key(|one| std::cmp::Reverse(weight(manifest, b"tree", &one.host)));
+    order
+}
+
+fn roots(manifest: &Digest, members: &[&Member]) -> [Vec<Candidate>; STRIPES as usize] {
+    let order = tree(manifest, members);
+    let roots: Vec<Candidate> = order.into_iter().take(1).map(candidate).collect();
+    std::array::from_fn(|_| roots.clone())
+}
+
+fn parent(manifest: &Digest, me: &host::Name, members: &[&Member]) -> Vec<Candidate> {
+    let order = tree(manifest, members);
+    let own = order.iter().position(|one| one.host == *me);
+    let parent = own.and_then(|own| own.checked_sub(1));
+    let parent = parent.map(|before| candidate(order[before / FANOUT]));
+    parent.into_iter().collect()
+}
+
 fn neighbours(manifest: &Digest, me: &host::Name, members: &[&Member]) -> Vec<Candidate> {
     let mut others: Vec<&Member> = members
         .iter()
--- a/crates/snipewinch/src/weights/swarm.rs
+++ b/crates/snipewinch/src/weights/swarm.rs
@@ -24,6 +24,7 @@
 use crate::weights::manifest::Manifest;
 use crate::weights::plan::Candidate;
 use crate::weights::plan::Plan;
+use crate::weights::plan::Policy;
 use crate::weights::store::Store;
 use crate::weights::upload::Bucket;
 use crate::weights::upload::Queue;
@@ -63,6 +64,8 @@
     pub region: Region,
     /// The region of the origin; the first by name if it is not known.
     pub origin_region: Option<Region>,
+    /// By which scheme chunks spread.
+    pub policy: Policy,
     /// The rate of this host's link, each way; none means no limit.
     pub host_mbit: Option<f64>,
     /// The rate of a link between regions; none if it is not known.
@@ -398,6 +401,7 @@
                 .filter(|member| wants(member, want))
                 .collect();
             transfer.plan = Plan::of(
+                self.config.policy,
                 &want.manifest,
                 &self.config.host,
                 &self.config.region,
--- a/crates/snipewinch/tests/fleet/mod.rs
+++ b/crates/snipewinch/tests/fleet/mod.rs
@@ -21,6 +21,7 @@
 use snipewinch::membership::View;
 use snipewinch::weights::Message;
 use snipewinch::weights::manifest::Manifest;
+use snipewinch::weights::plan::Policy;
 use snipewinch::weights::swarm::Action;
 use snipewinch::weights::swarm::Config;
 use snipewinch::weights::swarm::Event;
@@ -43,6 +44,7 @@
     pub(crate) origin_mbit: f64,
     pub(crate) memory_bytes: u64,
     pub(crate) weigh: Weigh,
+    pub(crate) policy: Policy,
     pub(crate) seed: u64,
 }
 
@@ -146,6 +148,7 @@
             host: name(place),
             region: region(self.region(place)),
             origin_region: Some(region(0)),
+            policy: self.setup.policy,
             host_mbit: Some(self.setup.host_mbit),
             region_mbit: Some(self.setup.region_mbit),
             memory_bytes: self.setup.memory_bytes,
--- a/crates/snipewinch/tests/weights.rs
+++ b/crates/snipewinch/tests/weights.rs
@@ -9,6 +9,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use snipewinch::document::Weigh;
+use snipewinch::weights::plan::Policy;
 
 mod fleet;
 
@@ -31,6 +32,7 @@
         origin_mbit: 4.0 * REGION_MBIT,
         memory_bytes: 64 << 20,
         weigh: Weigh::Time,
+        policy: Policy::Swarm,
         seed,
     }
 }
@@ -104,6 +106,24 @@
     }
 }
 
+#[test]
+fn baselines_finish_and_cost_more() {
+    let size = 2 * MIB;
+    for (policy, origin_min) in [(Policy::Origin, 29.9), (Policy::Tree, 1.0)] {
+        let mut setup = setup(30, 5);
+        setup.policy = policy;
+        let mut fleet = Fleet::open(setup);
+        let bytes = fleet::weights(size, 5);
+        let manifest = fleet.publish("v1", 64 << 10, &bytes);
+        fleet.accept(manifest);
+        let done = fleet.run(END, |fleet| fleet.all_whole(&manifest));
+        let cost = cost(&fleet, size, Duration::ZERO);
+        println!("{policy:?}: {cost}");
+        assert!(done, "{policy:?}: {cost}");
+        assert!(cost.origin >= origin_min, "{policy:?}: {cost}");
+    }
+}
+
 #[test]
 fn a_tenth_changed_moves_a_tenth() {
     let size = 4 * MIB;
