--- a/crates/peer/src/hub.rs
+++ b/crates/peer/src/hub.rs
@@ -32,6 +32,7 @@
 use crate::link;
 use crate::link::Event;
 use crate::metrics::Metrics;
+use crate::watched::Activity;
 
 mod accept;
 mod dial;
@@ -126,6 +127,7 @@
     bulk: mpsc::Sender<Frame>,
     peer: Arc<Identity>,
     end: Arc<watch::Sender<Option<link::Reason>>>,
+    activity: Activity,
 }
 
 impl Hub {
@@ -218,6 +220,14 @@
         })
     }
 
+    /// Whether a chunk could be queued on a link now.
+    pub fn has_room(&self, link: link::Key) -> bool {
+        let links = self.shared.links.lock();
+        links
+            .get(link)
+            .is_some_and(|outbound| outbound.bulk.capacity() > 0)
+    }
+
     /// Queues a frame on a link, waiting while the peer reads slowly.
     ///
     /// # Errors
@@ -251,6 +261,12 @@
             .map(|outbound| outbound.peer.clone())
     }
 
+    /// How long ago bytes last arrived on a link; none if it is gone.
+    pub fn quiet(&self, link: link::Key) -> Option<Duration> {
+        let links = self.shared.links.lock();
+        links.get(link).map(|outbound| outbound.activity.quiet())
+    }
+
     /// Changes what heartbeats say; peers learn of it at once.
     pub fn change_summary(&self, change: impl FnOnce(&mut Summary)) {
         self.shared.summary.send_if_modified(|summary| {
@@ -260,6 +276,11 @@
         });
     }
 
+    /// How many calls the backend server runs, as last set.
+    pub fn running(&self) -> u32 {
+        self.shared.load.running.load(Ordering::Relaxed)
+    }
+
     /// Sets the load that the next heartbeats report.
     pub fn set_load(&self, running: u32, waiting: u32, capacity: u32) {
         let load = &self.shared.load;
