Route, limit and claim calls at the entry

Calls are admitted by the customers' limits, their idempotency keys claimed, their backend servers chosen by the routing table, and retries taken from a budget; outcomes go back to all of them and into the table of claims.

--- a/crates/caller/src/gateway.rs
+++ b/crates/caller/src/gateway.rs
@@ -22,6 +22,8 @@
     pub key: Option<SmolStr>,
     /// Distinguishes requests under the same key.
     pub fingerprint: Digest,
+    /// Digests of the prompt's prefixes, the longest first.
+    pub prefixes: Vec<Digest>,
     /// The time it may take.
     pub budget: Duration,
     /// The request for the backend server.
--- a/crates/caller/src/serve.rs
+++ b/crates/caller/src/serve.rs
@@ -15,6 +15,7 @@
 use prometheus::Registry;
 use serde::Deserialize;
 use serde_json::json;
+use serde_json::value::RawValue;
 use smol_str::SmolStr;
 use snipewinch::Digest;
 use snipewinch::call;
@@ -40,6 +41,11 @@
 /// The longest idempotency key, in characters.
 const KEY_MAX: usize = 200;
 
+/// Bytes of a prompt that lengthen its known prefix by one step.
+const PREFIX_BLOCK_BYTES: usize = 256;
+/// The most steps of a prefix that routing follows.
+const PREFIX_BLOCKS_MAX: usize = 16;
+
 /// Headers of a request that are passed on to the backend server.
 const PASSED_ON: [&str; 4] = ["accept", "accept-language", "content-type", "tracestate"];
 
@@ -51,10 +57,14 @@
 }
 
 #[derive(Deserialize)]
-struct Wanted {
+struct Wanted<'a> {
     model: SmolStr,
     #[serde(default)]
     stream: bool,
+    #[serde(borrow, default)]
+    messages: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    prompt: Option<&'a RawValue>,
 }
 
 impl Callers {
@@ -98,9 +108,12 @@
         request: Request,
     ) -> Result<Response, Problem> {
         let mut read = Read::new(request).await?;
-        let wanted: Wanted =
-            serde_json::from_slice(&read.call.body).map_err(|_| Problem::Malformed)?;
+        let body = read.call.body.clone();
+        let wanted: Wanted = serde_json::from_slice(&body).map_err(|_| Problem::Malformed)?;
         let service = resolve::engine(document, &wanted.model).ok_or(Problem::UnknownModel)?;
+        let prompt = wanted.messages.or(wanted.prompt);
+        let prefixes = prompt.map(|prompt| prefixes(prompt.get().as_bytes()));
+        read.prefixes = prefixes.unwrap_or_default();
         read.call.model = Some(wanted.model);
         read.call.stream = wanted.stream;
         self.run(service, customer, read).await
@@ -131,6 +144,7 @@
             customer: customer.name.clone(),
             fingerprint: read.fingerprint(),
             key: read.key,
+            prefixes: read.prefixes,
             budget: Duration::from_millis(service.deadline_ms),
             request: call::Request {
                 service: service.name.clone(),
@@ -168,6 +182,7 @@
     call: call::Request,
     key: Option<SmolStr>,
     request_id: Option<SmolStr>,
+    prefixes: Vec<Digest>,
 }
 
 impl Read {
@@ -188,6 +203,7 @@
             .collect();
         Ok(Read {
             key,
+            prefixes: Vec::new(),
             request_id: text("x-request-id").filter(|id| id.len() <= KEY_MAX),
             call: call::Request {
                 method: SmolStr::new(request.method().as_str()),
@@ -212,6 +228,21 @@
     }
 }
 
+/// Digests of the first blocks of a prompt, the longest first.
+fn prefixes(prompt: &[u8]) -> Vec<Digest> {
+    let mut hasher = blake3::Hasher::new();
+    let blocks = prompt.chunks_exact(PREFIX_BLOCK_BYTES);
+    let mut digests: Vec<Digest> = blocks
+        .take(PREFIX_BLOCKS_MAX)
+        .map(|block| {
+            hasher.update(block);
+            Digest::from_bytes(*hasher.finalize().as_bytes())
+        })
+        .collect();
+    digests.reverse();
+    digests
+}
+
 async fn body(request: &mut Request) -> Result<Bytes, Problem> {
     let body = request.take_body();
     let reading = body.into_bytes_limit(BODY_MAX_BYTES);
--- a/crates/daemon/src/entry/calls.rs
+++ b/crates/daemon/src/entry/calls.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use caller::Answer;
+use caller::Body;
 use caller::Call;
 use caller::Callers;
 use caller::Problem;
@@ -13,15 +14,23 @@
 use peer::link::Event;
 use poem::EndpointExt;
 use poem::endpoint::BoxEndpoint;
+use smol_str::format_smolstr;
+use snipewinch::call::Head;
 use snipewinch::call::Message;
 use snipewinch::call::Run;
 use snipewinch::call::entry::Failure;
 use snipewinch::call::entry::Kind;
+use snipewinch::claim;
+use snipewinch::claim::Denial;
+use snipewinch::limit;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use self::claims::Claims;
+use self::claims::Held;
+use self::claims::Wanted;
 use self::driver::Begin;
 use self::driver::Command;
 use self::driver::Driver;
@@ -30,8 +39,9 @@
 use crate::node::Node;
 use crate::shutdown::Phase;
 
-mod choose;
+mod claims;
 mod driver;
+mod open;
 mod sink;
 
 /// A stopping entry refuses this much before the end of its grace, so that no
@@ -50,10 +60,12 @@
     let gateway = Gateway {
         node: node.clone(),
         commands: commands.clone(),
+        claims: Claims::spawn(node),
+        limiter,
         refusing: refusing.subscribe(),
     };
     tokio::spawn(refuse_after_grace(node.clone(), refusing));
-    let driver = Driver::open(node, router, limiter, commands);
+    let driver = Driver::open(node, router, commands);
     tokio::spawn(driver.run(inbox, queue));
     let callers = Callers::open(
         Arc::new(gateway),
@@ -77,6 +89,8 @@
 struct Gateway {
     node: Node,
     commands: mpsc::UnboundedSender<Command>,
+    claims: Claims,
+    limiter: Limiter,
     refusing: watch::Receiver<bool>,
 }
 
@@ -101,21 +115,91 @@
         span.set("customer", call.customer.to_string());
         call.request.traceparent = span.traceparent();
         let deadline = Instant::now() + call.budget;
+        let permit = self
+            .limiter
+            .admit(&call.request.service, &call.customer, COST, call.budget)
+            .await
+            .map_err(|refusal| limited(&refusal))?;
+        let held = match self.claim(&call).await {
+            Ok(held) => held,
+            Err(denial) => return denied(denial),
+        };
         let (reply, replied) = oneshot::channel();
         let begin = Begin {
             call,
             deadline,
+            permit,
+            held,
             reply,
             hold: sink::Hold { span, _work: work },
         };
         let begun = self.commands.send(Command::Begin(Box::new(begin)));
         match begun {
-            Ok(()) => replied.await.unwrap_or(Err(Problem::Failed(leaving()))),
+            Ok(()) => replied.await.unwrap_or(Err(Problem::Failed(lost()))),
             Err(_) => Err(Problem::Failed(leaving())),
         }
     }
+
+    async fn claim(&self, call: &Call) -> Result<Option<Held>, Denial> {
+        let Some(key) = &call.key else {
+            return Ok(None);
+        };
+        let wanted = Wanted {
+            key: format_smolstr!("{}/{}/{key}", call.request.service, call.customer),
+            fingerprint: call.fingerprint,
+            budget: call.budget,
+        };
+        self.claims.claim(wanted).await.map(Some)
+    }
+}
+
+/// What one call counts for against a customer's share.
+const COST: u32 = 1;
+
+fn limited(refusal: &limit::Refusal) -> Problem {
+    Problem::Failed(Failure {
+        kind: match refusal.reason {
+            limit::Reason::Rate => Kind::Limited,
+            limit::Reason::Full | limit::Reason::Overload => Kind::Busy,
+            limit::Reason::Deadline => Kind::Deadline,
+        },
+        run: Run::No,
+        retry_ms: refusal.retry_after.as_millis() as u32,
+    })
+}
+
+/// What a call that must not run is answered.
+fn denied(denial: Denial) -> Result<Answer, Problem> {
+    match denial {
+        Denial::Answered(answer) => Ok(replay(answer)),
+        Denial::NotKept => Err(Problem::AnswerNotKept),
+        Denial::InProgress => Err(Problem::InProgress),
+        Denial::Unknown => Err(Problem::Failed(lost())),
+        Denial::KeyReused => Err(Problem::KeyReused),
+        Denial::Unavailable => Err(Problem::NoClaim),
+    }
 }
 
+/// An answer as it was recorded.
+fn replay(answer: claim::Answer) -> Answer {
+    let mut body = answer.body;
+    if answer.stream {
+        body.push_str(DONE);
+    }
+    Answer {
+        head: Head {
+            status: answer.status,
+            headers: answer.headers,
+            version: answer.version,
+        },
+        replayed: true,
+        body: Body::Whole(body.into()),
+    }
+}
+
+/// What closes a stream of events.
+const DONE: &str = "data: [DONE]\n\n";
+
 fn leaving() -> Failure {
     Failure {
         kind: Kind::Leaving,
@@ -124,7 +208,7 @@
     }
 }
 
-/// The entry itself lost the call.
+/// Nobody knows what became of the call.
 fn lost() -> Failure {
     Failure {
         kind: Kind::OutcomeUnknown,
--- a/crates/daemon/src/entry/calls/driver.rs
+++ b/crates/daemon/src/entry/calls/driver.rs
@@ -15,7 +15,6 @@
 use snipewinch::call::Message;
 use snipewinch::call::Number;
 use snipewinch::call::Origin;
-use snipewinch::call::Request;
 use snipewinch::call::entry::Action;
 use snipewinch::call::entry::Entry;
 use snipewinch::call::entry::Event;
@@ -23,17 +22,23 @@
 use snipewinch::call::entry::Kind;
 use snipewinch::host;
 use snipewinch::host::Role;
+use snipewinch::retry::Budget;
+use snipewinch::routing;
+use snipewinch::routing::Need;
 use snipewinch::wire::Frame;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 
-use super::choose::Agents;
+use super::claims::Held;
+use super::open::Open;
+use super::open::Record;
 use super::sink::Hold;
 use super::sink::Reply;
 use super::sink::Sink;
 use super::sink::Taken;
-use crate::entry::limits::Limiter;
+use crate::entry::limits::Permit;
+use crate::entry::routes::Ask;
 use crate::entry::routes::Router;
 use crate::node::Node;
 
@@ -41,13 +46,15 @@
 const TICK: Duration = Duration::from_millis(50);
 /// The most events taken in at once.
 const BATCH: usize = 256;
-/// When to come back if no backend server takes a call, in milliseconds.
+/// When to come back once the retries are used up, in milliseconds.
 const RETRY_MS: u32 = 500;
 
 /// A call to begin.
 pub(super) struct Begin {
     pub(super) call: Call,
     pub(super) deadline: Instant,
+    pub(super) permit: Permit,
+    pub(super) held: Option<Held>,
     pub(super) reply: Reply,
     pub(super) hold: Hold,
 }
@@ -62,38 +69,30 @@
     Gone(Number),
 }
 
-struct Open {
-    sink: Sink,
-    request: Arc<Request>,
-}
-
 /// Runs the calls of one entry.
 pub(super) struct Driver {
     node: Node,
     entry: Entry,
-    agents: Agents,
     calls: HashMap<Number, Open>,
     commands: mpsc::UnboundedSender<Command>,
-    _router: Router,
-    _limiter: Limiter,
+    router: Router,
+    retries: Budget,
 }
 
 impl Driver {
     pub(super) fn open(
         node: &Node,
         router: Router,
-        limiter: Limiter,
         commands: mpsc::UnboundedSender<Command>,
     ) -> Driver {
         let origin = Origin::of(&node.identity.host, node.identity.incarnation);
         Driver {
             node: node.clone(),
             entry: Entry::open(origin),
-            agents: Agents::default(),
             calls: HashMap::new(),
             commands,
-            _router: router,
-            _limiter: limiter,
+            router,
+            retries: Budget::default(),
         }
     }
 
@@ -141,7 +140,6 @@
     fn link(&mut self, event: LinkEvent<Message>) {
         match event {
             LinkEvent::Up { link, peer, .. } if peer.role == Role::Agent => {
-                self.agents.up(&peer);
                 let up = Event::Up(name(link), peer.host.clone(), peer.incarnation);
                 self.feed(up);
             }
@@ -150,13 +148,9 @@
                     self.feed(Event::Message(name(link), message));
                 }
             }
-            LinkEvent::Summary { link, summary } => {
-                if let Some(peer) = self.node.hub.peer(link) {
-                    self.agents.summary(&peer.host, summary);
-                }
-            }
             LinkEvent::Down { link, .. } => self.feed(Event::Down(name(link))),
-            LinkEvent::Up { .. } => {}
+            // Routing has its own ear for these.
+            LinkEvent::Summary { .. } | LinkEvent::Up { .. } => {}
         }
     }
 
@@ -172,6 +166,8 @@
         let Begin {
             call,
             deadline,
+            permit,
+            held,
             reply,
             hold,
         } = begin;
@@ -180,7 +176,13 @@
         let open = Open {
             sink: Sink::open(number, reply, hold, self.commands.clone()),
             request: request.clone(),
+            prefixes: call.prefixes,
+            permit,
+            record: held.map(Record::open),
+            sent: self.node.now(),
+            head: None,
         };
+        self.retries.tried();
         self.calls.insert(number, open);
         let deadline = deadline.saturating_duration_since(self.node.started);
         self.feed(Event::Begin(number, request, deadline));
@@ -209,11 +211,11 @@
     }
 
     fn act(&mut self, action: Action) -> Option<Event> {
+        let now = self.node.now();
         match action {
             Action::Data(call, data) => {
-                let open = self.calls.get_mut(&call);
-                let taken = match open {
-                    Some(open) => open.sink.data(data.bytes),
+                let taken = match self.calls.get_mut(&call) {
+                    Some(open) => open.data(data.bytes),
                     None => Taken::Collected(data.bytes.len() as u64),
                 };
                 match taken {
@@ -224,41 +226,73 @@
             }
             Action::Send(link, message) => self.send(link, message),
             Action::Head(call, head) => {
-                let open = self.calls.get_mut(&call)?;
-                let streamed = open.request.is_streamed(&head);
-                open.sink.head(head, streamed);
+                self.calls.get_mut(&call)?.head(now, head);
                 None
             }
             Action::End(call) => {
-                self.calls.remove(&call)?.sink.end();
+                self.calls.remove(&call)?.end(now);
                 None
             }
             Action::Reset(call) => {
-                self.calls.get_mut(&call)?.sink.reset();
+                self.calls.get_mut(&call)?.reset();
                 None
             }
             Action::Fail(call, failure) => {
-                self.calls.remove(&call)?.sink.fail(failure);
+                self.calls.remove(&call)?.fail(failure);
                 None
             }
-            Action::Route { call, avoid, .. } => Some(self.route(call, &avoid)),
-            Action::Settled(_, host, _) => {
-                self.agents.settled(&host);
+            Action::Route {
+                call,
+                avoid,
+                version,
+                retry,
+            } => Some(self.route(call, &avoid, version.as_deref(), retry)),
+            Action::Settled(call, host, settled) => {
+                let outcome = match self.calls.get(&call) {
+                    Some(open) => open.outcome(now, settled),
+                    None => {
+                        routing::Outcome::without_answer(routing::Result::Cancelled, Duration::ZERO)
+                    }
+                };
+                self.router.ended(&host, &outcome);
                 None
             }
         }
     }
 
-    fn route(&mut self, call: Number, avoid: &[host::Name]) -> Event {
-        let none = Event::Unrouted(call, Kind::NoBackend, RETRY_MS);
-        let Some(open) = self.calls.get(&call) else {
-            return none;
+    fn route(
+        &mut self,
+        call: Number,
+        avoid: &[host::Name],
+        version: Option<&str>,
+        retry: bool,
+    ) -> Event {
+        let Some(open) = self.calls.get_mut(&call) else {
+            return Event::Unrouted(call, Kind::NoBackend, 0);
         };
-        let reaches = |host: &host::Name| self.entry.reaches(host);
-        let service = &open.request.service;
-        match self.agents.choose(service, avoid, reaches) {
-            Some(host) => Event::Routed(call, host),
-            None => none,
+        if retry && !self.retries.take() {
+            return Event::Unrouted(call, Kind::Busy, RETRY_MS);
+        }
+        let need = open.request.model.as_deref();
+        let need = need.map(|model| Need { model, version });
+        let ask = Ask {
+            service: &open.request.service,
+            needs: need.as_slice(),
+            prefixes: &open.prefixes,
+            avoid,
+            patience: None,
+        };
+        match self.router.pick(&ask) {
+            Ok(host) => {
+                self.router.started(&host, &open.prefixes);
+                open.sent = self.node.now();
+                open.head = None;
+                Event::Routed(call, host)
+            }
+            Err(refusal) => {
+                let retry_ms = refusal.retry_after.as_millis() as u32;
+                Event::Unrouted(call, kind(refusal.reason), retry_ms)
+            }
         }
     }
 
@@ -274,7 +308,7 @@
 
     fn too_large(&mut self, call: Number) -> Event {
         if let Some(open) = self.calls.remove(&call) {
-            open.sink.fail(Failure {
+            open.fail(Failure {
                 kind: Kind::TooLarge,
                 run: snipewinch::call::Run::Yes,
                 retry_ms: 0,
@@ -284,6 +318,17 @@
     }
 }
 
+fn kind(reason: routing::Reason) -> Kind {
+    match reason {
+        routing::Reason::Busy => Kind::Busy,
+        routing::Reason::Version => Kind::NoVersion,
+        routing::Reason::Leaving
+        | routing::Reason::Tried
+        | routing::Reason::Unknown
+        | routing::Reason::Unreachable => Kind::NoBackend,
+    }
+}
+
 fn start_of(message: &Message) -> Option<Attempt> {
     match message {
         Message::Start(start) => Some(start.attempt),
--- a/crates/snipewinch/src/call/entry.rs
+++ b/crates/snipewinch/src/call/entry.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use smol_str::SmolStr;
+
 use super::Attempt;
 use super::Data;
 use super::Fault;
@@ -86,7 +88,9 @@
     Failed(Fault),
     /// The agent was lost.
     Lost,
-    /// The caller went, or the deadline came.
+    /// The deadline came.
+    Late,
+    /// The caller went.
     Abandoned,
 }
 
@@ -125,6 +129,8 @@
         call: Number,
         /// Hosts that have refused or lost it.
         avoid: Vec<host::Name>,
+        /// The model version that has begun to answer, if any.
+        version: Option<SmolStr>,
         /// It has been tried before.
         retry: bool,
     },
@@ -222,8 +228,12 @@
     fn route(&mut self, call: Number, retry: bool) {
         if let Some(pending) = self.calls.get_mut(&call) {
             pending.phase = Phase::Routing;
-            let avoid = pending.avoid.clone();
-            self.out.push(Action::Route { call, avoid, retry });
+            self.out.push(Action::Route {
+                call,
+                avoid: pending.avoid.clone(),
+                version: pending.version(),
+                retry,
+            });
         }
     }
 
@@ -465,9 +475,9 @@
                 let host = self.host(attempt.call);
                 self.calls.remove(&attempt.call);
                 self.out.push(Action::Send(link, Message::Done(attempt)));
-                self.out.push(Action::End(attempt.call));
                 self.out
                     .push(Action::Settled(attempt.call, host, Settled::Served));
+                self.out.push(Action::End(attempt.call));
             }
             Arrival::Gap => self.ask(now, attempt.call),
             Arrival::Foreign | Arrival::Known => self.discard(link, attempt),
@@ -593,8 +603,7 @@
                     true => Kind::OutcomeUnknown,
                     false => Kind::Deadline,
                 };
-                self.out
-                    .push(Action::Settled(call, host, Settled::Abandoned));
+                self.out.push(Action::Settled(call, host, Settled::Late));
                 self.fail(call, kind, 0);
             }
             Phase::Asking(target, since) if now >= *since + pending.patience() => {
--- a/crates/snipewinch/src/call/entry/pending.rs
+++ b/crates/snipewinch/src/call/entry/pending.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use smol_str::SmolStr;
+
 use super::ASK_AFTER;
 use super::ASK_PATIENCE;
 use super::CANCEL_LEAD;
@@ -119,12 +121,17 @@
             attempt,
             budget_ms: self.deadline.saturating_sub(now).as_millis() as u64,
             allowed: self.granted,
-            version: self.head.as_ref().and_then(|head| head.version.clone()),
+            version: self.version(),
             resume_from: self.tokens,
             request: self.request.clone(),
         }))
     }
 
+    /// The model version that has begun to answer.
+    pub(super) fn version(&self) -> Option<SmolStr> {
+        self.head.as_ref().and_then(|head| head.version.clone())
+    }
+
     pub(super) fn target(&self) -> Option<&Target> {
         match &self.phase {
             Phase::Asking(target, _) | Phase::Sent(target, _) => Some(target),
