--- /dev/null
+++ b/crates/daemon/tests/events.rs
@@ -0,0 +1,77 @@
+//! The catalogue of events against the code.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(folder).expect("a folder of the repository") {
+        let path = entry.expect("an entry").path();
+        match path.is_dir() {
+            true => sources(&path, found),
+            false if path.extension().is_some_and(|extension| extension == "rs") => {
+                found.push(path);
+            }
+            false => {}
+        }
+    }
+}
+
+/// The event numbers in a text: `E` and four digits, not inside a word.
+fn numbers(text: &str) -> Vec<&str> {
+    let bytes = text.as_bytes();
+    let is_word = |byte: Option<&u8>| byte.is_some_and(u8::is_ascii_alphanumeric);
+    (0..bytes.len().saturating_sub(4))
+        .filter(|&at| bytes[at] == b'E')
+        .filter(|&at| at == 0 || !is_word(bytes.get(at - 1)))
+        .filter(|&at| bytes[at + 1..at + 5].iter().all(u8::is_ascii_digit))
+        .filter(|&at| !is_word(bytes.get(at + 5)))
+        .map(|at| &text[at..at + 5])
+        .collect()
+}
+
+#[test]
+fn every_event_of_the_code_has_one_row_and_every_row_an_event() {
+    let page = fs::read_to_string(root().join("docs/EVENTS.md")).expect("docs/EVENTS.md");
+    let rows: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| E"))
+        .map(|line| &line[2..7])
+        .collect();
+    let mut sorted = rows.clone();
+    sorted.sort_unstable();
+    sorted.dedup();
+    assert_eq!(rows, sorted, "rows out of order, or a number twice");
+
+    let mut files = Vec::new();
+    for folder in fs::read_dir(root().join("crates")).expect("crates") {
+        let source = folder.expect("a package").path().join("src");
+        sources(&source, &mut files);
+    }
+    let mut used: BTreeMap<String, PathBuf> = BTreeMap::new();
+    for file in files {
+        let text = fs::read_to_string(&file).expect("a source file");
+        for number in numbers(&text) {
+            used.entry(number.to_owned())
+                .or_insert_with(|| file.clone());
+        }
+    }
+    for (number, file) in &used {
+        assert!(
+            rows.contains(&number.as_str()),
+            "{number} of {} has no row",
+            file.display()
+        );
+    }
+    for row in rows {
+        assert!(
+            used.contains_key(row),
+            "{row} has a row and is not in the code"
+        );
+    }
+}
