Publish through the console, measure slopes, draw reports

Change: an experiment signs in to the console, sends the document for review and publishes it as an operator's browser would; slopes measures what one host costs in fleets of growing size; report draws stored lines as one page of SVG plots; demo is the main job from outside.

--- /dev/null
+++ b/crates/bench/src/fleet/operate.rs
@@ -0,0 +1,183 @@
+//! What operators and the weights' makers do: put weights, publish documents.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use http::StatusCode;
+use snipewinch::Digest;
+use snipewinch::document::Document;
+use snipewinch::document::Model;
+use snipewinch::host::Role;
+use snipewinch::weights::manifest::Manifest;
+
+use super::AnswerSnafu;
+use super::Error;
+use super::Fleet;
+use super::Host;
+use super::LateSnafu;
+use crate::console::Console;
+use crate::scrape::Scrape;
+
+/// How often a wait looks.
+const STEP: Duration = Duration::from_millis(100);
+/// How long a host may take to say which version is in force.
+const ASK_LIMIT: Duration = Duration::from_millis(500);
+
+impl Fleet {
+    /// Puts the weights of a version of the fleet's model at the origin, and
+    /// their manifest into the object store.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the platform does not take them.
+    pub async fn put_weights(
+        &self,
+        version: &str,
+        weights: &[u8],
+        chunk_bytes: u32,
+    ) -> Result<Manifest, Error> {
+        let manifest = match Manifest::build(self.plan.model(), version, chunk_bytes, weights) {
+            Ok(manifest) => manifest,
+            Err(error) => {
+                return AnswerSnafu {
+                    what: "the manifest",
+                    status: 0_u16,
+                    body: error.to_string(),
+                }
+                .fail();
+            }
+        };
+        let digest = manifest.digest();
+        let path = format!("/objects/manifests/{digest}");
+        self.put(self.platform, &path, manifest.to_bytes()).await?;
+        let path = format!("/origin/{digest}");
+        self.put(self.platform, &path, weights.to_vec()).await?;
+        Ok(manifest)
+    }
+
+    /// Publishes the fleet's document with this version of its model.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the console does not accept it.
+    pub async fn publish_model(
+        &mut self,
+        version: &str,
+        manifest: &Manifest,
+    ) -> Result<u64, Error> {
+        let model = Model {
+            name: manifest.model.clone(),
+            version: version.into(),
+            manifest: manifest.digest(),
+            adapters: Vec::new(),
+        };
+        let mut document = self.plan.document.clone();
+        document.models.retain(|other| other.name != model.name);
+        document.models.push(model);
+        self.plan.document = document.clone();
+        self.publish(&document).await
+    }
+
+    /// Publishes a document through the console of the first entry.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the console does not accept it.
+    pub async fn publish(&self, document: &Document) -> Result<u64, Error> {
+        let entry = self.balanced.read().first().copied();
+        let Some(entry) = entry else {
+            return LateSnafu {
+                what: "an entry",
+                seen: "none runs",
+            }
+            .fail();
+        };
+        let console = Console::sign_in(entry, &self.operator_key()).await?;
+        console.publish(document).await
+    }
+
+    /// Waits until every running entry says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Late`] if one is not within `limit`.
+    pub async fn wait_ready(&self, limit: Duration) -> Result<(), Error> {
+        let started = Instant::now();
+        for host in self.hosts().filter(|host| host.role == Role::Entry) {
+            loop {
+                let answer = self.client.get(host.http, "/readyz").await;
+                let ready = answer.is_ok_and(|answer| answer.status == StatusCode::OK);
+                if ready || host.process.is_none() {
+                    break;
+                }
+                if started.elapsed() > limit {
+                    return LateSnafu {
+                        what: format!("{} to be ready", host.name),
+                        seen: format!("not after {limit:?}"),
+                    }
+                    .fail();
+                }
+                tokio::time::sleep(STEP).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until every running engine host serves exactly these weights.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Late`] if one does not within `limit`.
+    pub async fn wait_replicas(&self, whole: &Digest, limit: Duration) -> Result<(), Error> {
+        let started = Instant::now();
+        loop {
+            let replicas = self.replicas(whole).await?;
+            let all = self.engine_hosts().len();
+            if replicas == all {
+                return Ok(());
+            }
+            if started.elapsed() > limit {
+                return LateSnafu {
+                    what: "every engine host to serve the version",
+                    seen: format!("{replicas} of {all} do after {limit:?}"),
+                }
+                .fail();
+            }
+            tokio::time::sleep(STEP).await;
+        }
+    }
+
+    /// The version of the configuration in force at a host, none if it does
+    /// not answer soon.
+    pub async fn version(&self, host: &Host) -> Option<u64> {
+        let scrape = tokio::time::timeout(ASK_LIMIT, Scrape::take(self, host.http));
+        let scrape = scrape.await.ok()?.ok()?;
+        Some(scrape.sum("snipewinch_configuration_version", "") as u64)
+    }
+
+    /// Waits until a version or a later one is in force at every running host.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Late`] if it is not within `limit`.
+    pub async fn wait_in_force(&self, version: u64, limit: Duration) -> Result<(), Error> {
+        let started = Instant::now();
+        for host in self.hosts().filter(|host| host.process.is_some()) {
+            loop {
+                let seen = self.version(host).await;
+                if seen.is_some_and(|seen| seen >= version) {
+                    break;
+                }
+                if started.elapsed() > limit {
+                    return LateSnafu {
+                        what: format!("version {version} at {}", host.name),
+                        seen: format!("{seen:?} after {limit:?}"),
+                    }
+                    .fail();
+                }
+                tokio::time::sleep(STEP).await;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod burst;
 pub mod calls;
 pub mod config;
+pub mod console;
+pub mod demo;
 pub mod deployment;
 pub mod drill;
 mod error;
@@ -15,6 +17,7 @@
 pub mod load;
 pub mod process;
 pub mod report;
+pub mod scrape;
 pub mod slopes;
 pub mod weights;
 
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -34,7 +34,7 @@
         Err(error) => return failed(&error.to_string()),
     };
     let result = match name.to_str() {
-        Some("demo") => runtime.block_on(interruptible(bench::burst::run(rest))),
+        Some("demo") => runtime.block_on(interruptible(bench::demo::run(rest))),
         Some("burst") => runtime.block_on(interruptible(bench::burst::run(rest))),
         Some("calls") => runtime.block_on(interruptible(bench::calls::run(rest))),
         Some("config") => runtime.block_on(interruptible(bench::config::run(rest))),
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -1,14 +1,267 @@
-//! The experiment `report`.
+//! `bench report`: one self-contained page with plots, from stored JSON lines.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::ffi::OsString;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use serde_json::Value;
+use snafu::ResultExt;
 
 use crate::Error;
+use crate::error::FileSnafu;
+use crate::error::usage;
+
+mod page;
+mod plot;
+
+use page::Page;
+use plot::Plot;
+use plot::Series;
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Writes one HTML page with plots from stored JSON lines.
+        cmd report {
+            /// Files of JSON lines, or directories of them.
+            repeated inputs: PathBuf
+            /// Where to write the page.
+            optional --output path: PathBuf
+        }
+    }
+}
+
+/// Where the page goes unless the flags say.
+const OUTPUT: &str = "out/report.html";
+/// Where stored lines lie unless the flags say.
+const INPUT: &str = "docs/results";
+/// Hosts at the target: entries and agents.
+const TARGET_HOSTS: f64 = 3160.0;
+
+/// One stored line.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// The file it was read from.
+    pub file: String,
+    /// Its fields.
+    pub fields: Value,
+}
 
-/// Runs the experiment with the flags after its name.
+impl Line {
+    fn number(&self, field: &str) -> Option<f64> {
+        self.fields.get(field)?.as_f64()
+    }
+
+    fn text(&self, field: &str) -> &str {
+        self.fields[field].as_str().unwrap_or("")
+    }
+}
+
+/// Writes the page with the flags after the experiment's name.
 ///
 /// # Errors
 ///
-/// [`Error`] if it ends early.
-pub fn run(_arguments: Vec<OsString>) -> Result<(), Error> {
-    Err(Error::Absent { name: "report" })
+/// [`Error`] if a file can't be read or written.
+pub fn run(arguments: Vec<OsString>) -> Result<(), Error> {
+    let flags = flags::Report::from_vec(arguments).map_err(|error| usage(&error))?;
+    let inputs = match flags.inputs.is_empty() {
+        true => vec![PathBuf::from(INPUT)],
+        false => flags.inputs,
+    };
+    let mut lines = Vec::new();
+    for input in &inputs {
+        read(input, &mut lines)?;
+    }
+    let page = render(&lines)?;
+    let output = flags.output.unwrap_or_else(|| PathBuf::from(OUTPUT));
+    let path = output.to_string_lossy();
+    if let Some(parent) = output.parent() {
+        fs::create_dir_all(parent).context(FileSnafu { path: path.clone() })?;
+    }
+    fs::write(&output, page).context(FileSnafu { path })?;
+    println!("{} lines in {}", lines.len(), output.display());
+    Ok(())
+}
+
+fn read(path: &Path, lines: &mut Vec<Line>) -> Result<(), Error> {
+    let file = path.to_string_lossy().into_owned();
+    if path.is_dir() {
+        let entries = fs::read_dir(path).context(FileSnafu { path: &file })?;
+        let mut inside: Vec<PathBuf> = entries.flatten().map(|entry| entry.path()).collect();
+        inside.sort();
+        let jsonl = |path: &PathBuf| path.extension().is_some_and(|e| e == "jsonl");
+        return inside
+            .iter()
+            .filter(|path| jsonl(path))
+            .try_for_each(|path| read(path, lines));
+    }
+    let text = fs::read_to_string(path).context(FileSnafu { path: &file })?;
+    // Other lines, such as the command that gave the figures, are comments.
+    let parsed = text.lines().filter_map(|line| {
+        let fields: Value = serde_json::from_str(line).ok()?;
+        fields.is_object().then(|| Line {
+            file: file.clone(),
+            fields,
+        })
+    });
+    lines.extend(parsed);
+    Ok(())
+}
+
+/// The page for these lines.
+///
+/// # Errors
+///
+/// [`Error::Plot`] if a plot can't be drawn.
+pub fn render(lines: &[Line]) -> Result<String, Error> {
+    let mut page = Page::open("snipewinch: measured");
+    let burst = of(lines, &["policy", "seconds_to_all"]);
+    for plot in [
+        timeline(&burst),
+        by(
+            &burst,
+            "policy",
+            "agents",
+            "seconds_to_all",
+            "seconds until every host holds it",
+        )
+        .map(|plot| plot.with(&burst, "agents", "bound_seconds", "lower bound")),
+        by(
+            &burst,
+            "policy",
+            "agents",
+            "origin_copies",
+            "copies sent by the origin",
+        ),
+    ] {
+        page.plot("Weights", plot)?;
+    }
+    page.table("Weights", &burst);
+    let calls = of(lines, &["answered_whole", "p50_ms"]);
+    page.plot("Calls", percentiles(&calls))?;
+    page.table("Calls", &calls);
+    let config = of(lines, &["in_force_s_max"]);
+    page.plot("Configuration", in_force(&config))?;
+    page.table("Configuration", &config);
+    let slopes = of(lines, &["slope", "hosts"]);
+    for plot in costs(&slopes) {
+        page.plot("Cost for each host", Some(plot))?;
+    }
+    page.table("Cost for each host", &slopes);
+    page.table("Drills", &of(lines, &["promises"]));
+    page.table("Demo", &of(lines, &["replicas", "ratio_to_bound"]));
+    Ok(page.close())
+}
+
+fn of(lines: &[Line], fields: &[&str]) -> Vec<Line> {
+    let has = |line: &&Line| fields.iter().all(|field| line.fields.get(field).is_some());
+    lines.iter().filter(has).cloned().collect()
+}
+
+/// One series for each value of `group`.
+fn by(lines: &[Line], group: &str, x: &str, y: &str, title: &str) -> Option<Plot> {
+    let mut series: BTreeMap<String, Vec<(f64, f64)>> = BTreeMap::new();
+    for line in lines {
+        if let (Some(x), Some(y)) = (line.number(x), line.number(y)) {
+            let name = line.text(group).to_owned();
+            series.entry(name).or_default().push((x, y));
+        }
+    }
+    Plot::of(title, x, y, series.into_iter().map(Series::from).collect())
+}
+
+impl Plot {
+    /// Adds the field `y` of all lines as one more series.
+    fn with(mut self, lines: &[Line], x: &str, y: &str, name: &str) -> Plot {
+        let points: BTreeSet<(u64, u64)> = lines
+            .iter()
+            .filter_map(|line| Some((line.number(x)?.to_bits(), line.number(y)?.to_bits())))
+            .collect();
+        let points = points
+            .into_iter()
+            .map(|(x, y)| (f64::from_bits(x), f64::from_bits(y)))
+            .collect();
+        self.series.push(Series::from((name.to_owned(), points)));
+        self
+    }
+}
+
+/// Replicas over time, from lines that carry a timeline.
+fn timeline(lines: &[Line]) -> Option<Plot> {
+    let series = lines.iter().filter_map(|line| {
+        let points = line.fields.get("timeline")?.as_array()?;
+        let points = points
+            .iter()
+            .filter_map(|point| Some((point[0].as_f64()?, point[1].as_f64()?)))
+            .collect();
+        let name = format!("{} {}", line.text("policy"), line.number("agents")?);
+        Some(Series::from((name, points)))
+    });
+    Plot::of(
+        "replicas over time",
+        "seconds",
+        "replicas",
+        series.collect(),
+    )
+}
+
+fn percentiles(lines: &[Line]) -> Option<Plot> {
+    let quantiles = [(50.0, "p50_ms"), (99.0, "p99_ms"), (99.9, "p999_ms")];
+    let series = lines.iter().enumerate().map(|(index, line)| {
+        let points = quantiles
+            .iter()
+            .filter_map(|(quantile, field)| Some((*quantile, line.number(field)?)))
+            .collect();
+        Series::from((format!("{} {}", index + 1, line.text("faults")), points))
+    });
+    Plot::of(
+        "time of a call",
+        "percentile",
+        "milliseconds",
+        series.collect(),
+    )
+}
+
+fn in_force(lines: &[Line]) -> Option<Plot> {
+    let series = lines.iter().enumerate().map(|(index, line)| {
+        let points = [(50.0, "in_force_s_p50"), (100.0, "in_force_s_max")]
+            .iter()
+            .filter_map(|(quantile, field)| Some((*quantile, line.number(field)?)))
+            .collect();
+        Series::from((format!("{} {}", index + 1, line.text("faults")), points))
+    });
+    Plot::of(
+        "until a configuration is in force",
+        "percentile",
+        "seconds",
+        series.collect(),
+    )
+}
+
+/// Each cost against the number of hosts, with its line drawn to the target.
+fn costs(lines: &[Line]) -> Vec<Plot> {
+    let mut measures: BTreeMap<String, Vec<(f64, f64)>> = BTreeMap::new();
+    for line in lines {
+        if let (Some(hosts), Some(value)) = (line.number("hosts"), line.number("value")) {
+            let measure = line.text("slope").to_owned();
+            measures.entry(measure).or_default().push((hosts, value));
+        }
+    }
+    measures
+        .into_iter()
+        .filter_map(|(measure, points)| {
+            let fit = crate::slopes::Fit::of(&points)?;
+            let first = points.iter().map(|point| point.0).fold(f64::MAX, f64::min);
+            let drawn = vec![(first, fit.at(first)), (TARGET_HOSTS, fit.at(TARGET_HOSTS))];
+            let series = vec![
+                Series::from(("measured".to_owned(), points)),
+                Series::from(("drawn to the target".to_owned(), drawn)),
+            ];
+            Plot::of(&measure, "hosts", &measure, series)
+        })
+        .collect()
 }
