Hold fairness and goodput under overload

- Each load report was followed as it came, three times as old as a call takes, so all entry hosts rushed to the host that had reported the least: queues of 7 beside idle hosts.
Others' load is now averaged over 3 s; own calls in flight stay exact.
- Calls waited until nearly their deadline and were then of no use.
A call may now wait half of its spare time and at most 1 s, and the wait is worked out from the pace that is counted, not from the limit.
- Entry hosts that found their limits from latency alone ended with parts as unequal as 11 and 39.
Each now has its part of the fleet's capacity, divided by demand as rates are, and latency decides between that and a quarter more.
- Concurrency: fewer calls ahead (tolerance 1.25, half the root), longer windows.

--- a/crates/daemon/src/entry/limits.rs
+++ b/crates/daemon/src/entry/limits.rs
@@ -39,11 +39,6 @@
 const TICK: Duration = Duration::from_millis(50);
 /// How often the bounds of services are worked out.
 const BOUND: Duration = Duration::from_secs(1);
-/// The least that one service may run at once from one entry host.
-const LEAST: u32 = 4;
-/// Calls that an entry host sends at once, as a multiple of what the linked
-/// hosts run at once.
-const OVERSUBSCRIBED: f64 = 1.25;
 
 /// Admits customers' calls; clones share one state.
 #[derive(Clone)]
@@ -243,10 +238,10 @@
     fn bound(&self, router: &Router) {
         let document = self.shared.node.configuration.borrow().document.clone();
         for service in &document.services {
-            let capacity = f64::from(router.capacity(&service.name));
-            let most = (capacity * OVERSUBSCRIBED) as u32;
+            let room = router.room(&service.name);
+            let now = self.shared.node.now();
             let mut state = self.shared.state.lock();
-            state.limiter.bound(&service.name, LEAST, most.max(LEAST));
+            state.limiter.room(now, &service.name, room);
         }
         let status: Vec<limit::Status> = self.shared.state.lock().limiter.status().collect();
         self.shared.metrics.set(&status);
--- a/crates/daemon/src/entry/routes.rs
+++ b/crates/daemon/src/entry/routes.rs
@@ -22,6 +22,7 @@
 use snipewinch::routing::Notice;
 use snipewinch::routing::Outcome;
 use snipewinch::routing::Refusal;
+use snipewinch::routing::Room;
 use snipewinch::routing::Table;
 use snipewinch::wire::Confirmed;
 
@@ -151,9 +152,10 @@
         }
     }
 
-    /// Calls that the linked hosts of a service run at once, all together.
-    pub(crate) fn capacity(&self, service: &str) -> u32 {
-        self.shared.state.lock().table.capacity(service)
+    /// What the hosts of a service can run.
+    pub(crate) fn room(&self, service: &str) -> Room {
+        let now = self.shared.node.now();
+        self.shared.state.lock().table.room(now, service)
     }
 
     /// An engine's cache has changed.
--- a/crates/snipewinch/src/concurrency.rs
+++ b/crates/snipewinch/src/concurrency.rs
@@ -20,15 +20,17 @@
 use std::time::Duration;
 
 /// Latency may rise to this multiple of the base before the limit shrinks.
-const TOLERANCE: f64 = 1.5;
+const TOLERANCE: f64 = 1.25;
 /// The most that one window shrinks the limit to.
 const SHRINK_MIN: f64 = 0.5;
 /// What a refusal or a timeout shrinks the limit to.
 const BACKOFF: f64 = 0.9;
+/// Calls that may wait, as a multiple of the limit's square root.
+const ROOM: f64 = 0.5;
 /// The weight of the newest window in the limit.
 const SMOOTHING: f64 = 0.2;
 /// How much of the way down the base moves in one window of lower latency.
-const BASE_FALL: f64 = 0.5;
+const BASE_FALL: f64 = 0.1;
 /// Time between probes.
 const PROBE_EVERY: Duration = Duration::from_secs(30);
 /// Time to the next probe while probes still find a lower base.
@@ -36,11 +38,11 @@
 /// What a probe lowers the limit to.
 const PROBE_PART: f64 = 0.4;
 /// A probe that lowers the base by less than this factor has found it.
-const PROBE_SURE: f64 = 1.1;
+const PROBE_SURE: f64 = 1.2;
 /// A probe without enough samples is given up after this long.
 const PROBE_MAX: Duration = Duration::from_secs(3);
 /// Samples in one window at least.
-const WINDOW_SAMPLES: u32 = 8;
+const WINDOW_SAMPLES: u32 = 16;
 /// The shortest window.
 const WINDOW: Duration = Duration::from_millis(100);
 /// The limit does not grow while less than this part of it is used.
@@ -184,7 +186,7 @@
 
     fn adapt(&mut self, mean: f64, used: u32) {
         let gradient = (TOLERANCE * self.base / mean).clamp(SHRINK_MIN, 1.0);
-        let room = self.limit.sqrt();
+        let room = self.limit.sqrt() * ROOM;
         let target = self.limit * gradient + room;
         let idle = f64::from(used) < self.limit * USED_PART;
         if target > self.limit && idle {
--- a/crates/snipewinch/src/concurrency/tests.rs
+++ b/crates/snipewinch/src/concurrency/tests.rs
@@ -33,9 +33,10 @@
     (sum / f64::from(steps - steps / 2), worst)
 }
 
-/// The limit rests where `limit = TOLERANCE * capacity + sqrt(limit)`, which is
-/// 2.25 times the capacity at 4 and nears `TOLERANCE` times it for more.
-const REST_MAX: f64 = 2.5;
+/// The limit rests where `limit = TOLERANCE * capacity + ROOM * sqrt(limit)`,
+/// which is 1.56 times the capacity at 4 and nears `TOLERANCE` times it for
+/// more. One window's step above that is allowed for.
+const REST_MAX: f64 = 2.0;
 
 #[test]
 fn finds_a_back_end_s_capacity() {
--- a/crates/snipewinch/src/limit.rs
+++ b/crates/snipewinch/src/limit.rs
@@ -12,7 +12,9 @@
 //! - Where capacity is short, calls wait in a [`queue::Queue`], one for each
 //!   service, which serves customers in proportion to their shares.
 //! - How many calls of a service run at once is found from their latency
-//!   ([`concurrency::Limit`]).
+//!   ([`concurrency::Limit`]), between this host's part of the fleet's capacity,
+//!   which is divided by demand as rates are, and a little more. Left to latency
+//!   alone, entry hosts that share backend servers end up with unequal parts.
 //! - A call that would wait longer than its deadline allows is refused when it
 //!   arrives, which costs least.
 //!
@@ -55,6 +57,7 @@
 use crate::document;
 use crate::host;
 use crate::mix;
+use crate::routing;
 
 mod bucket;
 mod gate;
@@ -158,6 +161,12 @@
 const WEIGHT_PART_MIN: f64 = 0.1;
 /// A customer whose demand is mostly here gets at most so many times its weight.
 const WEIGHT_PART_MAX: f64 = 10.0;
+/// How much more than its part an entry host sends at once, so that hosts have
+/// the next call at hand.
+const AHEAD_PART: f64 = 0.25;
+/// The part of the room seen on hosts that an entry host takes at a time: others
+/// see the same room.
+const FREE_DIVISOR: u32 = 4;
 /// Weights are counted in this part of a share.
 const WEIGHT_UNIT: f64 = 100.0;
 
@@ -222,9 +231,16 @@
         self.spread.entries(count);
     }
 
-    /// Bounds how many calls of a service run at once.
-    pub fn bound(&mut self, service: &SmolStr, least: u32, most: u32) {
-        self.gate(service).limit.bound(least, most);
+    /// Bounds how many calls of a service run at once: this host's part of the
+    /// fleet's capacity, by demand, or more while hosts have room.
+    pub fn room(&mut self, now: Duration, service: &SmolStr, room: routing::Room) {
+        let part = self.spread.part(now, id(service)).of_rate;
+        let least = (part * f64::from(room.fleet)) as u32;
+        let gate = self.gate(service);
+        let ahead = least + (f64::from(least) * AHEAD_PART) as u32;
+        let free = gate.running() + room.free / FREE_DIVISOR;
+        gate.limit
+            .bound(least.max(gate::LEAST_LIMIT), ahead.max(free));
     }
 
     /// A call arrives.
@@ -241,6 +257,7 @@
             .customers
             .entry(name.clone())
             .or_insert_with(|| Customer::unknown(&name));
+        self.spread.demand(now, id(&service), f64::from(cost));
         let part = self.spread.demand(now, customer.id, 1.0);
         if let Some(rate) = customer.rate {
             let rate = f64::from(rate) * part.of_rate;
@@ -382,7 +399,7 @@
     }
 }
 
-/// A customer's number, the same at every entry host.
+/// A customer's or service's number, the same at every entry host.
 fn id(name: &str) -> u32 {
     (mix::of(name) >> u32::BITS) as u32
 }
--- a/crates/snipewinch/src/limit/gate.rs
+++ b/crates/snipewinch/src/limit/gate.rs
@@ -21,7 +21,14 @@
 /// The most calls of one service that wait.
 const WAITING_MAX: usize = 1024;
 /// The longest that a call may have to wait.
-const WAIT_MAX: Duration = Duration::from_secs(5);
+const WAIT_MAX: Duration = Duration::from_secs(1);
+/// The part of the time that is left for a call which it may have to wait: an
+/// estimate that is wrong by as much again still leaves time for the work.
+const WAIT_PART: f64 = 0.5;
+/// How long the pace is counted before a new window begins.
+const PACE_WINDOW: Duration = Duration::from_secs(2);
+/// What was known before counts as much as this long in a new window.
+const PACE_WEIGHT: Duration = Duration::from_secs(1);
 /// The weight of the newest sample in the smoothed time of a call.
 const SMOOTHING: f64 = 0.05;
 
@@ -33,6 +40,25 @@
     running: HashMap<Ticket, (Duration, u32)>,
     /// Smoothed time of a call for each unit of cost, in seconds.
     time: f64,
+    pace: Option<Pace>,
+}
+
+/// How much is served while calls wait.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    /// Cost a second, before this window.
+    before: f64,
+    since: Duration,
+    /// Cost served in this window.
+    served: f64,
+}
+
+impl Pace {
+    fn rate(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.since).as_secs_f64();
+        let weight = PACE_WEIGHT.as_secs_f64();
+        (self.served + self.before * weight) / (passed + weight)
+    }
 }
 
 impl Gate {
@@ -42,6 +68,7 @@
             queue: Queue::new(WAITING_MAX),
             running: HashMap::default(),
             time: 0.0,
+            pace: None,
         }
     }
 
@@ -60,16 +87,17 @@
         }
         let free = self.running() < self.limit.get() && self.queue.is_empty();
         if !free {
-            let wait = self.wait(&item);
+            let wait = self.wait(now, &item);
             let work = Duration::from_secs_f64(self.time * f64::from(item.cost));
-            let patience = item.deadline.left(now).saturating_sub(work).min(WAIT_MAX);
+            let spare = item.deadline.left(now).saturating_sub(work);
+            let patience = spare.mul_f64(WAIT_PART).min(WAIT_MAX);
             if wait > patience {
                 return refuse(Reason::Overload, wait - patience);
             }
         }
         let mut actions = Vec::new();
         if let Some(pushed) = self.queue.push(item) {
-            let wait = self.wait(&pushed);
+            let wait = self.wait(now, &pushed);
             let refusal = Refusal::new(Reason::Full, wait);
             let ticket = pushed.ticket;
             actions.push(Action::Refuse { ticket, refusal });
@@ -89,6 +117,7 @@
                     old => old + (time - old) * SMOOTHING,
                 };
             }
+            self.count(now, cost);
         }
         let mut actions = Vec::new();
         self.fill(now, &mut actions);
@@ -109,15 +138,43 @@
         actions
     }
 
-    /// How long a call would wait: what its customer has waiting, at the
-    /// customer's part of the rate.
-    fn wait(&self, item: &Item) -> Duration {
-        let rate = f64::from(self.limit.get()) / self.time;
-        let ahead = self.queue.ahead(item);
-        let wait = ahead / rate;
+    /// How long a call would wait until what is served before it is done.
+    fn wait(&self, now: Duration, item: &Item) -> Duration {
+        let rate = match &self.pace {
+            Some(pace) => pace.rate(now),
+            None => self.estimate(),
+        };
+        let wait = self.queue.ahead(item) / rate;
         Duration::try_from_secs_f64(wait).unwrap_or_default()
     }
 
+    /// The rate at which cost is served by Little's law, as long as it has not
+    /// been counted.
+    fn estimate(&self) -> f64 {
+        f64::from(self.limit.get()) / self.time
+    }
+
+    fn count(&mut self, now: Duration, cost: u32) {
+        let estimate = self.estimate();
+        if self.queue.is_empty() || !estimate.is_finite() {
+            self.pace = None;
+            return;
+        }
+        let pace = self.pace.get_or_insert(Pace {
+            before: estimate,
+            since: now,
+            served: 0.0,
+        });
+        pace.served += f64::from(cost);
+        if now.saturating_sub(pace.since) >= PACE_WINDOW {
+            *pace = Pace {
+                before: pace.rate(now),
+                since: now,
+                served: 0.0,
+            };
+        }
+    }
+
     fn fill(&mut self, now: Duration, actions: &mut Vec<Action>) {
         while self.running() < self.limit.get() {
             let Some(item) = self.queue.pop() else {
--- a/crates/snipewinch/src/limit/queue.rs
+++ b/crates/snipewinch/src/limit/queue.rs
@@ -160,22 +160,19 @@
         expired
     }
 
-    /// The cost that is served before a new item of this flow and weight, if all
-    /// flows go on waiting: the flow's own, scaled by its part of all weights,
-    /// and never more than all.
+    /// The cost that is served up to the end of a new item: all that its flow
+    /// has waiting, and of each other flow as much as its weight allows
+    /// meanwhile.
     pub fn ahead(&self, item: &Item) -> f64 {
         let own = self.flows.get(&item.flow).map_or(0, |flow| flow.cost);
         let own = own as f64 + f64::from(item.cost);
-        let mut all = f64::from(item.cost);
-        let mut weights = f64::from(item.weight);
-        for &(_, id) in &self.by_tag {
-            let flow = &self.flows[&id];
-            all += flow.cost as f64;
-            if id != item.flow {
-                weights += f64::from(flow.weight);
-            }
-        }
-        (own * weights / f64::from(item.weight)).min(all)
+        let of_others = self.by_tag.iter().filter(|&&(_, id)| id != item.flow);
+        let others = of_others.map(|(_, id)| {
+            let flow = &self.flows[id];
+            let part = f64::from(flow.weight) / f64::from(item.weight);
+            (flow.cost as f64).min(own * part)
+        });
+        own + others.sum::<f64>()
     }
 
     fn retain(&mut self, mut keep: impl FnMut(&Item) -> bool) {
--- a/crates/snipewinch/src/routing.rs
+++ b/crates/snipewinch/src/routing.rs
@@ -292,6 +292,16 @@
     pub ejection_held: u64,
 }
 
+/// What the hosts of a service can run.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Room {
+    /// Calls that all known hosts run at once, if those without a link are like
+    /// those with one.
+    pub fleet: u32,
+    /// Calls for which linked hosts have room now.
+    pub free: u32,
+}
+
 /// What a table has noticed, for logs.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Notice {
@@ -443,13 +453,21 @@
         std::mem::take(&mut self.notices)
     }
 
-    /// Calls that the linked hosts of a service run at once, all together.
-    pub fn capacity(&self, service: &str) -> u32 {
+    /// What the hosts of a service can run.
+    pub fn room(&self, now: Duration, service: &str) -> Room {
         let Some(service) = self.services.get(service) else {
-            return 0;
+            return Room::default();
         };
-        let linked = service.linked.iter().flatten();
-        linked.map(|&key| self.nodes[key].capacity() as u32).sum()
+        let linked = service.linked.iter().flatten().map(|&key| &self.nodes[key]);
+        let taking: Vec<&Node> = linked.filter(|node| !node.is_leaving()).collect();
+        let capacity: f64 = taking.iter().map(|node| node.capacity()).sum();
+        let mean = capacity / (taking.len() as f64).max(1.0);
+        let ready = taking.iter().filter(|node| node.is_ready(now));
+        let free = ready.map(|node| (node.capacity() - node.calls()).max(0.0));
+        Room {
+            fleet: (mean * service.known as f64) as u32,
+            free: free.sum::<f64>() as u32,
+        }
     }
 
     /// Whether a host is linked to.
--- a/crates/snipewinch/src/routing/node.rs
+++ b/crates/snipewinch/src/routing/node.rs
@@ -22,8 +22,9 @@
 const SMOOTHING: f64 = 0.1;
 /// How much a host that always fails looks more loaded.
 const FAILURE_PENALTY: f64 = 9.0;
-/// After this long a report of others' load counts half, and so on.
-const REPORT_HALF_LIFE: Duration = Duration::from_secs(4);
+/// Others' load is averaged over about this time: a report is older than most
+/// calls, and following each one would send every process to the same host.
+const REPORT_MEMORY: Duration = Duration::from_secs(3);
 /// How long a refusal keeps calls away at most.
 const HOLD_MAX: Duration = Duration::from_secs(2);
 
@@ -50,8 +51,9 @@
     since: Duration,
     pub(super) inflight: u32,
     capacity: u32,
-    /// Calls of others, by the last report.
-    others: u32,
+    /// Calls of others, by the reports of late.
+    others: f64,
+    /// When the last report came; zero before the first.
     reported: Duration,
     pub(super) confirmed: Vec<wire::Confirmed>,
     /// Smoothed time to the first byte, in seconds; 0 before the first sample.
@@ -90,7 +92,7 @@
             since: Duration::ZERO,
             inflight: 0,
             capacity: 0,
-            others: 0,
+            others: 0.0,
             reported: Duration::ZERO,
             confirmed: Vec::new(),
             first_byte: 0.0,
@@ -118,7 +120,8 @@
         if incarnation != self.incarnation {
             self.incarnation = incarnation;
             self.since = now;
-            self.others = 0;
+            self.others = 0.0;
+            self.reported = Duration::ZERO;
             self.confirmed.clear();
             self.failures = 0;
             self.failing = 0.0;
@@ -135,8 +138,14 @@
         if summary.leaving {
             self.leave(self.incarnation);
         }
-        let reported = summary.running + summary.waiting;
-        self.others = reported.saturating_sub(self.inflight);
+        let reported = f64::from(summary.running) + f64::from(summary.waiting);
+        let others = (reported - f64::from(self.inflight)).max(0.0);
+        let age = now.saturating_sub(self.reported).as_secs_f64();
+        let weight = match self.reported {
+            Duration::ZERO => 1.0,
+            _ => 1.0 - (-age / REPORT_MEMORY.as_secs_f64()).exp(),
+        };
+        self.others += (others - self.others) * weight;
         self.reported = now;
         self.capacity = summary.capacity;
         if self.confirmed != summary.confirmed {
@@ -205,16 +214,14 @@
     }
 
     /// Calls on the host, as far as this process can tell.
-    pub(super) fn calls(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.reported).as_secs_f64();
-        let fade = (-age / REPORT_HALF_LIFE.as_secs_f64()).exp2();
-        f64::from(self.inflight) + f64::from(self.others) * fade
+    pub(super) fn calls(&self) -> f64 {
+        f64::from(self.inflight) + self.others
     }
 
     /// How loaded the host would be with one more call: 1 is full.
     pub(super) fn load(&self, now: Duration) -> f64 {
         let penalty = 1.0 + FAILURE_PENALTY * self.failing;
-        (self.calls(now) + 1.0) * penalty / (self.capacity() * self.warmth(now))
+        (self.calls() + 1.0) * penalty / (self.capacity() * self.warmth(now))
     }
 
     /// The part of its full load that a new host is given.
@@ -230,8 +237,8 @@
     }
 
     /// How long one more call would wait before it is run.
-    pub(super) fn wait(&self, now: Duration) -> Duration {
-        let ahead = (self.calls(now) + 1.0 - self.capacity()).max(0.0);
+    pub(super) fn wait(&self) -> Duration {
+        let ahead = (self.calls() + 1.0 - self.capacity()).max(0.0);
         Duration::from_secs_f64(ahead / self.capacity() * self.total)
     }
 }
