Test routing and limits case by case

Writing them showed three faults:

- A host that had announced its leaving was forgotten once its link was gone and took calls again if the same process linked anew.
- A host whose work had ended was dropped without regard to why it was there.

--- a/crates/snipewinch/src/limit/queue.rs
+++ b/crates/snipewinch/src/limit/queue.rs
@@ -237,3 +237,6 @@
         (u8::MAX - self.priority, self.start, id)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/snipewinch/src/routing.rs
+++ b/crates/snipewinch/src/routing.rs
@@ -265,6 +265,8 @@
     Far,
 }
 
+/// How long a host that left is remembered after it is gone.
+const LEAVING_KEPT: Duration = Duration::from_secs(600);
 /// Notices kept until they are taken.
 const NOTICES_MAX: usize = 64;
 
@@ -355,9 +357,9 @@
     /// Takes in what has happened.
     pub fn handle(&mut self, now: Duration, event: Event<'_>) {
         match event {
-            Event::View(view) => self.view(view),
+            Event::View(view) => self.view(now, view),
             Event::Up { peer } => self.up(now, peer),
-            Event::Down { host } => self.down(host),
+            Event::Down { host } => self.down(now, host),
             Event::Summary { host, summary } => {
                 if let Some(node) = self.named(host) {
                     node.report(now, summary);
@@ -402,7 +404,7 @@
         let host = node.name.clone();
         self.judge(now, key, outcome);
         self.note_leaving(&host);
-        self.drop_if_done(key);
+        self.drop_if_done(now, key);
     }
 
     /// The name of a host.
@@ -463,7 +465,7 @@
         let capacity: f64 = taking.iter().map(|node| node.capacity()).sum();
         let mean = capacity / (taking.len() as f64).max(1.0);
         let ready = taking.iter().filter(|node| node.is_ready(now));
-        let free = ready.map(|node| (node.capacity() - node.calls()).max(0.0));
+        let free = ready.map(|node| (node.capacity() - node.calls(now)).max(0.0));
         Room {
             fleet: (mean * service.known as f64) as u32,
             free: free.sum::<f64>() as u32,
@@ -508,7 +510,7 @@
         }
     }
 
-    fn view(&mut self, view: &membership::View) {
+    fn view(&mut self, now: Duration, view: &membership::View) {
         for node in self.nodes.values_mut() {
             node.listed = false;
         }
@@ -527,7 +529,7 @@
         }
         let gone: Vec<Key> = self.nodes.keys().collect();
         for key in gone {
-            self.drop_if_done(key);
+            self.drop_if_done(now, key);
         }
     }
 
@@ -556,7 +558,7 @@
         service.linked[tier as usize].push(key);
     }
 
-    fn down(&mut self, host: &host::Name) {
+    fn down(&mut self, now: Duration, host: &host::Name) {
         let Some(&key) = self.names.get(host) else {
             return;
         };
@@ -568,7 +570,7 @@
         if let Some(service) = self.services.get_mut(&service) {
             service.linked[tier as usize].retain(|&linked| linked != key);
         }
-        self.drop_if_done(key);
+        self.drop_if_done(now, key);
     }
 
     /// The record of a host; one whose place or service changed starts anew.
@@ -597,13 +599,19 @@
         key
     }
 
-    /// Forgets a host that is neither listed, linked nor at work.
-    fn drop_if_done(&mut self, key: Key) {
-        let done = self
-            .nodes
-            .get(key)
-            .is_some_and(|node| !node.listed && !node.linked && node.inflight == 0);
-        if done {
+    /// Forgets a host that is neither listed, linked nor at work. One that is
+    /// leaving is remembered longer, since it may be linked once more.
+    fn drop_if_done(&mut self, now: Duration, key: Key) {
+        let Some(node) = self.nodes.get_mut(key) else {
+            return;
+        };
+        if node.listed || node.linked || node.inflight > 0 {
+            node.idle_since = None;
+            return;
+        }
+        let since = *node.idle_since.get_or_insert(now);
+        let kept = node.is_leaving() && now.saturating_sub(since) < LEAVING_KEPT;
+        if !kept {
             self.remove(key);
         }
     }
--- a/crates/snipewinch/src/routing/node.rs
+++ b/crates/snipewinch/src/routing/node.rs
@@ -22,9 +22,8 @@
 const SMOOTHING: f64 = 0.1;
 /// How much a host that always fails looks more loaded.
 const FAILURE_PENALTY: f64 = 9.0;
-/// Others' load is averaged over about this time: a report is older than most
-/// calls, and following each one would send every process to the same host.
-const REPORT_MEMORY: Duration = Duration::from_secs(3);
+/// What is lasting of others' load is averaged over about this time.
+const REPORT_MEMORY: Duration = Duration::from_secs(10);
 /// How long a refusal keeps calls away at most.
 const HOLD_MAX: Duration = Duration::from_secs(2);
 
@@ -40,6 +39,8 @@
     /// The membership list names the host.
     pub(super) listed: bool,
     pub(super) linked: bool,
+    /// Since when nothing holds this record.
+    pub(super) idle_since: Option<Duration>,
     suspect: bool,
     /// The list says that the host is leaving.
     listed_leaving: bool,
@@ -51,8 +52,10 @@
     since: Duration,
     pub(super) inflight: u32,
     capacity: u32,
-    /// Calls of others, by the reports of late.
+    /// Calls of others, by the last report.
     others: f64,
+    /// Calls of others, averaged over reports.
+    others_mean: f64,
     /// When the last report came; zero before the first.
     reported: Duration,
     pub(super) confirmed: Vec<wire::Confirmed>,
@@ -85,6 +88,7 @@
             incarnation: 0,
             listed: false,
             linked: false,
+            idle_since: None,
             suspect: false,
             listed_leaving: false,
             leaving: None,
@@ -93,6 +97,7 @@
             inflight: 0,
             capacity: 0,
             others: 0.0,
+            others_mean: 0.0,
             reported: Duration::ZERO,
             confirmed: Vec::new(),
             first_byte: 0.0,
@@ -121,6 +126,7 @@
             self.incarnation = incarnation;
             self.since = now;
             self.others = 0.0;
+            self.others_mean = 0.0;
             self.reported = Duration::ZERO;
             self.confirmed.clear();
             self.failures = 0;
@@ -145,7 +151,8 @@
             Duration::ZERO => 1.0,
             _ => 1.0 - (-age / REPORT_MEMORY.as_secs_f64()).exp(),
         };
-        self.others += (others - self.others) * weight;
+        self.others = others;
+        self.others_mean += (others - self.others_mean) * weight;
         self.reported = now;
         self.capacity = summary.capacity;
         if self.confirmed != summary.confirmed {
@@ -213,15 +220,23 @@
         })
     }
 
-    /// Calls on the host, as far as this process can tell.
-    pub(super) fn calls(&self) -> f64 {
-        f64::from(self.inflight) + self.others
+    /// Calls on the host, as far as this process can tell. A report counts the
+    /// less the older it is against how long calls take: what it saw has ended
+    /// by then, and all who follow it would rush to the same host.
+    pub(super) fn calls(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.reported).as_secs_f64();
+        let trust = match self.total {
+            0.0 => 0.0,
+            total => (-age / total).exp(),
+        };
+        let others = self.others_mean + (self.others - self.others_mean) * trust;
+        f64::from(self.inflight) + others
     }
 
     /// How loaded the host would be with one more call: 1 is full.
     pub(super) fn load(&self, now: Duration) -> f64 {
         let penalty = 1.0 + FAILURE_PENALTY * self.failing;
-        (self.calls() + 1.0) * penalty / (self.capacity() * self.warmth(now))
+        (self.calls(now) + 1.0) * penalty / (self.capacity() * self.warmth(now))
     }
 
     /// The part of its full load that a new host is given.
@@ -237,8 +252,8 @@
     }
 
     /// How long one more call would wait before it is run.
-    pub(super) fn wait(&self) -> Duration {
-        let ahead = (self.calls() + 1.0 - self.capacity()).max(0.0);
+    pub(super) fn wait(&self, now: Duration) -> Duration {
+        let ahead = (self.calls(now) + 1.0 - self.capacity()).max(0.0);
         Duration::from_secs_f64(ahead / self.capacity() * self.total)
     }
 }
--- a/crates/snipewinch/src/routing/pick.rs
+++ b/crates/snipewinch/src/routing/pick.rs
@@ -68,9 +68,9 @@
             return Err(self.refuse(request, service));
         };
         let node = &self.nodes[choice.key];
-        let wait = node.wait();
+        let wait = node.wait(now);
         let late = request.patience.is_some_and(|patience| wait > patience);
-        if late || node.calls() >= node.capacity() * LOAD_MAX {
+        if late || node.calls(now) >= node.capacity() * LOAD_MAX {
             return Err(refusal(Reason::Busy, wait));
         }
         self.counts.picked[tier as usize] += 1;
@@ -198,7 +198,7 @@
             let node = &self.nodes[key];
             // A host with nothing to do is never too loaded.
             let load = node.load(now);
-            (load <= bound || node.calls() < 1.0).then_some(Choice {
+            (load <= bound || node.calls(now) < 1.0).then_some(Choice {
                 key,
                 load,
                 by_prefix: true,
