--- a/crates/snipewinch/src/limit/tests.rs
+++ b/crates/snipewinch/src/limit/tests.rs
@@ -136,6 +136,9 @@
     }
 }
 
+/// Calls a second at each of so many hosts.
+type Shape = fn(usize) -> Vec<f64>;
+
 fn total(admitted: &[u64]) -> f64 {
     admitted.iter().sum::<u64>() as f64
 }
@@ -143,20 +146,19 @@
 #[test]
 fn a_rate_holds_over_the_fleet_wherever_the_calls_arrive() {
     const RATE: u32 = 100;
-    let even = |count: usize| vec![400.0 / count as f64; count];
-    let at_one = |count: usize| {
+    let even: Shape = |count| vec![400.0 / count as f64; count];
+    let at_one: Shape = |count| {
         let mut offered = vec![0.0; count];
         offered[0] = 400.0;
         offered
     };
-    let slope = |count: usize| {
+    let slope: Shape = |count| {
         let sum = (count * (count + 1) / 2) as f64;
         (1..=count).map(|n| 400.0 * n as f64 / sum).collect()
     };
-    let shapes: [(&str, &dyn Fn(usize) -> Vec<f64>); 3] =
-        [("even", &even), ("at one", &at_one), ("slope", &slope)];
+    let shapes = [("even", even), ("at one", at_one), ("slope", slope)];
     for count in [1, 3, 15, 40] {
-        for (shape, offered) in &shapes {
+        for (shape, offered) in shapes {
             for lost_percent in [0, 20] {
                 let mut fleet = Fleet::new(count, RATE, 7);
                 fleet.lost_percent = lost_percent;
