--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -15,6 +16,7 @@
 use snipewinch::host::Role;
 use snipewinch::membership::View;
 use snipewinch::wire;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -36,14 +38,21 @@
     pub(crate) identity: Arc<Identity>,
     pub(crate) hub: Hub,
     pub(crate) registry: Registry,
+    pub(crate) platform: platform::Client,
+    /// Where the console hands over what it has published.
+    pub(crate) publications: mpsc::Sender<InForce>,
     pub(crate) tracer: Tracer,
     pub(crate) shutdown: Shutdown,
     /// The configuration in force.
     pub(crate) configuration: watch::Receiver<Arc<InForce>>,
     /// The hosts that this process knows.
     pub(crate) view: watch::Receiver<Arc<View>>,
+    /// What the linked processes last said of themselves.
+    pub(crate) reports: membership::Reports,
     /// The versions that this host's engine has confirmed, for agents.
     pub(crate) confirmed: watch::Sender<Vec<wire::Confirmed>>,
+    /// Where HTTP is served, once it is.
+    pub(crate) http_address: Arc<OnceLock<SocketAddr>>,
     /// The start of the process: the epoch of the library's time.
     pub(crate) started: Instant,
 }
@@ -89,22 +98,28 @@
         };
         let (hub, inbox) = Hub::bind(hub_config, &registry).await.context(PeersSnafu)?;
         let (configuration, configuration_feed) = configuration::channel();
+        let (publications, published) = configuration::publications();
         let (view, view_feed) = membership::channel();
         let node = Node {
             identity: hub.identity().clone(),
             config: config.clone(),
             hub,
+            platform: platform::Client::open(&config.platform, &registry),
+            publications,
             registry,
             tracer,
             shutdown: Shutdown::new(),
             configuration,
             view,
+            reports: membership::Reports::default(),
             confirmed: watch::Sender::new(Vec::new()),
+            http_address: Arc::default(),
             started: Instant::now(),
         };
         tokio::spawn(configuration::run(
             node.clone(),
             inbox.configuration,
+            published,
             configuration_feed,
         ));
         tokio::spawn(membership::run(node.clone(), inbox.membership, view_feed));
@@ -113,6 +128,8 @@
             Role::Entry => entry::spawn(&node, inbox.calls, inbox.limits),
         };
         let http = http::Server::bind(&node, routes).await?;
+        // Set once, here.
+        let _ = node.http_address.set(http.address());
         ::log::info!("E1001 {:?} host {} is up", config.role, config.host);
         Ok(Daemon { node, http })
     }
--- a/crates/snipewinch/tests/load.rs
+++ b/crates/snipewinch/tests/load.rs
@@ -1,13 +1,13 @@
 //! The policy of routing, limits and retries under load, in a small model.
 
-mod fleet;
+mod overload;
 
 use std::time::Duration;
 
-use fleet::EARLY;
-use fleet::Model;
-use fleet::Report;
-use fleet::customer;
+use overload::EARLY;
+use overload::Model;
+use overload::Report;
+use overload::customer;
 
 const SEEDS: [u64; 3] = [1, 2, 3];
 const SMALL: usize = 8;
