--- /dev/null
+++ b/crates/daemon/tests/small/mod.rs
@@ -0,0 +1,235 @@
+//! A small fleet in one process: stand-ins, one entry and a few agents.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use daemon::Config;
+use daemon::Daemon;
+use daemon::Role;
+use http::StatusCode;
+use http_body_util::Full;
+use serde_json::Value;
+use serde_json::json;
+use snipewinch::Digest;
+use snipewinch::configuration::Record;
+use snipewinch::weights::manifest::Manifest;
+use standin::client::Answer;
+use standin::client::Client;
+use standin::engine;
+use standin::platform;
+use standin::service;
+use standin::tokens;
+
+pub(crate) const MODEL: &str = "verse";
+pub(crate) const KEY: &str = "the customer's bearer key";
+const FLEET_KEY: &str = "a fleet key for tests only";
+const LIMIT: Duration = Duration::from_secs(30);
+
+pub(crate) struct Small {
+    pub(crate) platform: SocketAddr,
+    pub(crate) engines: SocketAddr,
+    pub(crate) services: SocketAddr,
+    pub(crate) entry: Daemon,
+    pub(crate) agents: Vec<Daemon>,
+    pub(crate) client: Client,
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn document(manifest: &Manifest) -> Value {
+    json!({
+        "fleet": "small",
+        "models": [{"name": MODEL, "version": "1", "manifest": manifest.digest()}],
+        "services": [
+            {"name": "engine", "backend": {"engine": {"model": MODEL}}},
+            {"name": "ledger", "backend": {"plain": {"prefix": "/ledger"}}, "repeat": "never"},
+            {"name": "porch", "backend": {"plain": {"prefix": "/porch"}}},
+        ],
+        "customers": [{"name": "school", "key": Digest::of(KEY.as_bytes())}],
+    })
+}
+
+impl Small {
+    /// Starts everything: two agents of each service.
+    pub(crate) async fn open() -> Small {
+        let platform = platform::spawn(platform::Config {
+            listen: any(),
+            origin_mbit: 0.0,
+            origin_readers_max: 16,
+            lag: Duration::ZERO,
+            seed: 1,
+        });
+        let platform = platform.await.expect("the platform starts");
+        let engines = engine::spawn(engine::Config {
+            listen: any(),
+            count: 2,
+            slots: 16,
+            step: Duration::from_millis(5),
+            prefill: Duration::ZERO,
+            swap: Duration::ZERO,
+            lag: Duration::ZERO,
+            blocks: 64,
+            check_fence: true,
+        });
+        let engines = engines.await.expect("the engines start");
+        let services = service::spawn(service::Config {
+            listen: any(),
+            count: 4,
+            work: Duration::from_millis(2),
+        });
+        let services = services.await.expect("the services start");
+        let client = Client::open();
+        publish(&client, platform).await;
+        let entry = start(platform, Role::Entry, "entry-0", None).await;
+        let mut agents = Vec::new();
+        let backends = engines.engines.iter().map(|address| ("engine", *address));
+        let ledger = services.services[..2].iter().map(|a| ("ledger", *a));
+        let porch = services.services[2..].iter().map(|a| ("porch", *a));
+        for (index, (service, address)) in backends.chain(ledger).chain(porch).enumerate() {
+            let name = format!("agent-{index}");
+            let beside = Some((service, address));
+            agents.push(start(platform, Role::Agent, &name, beside).await);
+            let member = json!({"host": name, "role": "agent", "zone": "z", "region": "r",
+                "service": service, "address": agents[index].peer_address(), "state": "live"});
+            let path = format!("/membership/{name}");
+            put(&client, platform, &path, member.to_string()).await;
+        }
+        let small = Small {
+            platform,
+            engines: engines.admin,
+            services: services.admin,
+            entry,
+            agents,
+            client,
+        };
+        small.wait().await;
+        small
+    }
+
+    /// Waits until every service answers.
+    async fn wait(&self) {
+        let started = Instant::now();
+        for path in ["/v1/completions", "/ledger/warm", "/porch/warm"] {
+            loop {
+                let body = json!({"model": MODEL, "prompt": "warm", "max_tokens": 1});
+                let answer = self.post(path, &body, &[]).await;
+                if answer.status == StatusCode::OK {
+                    break;
+                }
+                let late = started.elapsed() > LIMIT;
+                assert!(!late, "{path} is never answered: {answer:?}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// A caller's request.
+    pub(crate) async fn post(&self, path: &str, body: &Value, headers: &[(&str, &str)]) -> Answer {
+        let request = self.request(path, body, headers);
+        self.client.send(request).await.expect("an answer")
+    }
+
+    pub(crate) fn request(
+        &self,
+        path: &str,
+        body: &Value,
+        headers: &[(&str, &str)],
+    ) -> http::Request<Full<Bytes>> {
+        let entry = self.entry.http_address();
+        let mut request = http::Request::post(format!("http://{entry}{path}"))
+            .header("authorization", format!("Bearer {KEY}"))
+            .header("content-type", "application/json");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let body = Full::new(Bytes::from(body.to_string()));
+        request.body(body).expect("the parts are valid")
+    }
+
+    pub(crate) async fn admin(&self, address: SocketAddr, path: &str, body: Value) {
+        let answer = self.client.post(address, path, &body).await;
+        let answer = answer.expect("an answer");
+        assert!(answer.status.is_success(), "{path}: {answer:?}");
+    }
+
+    /// How often the work named by `effect` ran.
+    pub(crate) async fn runs(&self, effect: &str) -> u64 {
+        let mut runs = 0;
+        for address in [self.engines, self.services] {
+            let answer = self.client.get(address, "/admin/effects").await;
+            let counts = answer.expect("an answer").json();
+            runs += counts[effect].as_u64().unwrap_or(0);
+        }
+        runs
+    }
+}
+
+/// The text that an engine must answer to a prompt.
+pub(crate) fn expected(prompt: &str, count: u64) -> String {
+    tokens::Answer::of(prompt).text(0, count)
+}
+
+/// The text of a stream, and whether it was closed as whole.
+pub(crate) fn streamed(body: &[u8]) -> (String, bool) {
+    let body = String::from_utf8_lossy(body);
+    let mut text = String::new();
+    let mut done = false;
+    for line in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        done |= line == "[DONE]";
+        let value: Value = serde_json::from_str(line).unwrap_or_default();
+        text.push_str(value["choices"][0]["text"].as_str().unwrap_or(""));
+    }
+    (text, done)
+}
+
+async fn publish(client: &Client, platform: SocketAddr) {
+    let weights = b"the weights of the small model".repeat(1000);
+    let manifest = Manifest::build(MODEL, "1", 4096, &weights).expect("a manifest");
+    let digest = manifest.digest();
+    let object = format!("/objects/manifests/{digest}");
+    put(client, platform, &object, manifest.to_bytes()).await;
+    put(client, platform, &format!("/origin/{digest}"), weights).await;
+    let record = Record {
+        version: 1,
+        operation: "test".into(),
+        operator: "test".into(),
+        at_ms: 1,
+        note: String::new(),
+        text: document(&manifest).to_string(),
+    };
+    let registry = prometheus::Registry::new();
+    let platform = ::platform::Client::open(&format!("http://{platform}"), &registry);
+    platform.publish(&record, 0).await.expect("it is published");
+}
+
+async fn put(client: &Client, address: SocketAddr, path: &str, body: impl Into<Bytes>) {
+    let answer = client.put(address, path, body).await.expect("an answer");
+    assert!(answer.status.is_success(), "{path}: {answer:?}");
+}
+
+async fn start(
+    platform: SocketAddr,
+    role: Role,
+    name: &str,
+    beside: Option<(&str, SocketAddr)>,
+) -> Daemon {
+    let mut config = Config::builder(name, role)
+        .fleet_key(FLEET_KEY)
+        .platform(&format!("http://{platform}"))
+        .set("zone", "z")
+        .set("region", "r")
+        .set("listen-peers", "127.0.0.1:0")
+        .set("listen-http", "127.0.0.1:0")
+        .set("leave-grace-ms", "100");
+    if let Some((service, backend)) = beside {
+        config = config
+            .set("service", service)
+            .set("backend", format!("http://{backend}"));
+    }
+    let config = config.build().expect("the settings are valid");
+    Daemon::open(config).await.expect("the daemon starts")
+}
