--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -66,7 +66,7 @@
             optional --region-mbit text: String
             /// The region in which the origin of weights stands; the first by name unless set (agents).
             optional --origin-region text: String
-            /// By which scheme weights spread: `swarm`, or `tree` or `origin` for comparing (agents).
+            /// By which scheme weights spread; the others are for comparing only (agents): `swarm`, `tree` or `origin`.
             optional --weights-policy text: String
             /// The most memory for chunks of weights, in MiB (agents).
             optional --chunk-memory-mib text: String
