--- a/crates/daemon/src/entry/calls/driver.rs
+++ b/crates/daemon/src/entry/calls/driver.rs
@@ -8,6 +8,8 @@
 use caller::Call;
 use peer::link;
 use peer::link::Event as LinkEvent;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
 use slotmap::Key as _;
 use slotmap::KeyData;
 use snipewinch::call::Attempt;
@@ -77,6 +79,7 @@
     commands: mpsc::UnboundedSender<Command>,
     router: Router,
     retries: Budget,
+    attempts: IntCounterVec,
 }
 
 impl Driver {
@@ -93,6 +96,7 @@
             commands,
             router,
             retries: Budget::default(),
+            attempts: attempts(node),
         }
     }
 
@@ -284,6 +288,8 @@
         };
         match self.router.pick(&ask) {
             Ok(host) => {
+                let which = if retry { "again" } else { "first" };
+                self.attempts.with_label_values(&[which]).inc();
                 self.router.started(&host, &open.prefixes);
                 open.sent = self.node.now();
                 open.head = None;
@@ -318,6 +324,17 @@
     }
 }
 
+fn attempts(node: &Node) -> IntCounterVec {
+    let options = Opts::new(
+        "snipewinch_call_attempts_total",
+        "Attempts sent to agents, first ones and repeated ones",
+    );
+    let attempts = IntCounterVec::new(options, &["try"]).expect("constant options");
+    // A second entry on one registry shares the first one's row.
+    let _ = node.registry.register(Box::new(attempts.clone()));
+    attempts
+}
+
 fn kind(reason: routing::Reason) -> Kind {
     match reason {
         routing::Reason::Busy => Kind::Busy,
