Read what a refused caller still sends before answering

Cause: a request refused before its body was read closed the connection on unread bytes; the reset overtook the answer and the caller saw a broken connection (seen once in the table of bad requests, IncompleteMessage). Ruled out: the client's pool alone; a fresh connection shows it with a large body too. Change: the rest of the body is dropped, 8 MiB and 2 s at most; a declared length over the limit is refused before anything is kept.

--- a/crates/caller/src/serve.rs
+++ b/crates/caller/src/serve.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use poem::Body;
 use poem::Endpoint;
 use poem::Request;
 use poem::Response;
@@ -25,6 +26,7 @@
 use snipewinch::document::Document;
 use snipewinch::document::Repeat;
 use snipewinch::document::Service;
+use tokio::io::AsyncReadExt;
 use tokio::sync::watch;
 
 use crate::gateway::Call;
@@ -36,6 +38,10 @@
 
 /// The longest body of a request.
 const BODY_MAX_BYTES: usize = 2 << 20;
+/// The most of a refused request's body that is read and dropped.
+const DISCARD_MAX_BYTES: u64 = 8 << 20;
+/// How long the rest of a refused request's body is read.
+const DISCARD_LIMIT: Duration = Duration::from_secs(2);
 /// How long a body may take to arrive.
 const BODY_LIMIT: Duration = Duration::from_secs(30);
 /// The longest idempotency key, in characters.
@@ -81,7 +87,7 @@
         }
     }
 
-    async fn serve(&self, request: Request) -> Result<Response, Problem> {
+    async fn serve(&self, request: &mut Request) -> Result<Response, Problem> {
         let in_force = self.configuration.borrow().clone();
         if in_force.version == 0 {
             return Err(Problem::NoConfiguration);
@@ -105,7 +111,7 @@
         &self,
         document: &Document,
         customer: &Customer,
-        request: Request,
+        request: &mut Request,
     ) -> Result<Response, Problem> {
         let mut read = Read::new(request).await?;
         let body = read.call.body.clone();
@@ -123,7 +129,7 @@
         &self,
         document: &Document,
         customer: &Customer,
-        request: Request,
+        request: &mut Request,
     ) -> Result<Response, Problem> {
         let service = resolve::plain(document, request.uri().path()).ok_or(Problem::UnknownPath)?;
         let mut read = Read::new(request).await?;
@@ -165,10 +171,11 @@
 impl Endpoint for Callers {
     type Output = Response;
 
-    async fn call(&self, request: Request) -> poem::Result<Response> {
-        match self.serve(request).await {
+    async fn call(&self, mut request: Request) -> poem::Result<Response> {
+        match self.serve(&mut request).await {
             Ok(response) => Ok(response),
             Err(problem) => {
+                discard(request.take_body()).await;
                 let outcome = problem.code();
                 self.metrics.requests.with_label_values(&[outcome]).inc();
                 Ok(respond::problem(&problem))
@@ -186,12 +193,12 @@
 }
 
 impl Read {
-    async fn new(mut request: Request) -> Result<Read, Problem> {
+    async fn new(request: &mut Request) -> Result<Read, Problem> {
         let key = match request.headers().get("idempotency-key") {
             None => None,
             Some(value) => Some(idempotency_key(value.as_bytes())?),
         };
-        let body = body(&mut request).await?;
+        let body = body(request).await?;
         let text = |name: &str| {
             let value = request.headers().get(name)?;
             value.to_str().ok().map(SmolStr::new)
@@ -243,7 +250,22 @@
     digests
 }
 
+/// Reads and drops what a refused caller still sends: a connection closed on
+/// unread bytes is reset, and the reset can overtake the answer.
+async fn discard(body: Body) {
+    let mut rest = body.into_async_read().take(DISCARD_MAX_BYTES);
+    let mut sink = tokio::io::sink();
+    let dropped = tokio::io::copy(&mut rest, &mut sink);
+    // A caller that breaks off here has no answer to read either.
+    let _ = tokio::time::timeout(DISCARD_LIMIT, dropped).await;
+}
+
 async fn body(request: &mut Request) -> Result<Bytes, Problem> {
+    let declared = request.headers().get(header::CONTENT_LENGTH);
+    let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    if declared.is_some_and(|length| length > BODY_MAX_BYTES) {
+        return Err(Problem::BodyTooLarge);
+    }
     let body = request.take_body();
     let reading = body.into_bytes_limit(BODY_MAX_BYTES);
     match tokio::time::timeout(BODY_LIMIT, reading).await {
