--- a/crates/daemon/src/agent/calls/runner.rs
+++ b/crates/daemon/src/agent/calls/runner.rs
@@ -79,8 +79,12 @@
         let attempt = self.start.attempt;
         let request = &self.start.request;
         let parent = request.traceparent.as_deref();
-        let mut span = self.tracer.start("agent", SpanKind::Client, parent);
-        span.set("service", request.service.to_string());
+        let mut hop = self.tracer.start("agent", SpanKind::Server, parent);
+        hop.set("service", request.service.to_string());
+        let parent = hop.traceparent();
+        let mut span = self
+            .tracer
+            .start("backend", SpanKind::Client, parent.as_deref());
         if let Some(traceparent) = span.traceparent() {
             let mut request = snipewinch::call::Request::clone(&self.start.request);
             request.traceparent = Some(traceparent);
--- a/crates/daemon/tests/small/mod.rs
+++ b/crates/daemon/tests/small/mod.rs
@@ -56,6 +56,11 @@
 impl Small {
     /// Starts everything: two agents of each service.
     pub(crate) async fn open() -> Small {
+        Small::open_with(&[]).await
+    }
+
+    /// Starts everything with more settings for every daemon.
+    pub(crate) async fn open_with(settings: &[(&'static str, String)]) -> Small {
         let platform = platform::spawn(platform::Config {
             listen: any(),
             origin_mbit: 0.0,
@@ -84,7 +89,7 @@
         let services = services.await.expect("the services start");
         let client = Client::open();
         publish(&client, platform).await;
-        let entry = start(platform, Role::Entry, "entry-0", None).await;
+        let entry = start(platform, Role::Entry, "entry-0", None, settings).await;
         let mut agents = Vec::new();
         let backends = engines.engines.iter().map(|address| ("engine", *address));
         let ledger = services.services[..2].iter().map(|a| ("ledger", *a));
@@ -92,7 +97,7 @@
         for (index, (service, address)) in backends.chain(ledger).chain(porch).enumerate() {
             let name = format!("agent-{index}");
             let beside = Some((service, address));
-            agents.push(start(platform, Role::Agent, &name, beside).await);
+            agents.push(start(platform, Role::Agent, &name, beside, settings).await);
             let member = json!({"host": name, "role": "agent", "zone": "z", "region": "r",
                 "service": service, "address": agents[index].peer_address(), "state": "live"});
             let path = format!("/membership/{name}");
@@ -216,6 +221,7 @@
     role: Role,
     name: &str,
     beside: Option<(&str, SocketAddr)>,
+    settings: &[(&'static str, String)],
 ) -> Daemon {
     let mut config = Config::builder(name, role)
         .fleet_key(FLEET_KEY)
@@ -230,6 +236,9 @@
             .set("service", service)
             .set("backend", format!("http://{backend}"));
     }
+    for (name, value) in settings {
+        config = config.set(name, value.clone());
+    }
     let config = config.build().expect("the settings are valid");
     Daemon::open(config).await.expect("the daemon starts")
 }
