--- a/crates/bench/src/fleet/hosts.rs
+++ b/crates/bench/src/fleet/hosts.rs
@@ -206,6 +206,21 @@
                 ("--backend", format!("http://{}", backend.address())),
                 ("--upload-mbit", self.plan.upload_mbit.to_string()),
                 ("--chunk-memory-mib", self.plan.chunk_memory_mib.to_string()),
+                (
+                    "--region-mbit",
+                    (self.plan.deployment.region_mbit as u64).to_string(),
+                ),
+                (
+                    "--origin-region",
+                    self.plan.deployment.store_region.to_string(),
+                ),
+                (
+                    "--weights-policy",
+                    self.plan
+                        .weights_policy
+                        .clone()
+                        .unwrap_or_else(|| "swarm".to_owned()),
+                ),
             ])),
             _ => {
                 let digest = Digest::of(self.operator_key().as_bytes());
--- a/crates/bench/src/fleet/plan.rs
+++ b/crates/bench/src/fleet/plan.rs
@@ -19,6 +19,8 @@
     pub origin_mbit: f64,
     /// The most that one host sends for weights, in megabits a second.
     pub upload_mbit: u64,
+    /// By which scheme weights spread; none means as by default.
+    pub weights_policy: Option<String>,
     /// The most memory of one host for chunks, in MiB.
     pub chunk_memory_mib: u64,
     /// How far the membership list lags, in milliseconds.
@@ -72,6 +74,7 @@
             seed,
             origin_mbit: 80.0,
             upload_mbit: 40,
+            weights_policy: None,
             chunk_memory_mib: 256,
             lag_ms: 1000,
             engines: Engines::default(),
--- a/crates/snipewinch/src/weights/swarm.rs
+++ b/crates/snipewinch/src/weights/swarm.rs
@@ -39,8 +39,11 @@
 use peer::Peer;
 use transfer::Transfer;
 
-/// How often news of chunks are sent, and stalls looked for.
+/// How often news of chunks that are new in the region are sent, and stalls
+/// looked for.
 const TICK: Duration = Duration::from_millis(25);
+/// How often news of other chunks are sent.
+const NEWS: Duration = Duration::from_millis(100);
 /// How often to look when nothing moves.
 const IDLE: Duration = Duration::from_secs(1);
 /// Bytes a second for one megabit a second.
@@ -438,7 +441,7 @@
         if now >= self.news_at {
             self.news_at = now + TICK;
             for id in &ids {
-                self.tell_news(*id);
+                self.tell_news(now, *id);
             }
             self.pardon(now);
             self.redial(now);
--- a/crates/snipewinch/src/weights/swarm/exchange.rs
+++ b/crates/snipewinch/src/weights/swarm/exchange.rs
@@ -8,6 +8,7 @@
 
 use super::Action;
 use super::Link;
+use super::NEWS;
 use super::PeerKey;
 use super::Swarm;
 use super::transfer::Source;
@@ -20,7 +21,7 @@
 use crate::weights::upload::Request;
 
 /// How long a peer that has no free slot is left alone.
-const BUSY: Duration = Duration::from_millis(60);
+const BUSY: Duration = Duration::from_millis(150);
 /// How long a peer may take to send a manifest.
 const MANIFEST_LIMIT: Duration = Duration::from_secs(2);
 /// How long hosts that bring no chunks leave the object store alone.
@@ -112,14 +113,17 @@
     }
 
     /// Tells peers which chunks have come, but for those that they hold.
-    pub(super) fn tell_news(&mut self, id: Id) {
+    pub(super) fn tell_news(&mut self, now: Duration, id: Id) {
         let Some(transfer) = self.transfers.get_mut(&id) else {
             return;
         };
-        let news = std::mem::take(&mut transfer.news);
-        if news.is_empty() {
+        let urgent = std::mem::take(&mut transfer.brought);
+        let due = urgent || transfer.is_whole() || now >= transfer.told + NEWS;
+        if !due || transfer.news.is_empty() {
             return;
         }
+        transfer.told = now;
+        let news = std::mem::take(&mut transfer.news);
         let mut messages = Vec::new();
         for (key, peer) in &self.peers {
             let held = peer.held.get(&id);
@@ -331,6 +335,7 @@
             Some(peer) => peer.note_good(length),
             None => transfer.origin.succeed(),
         }
+        transfer.brought |= !matches!(source, Source::Local(_));
         for other in transfer.partials.remove(&chunk).unwrap_or_default() {
             self.counts.wasted_bytes += other.buffer.len() as u64;
             self.cancel(other.source, id, chunk);
--- a/crates/snipewinch/src/weights/swarm/transfer.rs
+++ b/crates/snipewinch/src/weights/swarm/transfer.rs
@@ -31,6 +31,10 @@
     pub(super) partials: BTreeMap<u32, Vec<Partial>>,
     /// Chunks held since the peers were last told.
     pub(super) news: Vec<u32>,
+    /// Whether one of them is new in the region.
+    pub(super) brought: bool,
+    /// When the peers were last told.
+    pub(super) told: Duration,
     pub(super) started: Duration,
     /// When the manifest was here.
     pub(super) known: Duration,
@@ -125,6 +129,8 @@
             available: Vec::new(),
             partials: BTreeMap::new(),
             news: Vec::new(),
+            brought: false,
+            told: Duration::ZERO,
             started: now,
             known: now,
             whole_at: None,
--- a/crates/snipewinch/tests/fleet/mod.rs
+++ b/crates/snipewinch/tests/fleet/mod.rs
@@ -510,12 +510,14 @@
                 };
                 (length, message)
             }
-            Message::Have { .. } | Message::Got { .. } => {
-                self.control_bytes += 60;
-                (60, message)
-            }
-            other => (40, other),
+            Message::Have { ref chunks, .. } => (20 + chunks.len(), message),
+            Message::Got { ref chunks, .. } => (20 + 2 * chunks.len(), message),
+            Message::Manifest { ref bytes, .. } => (20 + bytes.len(), message),
+            other => (30, other),
         };
+        if !message.is_bulk() {
+            self.control_bytes += bytes as u64;
+        }
         let mut delay = LOCAL_DELAY;
         if pair.0 != pair.1 {
             let span = bytes as f64 / (self.setup.region_mbit * BYTES_PER_MBIT);
