Let only telling latencies steer the concurrency limit

An engine's unstreamed answer begins at its end, so its latency tells of its length; mixing it with the first bytes of streams made the limit shrink.

--- a/crates/daemon/src/entry/calls/open.rs
+++ b/crates/daemon/src/entry/calls/open.rs
@@ -77,7 +77,13 @@
         }
         let first = self.head.unwrap_or(now);
         let wait = first.saturating_sub(self.sent);
-        self.permit.finish(Sample::Answered(wait));
+        // An engine's unstreamed answer begins at its end, so that its time
+        // tells of its length and not of a queue.
+        let tells = self.request.stream || self.request.model.is_none();
+        self.permit.finish(match tells {
+            true => Sample::Answered(wait),
+            false => Sample::Ignored,
+        });
         self.sink.end();
     }
 
