--- a/crates/snipewinch/src/routing/node.rs
+++ b/crates/snipewinch/src/routing/node.rs
@@ -22,8 +22,8 @@
 const SMOOTHING: f64 = 0.1;
 /// How much a host that always fails looks more loaded.
 const FAILURE_PENALTY: f64 = 9.0;
-/// After this long a report of others' load counts half, and so on.
-const REPORT_HALF_LIFE: Duration = Duration::from_secs(4);
+/// What is lasting of others' load is averaged over about this time.
+const REPORT_MEMORY: Duration = Duration::from_secs(10);
 /// How long a refusal keeps calls away at most.
 const HOLD_MAX: Duration = Duration::from_secs(2);
 
@@ -39,6 +39,8 @@
     /// The membership list names the host.
     pub(super) listed: bool,
     pub(super) linked: bool,
+    /// Since when nothing holds this record.
+    pub(super) idle_since: Option<Duration>,
     suspect: bool,
     /// The list says that the host is leaving.
     listed_leaving: bool,
@@ -51,7 +53,10 @@
     pub(super) inflight: u32,
     capacity: u32,
     /// Calls of others, by the last report.
-    others: u32,
+    others: f64,
+    /// Calls of others, averaged over reports.
+    others_mean: f64,
+    /// When the last report came; zero before the first.
     reported: Duration,
     pub(super) confirmed: Vec<wire::Confirmed>,
     /// Smoothed time to the first byte, in seconds; 0 before the first sample.
@@ -83,6 +88,7 @@
             incarnation: 0,
             listed: false,
             linked: false,
+            idle_since: None,
             suspect: false,
             listed_leaving: false,
             leaving: None,
@@ -90,7 +96,8 @@
             since: Duration::ZERO,
             inflight: 0,
             capacity: 0,
-            others: 0,
+            others: 0.0,
+            others_mean: 0.0,
             reported: Duration::ZERO,
             confirmed: Vec::new(),
             first_byte: 0.0,
@@ -118,7 +125,9 @@
         if incarnation != self.incarnation {
             self.incarnation = incarnation;
             self.since = now;
-            self.others = 0;
+            self.others = 0.0;
+            self.others_mean = 0.0;
+            self.reported = Duration::ZERO;
             self.confirmed.clear();
             self.failures = 0;
             self.failing = 0.0;
@@ -135,8 +144,15 @@
         if summary.leaving {
             self.leave(self.incarnation);
         }
-        let reported = summary.running + summary.waiting;
-        self.others = reported.saturating_sub(self.inflight);
+        let reported = f64::from(summary.running) + f64::from(summary.waiting);
+        let others = (reported - f64::from(self.inflight)).max(0.0);
+        let age = now.saturating_sub(self.reported).as_secs_f64();
+        let weight = match self.reported {
+            Duration::ZERO => 1.0,
+            _ => 1.0 - (-age / REPORT_MEMORY.as_secs_f64()).exp(),
+        };
+        self.others = others;
+        self.others_mean += (others - self.others_mean) * weight;
         self.reported = now;
         self.capacity = summary.capacity;
         if self.confirmed != summary.confirmed {
@@ -204,11 +220,17 @@
         })
     }
 
-    /// Calls on the host, as far as this process can tell.
+    /// Calls on the host, as far as this process can tell. A report counts the
+    /// less the older it is against how long calls take: what it saw has ended
+    /// by then, and all who follow it would rush to the same host.
     pub(super) fn calls(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.reported).as_secs_f64();
-        let fade = (-age / REPORT_HALF_LIFE.as_secs_f64()).exp2();
-        f64::from(self.inflight) + f64::from(self.others) * fade
+        let trust = match self.total {
+            0.0 => 0.0,
+            total => (-age / total).exp(),
+        };
+        let others = self.others_mean + (self.others - self.others_mean) * trust;
+        f64::from(self.inflight) + others
     }
 
     /// How loaded the host would be with one more call: 1 is full.
