--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -14,12 +14,9 @@
 use slotmap::KeyData;
 use snipewinch::host;
 use snipewinch::host::Identity;
-use snipewinch::host::Role;
 use snipewinch::membership::Message;
 use snipewinch::membership::Roster;
-use snipewinch::membership::State;
 use snipewinch::membership::View;
-use snipewinch::membership::neighbours;
 use snipewinch::membership::roster;
 use snipewinch::membership::roster::Action;
 use snipewinch::wire::Frame;
@@ -94,7 +91,6 @@
     let mut edge = Edge {
         roster: Roster::open((*node.identity).clone(), node.identity.incarnation),
         links: Vec::new(),
-        dialed: Vec::new(),
         node: node.clone(),
         feed,
     };
@@ -149,7 +145,6 @@
     node: Node,
     roster: Roster,
     links: Vec<link::Key>,
-    dialed: Vec<host::Name>,
     feed: watch::Sender<Arc<View>>,
 }
 
@@ -238,29 +233,8 @@
         }
         let role = self.node.config.role;
         self.node.platform.share_among(role, view.count(role));
-        if role == Role::Entry {
-            self.dial(&view);
-        }
         self.feed.send_replace(view);
     }
-
-    /// Keeps links to a few other entries, by which configuration and news
-    /// reach all of them.
-    fn dial(&mut self, view: &View) {
-        let wanted = neighbours::choose(&self.node.identity, view);
-        for host in &self.dialed {
-            if !wanted.iter().any(|member| member.host == *host) {
-                self.node.hub.forget(host);
-            }
-        }
-        self.dialed.clear();
-        for member in wanted {
-            if member.state != State::Leaving {
-                self.node.hub.dial(member.host.clone(), member.address);
-                self.dialed.push(member.host.clone());
-            }
-        }
-    }
 }
 
 fn number(link: link::Key) -> roster::Link {
--- a/crates/snipewinch/src/membership.rs
+++ b/crates/snipewinch/src/membership.rs
@@ -10,7 +10,6 @@
 
 mod accrual;
 mod merge;
-pub mod neighbours;
 pub mod roster;
 
 pub use crate::membership::roster::Roster;
