--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -16,6 +16,8 @@
 use crate::scrape::Scrape;
 use crate::weights;
 
+pub mod routing;
+
 mod flags {
     xflags::xflags! {
         /// Measures what one idle host costs in fleets of growing size.
@@ -28,6 +30,8 @@
             optional --seconds s: u64
             /// Decides every draw.
             optional --seed seed: u64
+            /// Measure routing and limits alone, without any process.
+            optional --routing
             /// Print JSON lines only.
             optional --json
         }
@@ -120,6 +124,12 @@
     let entries = flags.entries.unwrap_or(ENTRIES);
     let seconds = flags.seconds.unwrap_or(SECONDS);
     let seed = flags.seed.unwrap_or(1);
+    if flags.routing {
+        for slope in routing::measure(seed) {
+            println!("{}", serde_json::to_string(&slope).unwrap_or_default());
+        }
+        return Ok(());
+    }
     let mut points = Vec::new();
     for agents in agents {
         let measured = measure(entries, agents, Duration::from_secs(seconds), seed).await?;
