Let calls wait for a slow service, and count answers that come at once

A call was refused if it would wait more than a second, also where the service itself takes seconds: a burst of ten calls at a service with one slot was mostly refused although none was in a hurry. The wait allowed is now four times the time to the first byte, at least a second, and still half of the spare time.

Answers whose first byte comes at their end told the limiter nothing, so that it knew no rate for a service without streams and let calls wait until their deadlines. They now count for the rate and, as before, not for concurrency.

--- a/crates/snipewinch/src/concurrency.rs
+++ b/crates/snipewinch/src/concurrency.rs
@@ -53,6 +53,9 @@
 pub enum Sample {
     /// It was answered, and its first byte took this long.
     Answered(Duration),
+    /// It was answered, but its first byte came at its end, so that its latency
+    /// tells of its length and not of a queue.
+    Served,
     /// It was refused for want of room or timed out.
     Dropped,
     /// It ended otherwise and tells nothing.
@@ -133,7 +136,7 @@
         match sample {
             Sample::Answered(latency) => self.answered(now, running, latency),
             Sample::Dropped => self.dropped(now),
-            Sample::Ignored => {}
+            Sample::Ignored | Sample::Served => {}
         }
     }
 
--- a/crates/snipewinch/src/limit/gate.rs
+++ b/crates/snipewinch/src/limit/gate.rs
@@ -20,8 +20,11 @@
 pub(super) const MOST_LIMIT: u32 = 4096;
 /// The most calls of one service that wait.
 const WAITING_MAX: usize = 1024;
-/// The longest that a call may have to wait.
+/// The longest that a call may have to wait for a service that answers fast.
 const WAIT_MAX: Duration = Duration::from_secs(1);
+/// The longest that it may have to wait for a slow one, as a multiple of the
+/// time to the first byte.
+const WAIT_FACTOR: f64 = 4.0;
 /// The part of the time that is left for a call which it may have to wait: an
 /// estimate that is wrong by as much again still leaves time for the work.
 const WAIT_PART: f64 = 0.5;
@@ -40,6 +43,8 @@
     running: HashMap<Ticket, (Duration, u32)>,
     /// Smoothed time of a call for each unit of cost, in seconds.
     time: f64,
+    /// Smoothed time to the first byte, in seconds.
+    first_byte: f64,
     pace: Option<Pace>,
 }
 
@@ -68,6 +73,7 @@
             queue: Queue::new(WAITING_MAX),
             running: HashMap::default(),
             time: 0.0,
+            first_byte: 0.0,
             pace: None,
         }
     }
@@ -90,7 +96,8 @@
             let wait = self.wait(now, &item);
             let work = Duration::from_secs_f64(self.time * f64::from(item.cost));
             let spare = item.deadline.left(now).saturating_sub(work);
-            let patience = spare.mul_f64(WAIT_PART).min(WAIT_MAX);
+            let slow = Duration::from_secs_f64(self.first_byte * WAIT_FACTOR);
+            let patience = spare.mul_f64(WAIT_PART).min(WAIT_MAX.max(slow));
             if wait > patience {
                 return refuse(Reason::Overload, wait - patience);
             }
@@ -110,12 +117,12 @@
         let running = self.running();
         if let Some((since, cost)) = self.running.remove(&ticket) {
             self.limit.sample(now, running, sample);
-            if let Sample::Answered(_) = sample {
+            if let Sample::Answered(_) | Sample::Served = sample {
                 let time = now.saturating_sub(since).as_secs_f64() / f64::from(cost);
-                self.time = match self.time {
-                    0.0 => time,
-                    old => old + (time - old) * SMOOTHING,
-                };
+                smooth(&mut self.time, time);
+            }
+            if let Sample::Answered(first_byte) = sample {
+                smooth(&mut self.first_byte, first_byte.as_secs_f64());
             }
             self.count(now, cost);
         }
@@ -196,3 +203,10 @@
         }
     }
 }
+
+fn smooth(value: &mut f64, sample: f64) {
+    *value = match *value {
+        0.0 => sample,
+        old => old + (sample - old) * SMOOTHING,
+    };
+}
--- a/crates/snipewinch/src/limit/tests.rs
+++ b/crates/snipewinch/src/limit/tests.rs
@@ -301,6 +301,35 @@
     assert_eq!(refused, 8, "a burst of two seconds passes");
 }
 
+#[test]
+fn calls_may_wait_longer_for_a_slow_service() {
+    // (time to the first byte, what five calls at a time serve in the wait that
+    // is allowed)
+    for (first_byte, most) in [(50 * MS, 100), (SECOND, 20), (2 * SECOND, 20)] {
+        let mut limiter = Limiter::new(1);
+        let service = SmolStr::new("scribe");
+        limiter.room(SECOND, &service, routing::Room { fleet: 4, free: 0 });
+        let mut now = SECOND;
+        for ticket in 0..200 {
+            limiter.arrive(now, arrival(now, ticket, "a"));
+            now += first_byte;
+            limiter.finish(now, ticket, Sample::Answered(first_byte));
+        }
+        for ticket in 1_000..2_000 {
+            let mut arrival = arrival(now, ticket, "a");
+            arrival.deadline = Deadline::after(now, 60 * SECOND);
+            limiter.arrive(now, arrival);
+        }
+        let waiting: usize = limiter.status().map(|status| status.waiting).sum();
+        let limit: u32 = limiter.status().map(|status| status.limit).sum();
+        assert_eq!(limit, 5, "{first_byte:?}");
+        assert!(
+            waiting >= most / 2 && waiting <= most,
+            "{first_byte:?}: {waiting} of {most}"
+        );
+    }
+}
+
 /// Any order of arrivals, ends, cancellations and ticks: each call is answered
 /// exactly once, and no more run than the limit allows.
 #[test]
