--- a/crates/bench/src/calls/verdict.rs
+++ b/crates/bench/src/calls/verdict.rs
@@ -135,7 +135,7 @@
                 self.keyed_twice += u64::from(records.len() > 1);
             }
             let answered = |record: &&Record| record.outcome == Outcome::Whole;
-            if runs == 0 && records.iter().any(|record| answered(record)) {
+            if runs == 0 && records.iter().any(answered) {
                 // Nothing ran, so the answer was made up.
                 self.wrong_or_cut += 1;
             }
