--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -6,9 +6,9 @@
 use crate::error::Error;
 
 /// The longest message that a peer may send.
-pub(crate) const MESSAGE_MAX_BYTES: usize = 4 << 20;
+pub const MESSAGE_MAX_BYTES: usize = 4 << 20;
 /// The most frames that one message may hold.
-pub(crate) const MESSAGE_MAX_FRAMES: usize = 4096;
+pub const MESSAGE_MAX_FRAMES: usize = 4096;
 
 /// Appends one frame to a message.
 pub(crate) fn encode<T: serde::Serialize>(frame: &T, message: &mut Vec<u8>) {
@@ -18,7 +18,11 @@
 }
 
 /// Takes all frames out of a message.
-pub(crate) fn decode(message: &Bytes) -> Result<Vec<Frame>, Error> {
+///
+/// # Errors
+///
+/// [`Error::Decode`] if any part of it is not a frame; none is given then.
+pub fn decode(message: &Bytes) -> Result<Vec<Frame>, Error> {
     let mut rest: &[u8] = message;
     let mut frames = Vec::new();
     while !rest.is_empty() {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,7 +5,7 @@
 //! replaces a link that has gone silent. Frames arrive at the part that they
 //! are for, in the order of the link that carried them.
 
-mod codec;
+pub mod codec;
 mod error;
 mod handshake;
 pub mod hub;
