--- a/crates/snipewinch/src/weights/swarm.rs
+++ b/crates/snipewinch/src/weights/swarm.rs
@@ -31,6 +31,7 @@
 
 mod exchange;
 mod gateway;
+mod manifest;
 mod peer;
 mod pick;
 mod retain;
