--- a/crates/snipewinch/tests/loader.rs
+++ b/crates/snipewinch/tests/loader.rs
@@ -261,7 +261,7 @@
     loader.target(vec![model.clone(), adapter.clone()], None);
     let step = read(&mut loader, STEP, &State::default());
     assert!(matches!(&step, Step::Give { order: Order::Load(one), .. } if *one == model));
-    loader.ordered(STEP, Outcome::Done(holding(&[model.clone()])));
+    loader.ordered(STEP, Outcome::Done(holding(std::slice::from_ref(&model))));
     let step = loader.step(STEP, &ready, 5);
     assert!(matches!(&step, Step::Give { order: Order::Load(one), .. } if *one == adapter));
     assert_eq!(loader.confirmed(&ready).len(), 1);
