--- a/crates/daemon/src/entry/calls/claims.rs
+++ b/crates/daemon/src/entry/calls/claims.rs
@@ -30,6 +30,8 @@
 use crate::node::Node;
 use crate::shutdown::Work;
 
+mod sweep;
+
 /// The platform's table of claims.
 const TABLE: &str = "claims";
 /// How often time is looked at.
@@ -118,6 +120,7 @@
             work: None,
         };
         tokio::spawn(task.run(queue));
+        tokio::spawn(sweep::run(node.clone()));
         Claims { commands }
     }
 
@@ -232,24 +235,7 @@
     batch: Batch,
     changes: Vec<Change>,
 ) -> Event {
-    let conditions = changes.iter().map(|change| Condition {
-        table: SmolStr::new_static(TABLE),
-        key: change.key.clone(),
-        revision: change.revision,
-    });
-    let writes = changes.iter().map(|change| Write {
-        table: SmolStr::new_static(TABLE),
-        key: change.key.clone(),
-        value: match &change.row {
-            Some(row) => serde_json::to_value(row).unwrap_or_default(),
-            None => serde_json::Value::Null,
-        },
-    });
-    let transaction = Transaction {
-        operation,
-        conditions: conditions.collect(),
-        writes: writes.collect(),
-    };
+    let transaction = transaction(operation, &changes);
     let result = match platform.transact(&transaction).await {
         Ok(revision) => claim::Result::Committed(revision),
         Err(platform::Error::Conflict { conflicts }) => {
@@ -268,6 +254,27 @@
     Event::Ended(batch, result)
 }
 
+fn transaction(operation: SmolStr, changes: &[Change]) -> Transaction {
+    let conditions = changes.iter().map(|change| Condition {
+        table: SmolStr::new_static(TABLE),
+        key: change.key.clone(),
+        revision: change.revision,
+    });
+    let writes = changes.iter().map(|change| Write {
+        table: SmolStr::new_static(TABLE),
+        key: change.key.clone(),
+        value: match &change.row {
+            Some(row) => serde_json::to_value(row).unwrap_or_default(),
+            None => serde_json::Value::Null,
+        },
+    });
+    Transaction {
+        operation,
+        conditions: conditions.collect(),
+        writes: writes.collect(),
+    }
+}
+
 async fn read(platform: &platform::Client, ticket: Ticket, key: &str) -> Event {
     match platform.get(TABLE, key).await {
         Ok(None) => Event::Read(ticket, None),
--- a/crates/snipewinch/src/claim.rs
+++ b/crates/snipewinch/src/claim.rs
@@ -29,6 +29,9 @@
 pub const GROUP_MAX: usize = 32;
 /// The longest answer that is kept, in bytes.
 pub const ANSWER_MAX_BYTES: usize = 64 << 10;
+/// How long a claim is kept after its call can no longer be running, in
+/// milliseconds.
+pub const KEEP_ROWS_MS: u64 = 24 * 3600 * 1000;
 /// How long to wait after the platform failed.
 const BACKOFF: Duration = Duration::from_millis(200);
 
@@ -487,6 +490,18 @@
     }
 }
 
+/// Deletes the rows among these that have been kept long enough.
+pub fn sweep(rows: &[(SmolStr, Row, u64)], wall_ms: u64) -> Vec<Change> {
+    rows.iter()
+        .filter(|(_, row, _)| wall_ms >= row.until_ms.saturating_add(KEEP_ROWS_MS))
+        .map(|(key, _, revision)| Change {
+            key: key.clone(),
+            revision: *revision,
+            row: None,
+        })
+        .collect()
+}
+
 fn denial(outcome: &Outcome, until_ms: u64, wall_ms: u64) -> Denial {
     match outcome {
         Outcome::Answered { answer } => Denial::Answered(answer.clone()),
--- a/crates/snipewinch/tests/claim.rs
+++ b/crates/snipewinch/tests/claim.rs
@@ -486,3 +486,26 @@
     };
     assert_eq!((changes[0].revision, &changes[0].row), (7, &None));
 }
+
+#[test]
+fn only_old_rows_are_swept() {
+    let row = |until_ms| Row {
+        holder: "h".into(),
+        fingerprint: Digest::of(b"r"),
+        until_ms,
+        outcome: Outcome::NotKept,
+    };
+    let now = claim::KEEP_ROWS_MS + 1000;
+    let rows = [
+        ("old".into(), row(1000), 4),
+        ("young".into(), row(1001), 5),
+        ("far".into(), row(u64::MAX), 6),
+    ];
+    let changes = claim::sweep(&rows, now);
+    let old = Change {
+        key: "old".into(),
+        revision: 4,
+        row: None,
+    };
+    assert_eq!(changes, [old]);
+}
