--- a/crates/snipewinch/src/membership/roster.rs
+++ b/crates/snipewinch/src/membership/roster.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -49,6 +50,9 @@
 const FANOUT: usize = 3;
 /// How often news are told.
 pub const NEWS_INTERVAL: Duration = Duration::from_millis(500);
+/// How often one host more is told to one peer, news or not: what got lost
+/// everywhere else is so repaired in the end.
+const REPAIR_INTERVAL: Duration = Duration::from_secs(1);
 /// Rumors in one message of news.
 const NEWS_MAX: usize = 16;
 /// Rumors in one message of an answer.
@@ -181,6 +185,9 @@
     /// What is still to be told, and how often.
     news: BTreeMap<host::Name, u32>,
     next_news: Duration,
+    next_repair: Duration,
+    /// The host told last for repair.
+    repaired: Option<host::Name>,
     list_as_of_ms: Option<u64>,
     list_back_since: Option<Duration>,
     asked_at: Option<Duration>,
@@ -202,6 +209,8 @@
             flaps: HashMap::new(),
             news: BTreeMap::new(),
             next_news: Duration::ZERO,
+            next_repair: Duration::ZERO,
+            repaired: None,
             list_as_of_ms: None,
             list_back_since: None,
             asked_at: None,
@@ -512,6 +521,10 @@
             self.next_news = now + NEWS_INTERVAL;
             self.tell_news(actions);
         }
+        if now >= self.next_repair {
+            self.next_repair = now + REPAIR_INTERVAL;
+            self.repair(actions);
+        }
     }
 
     fn suspect_silent(&mut self, now: Duration) {
@@ -626,6 +639,30 @@
         }
     }
 
+    /// Tells the next host in turn to a peer at random.
+    fn repair(&mut self, actions: &mut Vec<Action>) {
+        let links: Vec<Link> = self.links.keys().copied().collect();
+        if links.is_empty() {
+            return;
+        }
+        let after = match self.repaired.take() {
+            Some(host) => Bound::Excluded(host),
+            None => Bound::Unbounded,
+        };
+        let mut rest = self.records.range((after, Bound::Unbounded));
+        let next = rest.find_map(|(host, record)| rumor(host, record));
+        let rumor = match next {
+            Some(rumor) => {
+                self.repaired = Some(rumor.host.clone());
+                rumor
+            }
+            None => self.own_rumor(),
+        };
+        let link = links[self.rng.random_range(0..links.len())];
+        let message = Message::News(vec![rumor]);
+        actions.push(Action::Send { link, message });
+    }
+
     /// The news told least often so far.
     fn next_rumors(&mut self) -> Vec<Rumor> {
         let mut due: Vec<(u32, host::Name)> = self
