--- a/crates/bench/src/drill.rs
+++ b/crates/bench/src/drill.rs
@@ -1,14 +1,232 @@
-//! The experiment `drill`.
+//! `bench drill`: everything that fails, together, against the seven promises.
+//!
+//! A seeded schedule strikes a fleet that serves live calls and takes new
+//! versions. Afterwards each promise is judged by what callers were told and
+//! what the stand-ins counted; one that was never put to the test is not shown.
 
+use std::collections::BTreeMap;
 use std::ffi::OsString;
+use std::time::Duration;
+
+use serde::Serialize;
+use snipewinch::host::Role;
 
 use crate::Error;
+use crate::error::usage;
+use crate::fleet::Fleet;
+use crate::fleet::Plan;
+use crate::load::Load;
+use crate::load::Outcome;
+use crate::load::Settings;
+use crate::load::Totals;
+use crate::weights;
+
+mod fault;
+mod schedule;
+mod verdict;
+mod watch;
+
+use schedule::Schedule;
+use verdict::Promise;
+use watch::Watch;
+
+mod flags {
+    xflags::xflags! {
+        /// Strikes a fleet with everything that fails, and judges the promises.
+        cmd drill {
+            /// Decides the faults, their order and their victims.
+            optional --seed seed: u64
+            /// How long faults strike.
+            optional --seconds s: u64
+            /// Agents beside model engines.
+            optional --agents n: usize
+            /// Calls a second.
+            optional --rps n: f64
+            /// Print one JSON line only.
+            optional --json
+        }
+    }
+}
 
-/// Runs the experiment with the flags after its name.
+/// How long faults strike unless the flags say, in seconds.
+const SECONDS: u64 = 30;
+/// Agents beside model engines unless the flags say.
+const AGENTS: usize = 9;
+/// Entries.
+const ENTRIES: usize = 4;
+/// Hosts of each plain service.
+const PLAIN: usize = 3;
+/// Regions.
+const REGIONS: usize = 3;
+/// Calls a second unless the flags say.
+const RPS: f64 = 40.0;
+/// The size of the model, in bytes.
+const MODEL_BYTES: usize = 6 << 20;
+/// The size of a chunk, in bytes.
+const CHUNK_BYTES: u32 = 128 << 10;
+/// Versions that are ready to be published.
+const VERSIONS: u64 = 6;
+/// Percent of the chunks that each version changes.
+const CHANGED_PERCENT: usize = 25;
+/// How long the fleet may take to start and, after the faults, to settle.
+const LIMIT: Duration = Duration::from_secs(60);
+/// How long a caller waits.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a drill prints.
+#[derive(Clone, Debug, Serialize)]
+struct Report {
+    experiment: &'static str,
+    seed: u64,
+    seconds: u64,
+    entries: usize,
+    agents: usize,
+    /// How often each fault struck.
+    faults: BTreeMap<&'static str, u64>,
+    calls: u64,
+    outcomes: BTreeMap<Outcome, u64>,
+    versions_accepted: usize,
+    /// Whether every surviving host held the last version in the end.
+    settled: bool,
+    promises: Vec<Promise>,
+}
+
+/// Runs a drill with the flags after its name.
 ///
 /// # Errors
 ///
-/// [`Error`] if it ends early.
-pub async fn run(_arguments: Vec<OsString>) -> Result<(), Error> {
-    Err(Error::Absent { name: "drill" })
+/// [`Error::Broken`] if a promise was broken or the fleet did not settle.
+pub async fn run(arguments: Vec<OsString>) -> Result<(), Error> {
+    let flags = flags::Drill::from_vec(arguments).map_err(|error| usage(&error))?;
+    let seed = flags.seed.unwrap_or(1);
+    let seconds = flags.seconds.unwrap_or(SECONDS);
+    let agents = flags.agents.unwrap_or(AGENTS);
+    let mut plan = Plan::sized(ENTRIES, agents, PLAIN, REGIONS, seed);
+    plan.origin_mbit = 160.0;
+    plan.engines.step_us = 5_000;
+    let rps = flags.rps.unwrap_or(RPS);
+    let report = drill(plan, Duration::from_secs(seconds), rps).await?;
+    if !flags.json {
+        for promise in &report.promises {
+            println!("{}", promise.line());
+        }
+    }
+    println!("{}", serde_json::to_string(&report).unwrap_or_default());
+    let broken = report.promises.iter().filter(|p| p.broken > 0).count();
+    match (broken, report.settled) {
+        (0, true) => Ok(()),
+        (0, false) => Err(Error::Broken {
+            what: "the fleet did not settle after the faults".to_owned(),
+        }),
+        (broken, _) => Err(Error::Broken {
+            what: format!("{broken} promises were broken"),
+        }),
+    }
+}
+
+async fn drill(plan: Plan, span: Duration, rps: f64) -> Result<Report, Error> {
+    let seed = plan.seed;
+    let mut fleet = Fleet::open(plan).await?;
+    let versions = prepare(&fleet, seed).await?;
+    fleet.publish_model("1", &versions[0]).await?;
+    fleet.wait_replicas(&versions[0].whole, LIMIT).await?;
+    fleet.wait_ready(LIMIT).await?;
+
+    let mut settings = Settings::of(&fleet, rps, seed);
+    settings.patience = PATIENCE;
+    settings.once_percent = 25;
+    settings.duplicate_percent = 30;
+    let load = Load::spawn(settings);
+    let mut watch = Watch::open(&fleet);
+    let mut schedule = Schedule::open(seed, span, versions.clone());
+    schedule.run(&mut fleet, &mut watch).await?;
+    let settled = settle(&mut fleet, &mut schedule, &mut watch).await?;
+    let totals = load.stop().await;
+    let promises = judge(&fleet, &schedule, &watch, &totals).await?;
+    let report = Report {
+        experiment: "drill",
+        seed,
+        seconds: span.as_secs(),
+        entries: fleet.names(Role::Entry).len(),
+        agents: fleet.names(Role::Agent).len(),
+        faults: schedule.struck.clone(),
+        calls: totals.calls(),
+        outcomes: totals.outcomes.clone(),
+        versions_accepted: watch.accepted.len(),
+        settled,
+        promises,
+    };
+    fleet.shutdown().await;
+    Ok(report)
+}
+
+type Manifest = snipewinch::weights::manifest::Manifest;
+
+/// Puts every version at the origin before anything can fail.
+async fn prepare(fleet: &Fleet, seed: u64) -> Result<Vec<Manifest>, Error> {
+    let mut bytes = weights::random(seed, MODEL_BYTES);
+    let mut versions = Vec::new();
+    for number in 1..=VERSIONS {
+        let name = number.to_string();
+        versions.push(fleet.put_weights(&name, &bytes, CHUNK_BYTES).await?);
+        let changed =
+            weights::changed(&bytes, CHUNK_BYTES as usize, CHANGED_PERCENT, seed + number);
+        bytes = changed.to_vec();
+    }
+    Ok(versions)
+}
+
+/// Publishes the last version once all faults have ended and waits until every
+/// host has it.
+async fn settle(
+    fleet: &mut Fleet,
+    schedule: &mut Schedule,
+    watch: &mut Watch,
+) -> Result<bool, Error> {
+    let last = schedule
+        .versions
+        .last()
+        .expect("there are versions")
+        .clone();
+    let started = tokio::time::Instant::now();
+    loop {
+        match fleet.publish_model("last", &last).await {
+            Ok(version) => {
+                watch.accept(version);
+                break;
+            }
+            Err(error) if started.elapsed() > LIMIT => return Err(error.into()),
+            Err(_) => tokio::time::sleep(Duration::from_millis(500)).await,
+        }
+    }
+    let arrived = fleet.wait_replicas(&last.whole, LIMIT).await;
+    let version = watch.accepted.last().map_or(0, |accepted| accepted.version);
+    let in_force = fleet.wait_in_force(version, LIMIT).await;
+    for late in [arrived, in_force].into_iter().filter_map(Result::err) {
+        eprintln!("E5102 {late}");
+        watch.unsettled(fleet);
+    }
+    watch.look(fleet).await;
+    Ok(watch.settled)
+}
+
+async fn judge(
+    fleet: &Fleet,
+    schedule: &Schedule,
+    watch: &Watch,
+    totals: &Totals,
+) -> Result<Vec<Promise>, Error> {
+    let whole = schedule.versions.iter().map(|version| version.whole);
+    let published = whole.collect();
+    let served = fleet.served().await?;
+    let effects = fleet.effects().await?;
+    Ok(vec![
+        verdict::weights(&served, &published),
+        verdict::whole_answers(totals),
+        verdict::true_refusals(totals, &effects),
+        verdict::at_most_once(totals, &effects),
+        verdict::leaving(&schedule.leaves),
+        verdict::graceful(&schedule.stops, totals),
+        verdict::configuration(watch),
+    ])
 }
--- /dev/null
+++ b/crates/bench/src/drill/verdict.rs
@@ -0,0 +1,196 @@
+//! Judges each promise by what callers were told and what really ran.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+use smol_str::SmolStr;
+use snipewinch::Digest;
+use snipewinch::host;
+use standin::engine::Served;
+
+use super::watch::Watch;
+use crate::load::Kind;
+use crate::load::Outcome;
+use crate::load::Totals;
+
+/// Within how long an accepted configuration must be in force.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(14);
+
+/// How one promise fared.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Promise {
+    promise: &'static str,
+    /// How often it was put to the test.
+    pub(super) tested: u64,
+    /// How often it was broken.
+    pub(super) broken: u64,
+    /// Whether it was put to the test at all and held.
+    shown: bool,
+    /// The first case in which it was broken.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    evidence: Option<String>,
+}
+
+impl Promise {
+    /// Judges cases: none where the promise held, else what was seen.
+    fn of(promise: &'static str, cases: impl IntoIterator<Item = Option<String>>) -> Promise {
+        let mut judged = Promise {
+            promise,
+            tested: 0,
+            broken: 0,
+            shown: false,
+            evidence: None,
+        };
+        for case in cases {
+            judged.tested += 1;
+            if let Some(seen) = case {
+                judged.broken += 1;
+                judged.evidence.get_or_insert(seen);
+            }
+        }
+        judged.shown = judged.tested > 0 && judged.broken == 0;
+        judged
+    }
+
+    pub(super) fn line(&self) -> String {
+        let verdict = match (self.tested, self.broken) {
+            (0, _) => "not shown",
+            (_, 0) => "held",
+            _ => "BROKEN",
+        };
+        let evidence = self.evidence.as_deref().unwrap_or("");
+        format!(
+            "{verdict:9} {}: tested {}, broken {} {evidence}",
+            self.promise, self.tested, self.broken
+        )
+    }
+}
+
+/// No host ever serves partial or mixed weights.
+pub(super) fn weights(served: &[Served], published: &BTreeSet<Digest>) -> Promise {
+    let whole: BTreeSet<String> = published.iter().map(Digest::to_string).collect();
+    let cases = served.iter().flat_map(|served| {
+        let right = whole.contains(served.given_digest.as_str());
+        let seen = (!right).then(|| format!("{served:?}"));
+        std::iter::repeat_n(seen, served.calls as usize)
+    });
+    Promise::of("no partial or mixed weights", cases)
+}
+
+/// Every caller receives the whole answer to its own request.
+pub(super) fn whole_answers(totals: &Totals) -> Promise {
+    let claimed = totals.records.iter();
+    let claimed = claimed.filter(|r| matches!(r.outcome, Outcome::Whole | Outcome::Wrong));
+    let cases = claimed.map(|record| {
+        let wrong = record.outcome == Outcome::Wrong;
+        wrong.then(|| format!("{record:?}"))
+    });
+    Promise::of("whole answers to one's own request", cases)
+}
+
+/// A refusal that says "not run" is true.
+pub(super) fn true_refusals(totals: &Totals, effects: &BTreeMap<SmolStr, u32>) -> Promise {
+    // A call sent twice under one key may have run for its other sending.
+    let mut told: HashMap<&SmolStr, bool> = HashMap::new();
+    for record in &totals.records {
+        let refused = record.outcome == Outcome::NotRun;
+        let all = told.entry(&record.effect).or_insert(true);
+        *all &= refused;
+    }
+    let refused = told.into_iter().filter(|(_, all)| *all);
+    let cases = refused.map(|(effect, _)| {
+        let times = effects.get(effect).copied().unwrap_or(0);
+        (times > 0).then(|| format!("{effect} was refused as not run and ran {times} times"))
+    });
+    Promise::of("a refusal as not run is true", cases)
+}
+
+/// A request that may not be repeated runs at most once.
+pub(super) fn at_most_once(totals: &Totals, effects: &BTreeMap<SmolStr, u32>) -> Promise {
+    let once = totals.records.iter().filter(|r| r.kind == Kind::Once);
+    let once: BTreeSet<&SmolStr> = once.map(|record| &record.effect).collect();
+    let cases = once.into_iter().map(|effect| {
+        let times = effects.get(effect).copied().unwrap_or(0);
+        (times > 1).then(|| format!("{effect} ran {times} times"))
+    });
+    Promise::of("at most once where it may not be repeated", cases)
+}
+
+/// A host that left, and the calls its backend server got too late.
+#[derive(Clone, Debug)]
+pub(super) struct Leave {
+    pub(super) host: host::Name,
+    pub(super) late_calls: u64,
+}
+
+/// A backend server that is leaving gets no new work after a few seconds.
+pub(super) fn leaving(leaves: &[Leave]) -> Promise {
+    let cases = leaves.iter().map(|leave| {
+        let Leave { host, late_calls } = leave;
+        (*late_calls > 0).then(|| format!("{host} got {late_calls} calls after it had left"))
+    });
+    Promise::of("no new work after leaving", cases)
+}
+
+/// A host that was asked to stop.
+#[derive(Clone, Debug)]
+pub(super) struct Stop {
+    pub(super) host: host::Name,
+    /// Where callers reached it, for entries.
+    pub(super) http: SocketAddr,
+    pub(super) asked: Duration,
+    pub(super) ended: Duration,
+    pub(super) in_time: bool,
+    pub(super) log: Vec<String>,
+}
+
+/// A graceful shutdown cuts no request.
+pub(super) fn graceful(stops: &[Stop], totals: &Totals) -> Promise {
+    let cases = stops.iter().map(|stop| {
+        let Stop { host, .. } = stop;
+        if !stop.in_time {
+            return Some(format!("{host} did not stop in time"));
+        }
+        if let Some(line) = stop.log.iter().find(|line| line.contains("E1003")) {
+            return Some(format!("{host}: {line}"));
+        }
+        let cut = totals.records.iter().find(|record| {
+            let during = record.sent <= stop.ended && record.sent + record.took >= stop.asked;
+            record.entry == stop.http && during && record.outcome == Outcome::Cut
+        });
+        cut.map(|record| format!("{host} cut {record:?}"))
+    });
+    Promise::of("a graceful shutdown cuts nothing", cases)
+}
+
+/// An accepted configuration is in force everywhere within seconds and never
+/// reverts.
+pub(super) fn configuration(watch: &Watch) -> Promise {
+    let late = watch.accepted.iter().flat_map(|accepted| {
+        watch.hosts().filter_map(move |(host, seen)| {
+            let end = accepted.at + IN_FORCE_LIMIT;
+            if watch.disturbed(host, accepted.at, end) || watch.elapsed() < end {
+                return None;
+            }
+            let behind = seen
+                .iter()
+                .find(|s| s.at > end && s.version < accepted.version);
+            Some(behind.map(|seen| format!("{host} {seen:?} long after {accepted:?}")))
+        })
+    });
+    let reverts = watch.hosts().flat_map(|(host, seen)| {
+        seen.windows(2).map(move |two| {
+            let same = two[0].life == two[1].life;
+            let back = same && two[1].version < two[0].version;
+            back.then(|| format!("{host} went from {:?} to {:?}", two[0], two[1]))
+        })
+    });
+    Promise::of(
+        "accepted is in force everywhere and never reverts",
+        late.chain(reverts),
+    )
+}
--- /dev/null
+++ b/crates/bench/src/drill/watch.rs
@@ -0,0 +1,124 @@
+//! Watches which configuration is in force at each host.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use snipewinch::host;
+
+use crate::fleet::Fleet;
+
+/// A version that the console accepted.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Accepted {
+    pub(super) version: u64,
+    pub(super) at: Duration,
+}
+
+/// A version seen at a host.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Seen {
+    pub(super) version: u64,
+    pub(super) at: Duration,
+    /// The process id: a host that starts again may know less at first.
+    pub(super) life: u32,
+}
+
+/// When a host could not be expected to follow.
+#[derive(Clone, Debug)]
+struct Disturbance {
+    host: host::Name,
+    from: Duration,
+    to: Option<Duration>,
+}
+
+/// All that was seen.
+#[derive(Debug)]
+pub(super) struct Watch {
+    started: Instant,
+    pub(super) accepted: Vec<Accepted>,
+    pub(super) settled: bool,
+    seen: BTreeMap<host::Name, Vec<Seen>>,
+    disturbances: Vec<Disturbance>,
+}
+
+impl Watch {
+    pub(super) fn open(fleet: &Fleet) -> Watch {
+        Watch {
+            started: Instant::now(),
+            accepted: Vec::new(),
+            settled: true,
+            seen: fleet
+                .hosts()
+                .map(|h| (h.name.clone(), Vec::new()))
+                .collect(),
+            disturbances: Vec::new(),
+        }
+    }
+
+    pub(super) fn elapsed(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    pub(super) fn accept(&mut self, version: u64) {
+        let at = self.elapsed();
+        self.accepted.push(Accepted { version, at });
+    }
+
+    pub(super) fn hosts(&self) -> impl Iterator<Item = (&host::Name, &Vec<Seen>)> {
+        self.seen.iter()
+    }
+
+    /// Notes that a host can't be expected to follow from now on.
+    pub(super) fn disturb(&mut self, host: &host::Name) {
+        self.disturbances.push(Disturbance {
+            host: host.clone(),
+            from: self.elapsed(),
+            to: None,
+        });
+    }
+
+    /// Notes that it can again.
+    pub(super) fn calm(&mut self, host: &host::Name) {
+        let now = self.elapsed();
+        let open = self.disturbances.iter_mut();
+        for disturbance in open.filter(|d| d.host == *host && d.to.is_none()) {
+            disturbance.to = Some(now);
+        }
+    }
+
+    /// Whether a host was disturbed at any time in `[from, to]`.
+    pub(super) fn disturbed(&self, host: &host::Name, from: Duration, to: Duration) -> bool {
+        self.disturbances
+            .iter()
+            .any(|d| d.host == *host && d.from <= to && d.to.is_none_or(|end| end >= from))
+    }
+
+    /// Notes and prints what did not settle.
+    pub(super) fn unsettled(&mut self, fleet: &Fleet) {
+        self.settled = false;
+        for host in fleet.hosts() {
+            let seen = self.seen.get(&host.name).and_then(|seen| seen.last());
+            let log = host.process.as_ref().map(|process| process.lines());
+            let last = log.and_then(|lines| lines.last().cloned());
+            let last = last.unwrap_or_default();
+            eprintln!("{}: {seen:?} {last}", host.name);
+        }
+    }
+
+    /// Asks every running host which version is in force.
+    pub(super) async fn look(&mut self, fleet: &Fleet) {
+        let asked = fleet.hosts().map(async |host| {
+            let life = host.process.as_ref()?.id()?;
+            let version = fleet.version(host).await?;
+            Some((host.name.clone(), version, life))
+        });
+        let answers = join_all(asked).await;
+        let at = self.elapsed();
+        for (host, version, life) in answers.into_iter().flatten() {
+            let seen = self.seen.entry(host).or_default();
+            seen.push(Seen { version, at, life });
+        }
+    }
+}
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -27,6 +27,7 @@
 
 pub use hosts::Backend;
 pub use hosts::Host;
+pub use hosts::Stopped;
 pub use plan::Engines;
 pub use plan::Plan;
 pub use truth::Links;
--- a/crates/bench/src/fleet/hosts.rs
+++ b/crates/bench/src/fleet/hosts.rs
@@ -89,6 +89,17 @@
     }
 }
 
+/// A host that stopped.
+#[derive(Clone, Debug)]
+pub struct Stopped {
+    /// Where callers reached it.
+    pub http: SocketAddr,
+    /// Whether it ended in time and without an error.
+    pub in_time: bool,
+    /// The last lines of its log.
+    pub log: Vec<String>,
+}
+
 /// Where a host is to stand and what for.
 #[derive(Clone, Debug)]
 struct Place {
@@ -316,6 +327,62 @@
         self.announce(host, membership::State::Leaving).await
     }
 
+    /// Marks a host as live again in the membership list.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if there is no such host or the platform does not answer.
+    pub async fn mark_live(&self, name: &host::Name) -> Result<(), Error> {
+        let host = self.host(name.as_str())?;
+        self.announce(host, membership::State::Live).await
+    }
+
+    /// Asks a host to stop gracefully and lets the balancer notice a little
+    /// later; [`Fleet::finish_stop`] waits for it.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Host`] if there is none.
+    pub fn begin_stop(&self, name: &host::Name) -> Result<(), Error> {
+        let address = self.host(name.as_str())?.http;
+        self.signal(name, Signal::SIGTERM)?;
+        let grace = Duration::from_millis(self.plan.leave_grace_ms / 2);
+        let balanced = self.balanced.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(grace).await;
+            balanced.write().retain(|entry| *entry != address);
+        });
+        Ok(())
+    }
+
+    /// Waits for a host that was asked to stop.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Host`] if there is none.
+    pub async fn finish_stop(
+        &mut self,
+        name: &host::Name,
+        limit: Duration,
+    ) -> Result<Stopped, Error> {
+        let host = self.host_mut(name)?;
+        let http = host.http;
+        let Some(mut process) = host.process.take() else {
+            return Ok(Stopped {
+                http,
+                in_time: true,
+                log: Vec::new(),
+            });
+        };
+        let ended = tokio::time::timeout(limit, process.wait()).await;
+        self.balance();
+        Ok(Stopped {
+            http,
+            in_time: ended.unwrap_or(false),
+            log: process.lines(),
+        })
+    }
+
     /// Asks a host to stop gracefully; whether it did within `limit`.
     ///
     /// # Errors
--- a/crates/bench/src/fleet/operate.rs
+++ b/crates/bench/src/fleet/operate.rs
@@ -65,17 +65,21 @@
         version: &str,
         manifest: &Manifest,
     ) -> Result<u64, Error> {
+        self.name_model(version, manifest);
+        self.publish(&self.plan.document).await
+    }
+
+    /// Names this version in the fleet's document without publishing it.
+    pub fn name_model(&mut self, version: &str, manifest: &Manifest) {
         let model = Model {
             name: manifest.model.clone(),
             version: version.into(),
             manifest: manifest.digest(),
             adapters: Vec::new(),
         };
-        let mut document = self.plan.document.clone();
-        document.models.retain(|other| other.name != model.name);
-        document.models.push(model);
-        self.plan.document = document.clone();
-        self.publish(&document).await
+        let models = &mut self.plan.document.models;
+        models.retain(|other| other.name != model.name);
+        models.push(model);
     }
 
     /// Publishes a document through the console of the first entry.
--- a/crates/bench/src/fleet/truth.rs
+++ b/crates/bench/src/fleet/truth.rs
@@ -9,12 +9,14 @@
 use smol_str::SmolStr;
 use snafu::OptionExt;
 use snipewinch::Digest;
+use snipewinch::host;
 use snipewinch::host::Role;
 use standin::engine::Served;
 use standin::platform::Counters;
 use standin::relay::Count;
 
 use super::AnswerSnafu;
+use super::Backend;
 use super::Error;
 use super::Fleet;
 
@@ -57,6 +59,21 @@
             .collect()
     }
 
+    /// Calls that have reached the backend server of a host.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the stand-in does not answer or the host is unknown.
+    pub async fn backend_calls(&self, name: &host::Name) -> Result<u64, Error> {
+        let (address, index) = match self.host(name.as_str())?.backend {
+            Some(Backend::Engine(index, _)) => (self.engines, index),
+            Some(Backend::Plain(index, _)) => (self.services, index),
+            None => return Ok(0),
+        };
+        let counts: BTreeMap<usize, u64> = self.read(address, "/admin/counts").await?;
+        Ok(counts.get(&index).copied().unwrap_or(0))
+    }
+
     /// How often each call's effect was had, over all backend servers.
     ///
     /// # Errors
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -211,6 +211,14 @@
                 let effects: BTreeMap<_, _> = counts.effects.iter().collect();
                 Ok(json(StatusCode::OK, &effects))
             }
+            (Method::GET, "counts") => {
+                let counts: BTreeMap<usize, usize> = self
+                    .services
+                    .iter()
+                    .map(|service| (service.index, service.calls.load(Ordering::Relaxed)))
+                    .collect();
+                Ok(json(StatusCode::OK, &counts))
+            }
             (Method::POST, "faults") => {
                 let wanted: serde_json::Value = read_json(request).await?;
                 for service in &self.services {
