Try links to whoever replaced a process that left

Change: ten seconds without a link or news, the address on the list counts again, and a host that had left and is listed as live is suspect, so that links are tried. Both are undone by the first link.

--- a/crates/snipewinch/src/membership/merge.rs
+++ b/crates/snipewinch/src/membership/merge.rs
@@ -10,6 +10,11 @@
 //!    has not denied it with a higher count;
 //! 4. else live.
 //!
+//! A process of which nothing was seen or heard for a while, on a host that the
+//! list names, has perhaps been replaced: the address is the list's again, and
+//! if its last word was that it leaves it counts as suspect, so that links are
+//! tried to whoever stands there now.
+//!
 //! Own eyes go before hearsay, and the word of the host itself before both.
 //! Nothing that is *not* said removes a host while the list can't be read.
 
@@ -20,6 +25,10 @@
 use super::State;
 use crate::host;
 
+/// After how long without a link or news the list's word on a host counts for
+/// more than that of the process that was there.
+pub(super) const REPLACED: Duration = Duration::from_secs(10);
+
 /// A host on the list.
 #[derive(Clone, Debug)]
 pub(super) struct Listed {
@@ -71,7 +80,9 @@
             (listed, Some(told)) => {
                 let place = &told.place;
                 let address = match listed {
-                    Some(listed) if !told.address_known => listed.member.address,
+                    Some(listed) if !told.address_known || self.replaced(now) => {
+                        listed.member.address
+                    }
                     _ => place.address,
                 };
                 // Without the list's address for this region, a process of
@@ -98,6 +109,7 @@
         let told = self.told.as_ref().map(|told| told.state);
         match told {
             _ if self.listed_leaving() => State::Leaving,
+            Some(State::Leaving) if self.replaced(now) => State::Suspect,
             Some(State::Leaving) => State::Leaving,
             _ if now < self.held_until => State::Suspect,
             _ if self.sound > 0 => State::Live,
@@ -107,6 +119,13 @@
         }
     }
 
+    /// Whether another process may stand there than the one that was heard.
+    fn replaced(&self, now: Duration) -> bool {
+        let listed = self.listed.as_ref();
+        let named = listed.is_some_and(|l| !l.gone && l.leaving_since.is_none());
+        named && self.links == 0 && now >= self.evidence_at + REPLACED
+    }
+
     fn listed_leaving(&self) -> bool {
         let Some(listed) = &self.listed else {
             return false;
--- a/crates/snipewinch/src/membership/roster.rs
+++ b/crates/snipewinch/src/membership/roster.rs
@@ -351,6 +351,9 @@
         };
         let host = connection.host;
         self.count_links(&host);
+        if let Some(record) = self.records.get_mut(&host) {
+            record.evidence_at = now;
+        }
         let linked = self.links.values().any(|other| other.host == host);
         // A peer may close a link that it no longer needs: only a link that
         // this process keeps open, or one that went silent, says anything.
