--- a/crates/bench/src/calls.rs
+++ b/crates/bench/src/calls.rs
@@ -53,6 +53,10 @@
             optional --hog percent: u32
             /// Decides every draw.
             optional --seed seed: u64
+            /// Tokens of each answer; a few, drawn for each call, unless set.
+            optional --tokens n: u64
+            /// Sequences that one engine generates at once.
+            optional --slots n: usize
             /// Measure goodput at capacity and at twice that as well.
             optional --goodput
             /// Print the figures as one JSON line only.
@@ -69,7 +73,7 @@
 const LIMIT: Duration = Duration::from_secs(60);
 /// Of so many agents one stands beside a service that may not be repeated.
 const PLAIN_PART: usize = 4;
-/// Sequences that one engine generates at once.
+/// Sequences that one engine generates at once, unless the flags say.
 const SLOTS: usize = 8;
 
 /// What was asked for.
@@ -84,6 +88,8 @@
     duplicate_keys: u32,
     customers: usize,
     hog: u32,
+    tokens: Option<u64>,
+    slots: usize,
     seed: u64,
 }
 
@@ -128,6 +134,8 @@
         duplicate_keys: flags.duplicate_keys.unwrap_or(20),
         customers: flags.customers.unwrap_or(10),
         hog: flags.hog.unwrap_or(0),
+        tokens: flags.tokens,
+        slots: flags.slots.unwrap_or(SLOTS),
         seed: flags.seed.unwrap_or(1),
     };
     let Some(faults) = Faults::parse(&asked.faults) else {
@@ -159,7 +167,7 @@
     let plain = (asked.agents / PLAIN_PART).max(2);
     let engines = asked.agents.saturating_sub(plain).max(1);
     let mut plan = Plan::sized(asked.entries, engines, plain, 3, asked.seed);
-    plan.engines.slots = SLOTS;
+    plan.engines.slots = asked.slots;
     // All plain hosts stand beside the service that may not be repeated.
     let document = &mut plan.document;
     plan.deployment.services.retain(|service| {
@@ -171,7 +179,7 @@
     });
     for service in &mut document.services {
         if matches!(service.backend, Backend::Engine { .. }) {
-            service.concurrency = SLOTS as u32;
+            service.concurrency = asked.slots as u32;
         }
     }
     document.customers = (0..asked.customers.max(1)).map(customer).collect();
@@ -254,6 +262,10 @@
     settings.plain_percent = 0;
     settings.plain = None;
     settings.duplicate_percent = asked.duplicate_keys;
+    if let Some(tokens) = asked.tokens {
+        settings.tokens_min = tokens;
+        settings.tokens_max = tokens;
+    }
     if asked.hog > 0 && settings.customers.len() > 1 {
         let others = settings.customers.len() as u32 - 1;
         for customer in &mut settings.customers {
