--- /dev/null
+++ b/crates/snipewinch/examples/claims.rs
@@ -0,0 +1,130 @@
+//! Embeds one part: two processes are asked to run the same request under one
+//! idempotency key, and the table's answer to the first is lost on its way.
+//! One of them runs it.
+//!
+//! `cargo run -p snipewinch --example claims`
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use snipewinch::Digest;
+use snipewinch::claim::Action;
+use snipewinch::claim::Change;
+use snipewinch::claim::Claim;
+use snipewinch::claim::Event;
+use snipewinch::claim::Outcome;
+use snipewinch::claim::Result;
+use snipewinch::claim::Row;
+use snipewinch::claim::Table;
+use snipewinch::claim::Ticket;
+
+/// How long the example lasts.
+const STEPS: u32 = 20;
+const STEP: Duration = Duration::from_millis(50);
+/// The wall clock, in milliseconds.
+const WALL_MS: u64 = 1_000;
+
+/// The platform's table.
+#[derive(Default)]
+struct Store {
+    rows: HashMap<SmolStr, (Row, u64)>,
+    revision: u64,
+}
+
+impl Store {
+    fn transact(&mut self, changes: &[Change]) -> Result {
+        let conflicts: Vec<SmolStr> = changes
+            .iter()
+            .filter(|change| self.revision_of(&change.key) != change.revision)
+            .map(|change| change.key.clone())
+            .collect();
+        if !conflicts.is_empty() {
+            return Result::Conflict(conflicts);
+        }
+        self.revision += 1;
+        for change in changes {
+            match change.row.clone() {
+                Some(row) => self.rows.insert(change.key.clone(), (row, self.revision)),
+                None => self.rows.remove(&change.key),
+            };
+        }
+        Result::Committed(self.revision)
+    }
+
+    fn revision_of(&self, key: &str) -> u64 {
+        self.rows.get(key).map_or(0, |(_, revision)| *revision)
+    }
+}
+
+struct Process {
+    name: &'static str,
+    claims: Table,
+    /// Answers of the store that are lost after they took effect.
+    answers_lost: u32,
+    runs: u32,
+}
+
+impl Process {
+    fn open(name: &'static str, answers_lost: u32) -> Process {
+        Process {
+            name,
+            claims: Table::open(),
+            answers_lost,
+            runs: 0,
+        }
+    }
+
+    fn handle(&mut self, now: Duration, store: &mut Store, event: Event) {
+        for action in self.claims.handle(now, WALL_MS, event) {
+            self.act(now, store, action);
+        }
+    }
+
+    fn act(&mut self, now: Duration, store: &mut Store, action: Action) {
+        match action {
+            Action::Transact(batch, changes) => {
+                let mut result = store.transact(&changes);
+                if self.answers_lost > 0 {
+                    self.answers_lost -= 1;
+                    println!("{}: the store's answer is lost", self.name);
+                    result = Result::Lost;
+                }
+                self.handle(now, store, Event::Ended(batch, result));
+            }
+            Action::Read(ticket, key) => {
+                let row = store.rows.get(&key).cloned();
+                self.handle(now, store, Event::Read(ticket, row));
+            }
+            Action::Grant(ticket) => {
+                println!("{}: may run", self.name);
+                self.runs += 1;
+                self.handle(now, store, Event::Record(ticket, Outcome::NotKept));
+            }
+            Action::Deny(_, denial) => println!("{}: must not run: {denial:?}", self.name),
+        }
+    }
+}
+
+fn main() {
+    let mut store = Store::default();
+    let mut processes = [Process::open("first", 1), Process::open("second", 0)];
+    let mut now = Duration::ZERO;
+    for process in &mut processes {
+        let claim = Claim {
+            key: "customer/grant-7".into(),
+            holder: process.name.into(),
+            fingerprint: Digest::of(b"grant a licence"),
+            until_ms: WALL_MS + 60_000,
+        };
+        process.handle(now, &mut store, Event::Claim(Ticket(1), claim));
+    }
+    for _ in 0..STEPS {
+        now += STEP;
+        for process in &mut processes {
+            process.handle(now, &mut store, Event::Tick);
+        }
+    }
+    let runs: u32 = processes.iter().map(|process| process.runs).sum();
+    assert_eq!(runs, 1, "the request ran once");
+}
--- a/crates/snipewinch/tests/membership.rs
+++ b/crates/snipewinch/tests/membership.rs
@@ -544,7 +544,7 @@
                 };
                 let to = if a == at { b } else { a };
                 self.sent += 1;
-                let copies = self.rng.random_range(0..10).min(2).max(1);
+                let copies = self.rng.random_range(0..10).clamp(1, 2);
                 for _ in 0..copies {
                     let due = now + Duration::from_millis(self.rng.random_range(1..400));
                     self.under_way.push((due, to, link, message.clone()));
