--- a/crates/bench/src/drill.rs
+++ b/crates/bench/src/drill.rs
@@ -27,7 +27,7 @@
 mod watch;
 
 use schedule::Schedule;
-use verdict::Promise;
+pub use verdict::Promise;
 use watch::Watch;
 
 mod flags {
@@ -75,20 +75,29 @@
 
 /// What a drill prints.
 #[derive(Clone, Debug, Serialize)]
-struct Report {
-    experiment: &'static str,
-    seed: u64,
-    seconds: u64,
-    entries: usize,
-    agents: usize,
+pub struct Report {
+    /// Which experiment.
+    pub experiment: &'static str,
+    /// The seed.
+    pub seed: u64,
+    /// How long faults struck.
+    pub seconds: u64,
+    /// Entry hosts.
+    pub entries: usize,
+    /// Agent hosts.
+    pub agents: usize,
     /// How often each fault struck.
-    faults: BTreeMap<&'static str, u64>,
-    calls: u64,
-    outcomes: BTreeMap<Outcome, u64>,
-    versions_accepted: usize,
+    pub faults: BTreeMap<&'static str, u64>,
+    /// Live calls.
+    pub calls: u64,
+    /// How many had each outcome.
+    pub outcomes: BTreeMap<Outcome, u64>,
+    /// Versions that the console accepted.
+    pub versions_accepted: usize,
     /// Whether every surviving host held the last version in the end.
-    settled: bool,
-    promises: Vec<Promise>,
+    pub settled: bool,
+    /// How each promise fared.
+    pub promises: Vec<Promise>,
 }
 
 /// Runs a drill with the flags after its name.
@@ -101,11 +110,8 @@
     let seed = flags.seed.unwrap_or(1);
     let seconds = flags.seconds.unwrap_or(SECONDS);
     let agents = flags.agents.unwrap_or(AGENTS);
-    let mut plan = Plan::sized(ENTRIES, agents, PLAIN, REGIONS, seed);
-    plan.origin_mbit = 160.0;
-    plan.engines.step_us = 5_000;
     let rps = flags.rps.unwrap_or(RPS);
-    let report = drill(plan, Duration::from_secs(seconds), rps).await?;
+    let report = drill(plan(agents, seed), Duration::from_secs(seconds), rps).await?;
     if !flags.json {
         for promise in &report.promises {
             println!("{}", promise.line());
@@ -124,7 +130,20 @@
     }
 }
 
-async fn drill(plan: Plan, span: Duration, rps: f64) -> Result<Report, Error> {
+/// The fleet of a drill, with so many agents beside model engines.
+pub fn plan(agents: usize, seed: u64) -> Plan {
+    let mut plan = Plan::sized(ENTRIES, agents, PLAIN, REGIONS, seed);
+    plan.origin_mbit = 160.0;
+    plan.engines.step_us = 5_000;
+    plan
+}
+
+/// Strikes a fleet for so long under so many calls a second.
+///
+/// # Errors
+///
+/// [`Error`] if the fleet can't be run.
+pub async fn drill(plan: Plan, span: Duration, rps: f64) -> Result<Report, Error> {
     let seed = plan.seed;
     let mut fleet = Fleet::open(plan).await?;
     let versions = prepare(&fleet, seed).await?;
--- a/crates/bench/src/drill/verdict.rs
+++ b/crates/bench/src/drill/verdict.rs
@@ -22,17 +22,18 @@
 
 /// How one promise fared.
 #[derive(Clone, Debug, Serialize)]
-pub(super) struct Promise {
-    promise: &'static str,
+pub struct Promise {
+    /// Which.
+    pub promise: &'static str,
     /// How often it was put to the test.
-    pub(super) tested: u64,
+    pub tested: u64,
     /// How often it was broken.
-    pub(super) broken: u64,
+    pub broken: u64,
     /// Whether it was put to the test at all and held.
-    shown: bool,
+    pub shown: bool,
     /// The first case in which it was broken.
     #[serde(skip_serializing_if = "Option::is_none")]
-    evidence: Option<String>,
+    pub evidence: Option<String>,
 }
 
 impl Promise {
