--- a/crates/snipewinch/src/membership/roster.rs
+++ b/crates/snipewinch/src/membership/roster.rs
@@ -9,17 +9,14 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::ops::Bound;
 use std::time::Duration;
 
-use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use super::Member;
 use super::Message;
 use super::Place;
-use super::Rumor;
 use super::State;
 use super::View;
 use super::accrual::Accrual;
@@ -29,8 +26,9 @@
 use crate::host;
 use crate::host::Identity;
 
-/// Suspicion above which a link counts as dead.
-const PHI_MAX: f64 = 8.0;
+mod news;
+mod suspicion;
+
 /// How long a broken link may take to come back before its host is suspected.
 const RECONNECT: Duration = Duration::from_millis(1500);
 /// How long a host is kept that no list names, after the last evidence of it.
@@ -38,27 +36,11 @@
 /// Older lists in a row are believed after this long: the platform's clock
 /// was set back.
 const LIST_ERA: Duration = Duration::from_secs(600);
-/// Suspicions within [`FLAP_WINDOW`] after which a host is held back.
-const FLAPS_MAX: u32 = 3;
-/// How far back suspicions count as flapping.
-const FLAP_WINDOW: Duration = Duration::from_secs(60);
-/// How long a flapping host is held back at first; doubles with each flap.
-const HOLD_MIN: Duration = Duration::from_secs(2);
-/// The longest that it is held back.
-const HOLD_MAX: Duration = Duration::from_secs(30);
-/// Peers that are told news at once.
-const FANOUT: usize = 3;
 /// How often news are told.
 pub const NEWS_INTERVAL: Duration = Duration::from_millis(500);
 /// How often one host more is told to one peer, news or not: what got lost
 /// everywhere else is so repaired in the end.
 const REPAIR_INTERVAL: Duration = Duration::from_secs(1);
-/// Rumors in one message of news.
-const NEWS_MAX: usize = 16;
-/// Rumors in one message of an answer.
-const ANSWER_MAX: usize = 256;
-/// How often each rumor is told, times the logarithm of the number of hosts.
-const RETELL: u32 = 3;
 /// How long to wait before asking another peer for all it knows.
 const ASK_PAUSE: Duration = Duration::from_secs(3);
 /// The most hosts that are kept.
@@ -389,79 +371,6 @@
         }
     }
 
-    fn receive(&mut self, now: Duration, link: Link, message: Message, actions: &mut Vec<Action>) {
-        let Some(connection) = self.links.get(&link) else {
-            return;
-        };
-        let near = connection.region == self.own.region;
-        match message {
-            Message::Ask => self.tell_all(link, actions),
-            Message::News(rumors) => {
-                for rumor in rumors {
-                    self.hear(now, rumor, near);
-                }
-            }
-        }
-    }
-
-    fn tell_all(&self, link: Link, actions: &mut Vec<Action>) {
-        let mut rumors = vec![self.own_rumor()];
-        rumors.extend(
-            self.records
-                .iter()
-                .filter_map(|(host, record)| rumor(host, record)),
-        );
-        for chunk in rumors.chunks(ANSWER_MAX) {
-            let message = Message::News(chunk.to_vec());
-            actions.push(Action::Send { link, message });
-        }
-    }
-
-    fn hear(&mut self, now: Duration, rumor: Rumor, near: bool) {
-        if rumor.host == self.own.host {
-            self.hear_of_self(&rumor);
-            return;
-        }
-        if self.records.len() >= HOSTS_MAX && !self.records.contains_key(&rumor.host) {
-            return;
-        }
-        // An address told across regions need not work from here.
-        let address_known = near && rumor.place.region == self.own.region;
-        let record = self.records.entry(rumor.host.clone()).or_default();
-        let news = match &record.told {
-            None => true,
-            Some(told) => supersedes(&rumor, told),
-        };
-        if !news {
-            return;
-        }
-        let kept = record.told.as_ref().is_some_and(|told| {
-            told.incarnation == rumor.incarnation && told.address_known && !address_known
-        });
-        let place = match (&record.told, kept) {
-            (Some(told), true) => told.place.clone(),
-            _ => rumor.place,
-        };
-        record.evidence_at = now;
-        record.told = Some(Told {
-            incarnation: rumor.incarnation,
-            denials: rumor.denials,
-            state: rumor.state,
-            place,
-            address_known: address_known || kept,
-        });
-        self.spread(&rumor.host);
-    }
-
-    /// Others think that this process is gone: it knows better.
-    fn hear_of_self(&mut self, rumor: &Rumor) {
-        let current = rumor.incarnation == self.own.incarnation;
-        if current && rumor.state == State::Suspect && rumor.denials >= self.denials {
-            self.denials = rumor.denials + 1;
-            self.spread(&self.own.host.clone());
-        }
-    }
-
     fn list(
         &mut self,
         now: Duration,
@@ -527,88 +436,6 @@
         }
     }
 
-    fn suspect_silent(&mut self, now: Duration) {
-        let mut changed = Vec::new();
-        for connection in self.links.values_mut() {
-            let sound = connection.accrual.phi(now) < PHI_MAX;
-            if sound != connection.sound {
-                self.changed = true;
-                connection.sound = sound;
-                changed.push((connection.host.clone(), sound));
-            }
-        }
-        for (host, sound) in changed {
-            self.count_links(&host);
-            match sound {
-                false => self.suspect(now, &host),
-                true => self.trust(now, &host),
-            }
-        }
-    }
-
-    fn suspect_broken(&mut self, now: Duration) {
-        let due: Vec<host::Name> = self
-            .broken
-            .iter()
-            .filter(|(_, at)| now >= **at)
-            .map(|(host, _)| host.clone())
-            .collect();
-        self.changed |= !due.is_empty();
-        for host in due {
-            self.broken.remove(&host);
-            self.suspect(now, &host);
-        }
-    }
-
-    /// This process has reason to think that a host is gone.
-    fn suspect(&mut self, now: Duration, host: &host::Name) {
-        let Some(record) = self.records.get_mut(host) else {
-            return;
-        };
-        if record.sound > 0 {
-            return;
-        }
-        if let Some(told) = &mut record.told
-            && told.state == State::Live
-        {
-            told.state = State::Suspect;
-            self.spread(host);
-            let flaps = self.flaps.entry(host.clone()).or_default();
-            flaps.count = match now < flaps.last + FLAP_WINDOW {
-                true => flaps.count + 1,
-                false => 1,
-            };
-            flaps.last = now;
-        }
-    }
-
-    /// A suspected link speaks again.
-    fn trust(&mut self, now: Duration, host: &host::Name) {
-        if let Some(record) = self.records.get_mut(host) {
-            record.evidence_at = now;
-            if let Some(told) = &mut record.told
-                && told.state == State::Suspect
-            {
-                told.state = State::Live;
-            }
-        }
-        self.hold_if_flapping(now, host);
-    }
-
-    fn hold_if_flapping(&mut self, now: Duration, host: &host::Name) {
-        let Some(flaps) = self.flaps.get(host) else {
-            return;
-        };
-        if flaps.count < FLAPS_MAX || now >= flaps.last + FLAP_WINDOW {
-            return;
-        }
-        let doublings = (flaps.count - FLAPS_MAX).min(8);
-        let hold = (HOLD_MIN * 2u32.pow(doublings)).min(HOLD_MAX);
-        if let Some(record) = self.records.get_mut(host) {
-            record.held_until = record.held_until.max(now + hold);
-        }
-    }
-
     fn drop_stale(&mut self, now: Duration) {
         let listless = self.list_as_of_ms.is_none();
         let linked: HashSet<&host::Name> = self.links.values().map(|link| &link.host).collect();
@@ -619,91 +446,9 @@
             linked.contains(host) || listed || (fresh && !gone) || (listless && !gone)
         });
         let records = &self.records;
-        self.flaps
-            .retain(|host, flaps| records.contains_key(host) && now < flaps.last + FLAP_WINDOW);
-    }
-
-    fn tell_news(&mut self, actions: &mut Vec<Action>) {
-        if self.news.is_empty() || self.links.is_empty() {
-            return;
-        }
-        let links: Vec<Link> = self.links.keys().copied().collect();
-        for _ in 0..FANOUT.min(links.len()) {
-            let link = links[self.rng.random_range(0..links.len())];
-            let rumors = self.next_rumors();
-            if rumors.is_empty() {
-                return;
-            }
-            let message = Message::News(rumors);
-            actions.push(Action::Send { link, message });
-        }
-    }
-
-    /// Tells the next host in turn to a peer at random.
-    fn repair(&mut self, actions: &mut Vec<Action>) {
-        let links: Vec<Link> = self.links.keys().copied().collect();
-        if links.is_empty() {
-            return;
-        }
-        let after = match self.repaired.take() {
-            Some(host) => Bound::Excluded(host),
-            None => Bound::Unbounded,
-        };
-        let mut rest = self.records.range((after, Bound::Unbounded));
-        let next = rest.find_map(|(host, record)| rumor(host, record));
-        let rumor = match next {
-            Some(rumor) => {
-                self.repaired = Some(rumor.host.clone());
-                rumor
-            }
-            None => self.own_rumor(),
-        };
-        let link = links[self.rng.random_range(0..links.len())];
-        let message = Message::News(vec![rumor]);
-        actions.push(Action::Send { link, message });
-    }
-
-    /// The news told least often so far.
-    fn next_rumors(&mut self) -> Vec<Rumor> {
-        let mut due: Vec<(u32, host::Name)> = self
-            .news
-            .iter()
-            .map(|(host, left)| (*left, host.clone()))
-            .collect();
-        due.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        due.truncate(NEWS_MAX);
-        let mut rumors = Vec::new();
-        for (left, host) in due {
-            match left {
-                0 | 1 => self.news.remove(&host),
-                _ => self.news.insert(host.clone(), left - 1),
-            };
-            if host == self.own.host {
-                rumors.push(self.own_rumor());
-            } else if let Some(record) = self.records.get(&host) {
-                rumors.extend(rumor(&host, record));
-            }
-        }
-        rumors
-    }
-
-    fn own_rumor(&self) -> Rumor {
-        Rumor {
-            host: self.own.host.clone(),
-            incarnation: self.own.incarnation,
-            denials: self.denials,
-            state: match self.leaving {
-                true => State::Leaving,
-                false => State::Live,
-            },
-            place: Place::from(&self.own),
-        }
-    }
-
-    fn spread(&mut self, host: &host::Name) {
-        let hosts = self.records.len() as u32 + 2;
-        let times = RETELL * (u32::BITS - hosts.leading_zeros());
-        self.news.insert(host.clone(), times);
+        self.flaps.retain(|host, flaps| {
+            records.contains_key(host) && now < flaps.last + suspicion::FLAP_WINDOW
+        });
     }
 
     fn count_links(&mut self, host: &host::Name) {
@@ -719,39 +464,3 @@
         }
     }
 }
-
-fn rumor(host: &host::Name, record: &Record) -> Option<Rumor> {
-    let told = record.told.as_ref()?;
-    Some(Rumor {
-        host: host.clone(),
-        incarnation: told.incarnation,
-        denials: told.denials,
-        state: told.state,
-        place: told.place.clone(),
-    })
-}
-
-/// Whether a rumor says more than what is known: of a later process, or of the
-/// same one a later denial, or of the same denial a worse state.
-fn supersedes(rumor: &Rumor, told: &Told) -> bool {
-    let severity = |state: State| match state {
-        State::Live => 0,
-        State::Suspect => 1,
-        State::Leaving => 2,
-    };
-    // Leaving is the last word of a process: no denial takes it back.
-    let left = |state: State| state == State::Leaving;
-    let ours = (
-        told.incarnation,
-        left(told.state),
-        told.denials,
-        severity(told.state),
-    );
-    let theirs = (
-        rumor.incarnation,
-        left(rumor.state),
-        rumor.denials,
-        severity(rumor.state),
-    );
-    theirs > ours
-}
