--- a/crates/snipewinch/examples/routing.rs
+++ b/crates/snipewinch/examples/routing.rs
@@ -3,6 +3,11 @@
 //!
 //! `cargo run -p snipewinch --example routing`
 
+#![allow(
+    clippy::disallowed_methods,
+    reason = "an embedder has the clock and the threads"
+)]
+
 use std::collections::BTreeMap;
 use std::sync::mpsc;
 use std::thread;
