--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -130,7 +130,7 @@
             Action::Fetch => self.fetch(),
             Action::Adopt(in_force) => self.adopt(in_force),
             Action::Refuse { version, reason } => {
-                log::error!("E4002 version {version} is refused, the old one stays: {reason}");
+                log::warn!("E4002 version {version} is refused, the old one stays: {reason}");
             }
             Action::Split { version } => {
                 log::error!("E4003 a peer has other content under version {version}");
