--- a/crates/snipewinch/tests/configuration.rs
+++ b/crates/snipewinch/tests/configuration.rs
@@ -320,7 +320,7 @@
 fn content(version: u64) -> InForce {
     // Each version changes a few of many entries, adds some and drops some.
     let customers = (0..40)
-        .filter(|index| (index + version) % 7 != 0)
+        .filter(|index| !(index + version).is_multiple_of(7))
         .map(|index| {
             customer(
                 &format!("customer-{index}"),
