--- a/crates/bench/src/drill/fault.rs
+++ b/crates/bench/src/drill/fault.rs
@@ -257,7 +257,7 @@
         Ok(true)
     }
 
-    fn stop(&mut self, fleet: &Fleet, watch: &mut Watch, role: Role) -> Result<bool, Error> {
+    fn stop(&mut self, fleet: &mut Fleet, watch: &mut Watch, role: Role) -> Result<bool, Error> {
         let Some(name) = self.victim(fleet, role) else {
             return Ok(false);
         };
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -21,6 +21,7 @@
 
 mod faults;
 mod hosts;
+mod listing;
 mod operate;
 mod plan;
 mod truth;
--- a/crates/bench/src/fleet/hosts.rs
+++ b/crates/bench/src/fleet/hosts.rs
@@ -21,7 +21,6 @@
 use super::FLEET_KEY;
 use super::Fleet;
 use super::HostSnafu;
-use super::PLATFORM_HOST;
 use super::ProcessSnafu;
 use super::address;
 use super::plan::flags;
@@ -69,6 +68,8 @@
     pub http: SocketAddr,
     /// The program, unless it was killed.
     pub process: Option<Process>,
+    /// It was asked to stop, and the balancer knows.
+    pub(super) stopping: bool,
 }
 
 impl Host {
@@ -188,6 +189,7 @@
             peers: address(&ready, "peers")?,
             http: address(&ready, "http")?,
             process: Some(process),
+            stopping: false,
         })
     }
 
@@ -244,60 +246,6 @@
         list
     }
 
-    /// Tells the membership list of a host, as the platform's deployer does.
-    async fn announce(&self, host: &Host, state: membership::State) -> Result<(), Error> {
-        let mut reached = serde_json::Map::new();
-        for region in &self.plan.deployment.regions {
-            if let Some(relay) = self.relay
-                && *region.name != *host.region.as_str()
-            {
-                let route = json!({"from": region.name, "to": host.region,
-                    "host": host.name, "target": host.peers});
-                let answer = self.post(relay, "/admin/routes", route).await?;
-                reached.insert(region.name.to_string(), answer["address"].clone());
-            }
-        }
-        let member = json!({"host": host.name, "role": host.role, "zone": host.zone,
-            "region": host.region, "service": host.service, "address": host.peers,
-            "state": state, "reached": reached});
-        let path = format!("/membership/{}", host.name);
-        self.put(self.platform, &path, member.to_string()).await?;
-        Ok(())
-    }
-
-    /// Lays the links between regions and the ways to the platform.
-    pub(super) async fn lay_links(&mut self) -> Result<(), Error> {
-        let Some(relay) = self.relay else {
-            return Ok(());
-        };
-        let deployment = self.plan.deployment.clone();
-        for from in &deployment.regions {
-            for to in deployment.regions.iter().filter(|to| to.name != from.name) {
-                let link = json!({"from": from.name, "to": to.name,
-                    "mbit": deployment.region_mbit, "delay_ms": deployment.region_delay_ms});
-                self.post(relay, "/admin/links", link).await?;
-            }
-            if from.name != deployment.store_region {
-                let route = json!({"from": from.name, "to": deployment.store_region,
-                    "host": PLATFORM_HOST, "target": self.platform});
-                let answer = self.post(relay, "/admin/routes", route).await?;
-                let region = host::Region(from.name.clone());
-                let reached = address(&answer, "address")?;
-                self.platform_by_region.insert(region, reached);
-            }
-        }
-        Ok(())
-    }
-
-    /// Tells the balancer which entries run.
-    fn balance(&self) {
-        let entries = self.hosts.values();
-        *self.balanced.write() = entries
-            .filter(|host| host.role == Role::Entry && host.process.is_some())
-            .map(|host| host.http)
-            .collect();
-    }
-
     fn host_mut(&mut self, name: &host::Name) -> Result<&mut Host, Error> {
         let key = name.as_str();
         self.hosts.get_mut(name).context(HostSnafu { name: key })
@@ -317,50 +265,17 @@
         Ok(())
     }
 
-    /// Takes a host off the membership list.
-    ///
-    /// # Errors
-    ///
-    /// [`Error`] if the platform does not answer.
-    pub async fn unlist(&self, name: &host::Name) -> Result<(), Error> {
-        let path = format!("/membership/{name}");
-        let answer = self
-            .client
-            .call(http::Method::DELETE, self.platform, &path, "")
-            .await;
-        answer.context(super::HttpSnafu)?;
-        Ok(())
-    }
-
-    /// Marks a host as leaving in the membership list only.
-    ///
-    /// # Errors
-    ///
-    /// [`Error`] if there is no such host or the platform does not answer.
-    pub async fn mark_leaving(&self, name: &host::Name) -> Result<(), Error> {
-        let host = self.host(name.as_str())?;
-        self.announce(host, membership::State::Leaving).await
-    }
-
-    /// Marks a host as live again in the membership list.
-    ///
-    /// # Errors
-    ///
-    /// [`Error`] if there is no such host or the platform does not answer.
-    pub async fn mark_live(&self, name: &host::Name) -> Result<(), Error> {
-        let host = self.host(name.as_str())?;
-        self.announce(host, membership::State::Live).await
-    }
-
     /// Asks a host to stop gracefully and lets the balancer notice a little
     /// later; [`Fleet::finish_stop`] waits for it.
     ///
     /// # Errors
     ///
     /// [`Error::Host`] if there is none.
-    pub fn begin_stop(&self, name: &host::Name) -> Result<(), Error> {
-        let address = self.host(name.as_str())?.http;
+    pub fn begin_stop(&mut self, name: &host::Name) -> Result<(), Error> {
         self.signal(name, Signal::SIGTERM)?;
+        let host = self.host_mut(name)?;
+        host.stopping = true;
+        let address = host.http;
         let grace = Duration::from_millis(self.plan.leave_grace_ms / 2);
         let balanced = self.balanced.clone();
         tokio::spawn(async move {
--- /dev/null
+++ b/crates/bench/src/fleet/listing.rs
@@ -0,0 +1,111 @@
+//! The list of hosts, the links between regions and the balancer, as the
+//! platform's deployer keeps them.
+
+use serde_json::json;
+use snafu::ResultExt;
+use snipewinch::host;
+use snipewinch::host::Role;
+use snipewinch::membership;
+
+use super::Error;
+use super::Fleet;
+use super::Host;
+use super::HttpSnafu;
+use super::PLATFORM_HOST;
+use super::address;
+
+impl Fleet {
+    /// Tells the membership list of a host, as the platform's deployer does.
+    pub(super) async fn announce(
+        &self,
+        host: &Host,
+        state: membership::State,
+    ) -> Result<(), Error> {
+        let mut reached = serde_json::Map::new();
+        for region in &self.plan.deployment.regions {
+            if let Some(relay) = self.relay
+                && *region.name != *host.region.as_str()
+            {
+                let route = json!({"from": region.name, "to": host.region,
+                    "host": host.name, "target": host.peers});
+                let answer = self.post(relay, "/admin/routes", route).await?;
+                reached.insert(region.name.to_string(), answer["address"].clone());
+            }
+        }
+        let member = json!({"host": host.name, "role": host.role, "zone": host.zone,
+            "region": host.region, "service": host.service, "address": host.peers,
+            "state": state, "reached": reached});
+        let path = format!("/membership/{}", host.name);
+        self.put(self.platform, &path, member.to_string()).await?;
+        Ok(())
+    }
+
+    /// Lays the links between regions and the ways to the platform.
+    pub(super) async fn lay_links(&mut self) -> Result<(), Error> {
+        let Some(relay) = self.relay else {
+            return Ok(());
+        };
+        let deployment = self.plan.deployment.clone();
+        for from in &deployment.regions {
+            for to in deployment.regions.iter().filter(|to| to.name != from.name) {
+                let link = json!({"from": from.name, "to": to.name,
+                    "mbit": deployment.region_mbit, "delay_ms": deployment.region_delay_ms});
+                self.post(relay, "/admin/links", link).await?;
+            }
+            if from.name != deployment.store_region {
+                let route = json!({"from": from.name, "to": deployment.store_region,
+                    "host": PLATFORM_HOST, "target": self.platform});
+                let answer = self.post(relay, "/admin/routes", route).await?;
+                let region = host::Region(from.name.clone());
+                let reached = address(&answer, "address")?;
+                self.platform_by_region.insert(region, reached);
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells the balancer which entries run.
+    pub(super) fn balance(&self) {
+        let entries = self.hosts.values();
+        *self.balanced.write() = entries
+            .filter(|host| host.role == Role::Entry && host.process.is_some())
+            .filter(|host| !host.stopping)
+            .map(|host| host.http)
+            .collect();
+    }
+
+    /// Takes a host off the membership list.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the platform does not answer.
+    pub async fn unlist(&self, name: &host::Name) -> Result<(), Error> {
+        let path = format!("/membership/{name}");
+        let answer = self
+            .client
+            .call(http::Method::DELETE, self.platform, &path, "")
+            .await;
+        answer.context(HttpSnafu)?;
+        Ok(())
+    }
+
+    /// Marks a host as leaving in the membership list only.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if there is no such host or the platform does not answer.
+    pub async fn mark_leaving(&self, name: &host::Name) -> Result<(), Error> {
+        let host = self.host(name.as_str())?;
+        self.announce(host, membership::State::Leaving).await
+    }
+
+    /// Marks a host as live again in the membership list.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if there is no such host or the platform does not answer.
+    pub async fn mark_live(&self, name: &host::Name) -> Result<(), Error> {
+        let host = self.host(name.as_str())?;
+        self.announce(host, membership::State::Live).await
+    }
+}
