Bound what news of hosts may cost

Every rumor was told 3 log2(N) times, 16 to a message, 3 messages each 500 ms: up to 14 KB/s. Ruled out: heartbeats (24 B/s a link) and the repair of one rumor a second. Conclusion: the least told rumor still goes first, so fresh news spread as before; the repair covers what chance leaves out.

--- a/crates/snipewinch/src/membership/roster/news.rs
+++ b/crates/snipewinch/src/membership/roster/news.rs
@@ -18,13 +18,13 @@
 use crate::membership::State;
 
 /// Peers that are told news at once.
-const FANOUT: usize = 3;
+const FANOUT: usize = 2;
 /// Rumors in one message of news.
-const NEWS_MAX: usize = 16;
+const NEWS_MAX: usize = 8;
 /// Rumors in one message of an answer.
 const ANSWER_MAX: usize = 256;
 /// How often each rumor is told, times the logarithm of the number of hosts.
-const RETELL: u32 = 3;
+const RETELL: u32 = 1;
 
 impl Roster {
     pub(super) fn receive(
