--- a/crates/bench/src/burst/scrape.rs
+++ b/crates/bench/src/burst/scrape.rs
@@ -22,6 +22,7 @@
 pub(super) struct Sample {
     sent: ByHost,
     control: ByHost,
+    exchange: ByHost,
     links: Links,
     origin: Vec<(String, u64)>,
 }
@@ -46,10 +47,11 @@
             ..Sample::default()
         };
         for (host, text) in texts {
-            let control = sum(&text, PEER_SENT, "class=\"control\"")
-                + sum(&text, PEER_SENT, "class=\"exchange\"");
+            let control = sum(&text, PEER_SENT, "class=\"control\"");
+            let exchange = sum(&text, PEER_SENT, "class=\"exchange\"");
             sample.sent.insert(host.clone(), sum(&text, SENT, ""));
-            sample.control.insert(host, control);
+            sample.control.insert(host.clone(), control);
+            sample.exchange.insert(host, exchange);
         }
         let counters = fleet.counters().await?;
         for (manifest, bytes) in &counters.origin_bytes {
@@ -89,11 +91,19 @@
         grown(&self.sent, &before.sent).max().unwrap_or(0)
     }
 
-    /// Control bytes of a host since `before`, in the mean.
+    /// Bytes of a host for links, hosts and configuration since `before`, in
+    /// the mean.
     pub(super) fn control_mean(&self, before: &Sample) -> f64 {
         let total: u64 = grown(&self.control, &before.control).sum();
         total as f64 / self.control.len().max(1) as f64
     }
+
+    /// Bytes of a host for who holds and asks for what since `before`, in the
+    /// mean.
+    pub(super) fn exchange_mean(&self, before: &Sample) -> f64 {
+        let total: u64 = grown(&self.exchange, &before.exchange).sum();
+        total as f64 / self.exchange.len().max(1) as f64
+    }
 }
 
 fn grown(after: &ByHost, before: &ByHost) -> impl Iterator<Item = u64> {
--- a/crates/daemon/src/agent/weights/exchange.rs
+++ b/crates/daemon/src/agent/weights/exchange.rs
@@ -241,7 +241,7 @@
             let bytes = match origin.read(&digest, range).await {
                 Ok(bytes) => Some(bytes),
                 Err(error) => {
-                    log::warn!("E3006 chunk {chunk} was not read: {error}");
+                    log::debug!("E3006 chunk {chunk} was not read: {error}");
                     None
                 }
             };
--- a/crates/snipewinch/src/weights/swarm/manifest.rs
+++ b/crates/snipewinch/src/weights/swarm/manifest.rs
@@ -16,6 +16,9 @@
 use crate::weights::manifest::Id;
 use crate::weights::manifest::Manifest;
 
+/// The longest manifest that agents send each other; a longer one comes from
+/// the object store only.
+const SENT_MAX_BYTES: usize = 2 << 20;
 /// How long a peer may take to send a manifest.
 const MANIFEST_LIMIT: Duration = Duration::from_secs(2);
 /// How long hosts that bring no chunks leave the object store alone.
@@ -24,7 +27,8 @@
 impl Swarm {
     pub(super) fn manifest_asked(&mut self, key: PeerKey, id: Id) {
         let transfer = self.transfers.get(&id);
-        let known = transfer.filter(|one| one.manifest.is_some());
+        let known = transfer
+            .filter(|one| one.manifest.is_some() && one.manifest_bytes.len() <= SENT_MAX_BYTES);
         if let Some(transfer) = known {
             let bytes = transfer.manifest_bytes.clone();
             let message = Message::Manifest {
