Let the first calls of a new process wait for its links

Calls now wait until the agents it wants are linked, at most two seconds from the start and half of their time.

--- a/crates/daemon/src/entry/limits.rs
+++ b/crates/daemon/src/entry/limits.rs
@@ -26,7 +26,9 @@
 use snipewinch::wire::Frame;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
+use tokio::time::timeout;
 
 use super::routes::Router;
 use crate::node::Node;
@@ -48,6 +50,7 @@
 
 struct Shared {
     node: Node,
+    router: Router,
     state: Mutex<State>,
     metrics: Metrics,
 }
@@ -108,6 +111,7 @@
     let limiter = Limiter {
         shared: Arc::new(Shared {
             node: node.clone(),
+            router: router.clone(),
             state: Mutex::new(state),
             metrics: Metrics::open(&node.registry),
         }),
@@ -125,6 +129,10 @@
         cost: u32,
         left: Duration,
     ) -> Result<Permit, Refusal> {
+        let arrived = Instant::now();
+        // A process that has just started has no links yet: calls wait for them.
+        let _ = timeout(left / 2, self.shared.router.settled()).await;
+        let left = left.saturating_sub(arrived.elapsed());
         let (answer, answered) = oneshot::channel();
         let permit = self.arrive(service, customer, cost, left, answer);
         let result = match answered.await {
--- a/crates/daemon/src/entry/routes.rs
+++ b/crates/daemon/src/entry/routes.rs
@@ -25,6 +25,7 @@
 use snipewinch::routing::Room;
 use snipewinch::routing::Table;
 use snipewinch::wire::Confirmed;
+use tokio::sync::watch;
 
 use crate::node::Node;
 
@@ -58,6 +59,8 @@
     node: Node,
     state: Mutex<State>,
     seed: AtomicU64,
+    /// The links wanted at the start are up, or were waited for long enough.
+    settled: watch::Sender<bool>,
     metrics: Metrics,
 }
 
@@ -85,6 +88,7 @@
             node: node.clone(),
             state: Mutex::new(state),
             seed: AtomicU64::new(rand::random()),
+            settled: watch::Sender::new(false),
             metrics: Metrics::open(&node.registry),
         }),
     };
@@ -122,6 +126,14 @@
         }
     }
 
+    /// Resolves once a process that has just started has the links it wants, or
+    /// has waited for them long enough.
+    pub(crate) async fn settled(&self) {
+        let mut settled = self.shared.settled.subscribe();
+        // The sender lives in `self`, so waiting can't fail.
+        let _ = settled.wait_for(|settled| *settled).await;
+    }
+
     /// A call is sent to `host`.
     pub(crate) fn started(&self, host: &host::Name, prefixes: &[Digest]) {
         let now = self.shared.node.now();
@@ -203,6 +215,12 @@
         tell(notices);
     }
 
+    /// Whether all of these hosts are linked to.
+    fn is_linked<'a>(&self, mut hosts: impl Iterator<Item = &'a host::Name>) -> bool {
+        let table = &self.shared.state.lock().table;
+        hosts.all(|host| table.is_linked(host))
+    }
+
     /// Whether a link to `host` is of use although it is not wanted any more.
     fn is_busy(&self, host: &host::Name, listed: bool) -> bool {
         let state = self.shared.state.lock();
--- a/crates/daemon/src/entry/routes/links.rs
+++ b/crates/daemon/src/entry/routes/links.rs
@@ -15,12 +15,19 @@
 
 /// How often links that are no longer wanted are looked at.
 const LOOK: Duration = Duration::from_secs(1);
+/// How often the links of a process that has just started are looked at.
+const SETTLE_LOOK: Duration = Duration::from_millis(25);
+/// How long a process that has just started waits for its links.
+const SETTLE_MAX: Duration = Duration::from_secs(2);
 
 /// Follows the membership view until the process ends.
 pub(super) async fn run(router: Router) {
     let mut views = router.shared.node.view.clone();
     let mut look = tokio::time::interval(LOOK);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut settle = tokio::time::interval(SETTLE_LOOK);
+    settle.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut settled = false;
     let mut wanted = HashSet::new();
     loop {
         tokio::select! {
@@ -32,6 +39,10 @@
                 router.view(&view);
                 wanted = want(&router, &view);
             }
+            _ = settle.tick(), if !settled => {
+                settled = is_settled(&router, &wanted);
+                router.shared.settled.send_replace(settled);
+            }
             _ = look.tick() => {
                 let view = views.borrow().clone();
                 let_go(&router, &view, &wanted);
@@ -41,6 +52,20 @@
     }
 }
 
+/// Whether calls need not wait for links any more.
+fn is_settled(router: &Router, wanted: &HashSet<host::Name>) -> bool {
+    let node = &router.shared.node;
+    let view = node.view.borrow().clone();
+    let mut agents = view
+        .members
+        .iter()
+        .filter(|member| member.role == host::Role::Agent && wanted.contains(&member.host))
+        .map(|member| &member.host)
+        .peekable();
+    let all = agents.peek().is_some() && router.is_linked(agents);
+    all || node.now() >= SETTLE_MAX
+}
+
 /// Dials the hosts to have links to; answers their names.
 fn want(router: &Router, view: &Arc<View>) -> HashSet<host::Name> {
     let node = &router.shared.node;
