--- a/crates/bench/src/fleet/hosts.rs
+++ b/crates/bench/src/fleet/hosts.rs
@@ -285,6 +285,16 @@
         Ok(())
     }
 
+    /// Whether a host's program has ended.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Host`] if there is none.
+    pub fn has_ended(&mut self, name: &host::Name) -> Result<bool, Error> {
+        let process = &mut self.host_mut(name)?.process;
+        Ok(process.as_mut().is_none_or(Process::ended))
+    }
+
     /// Waits for a host that was asked to stop.
     ///
     /// # Errors
--- a/crates/bench/src/fleet/operate.rs
+++ b/crates/bench/src/fleet/operate.rs
@@ -16,6 +16,7 @@
 use super::Host;
 use super::LateSnafu;
 use crate::console::Console;
+use crate::load;
 use crate::scrape::Scrape;
 
 /// How often a wait looks.
@@ -184,4 +185,29 @@
         }
         Ok(())
     }
+
+    /// Waits until every entry answers a call to each service.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Late`] if one does not within `limit`.
+    pub async fn wait_answering(&self, limit: Duration) -> Result<(), Error> {
+        let started = Instant::now();
+        let entries = self.balanced.read().clone();
+        for entry in entries {
+            for probe in load::probes(self, entry) {
+                while !probe.answered().await {
+                    if started.elapsed() > limit {
+                        return LateSnafu {
+                            what: format!("{entry} to answer"),
+                            seen: format!("{probe:?} is not answered after {limit:?}"),
+                        }
+                        .fail();
+                    }
+                    tokio::time::sleep(STEP).await;
+                }
+            }
+        }
+        Ok(())
+    }
 }
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -22,8 +22,11 @@
 use tokio::task::JoinHandle;
 
 mod ask;
+mod probe;
 mod record;
 
+pub use probe::Probe;
+pub use probe::probes;
 pub use record::Kind;
 pub use record::Outcome;
 pub use record::Record;
--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -1,11 +1,16 @@
 //! The real programs, started together once.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bench::console::Console;
 use bench::console::Publication;
 use bench::fleet::Fleet;
 use bench::fleet::Plan;
+use bench::load;
+use bench::load::Load;
+use bench::load::Outcome;
+use bench::weights;
 use snipewinch::host::Role;
 
 #[tokio::test]
@@ -67,3 +72,45 @@
         .expect("in force");
     fleet.shutdown().await;
 }
+
+#[tokio::test]
+async fn a_model_reaches_its_hosts_and_calls_are_answered_whole() {
+    let mut plan = Plan::sized(1, 3, 1, 2, 3);
+    plan.lag_ms = 100;
+    plan.traced = true;
+    plan.engines.step_us = 0;
+    let mut fleet = Fleet::open(plan).await.expect("the fleet comes up");
+    let bytes = weights::random(3, 1 << 20);
+    let manifest = fleet.put_weights("1", &bytes, 64 << 10).await;
+    let manifest = manifest.expect("weights");
+    fleet.publish_model("1", &manifest).await.expect("accepted");
+    let arrived = fleet.wait_replicas(&manifest.whole, LIMIT).await;
+    arrived.expect("every engine host serves it");
+    fleet.wait_ready(LIMIT).await.expect("ready");
+    fleet.wait_answering(LIMIT).await.expect("answering");
+
+    let mut settings = load::Settings::of(&fleet, 50.0, 3);
+    settings.once_percent = 30;
+    settings.duplicate_percent = 50;
+    let load = Load::spawn(settings);
+    while load.totals().calls() < 100 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let totals = load.stop().await;
+    // A duplicate may find its first sending in progress; nothing else fails.
+    let others = totals
+        .records
+        .iter()
+        .filter(|r| r.outcome != Outcome::Whole);
+    let strange: Vec<_> = others.filter(|r| r.code != "in_progress").collect();
+    assert!(strange.is_empty(), "{strange:#?}");
+    for (effect, times) in fleet.effects().await.expect("effects") {
+        assert_eq!(times, 1, "{effect} ran {times} times");
+    }
+    let published = BTreeSet::from([manifest.whole]);
+    let mixed = fleet.partial_or_mixed(&published).await.expect("served");
+    assert_eq!(mixed, 0);
+    let counters = fleet.counters().await.expect("counters");
+    assert!(counters.origin_bytes[manifest.digest().to_string().as_str()] >= 1 << 20);
+    fleet.shutdown().await;
+}
