--- a/crates/snipewinch/tests/call.rs
+++ b/crates/snipewinch/tests/call.rs
@@ -4,6 +4,7 @@
 
 mod call_world;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use call_world::Chaos;
@@ -12,6 +13,16 @@
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use snipewinch::Digest;
+use snipewinch::call::Attempt;
+use snipewinch::call::Link;
+use snipewinch::call::Message;
+use snipewinch::call::Number;
+use snipewinch::call::Origin;
+use snipewinch::call::Refusal;
+use snipewinch::call::Request;
+use snipewinch::call::Start;
+use snipewinch::call::agent;
+use snipewinch::call::agent::Agent;
 
 const CASES: u64 = 200;
 const GEN_SEED: u64 = 5;
@@ -25,7 +36,7 @@
     (
         "links go silent",
         Chaos {
-            silences: 10,
+            silences: 40,
             ..NONE
         },
     ),
@@ -135,3 +146,61 @@
     world.pretend_another_run();
     assert!(world.verdict().is_err());
 }
+
+/// An agent that has said "not run" of an attempt never runs it, however late
+/// and on whatever link it comes.
+#[test]
+fn an_attempt_said_not_to_have_run_never_runs() {
+    let origin = Origin(7);
+    let attempt = Attempt {
+        origin,
+        call: Number(1),
+        retry: 0,
+    };
+    let (old, new) = (Link(1), Link(2));
+    let now = Duration::from_secs(1);
+    let start = Message::Start(Box::new(Start {
+        attempt,
+        budget_ms: 10_000,
+        allowed: 1000,
+        version: None,
+        resume_from: 0,
+        request: Arc::new(Request {
+            service: "s".into(),
+            ..Request::default()
+        }),
+    }));
+    let refused = Message::Refuse(attempt, Refusal::Cancelled, 0);
+    let table = [
+        ("asked", Message::Query(attempt, 0, 1000), None),
+        ("cancelled", Message::Cancel(attempt), None),
+        (
+            "asked, then settled",
+            Message::Query(attempt, 0, 1000),
+            Some(Message::Done(attempt)),
+        ),
+        (
+            "cancelled, then settled",
+            Message::Cancel(attempt),
+            Some(Message::Done(attempt)),
+        ),
+    ];
+    for (name, first, then) in table {
+        let mut agent = Agent::open(agent::Limit {
+            service: "s".into(),
+            concurrency: 1,
+            waiting: 1,
+        });
+        agent.handle(now, agent::Event::Up(old, origin));
+        agent.handle(now, agent::Event::Up(new, origin));
+        let said = agent.handle(now, agent::Event::Message(new, first));
+        let said_not_run = agent::Action::Send(new, refused.clone());
+        assert_eq!(said, [said_not_run], "{name}");
+        if let Some(then) = then {
+            agent.handle(now, agent::Event::Message(new, then));
+        }
+        let late = agent.handle(now, agent::Event::Message(old, start.clone()));
+        let runs = |action: &agent::Action| matches!(action, agent::Action::Run(_));
+        assert!(!late.iter().any(runs), "{name}: {late:?}");
+    }
+}
--- a/crates/snipewinch/tests/call_world/mod.rs
+++ b/crates/snipewinch/tests/call_world/mod.rs
@@ -113,6 +113,8 @@
     agent: usize,
     /// Frames sent from now on are lost.
     dead: bool,
+    /// What is under way arrives only then.
+    held: Duration,
     entry_down: Option<Duration>,
     agent_down: Option<Duration>,
     entry_knows: bool,
@@ -318,6 +320,7 @@
             entry,
             agent,
             dead: false,
+            held: Duration::ZERO,
             entry_down: None,
             agent_down: None,
             entry_knows: true,
@@ -361,6 +364,7 @@
             .wires
             .iter()
             .enumerate()
+            .filter(|(_, wire)| wire.held <= self.now)
             .flat_map(|(index, wire)| [(index, true, wire), (index, false, wire)])
             .filter(|(_, down, wire)| match down {
                 true => wire.agent_knows && !wire.to_agent.is_empty(),
@@ -511,13 +515,21 @@
         let index = self.below(self.wires.len() as u64) as usize;
         let base = if silent { SILENCE_MS } else { 0 };
         let entry_down = self.now + Duration::from_millis(base + self.below(800));
-        let agent_down = self.now + Duration::from_millis(base + self.below(800));
+        // Each end notices on its own; the agent's may be much later.
+        let later = if silent { 4000 } else { 800 };
+        let agent_down = self.now + Duration::from_millis(base + self.below(later));
+        // What is under way on a silent link may come after the next link is up.
+        let held = match silent {
+            true => self.now + Duration::from_millis(self.below(SILENCE_MS + 4000)),
+            false => self.now,
+        };
         let keep = if silent { u64::MAX } else { self.below(4) };
         let wire = &mut self.wires[index];
         if wire.dead {
             return;
         }
         wire.dead = true;
+        wire.held = held;
         wire.entry_down = Some(entry_down);
         wire.agent_down = Some(agent_down);
         wire.to_agent.truncate(keep as usize);
