Try bursts with faults over real sockets

Six agents of two regions, stand-in platform and engines: no fault, engines that ignore fencing numbers with a version replaced, a corrupt origin, an origin that is down beside a flapping object store, an agent that stops in the middle. The engines judge by the digest of what they were given.

--- /dev/null
+++ b/crates/daemon/tests/weights.rs
@@ -0,0 +1,277 @@
+//! Weights over real sockets: daemons and stand-ins in one process, with the
+//! faults in a table. What was loaded is judged by the engines.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use daemon::Config;
+use daemon::Daemon;
+use daemon::Role;
+use serde_json::Value;
+use serde_json::json;
+use snipewinch::Digest;
+use snipewinch::configuration::Record;
+use snipewinch::weights::manifest::Manifest;
+use standin::client::Client;
+use standin::engine;
+use standin::platform;
+
+const AGENTS: usize = 6;
+const REGIONS: usize = 2;
+const CHUNK_BYTES: u32 = 16 << 10;
+const SIZE: usize = 1 << 20;
+const FLEET_KEY: &str = "a fleet key for tests only";
+/// When a run that has not finished is taken to hang.
+const LIMIT: Duration = Duration::from_secs(60);
+
+struct Case {
+    name: &'static str,
+    /// Faults of the platform while the second version spreads.
+    faults: Value,
+    check_fence: bool,
+    /// An agent that stops in the middle.
+    stops: Option<usize>,
+    /// Whether a third version replaces the second at once.
+    replaced: bool,
+    /// Copies that the origin may send of the last version.
+    origin_max: f64,
+}
+
+fn case(name: &'static str) -> Case {
+    Case {
+        name,
+        faults: json!({}),
+        check_fence: true,
+        stops: None,
+        replaced: false,
+        origin_max: 1.3,
+    }
+}
+
+struct Fleet {
+    platform: SocketAddr,
+    engines: engine::Ready,
+    _entry: Daemon,
+    agents: BTreeMap<usize, Daemon>,
+    client: Client,
+    versions: u64,
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl Fleet {
+    async fn open(check_fence: bool) -> Fleet {
+        let platform = platform::spawn(platform::Config {
+            listen: any(),
+            origin_mbit: 80.0,
+            origin_readers_max: 4,
+            lag: Duration::ZERO,
+            seed: 1,
+        });
+        let platform = platform.await.expect("the platform starts");
+        let engines = engine::spawn(engine::Config {
+            listen: any(),
+            count: AGENTS,
+            slots: 4,
+            step: Duration::from_millis(1),
+            prefill: Duration::ZERO,
+            swap: Duration::from_millis(20),
+            lag: Duration::ZERO,
+            blocks: 16,
+            check_fence,
+        });
+        let engines = engines.await.expect("the engines start");
+        let entry = start(platform, Role::Entry, "entry-0", 0, None).await;
+        let mut fleet = Fleet {
+            platform,
+            _entry: entry,
+            agents: BTreeMap::new(),
+            client: Client::open(),
+            versions: 0,
+            engines,
+        };
+        for index in 0..AGENTS {
+            let backend = fleet.engines.engines[index];
+            let name = format!("agent-{index}");
+            let region = index % REGIONS;
+            let agent = start(platform, Role::Agent, &name, region, Some(backend)).await;
+            let member = json!({"host": name, "role": "agent", "zone": "z",
+                "region": format!("r{region}"), "service": "engine",
+                "address": agent.peer_address(), "state": "live"});
+            let path = format!("/membership/{name}");
+            fleet.put(&path, member.to_string()).await;
+            fleet.agents.insert(index, agent);
+        }
+        fleet
+    }
+
+    async fn put(&self, path: &str, body: impl Into<Bytes>) {
+        let answer = self.client.put(self.platform, path, body).await;
+        let answer = answer.expect("an answer");
+        assert!(answer.status.is_success(), "{path}: {answer:?}");
+    }
+
+    async fn admin(&self, address: SocketAddr, path: &str, body: &Value) {
+        let answer = self.client.post(address, path, body).await;
+        let answer = answer.expect("an answer");
+        assert!(answer.status.is_success(), "{path}: {answer:?}");
+    }
+
+    /// Publishes weights as the next version.
+    async fn publish(&mut self, weights: &[u8]) -> Manifest {
+        self.versions += 1;
+        let version = self.versions.to_string();
+        let manifest =
+            Manifest::build("verse", &version, CHUNK_BYTES, weights).expect("a manifest");
+        let digest = manifest.digest();
+        let object = format!("/objects/manifests/{digest}");
+        self.put(&object, manifest.to_bytes()).await;
+        self.put(&format!("/origin/{digest}"), weights.to_vec())
+            .await;
+        let document = json!({
+            "fleet": "weights",
+            "models": [{"name": "verse", "version": version, "manifest": digest}],
+            "services": [{"name": "engine", "backend": {"engine": {"model": "verse"}}}],
+            "rollout": {"width_percent": 50},
+        });
+        let record = Record {
+            version: self.versions,
+            operation: format!("test-{version}").into(),
+            operator: "test".into(),
+            at_ms: 1,
+            note: String::new(),
+            text: document.to_string(),
+        };
+        let registry = prometheus::Registry::new();
+        let base = format!("http://{}", self.platform);
+        let platform = ::platform::Client::open(&base, &registry);
+        let current = platform.current_for_publishing().await.expect("a row");
+        let published = platform.publish(&record, current.revision).await;
+        published.expect("it is published");
+        manifest
+    }
+
+    /// Waits until the engine of every agent that runs holds these weights.
+    async fn wait(&self, whole: &Digest, name: &str) {
+        let started = Instant::now();
+        let whole = whole.to_string();
+        loop {
+            let answer = self.client.get(self.engines.admin, "/admin/states").await;
+            let states = answer.expect("an answer").json();
+            let holds = |index: &usize| {
+                let models = states[index]["models"].as_array();
+                models.is_some_and(|all| all.iter().any(|one| one["given_digest"] == *whole))
+            };
+            if self.agents.keys().all(holds) {
+                return;
+            }
+            let late = started.elapsed() > LIMIT;
+            assert!(!late, "{name}: {states}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    async fn origin_bytes(&self, manifest: &Manifest) -> u64 {
+        let answer = self.client.get(self.platform, "/admin/counters").await;
+        let counters = answer.expect("an answer").json();
+        let digest = manifest.digest().to_string();
+        counters["origin_bytes"][digest].as_u64().unwrap_or(0)
+    }
+}
+
+async fn start(
+    platform: SocketAddr,
+    role: Role,
+    name: &str,
+    region: usize,
+    backend: Option<SocketAddr>,
+) -> Daemon {
+    let mut config = Config::builder(name, role)
+        .fleet_key(FLEET_KEY)
+        .platform(&format!("http://{platform}"))
+        .set("zone", "z")
+        .set("region", format!("r{region}"))
+        .set("listen-peers", "127.0.0.1:0")
+        .set("listen-http", "127.0.0.1:0")
+        .set("leave-grace-ms", "10")
+        .set("origin-region", "r0")
+        .set("region-mbit", "80")
+        .set("upload-mbit", "80");
+    if let Some(backend) = backend {
+        config = config
+            .set("service", "engine")
+            .set("backend", format!("http://{backend}"));
+    }
+    let config = config.build().expect("the settings are valid");
+    Daemon::open(config).await.expect("the daemon starts")
+}
+
+fn weights(seed: u32) -> Vec<u8> {
+    let words = (0..SIZE as u32 / 4).map(|place| (place ^ seed << 20).wrapping_mul(2_654_435_761));
+    words.flat_map(u32::to_le_bytes).collect()
+}
+
+async fn run(case: Case) {
+    let name = case.name;
+    let mut fleet = Fleet::open(case.check_fence).await;
+    let first = fleet.publish(&weights(1)).await;
+    fleet.wait(&first.whole, name).await;
+    fleet
+        .admin(fleet.platform, "/admin/faults", &case.faults)
+        .await;
+    let mut last = fleet.publish(&weights(2)).await;
+    if let Some(index) = case.stops {
+        let agent = fleet.agents.remove(&index).expect("it runs");
+        agent.shutdown().await;
+    }
+    if case.replaced {
+        last = fleet.publish(&weights(3)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    // What is posted changes only the faults that it names.
+    let none = json!({
+        "origin": {"down": false, "corrupt_percent": 0},
+        "objects": {"fail_percent": 0},
+    });
+    fleet.admin(fleet.platform, "/admin/faults", &none).await;
+    fleet.wait(&last.whole, name).await;
+    let copies = fleet.origin_bytes(&last).await as f64 / SIZE as f64;
+    assert!(copies <= case.origin_max, "{name}: {copies} copies");
+    for agent in std::mem::take(&mut fleet.agents).into_values() {
+        agent.shutdown().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn every_fault_ends_with_the_last_version_on_every_engine() {
+    let cases = [
+        case("no fault"),
+        Case {
+            check_fence: false,
+            replaced: true,
+            ..case("an engine that ignores fencing numbers, a version replaced")
+        },
+        Case {
+            faults: json!({"origin": {"corrupt_percent": 5}}),
+            origin_max: 2.0,
+            ..case("the origin corrupts")
+        },
+        Case {
+            faults: json!({"origin": {"down": true}, "objects": {"fail_percent": 50}}),
+            ..case("the origin is down and the object store flaps")
+        },
+        Case {
+            stops: Some(2),
+            origin_max: 2.0,
+            ..case("an agent stops in the middle")
+        },
+    ];
+    for case in cases {
+        run(case).await;
+    }
+}
