--- /dev/null
+++ b/crates/snipewinch/tests/weights_parts.rs
@@ -0,0 +1,180 @@
+//! The parts of spreading weights one by one: plans, manifests, chunks in
+//! memory, pacing.
+
+use std::collections::BTreeSet;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use snipewinch::Digest;
+use snipewinch::host;
+use snipewinch::host::Role;
+use snipewinch::membership::Member;
+use snipewinch::membership::State;
+use snipewinch::weights::bitmap::Bitmap;
+use snipewinch::weights::flow::Flow;
+use snipewinch::weights::manifest::Error;
+use snipewinch::weights::manifest::Manifest;
+use snipewinch::weights::plan::Plan;
+use snipewinch::weights::plan::Policy;
+use snipewinch::weights::store::Store;
+
+fn members(count: usize, regions: usize) -> Vec<Member> {
+    let member = |place: usize| Member {
+        host: host::Name::from(format!("agent-{place}").as_str()),
+        role: Role::Agent,
+        zone: host::Zone::from("zone"),
+        region: host::Region::from(format!("r{}", place % regions).as_str()),
+        service: Some("engine".into()),
+        address: ([127, 0, 0, 1], 1).into(),
+        state: State::Live,
+        incarnation: 1,
+    };
+    (0..count).map(member).collect()
+}
+
+fn plan(members: &[&Member], of: &Member) -> Plan {
+    let manifest = Digest::of(b"m");
+    let policy = Policy::Swarm;
+    Plan::of(policy, &manifest, &of.host, &of.region, None, members)
+}
+
+#[test]
+fn a_plan_keeps_links_bounded_and_gateways_apart() {
+    for (count, dials_max) in [(3, 2), (90, 5), (2790, 10)] {
+        let members = members(count, 3);
+        let all: Vec<&Member> = members.iter().collect();
+        let plan = plan(&all, all[0]);
+        let dials = plan.neighbours.len();
+        assert!(dials <= dials_max, "{dials} dials at {count}");
+        for (region, stripes) in &plan.gateways {
+            let firsts = stripes.iter().map(|order| &order[0].host);
+            let firsts: BTreeSet<_> = firsts.collect();
+            let apart = stripes.len().min(count / 3);
+            assert_eq!(firsts.len(), apart, "{region} at {count}");
+        }
+    }
+}
+
+#[test]
+fn a_host_that_goes_moves_only_what_it_did() {
+    let members = members(300, 3);
+    let all: Vec<&Member> = members.iter().collect();
+    let before = plan(&all, all[0]);
+    let gone = before.neighbours[1].host.clone();
+    let left: Vec<&Member> = all.iter().copied().filter(|m| m.host != gone).collect();
+    let after = plan(&left, all[0]);
+    let kept = before
+        .neighbours
+        .iter()
+        .filter(|one| after.neighbours.contains(one));
+    assert_eq!(kept.count(), before.neighbours.len() - 1);
+}
+
+#[test]
+fn every_chunk_reaches_every_region_and_links_share_alike() {
+    let members = members(30, 3);
+    let all: Vec<&Member> = members.iter().collect();
+    let plan = plan(&all, all[0]);
+    let regions: Vec<host::Region> = plan.gateways.keys().cloned().collect();
+    let mut used = std::collections::BTreeMap::new();
+    for chunk in 0..96 {
+        for region in &regions {
+            let mut at = region.clone();
+            let mut hops = 0;
+            while let Some(from) = plan.upstream(&at, chunk) {
+                at = from.clone();
+                hops += 1;
+                assert!(hops < regions.len(), "chunk {chunk} goes in circles");
+            }
+            assert_eq!(plan.home.as_ref(), Some(&at));
+            if let Some(from) = plan.upstream(region, chunk) {
+                *used.entry((from.clone(), region.clone())).or_insert(0) += 1;
+            }
+        }
+    }
+    assert_eq!(used.len(), 4);
+    assert!(used.values().all(|count| *count == 48), "{used:?}");
+}
+
+#[test]
+fn a_manifest_that_is_not_the_one_named_is_refused() {
+    let manifest = Manifest::build("verse", "1", 4, b"0123456789").unwrap();
+    let bytes = manifest.to_bytes();
+    let digest = manifest.digest();
+    assert_eq!(Manifest::parse(&bytes, &digest), Ok(manifest.clone()));
+    let other = Manifest::parse(&bytes, &Digest::of(b"other"));
+    assert!(matches!(other, Err(Error::Digest { .. })), "{other:?}");
+    let junk = Manifest::parse(b"{}", &Digest::of(b"{}"));
+    assert!(matches!(junk, Err(Error::Malformed { .. })), "{junk:?}");
+    for (size, chunk_bytes) in [(100, 4), (0, 4), (10, 0), (10, u32::MAX)] {
+        let wrong = Manifest {
+            size,
+            chunk_bytes,
+            ..manifest.clone()
+        };
+        let parsed = Manifest::parse(&wrong.to_bytes(), &wrong.digest());
+        assert!(matches!(parsed, Err(Error::Shape { .. })), "{parsed:?}");
+    }
+    let changed = Manifest::build("verse", "2", 4, b"0123456x89").unwrap();
+    assert_eq!(changed.changed_bytes(&manifest), 4);
+}
+
+#[test]
+fn a_store_takes_what_matches_and_drops_the_unneeded_first() {
+    let chunk = |byte: u8| Bytes::from(vec![byte; 10]);
+    let name = |byte: u8| Digest::of(&chunk(byte));
+    let mut store = Store::new(25);
+    assert!(!store.insert(&name(1), chunk(2)));
+    for byte in 1..=4 {
+        assert!(store.insert(&name(byte), chunk(byte)));
+    }
+    let needed = HashSet::from([name(2)]);
+    let gone = store.shrink(&needed, &[name(3), name(4)]);
+    assert_eq!(gone, vec![name(3)]);
+    assert_eq!(store.bytes(), 20);
+    let held = [1, 2, 3, 4].map(|byte| store.contains(&name(byte)));
+    assert_eq!(held, [false, true, false, true]);
+}
+
+fn survives_the_wire(places: Vec<u16>, length: u16) -> bool {
+    let length = usize::from(length);
+    let mut bitmap = Bitmap::new(length);
+    for place in &places {
+        bitmap.insert(u32::from(*place));
+    }
+    let back = Bitmap::from_bytes(&bitmap.to_bytes(), length);
+    let distinct: BTreeSet<_> = places
+        .iter()
+        .filter(|p| usize::from(**p) < length)
+        .collect();
+    back == bitmap && back.count() == distinct.len() && back.iter().count() == distinct.len()
+}
+
+#[test]
+fn a_set_of_chunks_survives_the_wire() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, 5))
+        .quickcheck(survives_the_wire as fn(Vec<u16>, u16) -> bool);
+}
+
+#[test]
+fn a_flow_gives_way_to_a_queue_and_takes_what_is_idle() {
+    let share = 500_000.0;
+    let mut flow = Flow::new(Some(share));
+    let mut now = Duration::ZERO;
+    let mut run = |flow: &mut Flow, delay_ms: u64| {
+        for _ in 0..100 {
+            now += Duration::from_millis(20);
+            flow.sample(now, Duration::from_millis(delay_ms));
+        }
+        flow.rate()
+    };
+    assert_eq!(run(&mut flow, 10), share);
+    let pressed = run(&mut flow, 80);
+    assert!(pressed <= share * 0.11, "{pressed}");
+    assert!(pressed >= share * 0.09, "{pressed}");
+    assert_eq!(run(&mut flow, 10), share);
+}
