Keep a start from retelling the fleet

A host that starts hears of every other and passed each on as news, 3 log2(n) times: at 6,000 hosts some 40 MB a start. Answers are messages of their own now and not retold, nothing is retold in the first ten seconds, and news go to two peers, six hosts at once.

--- a/crates/snipewinch/src/membership.rs
+++ b/crates/snipewinch/src/membership.rs
@@ -20,6 +20,9 @@
     /// What the sender has seen or heard.
     #[serde(rename = "n")]
     News(Vec<Rumor>),
+    /// All that the sender knows, as asked for: not to be retold.
+    #[serde(rename = "a")]
+    All(Vec<Rumor>),
     /// Send all that you know: the sender has no list yet.
     #[serde(rename = "q")]
     Ask,
--- a/crates/snipewinch/src/membership/roster.rs
+++ b/crates/snipewinch/src/membership/roster.rs
@@ -159,6 +159,8 @@
     own: Identity,
     denials: u32,
     leaving: bool,
+    /// When the first event came.
+    opened: Option<Duration>,
     records: BTreeMap<host::Name, Record>,
     links: BTreeMap<Link, Connection>,
     /// Hosts whose link broke, and when they are suspected.
@@ -185,6 +187,7 @@
             own,
             denials: 0,
             leaving: false,
+            opened: None,
             records: BTreeMap::new(),
             links: BTreeMap::new(),
             broken: BTreeMap::new(),
@@ -211,6 +214,7 @@
     /// Takes in what happened and answers what to do.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.opened.get_or_insert(now);
         self.changed |= !matches!(event, Event::Heard { .. } | Event::Tick);
         match event {
             Event::Up { link, peer, dialed } => self.up(now, link, &peer, dialed, &mut actions),
@@ -330,7 +334,7 @@
                     place: Place::from(peer),
                     address_known: near,
                 });
-                self.spread(&peer.host);
+                self.retell(now, &peer.host);
             }
         }
         self.hold_if_flapping(now, &peer.host);
--- a/crates/snipewinch/src/membership/roster/news.rs
+++ b/crates/snipewinch/src/membership/roster/news.rs
@@ -18,9 +18,11 @@
 use crate::membership::State;
 
 /// Peers that are told news at once.
-const FANOUT: usize = 3;
+const FANOUT: usize = 2;
+/// How long a process takes in what is there before it passes news on.
+const STARTING: Duration = Duration::from_secs(10);
 /// Rumors in one message of news.
-const NEWS_MAX: usize = 16;
+const NEWS_MAX: usize = 6;
 /// Rumors in one message of an answer.
 const ANSWER_MAX: usize = 256;
 /// How often each rumor is told, times the logarithm of the number of hosts.
@@ -40,11 +42,19 @@
         let near = connection.region == self.own.region;
         match message {
             Message::Ask => self.tell_all(link, actions),
-            Message::News(rumors) => {
+            Message::All(rumors) => {
                 for rumor in rumors {
                     self.hear(now, rumor, near);
                 }
             }
+            Message::News(rumors) => {
+                for rumor in rumors {
+                    let host = rumor.host.clone();
+                    if self.hear(now, rumor, near) {
+                        self.retell(now, &host);
+                    }
+                }
+            }
         }
     }
 
@@ -56,18 +66,19 @@
                 .filter_map(|(host, record)| rumor(host, record)),
         );
         for chunk in rumors.chunks(ANSWER_MAX) {
-            let message = Message::News(chunk.to_vec());
+            let message = Message::All(chunk.to_vec());
             actions.push(Action::Send { link, message });
         }
     }
 
-    pub(super) fn hear(&mut self, now: Duration, rumor: Rumor, near: bool) {
+    /// Takes in a rumor; answers whether it was news.
+    pub(super) fn hear(&mut self, now: Duration, rumor: Rumor, near: bool) -> bool {
         if rumor.host == self.own.host {
             self.hear_of_self(&rumor);
-            return;
+            return false;
         }
         if self.records.len() >= HOSTS_MAX && !self.records.contains_key(&rumor.host) {
-            return;
+            return false;
         }
         // An address told across regions need not work from here.
         let address_known = near && rumor.place.region == self.own.region;
@@ -77,7 +88,7 @@
             Some(told) => supersedes(&rumor, told),
         };
         if !news {
-            return;
+            return false;
         }
         let kept = record.told.as_ref().is_some_and(|told| {
             told.incarnation == rumor.incarnation && told.address_known && !address_known
@@ -94,7 +105,7 @@
             place,
             address_known: address_known || kept,
         });
-        self.spread(&rumor.host);
+        true
     }
 
     /// Others think that this process is gone: it knows better.
@@ -183,6 +194,13 @@
         }
     }
 
+    /// Passes on what is new. To a process that has just started all is new.
+    pub(super) fn retell(&mut self, now: Duration, host: &host::Name) {
+        if self.opened.is_some_and(|opened| now >= opened + STARTING) {
+            self.spread(host);
+        }
+    }
+
     pub(super) fn spread(&mut self, host: &host::Name) {
         let hosts = self.records.len() as u32 + 2;
         let times = RETELL * (u32::BITS - hosts.leading_zeros());
--- a/crates/snipewinch/tests/membership.rs
+++ b/crates/snipewinch/tests/membership.rs
@@ -467,6 +467,51 @@
     assert!(denied, "{told:?}");
 }
 
+/// Rumors sent in the next minute.
+fn told_in_a_minute(bench: &mut Bench) -> usize {
+    let mut told = 0;
+    for _ in 0..600 {
+        bench.now += TICK;
+        let link = 1;
+        let at = bench.now;
+        bench.handle(Event::Heard { link, at });
+        for action in bench.handle(Event::Tick) {
+            if let Action::Send {
+                message: Message::News(rumors),
+                ..
+            } = action
+            {
+                told += rumors.len();
+            }
+        }
+    }
+    told
+}
+
+#[test]
+fn what_was_asked_for_or_found_at_the_start_is_not_retold() {
+    let all = (2..200).map(|index| rumor(index, 5, 0, State::Live));
+    let all: Vec<Rumor> = all.collect();
+    for message in [Message::All(all.clone()), Message::News(all)] {
+        let mut bench = Bench::open();
+        bench.up(1, 1, 5);
+        bench.handle(Event::Message { link: 1, message });
+        // One a second goes out for repair.
+        let told = told_in_a_minute(&mut bench);
+        assert!(told <= 61, "{told}");
+    }
+}
+
+#[test]
+fn news_are_retold_a_bounded_number_of_times() {
+    let mut bench = Bench::open();
+    bench.up(1, 1, 5);
+    bench.pass(SECOND * 60);
+    bench.hear(1, rumor(2, 5, 0, State::Live));
+    let told = told_in_a_minute(&mut bench);
+    assert!((62..62 + 30).contains(&told), "{told}");
+}
+
 // ---- many rosters ---------------------------------------------------------
 
 const HOSTS: usize = 16;
