--- a/crates/snipewinch/src/membership/roster/news.rs
+++ b/crates/snipewinch/src/membership/roster/news.rs
@@ -22,11 +22,11 @@
 /// How long a process takes in what is there before it passes news on.
 const STARTING: Duration = Duration::from_secs(10);
 /// Rumors in one message of news.
-const NEWS_MAX: usize = 6;
+const NEWS_MAX: usize = 8;
 /// Rumors in one message of an answer.
 const ANSWER_MAX: usize = 256;
 /// How often each rumor is told, times the logarithm of the number of hosts.
-const RETELL: u32 = 3;
+const RETELL: u32 = 1;
 
 impl Roster {
     pub(super) fn receive(
