Test that the first calls of a new entry find its links

Without the wait, round 4 of the test was refused as no_backend. A host's first report is waited for as well: before it, no version is known to be loaded there.

--- a/crates/daemon/src/entry/routes.rs
+++ b/crates/daemon/src/entry/routes.rs
@@ -215,10 +215,10 @@
         tell(notices);
     }
 
-    /// Whether all of these hosts are linked to.
-    fn is_linked<'a>(&self, mut hosts: impl Iterator<Item = &'a host::Name>) -> bool {
+    /// Whether all of these hosts are linked to and have reported.
+    fn has_heard_of<'a>(&self, mut hosts: impl Iterator<Item = &'a host::Name>) -> bool {
         let table = &self.shared.state.lock().table;
-        hosts.all(|host| table.is_linked(host))
+        hosts.all(|host| table.has_reported(host))
     }
 
     /// Whether a link to `host` is of use although it is not wanted any more.
--- a/crates/daemon/src/entry/routes/links.rs
+++ b/crates/daemon/src/entry/routes/links.rs
@@ -62,7 +62,7 @@
         .filter(|member| member.role == host::Role::Agent && wanted.contains(&member.host))
         .map(|member| &member.host)
         .peekable();
-    let all = agents.peek().is_some() && router.is_linked(agents);
+    let all = agents.peek().is_some() && router.has_heard_of(agents);
     all || node.now() >= SETTLE_MAX
 }
 
--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -273,3 +273,15 @@
     let (text, done) = small::streamed(&answer.body);
     assert_eq!((text, done), (small::expected("last", 60), true));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_first_calls_of_a_new_entry_wait_for_its_links() {
+    let mut small = Small::open().await;
+    for round in 0..5 {
+        small.replace_entry().await;
+        let prompt = format!("first {round}");
+        let body = json!({"model": MODEL, "prompt": prompt, "max_tokens": 3});
+        let answer = small.post("/v1/completions", &body, &[]).await;
+        assert_eq!(answer.status, StatusCode::OK, "round {round}: {answer:?}");
+    }
+}
--- a/crates/daemon/tests/small/mod.rs
+++ b/crates/daemon/tests/small/mod.rs
@@ -115,6 +115,22 @@
         small
     }
 
+    /// Replaces the entry by a new process, which is ready by its own word.
+    pub(crate) async fn replace_entry(&mut self) {
+        let new = start(self.platform, Role::Entry, "entry-1", None, &[]).await;
+        let old = std::mem::replace(&mut self.entry, new);
+        old.shutdown().await;
+        let started = Instant::now();
+        loop {
+            let answer = self.client.get(self.entry.http_address(), "/readyz").await;
+            match answer {
+                Ok(answer) if answer.status == StatusCode::OK => return,
+                _ => assert!(started.elapsed() < LIMIT, "the entry is never ready"),
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// Waits until every service answers.
     async fn wait(&self) {
         let started = Instant::now();
--- a/crates/snipewinch/src/routing.rs
+++ b/crates/snipewinch/src/routing.rs
@@ -479,6 +479,14 @@
             .is_some_and(|&key| self.nodes[key].linked)
     }
 
+    /// Whether a host is linked to and has said how it fares.
+    pub fn has_reported(&self, host: &host::Name) -> bool {
+        self.names.get(host).is_some_and(|&key| {
+            let node = &self.nodes[key];
+            node.linked && node.has_reported()
+        })
+    }
+
     fn note_leaving(&mut self, host: &host::Name) {
         let Some(node) = self.named(host) else {
             return;
--- a/crates/snipewinch/src/routing/node.rs
+++ b/crates/snipewinch/src/routing/node.rs
@@ -160,6 +160,10 @@
         }
     }
 
+    pub(super) fn has_reported(&self) -> bool {
+        self.reported > Duration::ZERO
+    }
+
     pub(super) fn end(&mut self, now: Duration, outcome: &Outcome) {
         self.inflight = self.inflight.saturating_sub(1);
         match outcome.result {
