--- /dev/null
+++ b/crates/platform/tests/client.rs
@@ -0,0 +1,225 @@
+//! The client against the platform's stand-in with its faults switched on.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use platform::Client;
+use platform::Error;
+use platform::tables::Condition;
+use platform::tables::Transaction;
+use platform::tables::Write;
+use prometheus::Registry;
+use serde_json::Value;
+use serde_json::json;
+use snipewinch::configuration::InForce;
+use snipewinch::configuration::Record;
+use snipewinch::configuration::publish::Failure;
+use snipewinch::configuration::publish::Fate;
+use snipewinch::document::Document;
+
+struct World {
+    address: SocketAddr,
+    admin: standin::client::Client,
+    client: Client,
+}
+
+impl World {
+    async fn open() -> World {
+        let config = standin::platform::Config {
+            listen: "127.0.0.1:0".parse().expect("an address"),
+            origin_mbit: 0.0,
+            origin_readers_max: 1,
+            lag: Duration::ZERO,
+            seed: 1,
+        };
+        let address = standin::platform::spawn(config).await.expect("a port");
+        World {
+            address,
+            admin: standin::client::Client::open(),
+            client: Client::open(&format!("http://{address}"), &Registry::new()),
+        }
+    }
+
+    async fn faults(&self, faults: Value) {
+        let answer = self
+            .admin
+            .post(self.address, "/admin/faults", &faults)
+            .await;
+        assert!(answer.expect("an answer").status.is_success());
+    }
+}
+
+fn write(key: &str, value: Value, revision: u64) -> Transaction {
+    Transaction {
+        operation: "op".into(),
+        conditions: vec![Condition {
+            table: "t".into(),
+            key: key.into(),
+            revision,
+        }],
+        writes: vec![Write {
+            table: "t".into(),
+            key: key.into(),
+            value,
+        }],
+    }
+}
+
+#[tokio::test]
+async fn rows_are_read_written_and_scanned() {
+    let World { client, .. } = World::open().await;
+    assert_eq!(client.get("t", "a/b c").await, Ok(None));
+    let revision = client.transact(&write("a/b c", json!({"x": 1}), 0)).await;
+    let row = client
+        .get_hedged("t", "a/b c")
+        .await
+        .expect("a read")
+        .expect("a row");
+    assert_eq!((row.value, Ok(row.revision)), (json!({"x": 1}), revision));
+    for key in ["p1", "p2", "p3", "q"] {
+        client
+            .transact(&write(key, json!(key), 0))
+            .await
+            .expect("a write");
+    }
+    let rows = client.scan("t", "p", Some("p1"), 10).await.expect("a scan");
+    let keys: Vec<String> = rows.into_iter().map(|row| row.key).collect();
+    assert_eq!(keys, ["p2", "p3"]);
+}
+
+#[tokio::test]
+async fn a_condition_that_does_not_hold_names_the_row() {
+    let World { client, .. } = World::open().await;
+    client
+        .transact(&write("k", json!(1), 0))
+        .await
+        .expect("a write");
+    let error = client
+        .transact(&write("k", json!(2), 0))
+        .await
+        .expect_err("a conflict");
+    let Error::Conflict { conflicts } = &error else {
+        panic!("{error}");
+    };
+    assert_eq!(conflicts[0].key, "k");
+    assert!(error.had_no_effect());
+}
+
+#[tokio::test]
+async fn errors_say_whether_a_write_may_have_taken_effect() {
+    let cases = [
+        (json!({"tables": {"down": true}}), true, false),
+        (json!({"tables": {"fail_percent": 100}}), true, false),
+        (json!({"tables": {"lose_percent": 100}}), false, true),
+        (json!({"tables": {"silent": true}}), false, false),
+    ];
+    for (faults, no_effect, written) in cases {
+        let world = World::open().await;
+        world.faults(faults.clone()).await;
+        let error = world
+            .client
+            .transact(&write("k", json!(1), 0))
+            .await
+            .expect_err("a fault");
+        assert_eq!(error.had_no_effect(), no_effect, "{faults}: {error}");
+        assert!(error.is_outage(), "{faults}: {error}");
+        let calm = json!({"tables": {"down": false, "fail_percent": 0, "lose_percent": 0,
+            "silent": false}});
+        world.faults(calm).await;
+        let row = world.client.get("t", "k").await.expect("a read");
+        assert_eq!(row.is_some(), written, "{faults}");
+    }
+}
+
+#[tokio::test]
+async fn a_platform_that_is_not_there_is_not_asked() {
+    let client = Client::open("http://127.0.0.1:1", &Registry::new());
+    let error = client
+        .transact(&write("k", json!(1), 0))
+        .await
+        .expect_err("nobody");
+    assert!(matches!(error, Error::Unsent { .. }), "{error}");
+}
+
+#[tokio::test]
+async fn an_outage_opens_the_circuit_and_its_end_closes_it() {
+    let world = World::open().await;
+    world.faults(json!({"tables": {"down": true}})).await;
+    // Requests fail by the outage until the circuit opens; then none goes out.
+    loop {
+        match world.client.get("t", "k").await.expect_err("down") {
+            Error::Unsent { .. } => break,
+            error => assert!(matches!(error, Error::Down { .. }), "{error}"),
+        }
+    }
+    // The object store fails on its own.
+    assert_eq!(world.client.get_object("x").await, Ok(None));
+    world.faults(json!({"tables": {"down": false}})).await;
+    let closed = async {
+        while world.client.get("t", "k").await.is_err() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    closed.await;
+}
+
+#[tokio::test]
+async fn objects_are_stored_and_measured() {
+    let World { client, .. } = World::open().await;
+    let body = Bytes::from_static(b"some bytes");
+    client
+        .put_object("manifests/x", body.clone())
+        .await
+        .expect("a write");
+    assert_eq!(client.get_object("manifests/x").await, Ok(Some(body)));
+    assert_eq!(client.head_object("manifests/x").await, Ok(Some(10)));
+    assert_eq!(client.head_object("manifests/y").await, Ok(None));
+}
+
+fn record(version: u64, operation: &str) -> Record {
+    let document = Document {
+        fleet: operation.into(),
+        ..Document::default()
+    };
+    Record {
+        version,
+        operation: operation.into(),
+        operator: "ada".into(),
+        at_ms: 1,
+        note: String::new(),
+        text: document.json(),
+    }
+}
+
+#[tokio::test]
+async fn a_version_is_published_once_and_an_abandoned_one_never() {
+    let World { client, .. } = World::open().await;
+    assert_eq!(client.publish(&record(1, "one"), 0).await, Ok(()));
+    assert_eq!(
+        client.publish(&record(1, "one"), 0).await,
+        Err(Failure::Conflict)
+    );
+    assert_eq!(client.abandon(&"one".into()).await, Err(Failure::Conflict));
+    assert_eq!(
+        client.fate(&"one".into()).await,
+        Ok(Some(Fate::Published { version: 1 }))
+    );
+    let current = client.current_for_publishing().await.expect("a read");
+    assert_eq!(client.abandon(&"two".into()).await, Ok(()));
+    let late = client.publish(&record(2, "two"), current.revision).await;
+    assert_eq!(late, Err(Failure::Conflict));
+    assert_eq!(client.fate(&"two".into()).await, Ok(Some(Fate::Abandoned)));
+    assert_eq!(
+        client.publish(&record(2, "three"), current.revision).await,
+        Ok(())
+    );
+    let stamp = client.stamp().await.expect("a read");
+    let in_force = InForce::parse(2, &record(2, "three").text).expect("a document");
+    assert_eq!(stamp, in_force.stamp());
+    let history = client.history(None, 10).await.expect("a read");
+    let versions: Vec<u64> = history.iter().map(|record| record.version).collect();
+    assert_eq!(versions, [2, 1], "newest first");
+    let older = client.history(Some(2), 10).await.expect("a read");
+    assert_eq!(older.len(), 1);
+}
