Take a host listed as leaving as leaving by whoever meets it later

Change: where no process on the host was known when the list said it, any that is met counts as leaving until the list says otherwise.

--- a/crates/bench/src/drill/fault.rs
+++ b/crates/bench/src/drill/fault.rs
@@ -230,6 +230,9 @@
             ),
         };
         fleet.platform_faults(begin).await?;
+        if matches!(fault, Fault::ListBack | Fault::StoreDown) {
+            self.blind(watch);
+        }
         self.after(watch, SPELL, End::Platform(end));
         Ok(true)
     }
@@ -285,6 +288,7 @@
     async fn cut(&mut self, fleet: &Fleet, watch: &mut Watch) -> Result<bool, Error> {
         let region = self.region(fleet);
         fleet.cut_region(&region, true).await?;
+        self.blind(watch);
         // What lies beyond the cut can't be expected to follow either way.
         for host in fleet.hosts() {
             watch.disturb(&host.name);
@@ -293,6 +297,11 @@
         Ok(true)
     }
 
+    /// Notes that some hosts can't read the list for a spell.
+    fn blind(&mut self, watch: &Watch) {
+        self.list_seen_by = watch.elapsed() + SPELL + LISTED + LEFT;
+    }
+
     fn region(&mut self, fleet: &Fleet) -> host::Region {
         let regions = &fleet.plan.deployment.regions;
         let index = self.rng.random_range(0..regions.len());
@@ -364,6 +373,11 @@
                     watch.calm(name);
                 }
             }
+            End::CountLeft(name, true) if watch.elapsed() < self.list_seen_by => {
+                // Entries that can't read the list can't know.
+                let wait = self.list_seen_by.saturating_sub(watch.elapsed());
+                self.after(watch, wait, End::CountLeft(name, true));
+            }
             End::CountLeft(name, listed) => {
                 let calls = fleet.backend_calls(&name).await?;
                 self.after(watch, WATCHED, End::CompareLeft(name, calls, listed));
@@ -371,7 +385,11 @@
             End::CompareLeft(name, before, listed) => {
                 let late_calls = fleet.backend_calls(&name).await?.saturating_sub(before);
                 let host = name.clone();
-                self.leaves.push(Leave { host, late_calls });
+                self.leaves.push(Leave {
+                    host,
+                    listed,
+                    late_calls,
+                });
                 if listed {
                     fleet.mark_live(&name).await?;
                     self.free(&name, watch);
--- a/crates/bench/src/drill/schedule.rs
+++ b/crates/bench/src/drill/schedule.rs
@@ -40,6 +40,8 @@
     pub(super) struck: BTreeMap<&'static str, u64>,
     pub(super) leaves: Vec<Leave>,
     pub(super) stops: Vec<Stop>,
+    /// When every host has read a list that names who leaves.
+    pub(super) list_seen_by: Duration,
     pub(super) accepted: mpsc::UnboundedSender<u64>,
     acceptances: mpsc::UnboundedReceiver<u64>,
     /// Operators at work.
@@ -76,6 +78,7 @@
             struck: BTreeMap::new(),
             leaves: Vec::new(),
             stops: Vec::new(),
+            list_seen_by: Duration::ZERO,
             accepted,
             acceptances,
             publishing: JoinSet::new(),
--- a/crates/snipewinch/src/membership/roster.rs
+++ b/crates/snipewinch/src/membership/roster.rs
@@ -411,7 +411,8 @@
 
     fn list_one(&mut self, member: Member) {
         let record = self.records.entry(member.host.clone()).or_default();
-        let incarnation = record.told.as_ref().map_or(0, |told| told.incarnation);
+        // Of a process never heard of, nobody can say that it came later.
+        let incarnation = record.told.as_ref().map_or(u64::MAX, |t| t.incarnation);
         let leaving = member.state == State::Leaving;
         let before = record
             .listed
--- a/crates/snipewinch/tests/replaced.rs
+++ b/crates/snipewinch/tests/replaced.rs
@@ -49,6 +49,34 @@
     (member.state, member.address.port())
 }
 
+#[test]
+fn a_host_listed_as_leaving_is_leaving_for_a_process_that_meets_it_later() {
+    let second = Duration::from_secs(1);
+    let own = Identity {
+        role: Role::Entry,
+        ..identity("me", 1, 1)
+    };
+    let mut roster = Roster::open(own, 1);
+    let leaving = Member {
+        state: State::Leaving,
+        ..listed(100)
+    };
+    let leaving = Event::Listed {
+        as_of_ms: 1,
+        hosts: vec![leaving],
+    };
+    roster.handle(second, leaving);
+    let up = Event::Up {
+        link: 7,
+        peer: identity("h", 7, 100),
+        dialed: true,
+    };
+    roster.handle(second * 2, up);
+    assert_eq!(seen(&roster, second * 2), (State::Leaving, 100));
+    roster.handle(second * 3, list(2, 100));
+    assert_eq!(seen(&roster, second * 3), (State::Live, 100));
+}
+
 #[test]
 fn the_list_counts_again_once_a_process_that_left_is_silent() {
     let second = Duration::from_secs(1);
