Let slopes name hosts that don't answer, and say who left by whose word

Cause: what a host pays for each host that it knows was drawn through fleets whose links grew too, which overstates it at the target. Conclusion: memory for known hosts can be measured apart from links.

--- a/crates/bench/src/drill/verdict.rs
+++ b/crates/bench/src/drill/verdict.rs
@@ -130,11 +130,24 @@
     pub(super) late_calls: u64,
 }
 
+impl Leave {
+    fn evidence(&self) -> String {
+        let by = match self.listed {
+            true => "the list's word",
+            false => "its own word",
+        };
+        let Leave {
+            host, late_calls, ..
+        } = self;
+        format!("{host} got {late_calls} calls after it had left by {by}")
+    }
+}
+
 /// A backend server that is leaving gets no new work after a few seconds.
 pub(super) fn leaving(leaves: &[Leave]) -> Promise {
     let cases = leaves
         .iter()
-        .map(|leave| (leave.late_calls > 0).then(|| format!("{leave:?}")));
+        .map(|leave| (leave.late_calls > 0).then(|| leave.evidence()));
     Promise::of("no new work after leaving", cases)
 }
 
--- a/crates/bench/src/fleet/listing.rs
+++ b/crates/bench/src/fleet/listing.rs
@@ -40,6 +40,26 @@
         Ok(())
     }
 
+    /// Names hosts in the membership list that don't exist. Their service is
+    /// none of the document's, so that nobody links to them.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the platform does not answer.
+    pub async fn list_silent(&self, count: usize) -> Result<(), Error> {
+        let regions = &self.plan.deployment.regions;
+        for index in 0..count {
+            let region = &regions[index % regions.len()].name;
+            let host = format!("silent-{index}");
+            let member = json!({"host": host, "role": Role::Agent, "zone": region,
+                "region": region, "service": "silent", "address": "127.0.0.1:1",
+                "state": membership::State::Live, "reached": {}});
+            let path = format!("/membership/{host}");
+            self.put(self.platform, &path, member.to_string()).await?;
+        }
+        Ok(())
+    }
+
     /// Lays the links between regions and the ways to the platform.
     pub(super) async fn lay_links(&mut self) -> Result<(), Error> {
         let Some(relay) = self.relay else {
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -28,6 +28,8 @@
             optional --entries n: usize
             /// Seconds of measuring for each fleet.
             optional --seconds s: u64
+            /// Hosts that the membership list names besides, none of which answers.
+            optional --listed n: usize
             /// Decides every draw.
             optional --seed seed: u64
             /// Measure routing and limits alone, without any process.
@@ -125,6 +127,7 @@
     let entries = flags.entries.unwrap_or(ENTRIES);
     let seconds = flags.seconds.unwrap_or(SECONDS);
     let seed = flags.seed.unwrap_or(1);
+    let listed = flags.listed.unwrap_or(0);
     if flags.routing {
         for slope in routing::measure(seed) {
             println!("{}", serde_json::to_string(&slope).unwrap_or_default());
@@ -133,7 +136,7 @@
     }
     let mut points = Vec::new();
     for agents in agents {
-        let measured = measure(entries, agents, Duration::from_secs(seconds), seed).await?;
+        let measured = measure(entries, agents, listed, Duration::from_secs(seconds), seed).await?;
         for point in &measured {
             println!("{}", serde_json::to_string(point).unwrap_or_default());
         }
@@ -174,6 +177,7 @@
 async fn measure(
     entries: usize,
     agents: usize,
+    listed: usize,
     span: Duration,
     seed: u64,
 ) -> Result<Vec<Point>, Error> {
@@ -186,6 +190,7 @@
     fleet.publish_model("1", &manifest).await?;
     fleet.wait_replicas(&manifest.whole, LIMIT).await?;
     fleet.wait_ready(LIMIT).await?;
+    fleet.list_silent(listed).await?;
     tokio::time::sleep(SETTLE).await;
     let started = Instant::now();
     let before = Sample::take(&fleet).await?;
