--- a/crates/bench/src/drill/verdict.rs
+++ b/crates/bench/src/drill/verdict.rs
@@ -132,9 +132,16 @@
 
 /// A backend server that is leaving gets no new work after a few seconds.
 pub(super) fn leaving(leaves: &[Leave]) -> Promise {
-    let cases = leaves
-        .iter()
-        .map(|leave| (leave.late_calls > 0).then(|| format!("{leave:?}")));
+    let cases = leaves.iter().map(|leave| {
+        let Leave {
+            host,
+            listed,
+            late_calls,
+        } = leave;
+        let by = if *listed { "the list" } else { "itself" };
+        let late = *late_calls > 0;
+        late.then(|| format!("{host}, leaving by {by}, got {late_calls} calls too late"))
+    });
     Promise::of("no new work after leaving", cases)
 }
 
