Let the forgetful relay of the links test pass no end on

Cause: the test of a silent link failed once under load: when the far end noticed first and closed, the relay passed the close on, and the near end saw a closed link rather than a silent one. Change: a connection that was forgotten stays open and mute on both sides. Conclusion: the fault is the one that is meant: something between the ends has lost track of the connection.

--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -129,8 +129,13 @@
     number: u64,
 ) {
     let mut bytes = vec![0; 16 << 10];
-    while let Ok(length) = from.read(&mut bytes).await {
+    loop {
+        let length = from.read(&mut bytes).await.unwrap_or(0);
         if length == 0 {
+            // What lost track of the connection passes no end on either.
+            if *forgotten.borrow() >= number {
+                std::future::pending::<()>().await;
+            }
             return;
         }
         if *forgotten.borrow() < number && to.write_all(&bytes[..length]).await.is_err() {
