Pass on what the list says of a host that leaves

At 3,160 hosts a process reads it once in five minutes, so that the promise could not hold at all. Ruled out: shorter intervals, which the platform's reads and the bytes of a list of 3,160 hosts do not allow. Change: whoever reads that the list's word on a host has changed tells it as news, with the list's own time; the later word counts, whoever read it.

--- a/crates/snipewinch/src/membership.rs
+++ b/crates/snipewinch/src/membership.rs
@@ -46,6 +46,20 @@
     /// Where the process stands.
     #[serde(rename = "p")]
     pub place: Place,
+    /// What the platform's list says, once that has changed.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub listed: Option<Word>,
+}
+
+/// The word of the platform's list on whether a host is leaving.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Word {
+    /// The list's own time, in milliseconds: of two words the later counts.
+    #[serde(rename = "t")]
+    pub as_of_ms: u64,
+    /// It takes no new work.
+    #[serde(rename = "l")]
+    pub leaving: bool,
 }
 
 /// Where a process stands and how it is reached.
--- a/crates/snipewinch/src/membership/merge.rs
+++ b/crates/snipewinch/src/membership/merge.rs
@@ -23,6 +23,7 @@
 use super::Member;
 use super::Place;
 use super::State;
+use super::Word;
 use crate::host;
 
 /// After how long without a link or news the list's word on a host counts for
@@ -35,10 +36,24 @@
     pub(super) member: Member,
     /// The incarnation known when the list first said that the host leaves.
     pub(super) leaving_since: Option<u64>,
+    /// When the list's word on that last changed, on the list's clock; 0 if it
+    /// has always been the same.
+    pub(super) changed_ms: u64,
     /// The list had the host and a newer one has it no more.
     pub(super) gone: bool,
 }
 
+impl Listed {
+    /// What peers are told of the list's word.
+    pub(super) fn word(&self) -> Option<Word> {
+        let word = Word {
+            as_of_ms: self.changed_ms,
+            leaving: self.leaving_since.is_some(),
+        };
+        (self.changed_ms > 0).then_some(word)
+    }
+}
+
 /// What links and peers say of the newest process on a host.
 #[derive(Clone, Debug)]
 pub(super) struct Told {
--- a/crates/snipewinch/src/membership/roster.rs
+++ b/crates/snipewinch/src/membership/roster.rs
@@ -403,7 +403,7 @@
                 continue;
             }
             named.insert(member.host.clone());
-            self.list_one(member);
+            self.list_one(as_of_ms, member);
         }
         for (host, record) in &mut self.records {
             match &mut record.listed {
@@ -413,21 +413,33 @@
         }
     }
 
-    fn list_one(&mut self, member: Member) {
-        let record = self.records.entry(member.host.clone()).or_default();
+    fn list_one(&mut self, as_of_ms: u64, member: Member) {
+        let host = member.host.clone();
+        let record = self.records.entry(host.clone()).or_default();
         // Of a process never heard of, nobody can say that it came later.
         let incarnation = record.told.as_ref().map_or(u64::MAX, |t| t.incarnation);
         let leaving = member.state == State::Leaving;
-        let before = record
-            .listed
-            .as_ref()
-            .and_then(|listed| listed.leaving_since);
-        let leaving_since = leaving.then(|| before.unwrap_or(incarnation.max(member.incarnation)));
-        record.listed = Some(Listed {
+        let before = record.listed.as_ref();
+        let known = before.is_some();
+        let (since, changed_ms) = before.map_or((None, 0), |l| (l.leaving_since, l.changed_ms));
+        let mut listed = Listed {
+            leaving_since: leaving.then(|| since.unwrap_or(incarnation.max(member.incarnation))),
             member,
-            leaving_since,
+            changed_ms,
             gone: false,
-        });
+        };
+        let changed = since.is_some() != leaving && (known || leaving);
+        match changed {
+            // A peer has read a later list than this one.
+            true if changed_ms > as_of_ms => listed.leaving_since = since,
+            true => listed.changed_ms = as_of_ms,
+            false => {}
+        }
+        let news = listed.changed_ms != changed_ms;
+        record.listed = Some(listed);
+        if news {
+            self.spread(&host);
+        }
     }
 
     fn tick(&mut self, now: Duration, actions: &mut Vec<Action>) {
--- a/crates/snipewinch/src/membership/roster/news.rs
+++ b/crates/snipewinch/src/membership/roster/news.rs
@@ -8,6 +8,7 @@
 use super::Action;
 use super::HOSTS_MAX;
 use super::Link;
+use super::Listed;
 use super::Record;
 use super::Roster;
 use super::Told;
@@ -80,6 +81,7 @@
         if self.records.len() >= HOSTS_MAX && !self.records.contains_key(&rumor.host) {
             return false;
         }
+        self.hear_list(&rumor);
         // An address told across regions need not work from here.
         let address_known = near && rumor.place.region == self.own.region;
         let record = self.records.entry(rumor.host.clone()).or_default();
@@ -108,6 +110,27 @@
         true
     }
 
+    /// A peer passes on what a list said that this process has not read yet.
+    /// A host that the list never named here has to wait for the list.
+    fn hear_list(&mut self, rumor: &Rumor) {
+        let read_ms = self.list_as_of_ms.unwrap_or(0);
+        let Some(record) = self.records.get_mut(&rumor.host) else {
+            return;
+        };
+        let incarnation = record.told.as_ref().map_or(u64::MAX, |t| t.incarnation);
+        match (rumor.listed, &mut record.listed) {
+            (Some(word), Some(listed))
+                if word.as_of_ms > listed.changed_ms && word.as_of_ms > read_ms =>
+            {
+                let since = listed.leaving_since.unwrap_or(incarnation);
+                listed.leaving_since = word.leaving.then_some(since);
+                listed.changed_ms = word.as_of_ms;
+                self.spread(&rumor.host);
+            }
+            _ => {}
+        }
+    }
+
     /// Others think that this process is gone: it knows better.
     pub(super) fn hear_of_self(&mut self, rumor: &Rumor) {
         let current = rumor.incarnation == self.own.incarnation;
@@ -191,6 +214,7 @@
                 false => State::Live,
             },
             place: Place::from(&self.own),
+            listed: None,
         }
     }
 
@@ -216,6 +240,7 @@
         denials: told.denials,
         state: told.state,
         place: told.place.clone(),
+        listed: record.listed.as_ref().and_then(Listed::word),
     })
 }
 
--- a/crates/snipewinch/tests/membership.rs
+++ b/crates/snipewinch/tests/membership.rs
@@ -17,6 +17,7 @@
 use snipewinch::membership::Roster;
 use snipewinch::membership::Rumor;
 use snipewinch::membership::State;
+use snipewinch::membership::Word;
 use snipewinch::membership::roster::Action;
 use snipewinch::membership::roster::Event;
 
@@ -56,6 +57,7 @@
         denials,
         state,
         place: Place::from(&identity(index, incarnation)),
+        listed: None,
     }
 }
 
@@ -689,3 +691,82 @@
         }
     }
 }
+
+/// What a list said of a host, as a peer passes it on.
+struct WordCase {
+    name: &'static str,
+    word_ms: u64,
+    leaving: bool,
+    state: Option<State>,
+}
+
+/// The host is listed as live at 1,000 ms of the list's clock before each.
+const WORDS: &[WordCase] = &[
+    WordCase {
+        name: "a later list says that it leaves",
+        word_ms: 2000,
+        leaving: true,
+        state: LEAVING,
+    },
+    WordCase {
+        name: "an older list said that it leaves",
+        word_ms: 900,
+        leaving: true,
+        state: LIVE,
+    },
+    WordCase {
+        name: "a later list says what is known",
+        word_ms: 2000,
+        leaving: false,
+        state: LIVE,
+    },
+];
+
+#[test]
+fn the_word_of_a_list_that_others_read_counts() {
+    for case in WORDS {
+        let mut bench = Bench::open();
+        bench.up(1, 1, 5);
+        bench.up(2, 2, 5);
+        bench.list(1000, &[(1, State::Live), (2, State::Live)]);
+        let mut rumor = rumor(2, 5, 0, State::Live);
+        rumor.listed = Some(Word {
+            as_of_ms: case.word_ms,
+            leaving: case.leaving,
+        });
+        bench.hear(1, rumor);
+        assert_eq!(bench.state(2), case.state, "{}", case.name);
+        // A list read late does not take back what a later one said.
+        bench.list(1500, &[(1, State::Live), (2, State::Live)]);
+        assert_eq!(bench.state(2), case.state, "{}, then 1500", case.name);
+        bench.list(3000, &[(1, State::Live), (2, State::Live)]);
+        assert_eq!(bench.state(2), LIVE, "{}, then 3000", case.name);
+    }
+}
+
+#[test]
+fn who_reads_that_a_host_leaves_tells_it() {
+    let mut bench = Bench::open();
+    bench.up(1, 1, 5);
+    bench.up(2, 2, 5);
+    bench.list(1000, &[(1, State::Live), (2, State::Live)]);
+    bench.pass(SECOND * 30);
+    bench.list(2000, &[(1, State::Live), (2, State::Leaving)]);
+    let mut told = false;
+    for _ in 0..20 {
+        bench.now += TICK;
+        for action in bench.handle(Event::Tick) {
+            if let Action::Send {
+                message: Message::News(rumors),
+                ..
+            } = action
+            {
+                told |= rumors.iter().any(|rumor| {
+                    let word = rumor.listed.filter(|word| word.leaving);
+                    rumor.host == identity(2, 0).host && word.is_some()
+                });
+            }
+        }
+    }
+    assert!(told, "nobody was told");
+}
