--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -53,12 +53,6 @@
     /// A signal ended it.
     #[snafu(display("ended by a signal"))]
     Interrupted,
-    /// The experiment does not exist in this build.
-    #[snafu(display("the experiment {name} is not part of this build"))]
-    Absent {
-        /// Which.
-        name: &'static str,
-    },
 }
 
 impl From<fleet::Error> for Error {
