Tag every message between processes, so that a flipped bit is noticed

Change: a keyed BLAKE3 tag over each message and its place in the stream, with keys from the handshake; a bad tag ends the link (protocol 2). Conclusion: what a link changes is dropped before it is believed.

--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -61,6 +61,11 @@
         /// What the codec said.
         detail: SmolStr,
     },
+    /// A message does not carry the tag that its sender gave it.
+    #[snafu(display(
+        "a message was changed, repeated or left out on its way; look for a faulty network device between the hosts if it repeats"
+    ))]
+    Tampered,
     /// The peer reached another host than it meant to.
     #[snafu(display(
         "expected host {expected} at this address and found {found}; the list of hosts is behind"
@@ -108,6 +113,7 @@
             Error::Slow { .. } => "slow",
             Error::Socket { .. } => "socket",
             Error::Stranger { .. } => "stranger",
+            Error::Tampered => "tampered",
         }
     }
 }
--- a/crates/peer/src/handshake.rs
+++ b/crates/peer/src/handshake.rs
@@ -28,17 +28,20 @@
 use crate::codec;
 use crate::error::Error;
 use crate::error::SocketSnafu;
+use crate::seal::Stream;
 use crate::watched::Activity;
 use crate::watched::Watched;
 
 /// The version of the protocol between processes.
-const PROTOCOL: u32 = 1;
+const PROTOCOL: u32 = 2;
 /// How long a handshake may take.
 pub(crate) const LIMIT: Duration = Duration::from_secs(2);
 /// The longest message before the key is proved.
 const GREETING_MAX_BYTES: usize = 4 << 10;
 /// The length of a nonce in bytes.
 const NONCE_BYTES: usize = 32;
+/// Sets the keys of messages apart from the proofs of the handshake.
+const STREAM_LABEL: &str = "messages";
 /// The context string of the key derivation.
 const KEY_CONTEXT: &str = "snipewinch 2026-12-03 peer handshake";
 
@@ -52,6 +55,13 @@
         FleetKey(blake3::derive_key(KEY_CONTEXT, text.as_bytes()))
     }
 
+    /// The key of what one side of a link sends.
+    fn stream(&self, side: Side, acceptor: &Nonce, dialer: &Nonce) -> Stream {
+        let mut bytes = Vec::new();
+        codec::encode(&(STREAM_LABEL, side, acceptor, dialer), &mut bytes);
+        Stream::open(*blake3::keyed_hash(&self.0, &bytes).as_bytes())
+    }
+
     fn prove(&self, side: Side, theirs: &Nonce, ours: &Nonce, identity: &Identity) -> Proof {
         let mut bytes = Vec::new();
         codec::encode(&(side, theirs, ours, identity), &mut bytes);
@@ -104,6 +114,10 @@
     pub(crate) identity: Identity,
     pub(crate) socket: Socket,
     pub(crate) activity: Activity,
+    /// What this process sends.
+    pub(crate) sealing: Stream,
+    /// What the peer sends.
+    pub(crate) unsealing: Stream,
 }
 
 /// Proves the key as the one who accepted.
@@ -144,6 +158,8 @@
         identity: hello.identity,
         socket,
         activity,
+        sealing: key.stream(Side::Accept, &ours, &hello.nonce),
+        unsealing: key.stream(Side::Dial, &ours, &hello.nonce),
     })
 }
 
@@ -188,6 +204,8 @@
         identity: welcome.identity,
         socket,
         activity,
+        sealing: key.stream(Side::Dial, &challenge.nonce, &ours),
+        unsealing: key.stream(Side::Accept, &challenge.nonce, &ours),
     })
 }
 
--- a/crates/peer/src/hub/run.rs
+++ b/crates/peer/src/hub/run.rs
@@ -22,6 +22,7 @@
 
 use super::Outbound;
 use super::Shared;
+use crate::Error;
 use crate::codec;
 use crate::handshake::Greeted;
 use crate::handshake::Socket;
@@ -29,6 +30,7 @@
 use crate::link::Direction;
 use crate::link::Event;
 use crate::link::Reason;
+use crate::seal::Stream;
 use crate::watched::Activity;
 
 /// Frames that wait for a link, but for chunks.
@@ -67,6 +69,7 @@
     let writer = Writer {
         shared,
         sink,
+        sealing: greeted.sealing,
         urgent: urgent_queue,
         bulk: bulk_queue,
         heard: heard.subscribe(),
@@ -77,6 +80,7 @@
         shared,
         key,
         stream,
+        unsealing: greeted.unsealing,
         heard,
         activity: greeted.activity,
     };
@@ -164,6 +168,7 @@
     shared: &'a Shared,
     key: link::Key,
     stream: SplitStream<Socket>,
+    unsealing: Stream,
     heard: watch::Sender<u64>,
     activity: Activity,
 }
@@ -176,7 +181,7 @@
                 Err(reason) => return reason,
             };
             match message {
-                Message::Binary(bytes) => match codec::decode(&bytes) {
+                Message::Binary(bytes) => match self.open(&bytes) {
                     Ok(frames) => self.deliver(frames, bytes.len()).await,
                     Err(error) => {
                         let kind = error.kind();
@@ -216,6 +221,11 @@
         }
     }
 
+    /// The frames of a message that is as it was sent.
+    fn open(&mut self, sealed: &Bytes) -> Result<Vec<Frame>, Error> {
+        codec::decode(&self.unsealing.unseal(sealed)?)
+    }
+
     async fn deliver(&self, frames: Vec<Frame>, bytes: usize) {
         let mut batch = Batch::default();
         for frame in frames {
@@ -275,6 +285,7 @@
 struct Writer<'a> {
     shared: &'a Shared,
     sink: SplitSink<Socket, Message>,
+    sealing: Stream,
     urgent: mpsc::Receiver<Frame>,
     bulk: mpsc::Receiver<Frame>,
     heard: watch::Receiver<u64>,
@@ -338,6 +349,7 @@
             self.append(&frame, &mut message);
             frames += 1;
         }
+        self.sealing.seal(&mut message);
         let message = Message::Binary(Bytes::from(message));
         self.sink.send(message).await.map_err(|_| ())
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod hub;
 pub mod link;
 mod metrics;
+mod seal;
 mod watched;
 
 pub use crate::error::Error;
