Part the entry's calls from what agents answer

Change: what agents say of a call is a module of its own; no line of it changed. Conclusion: one job a file.

--- a/crates/snipewinch/src/call/entry.rs
+++ b/crates/snipewinch/src/call/entry.rs
@@ -22,6 +22,7 @@
 use super::Total;
 use crate::host;
 
+mod answer;
 mod pending;
 
 use pending::Arrival;
@@ -381,136 +382,6 @@
         }
     }
 
-    fn message(&mut self, now: Duration, link: Link, message: Message) {
-        let attempt = message.attempt();
-        if attempt.origin != self.origin {
-            return;
-        }
-        let current = self
-            .calls
-            .get_mut(&attempt.call)
-            .filter(|pending| pending.is_current(attempt, link));
-        let Some(pending) = current else {
-            self.stale(link, message);
-            return;
-        };
-        pending.heard = now;
-        match message {
-            Message::Head(_, head) => self.head(now, link, attempt, head),
-            Message::Data(_, number, data) => self.data(now, link, attempt, number, data),
-            Message::End(_, total) => self.end(now, link, attempt, total),
-            Message::Refuse(_, refusal, retry_ms) => {
-                self.refused(link, attempt, refusal, retry_ms);
-            }
-            Message::Fail(_, fault, run) => {
-                self.out.push(Action::Send(link, Message::Done(attempt)));
-                let host = self.host(attempt.call);
-                self.lost(attempt.call, host, run, Settled::Failed(fault));
-            }
-            Message::Alive(_)
-            | Message::Cancel(_)
-            | Message::Credit(..)
-            | Message::Done(_)
-            | Message::Query(..)
-            | Message::Start(_) => {}
-        }
-    }
-
-    /// Settles what arrives for an attempt that has been given up.
-    fn stale(&mut self, link: Link, message: Message) {
-        let attempt = message.attempt();
-        match message {
-            Message::End(..) | Message::Fail(..) | Message::Refuse(..) => {
-                self.out.push(Action::Send(link, Message::Done(attempt)));
-            }
-            Message::Alive(_) | Message::Head(..) => {
-                self.out.push(Action::Send(link, Message::Cancel(attempt)));
-            }
-            _ => {}
-        }
-    }
-
-    fn host(&self, call: Number) -> host::Name {
-        match self.calls.get(&call).map(|pending| &pending.phase) {
-            Some(Phase::Asking(target, _) | Phase::Sent(target, _)) => target.host.clone(),
-            Some(Phase::Routing) | None => host::Name::from(""),
-        }
-    }
-
-    fn head(&mut self, now: Duration, link: Link, attempt: Attempt, head: Head) {
-        let Some(pending) = self.calls.get_mut(&attempt.call) else {
-            return;
-        };
-        match pending.head(head) {
-            Arrival::New(head) => self.out.push(Action::Head(attempt.call, head)),
-            Arrival::Known => {}
-            Arrival::Gap => self.ask(now, attempt.call),
-            Arrival::Foreign => self.discard(link, attempt),
-        }
-    }
-
-    fn data(&mut self, now: Duration, link: Link, attempt: Attempt, number: u32, data: Data) {
-        let Some(pending) = self.calls.get_mut(&attempt.call) else {
-            return;
-        };
-        match pending.data(number, data) {
-            Arrival::New(data) => {
-                self.out.push(Action::Data(attempt.call, data));
-                if let Some(credit) = pending.credit(attempt) {
-                    self.out.push(Action::Send(link, credit));
-                }
-            }
-            Arrival::Known => {}
-            Arrival::Gap => self.ask(now, attempt.call),
-            Arrival::Foreign => self.discard(link, attempt),
-        }
-    }
-
-    fn end(&mut self, now: Duration, link: Link, attempt: Attempt, total: Total) {
-        let Some(pending) = self.calls.get_mut(&attempt.call) else {
-            return;
-        };
-        match pending.end(total) {
-            Arrival::New(()) => {
-                let host = self.host(attempt.call);
-                self.calls.remove(&attempt.call);
-                self.out.push(Action::Send(link, Message::Done(attempt)));
-                self.out
-                    .push(Action::Settled(attempt.call, host, Settled::Served));
-                self.out.push(Action::End(attempt.call));
-            }
-            Arrival::Gap => self.ask(now, attempt.call),
-            Arrival::Foreign | Arrival::Known => self.discard(link, attempt),
-        }
-    }
-
-    /// The answer can't be trusted: give the attempt up.
-    fn discard(&mut self, link: Link, attempt: Attempt) {
-        self.out.push(Action::Send(link, Message::Cancel(attempt)));
-        let host = self.host(attempt.call);
-        let settled = Settled::Failed(Fault::Malformed);
-        self.lost(attempt.call, host, Run::Yes, settled);
-    }
-
-    fn refused(&mut self, link: Link, attempt: Attempt, refusal: Refusal, retry_ms: u32) {
-        self.out.push(Action::Send(link, Message::Done(attempt)));
-        let host = self.host(attempt.call);
-        let settled = Settled::Refused(refusal);
-        let kind = match refusal {
-            Refusal::Busy | Refusal::Cancelled => Kind::Busy,
-            Refusal::Deadline => Kind::Deadline,
-            Refusal::Leaving | Refusal::Service | Refusal::Unreachable => Kind::NoBackend,
-            Refusal::Version => Kind::NoVersion,
-        };
-        match refusal {
-            Refusal::Deadline => {
-                self.out.push(Action::Settled(attempt.call, host, settled));
-                self.fail(attempt.call, Kind::Deadline, 0);
-            }
-            _ => self.not_run(attempt.call, host, kind, retry_ms, settled),
-        }
-    }
-
     fn unsent(&mut self, now: Duration, attempt: Attempt) {
         let Some(pending) = self.calls.get_mut(&attempt.call) else {
             return;
