Show the way into the library on its first page

Cause: the page said what the parts have in common and named none. Change: a table of the parts with where each starts, and a claim carried through as a tested example. Conclusion: an embedder finds a part without reading the daemon.

--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -8,6 +8,61 @@
 //!
 //! Time is always a [`std::time::Duration`] since an epoch that the embedder
 //! chooses and that never goes back, usually the start of its process.
+//!
+//! # The way in
+//!
+//! | part | starts with | what it decides |
+//! |---|---|---|
+//! | [`weights`] | [`weights::swarm::Swarm::new`] | who fetches which chunk from whom |
+//! | [`weights`] | [`weights::load`] | when an engine may load, and with which fencing number |
+//! | [`call`] | [`call::entry::Entry::open`] | what becomes of a call when links and hosts are lost |
+//! | [`call`] | [`call::agent::Agent::open`] | which attempts run, once each, and what is kept of them |
+//! | [`claim`] | [`claim::Table::open`] | whether a call under an idempotency key may run |
+//! | [`routing`] | [`routing::Table`] | which backend server answers a call |
+//! | [`limit`] | [`limit::Limiter`] | whose call goes on, waits or is refused |
+//! | [`concurrency`], [`deadline`], [`retry`] | | how many at once, until when, how often |
+//! | [`document`] | [`document::Document::parse`] | whether a configuration is valid |
+//! | [`configuration`] | [`configuration::follow::Follower::open`] | which version is in force |
+//! | [`membership`] | [`membership::Roster::open`] | which hosts there are and who takes work |
+//! | [`lease`] | | who may act, and which fencing number proves it |
+//!
+//! Each takes an event and the time, and answers with actions that the embedder
+//! carries out:
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use snipewinch::Digest;
+//! use snipewinch::claim::Action;
+//! use snipewinch::claim::Claim;
+//! use snipewinch::claim::Event;
+//! use snipewinch::claim::Result;
+//! use snipewinch::claim::Table;
+//! use snipewinch::claim::Ticket;
+//!
+//! let mut claims = Table::open();
+//! let claim = Claim {
+//!     key: "customer/grant-7".into(),
+//!     holder: "this call".into(),
+//!     fingerprint: Digest::of(b"the request"),
+//!     until_ms: 61_000,
+//! };
+//! let now = Duration::from_millis(5);
+//! let wall_ms = 1_000;
+//! let actions = claims.handle(now, wall_ms, Event::Claim(Ticket(1), claim));
+//! let [Action::Transact(batch, changes)] = &actions[..] else {
+//!     panic!("the claim is written before the call runs");
+//! };
+//! assert_eq!(changes[0].revision, 0, "on condition that the row is absent");
+//!
+//! // The embedder wrote it, and its table answered:
+//! let committed = Event::Ended(*batch, Result::Committed(1));
+//! let actions = claims.handle(now, wall_ms, committed);
+//! assert_eq!(actions, [Action::Grant(Ticket(1))]);
+//! ```
+//!
+//! The programs under `examples/` embed the limits, the routing table, the
+//! configuration follower and the claims over plain channels.
 
 pub mod call;
 pub mod claim;
