Count calls to an entry that is dead as lost with it, and name what is cut

A call was taken as lost with a killed entry only if it was under way at the instant noted before the signal; one sent a moment later on a connection that the caller still held was not. Change: the time from before the signal until the entry is started again counts; a wrong answer counts as wrong whenever it comes. Each wrong or cut call is printed with the kills beside it. Conclusion: should one be seen again, its line says what it was.

--- a/crates/bench/src/calls/faults.rs
+++ b/crates/bench/src/calls/faults.rs
@@ -29,11 +29,22 @@
     All,
 }
 
+/// An entry that was killed. Until it is started again, nothing can answer for
+/// it, also on connections that callers still hold.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Killed {
+    pub(super) entry: SocketAddr,
+    /// Just before the signal.
+    pub(super) from: Duration,
+    /// When it was started again.
+    pub(super) to: Duration,
+}
+
 /// What was done, as far as the verdict needs it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Seen {
     /// Entries that were killed, and when.
-    pub(super) killed_entries: Vec<(SocketAddr, Duration)>,
+    pub(super) killed_entries: Vec<Killed>,
     /// Graceful stops, from the signal to the end of the process.
     pub(super) stops: Vec<(Duration, Duration)>,
     /// The last new work of a leaving host after it was listed as such.
@@ -166,10 +177,14 @@
         let address = self.fleet.host(entry.as_str())?.http;
         let at = self.load.elapsed();
         self.fleet.kill(&entry).await?;
-        self.seen.killed_entries.push((address, at));
         tokio::time::sleep(QUIET).await;
         self.fleet.replace(&agent).await?;
         self.fleet.restart(&entry).await?;
+        self.seen.killed_entries.push(Killed {
+            entry: address,
+            from: at,
+            to: self.load.elapsed(),
+        });
         Ok(())
     }
 
--- a/crates/bench/src/calls/verdict.rs
+++ b/crates/bench/src/calls/verdict.rs
@@ -70,7 +70,7 @@
         let killed = seen
             .killed_entries
             .iter()
-            .any(|(entry, at)| *entry == record.entry && during(&(*at, *at)));
+            .any(|killed| killed.entry == record.entry && during(&(killed.from, killed.to)));
         let broken = match record.outcome {
             Outcome::Whole => {
                 self.answered_whole += 1;
@@ -81,6 +81,10 @@
                 false
             }
             Outcome::Cut | Outcome::Wrong => {
+                eprintln!(
+                    "wrong or cut: {record:?}; killed: {:?}",
+                    seen.killed_entries
+                );
                 self.wrong_or_cut += 1;
                 true
             }
