--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::ffi::OsStr;
 use std::ffi::OsString;
 use std::fs;
 use std::path::Path;
@@ -56,6 +57,12 @@
         self.fields.get(field)?.as_f64()
     }
 
+    /// The file's name without its folder and ending.
+    fn stem(&self) -> &str {
+        let stem = Path::new(&self.file).file_stem();
+        stem.and_then(OsStr::to_str).unwrap_or(&self.file)
+    }
+
     fn text(&self, field: &str) -> &str {
         self.fields[field].as_str().unwrap_or("")
     }
@@ -162,12 +169,13 @@
     lines.iter().filter(has).cloned().collect()
 }
 
-/// One series for each value of `group`.
+/// One series for each value of `group` in each file: what ran under other
+/// circumstances is kept in a file of its own.
 fn by(lines: &[Line], group: &str, x: &str, y: &str, title: &str) -> Option<Plot> {
     let mut series: BTreeMap<String, Vec<(f64, f64)>> = BTreeMap::new();
     for line in lines {
         if let (Some(x), Some(y)) = (line.number(x), line.number(y)) {
-            let name = line.text(group).to_owned();
+            let name = format!("{} ({})", line.text(group), line.stem());
             series.entry(name).or_default().push((x, y));
         }
     }
