Look a recorded version up in one place

Cause: the console's page of a version and its restore each read the history and told its failures in the same lines. Change: one function reads it and gives a typed error. Conclusion: a version that is absent is told in one way.

--- a/crates/operator/src/handlers.rs
+++ b/crates/operator/src/handlers.rs
@@ -18,6 +18,7 @@
 use serde::Deserialize;
 use snipewinch::Digest;
 use snipewinch::configuration::InForce;
+use snipewinch::configuration::Record;
 use snipewinch::configuration::publish::Outcome;
 use snipewinch::document::Document;
 use snipewinch::document::check::Fault;
@@ -328,16 +329,23 @@
     }
 }
 
+async fn recorded(console: &Console, version: u64) -> Result<Record, Error> {
+    match console.shared.platform.version(version).await {
+        Ok(Some(record)) => Ok(record),
+        Ok(None) => Err(Error::Absent),
+        Err(source) => Err(Error::Platform { source }),
+    }
+}
+
 #[handler]
 pub(crate) async fn version_page(
     Data(console): Data<&Console>,
     session: Session,
     Path(version): Path<u64>,
 ) -> Response {
-    let record = match console.shared.platform.version(version).await {
-        Ok(Some(record)) => record,
-        Ok(None) => return Error::Absent.into_page(),
-        Err(source) => return Error::Platform { source }.into_page(),
+    let record = match recorded(console, version).await {
+        Ok(record) => record,
+        Err(error) => return error.into_page(),
     };
     let in_force = console.shared.in_force.borrow().clone();
     match InForce::parse(record.version, &record.text) {
@@ -352,10 +360,9 @@
     form: Form,
     Path(version): Path<u64>,
 ) -> Response {
-    let record = match console.shared.platform.version(version).await {
-        Ok(Some(record)) => record,
-        Ok(None) => return Error::Absent.into_page(),
-        Err(source) => return Error::Platform { source }.into_page(),
+    let record = match recorded(console, version).await {
+        Ok(record) => record,
+        Err(error) => return error.into_page(),
     };
     match Document::parse(&record.text) {
         Ok(document) => review_draft(console, &form.session, Draft::of(&document)).await,
