--- /dev/null
+++ b/crates/http1/src/head.rs
@@ -0,0 +1,268 @@
+//! Heads of requests and responses.
+
+use std::mem::MaybeUninit;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use memchr::memmem;
+use smol_str::SmolStr;
+
+use crate::Fault;
+use crate::body::Framing;
+
+/// The most fields of a head; a longer list is refused.
+const FIELDS_MAX: usize = 128;
+/// Ends every head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+#[derive(Clone, Copy, Debug)]
+struct Field {
+    name: (u32, u32),
+    value: (u32, u32),
+}
+
+/// The fields of a head, in the order in which they came.
+#[derive(Clone, Debug, Default)]
+pub struct Fields {
+    bytes: Bytes,
+    list: Vec<Field>,
+}
+
+impl Fields {
+    /// All fields as name and value.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.list.iter().map(|field| {
+            let name = &self.bytes[field.name.0 as usize..field.name.1 as usize];
+            let value = &self.bytes[field.value.0 as usize..field.value.1 as usize];
+            (std::str::from_utf8(name).unwrap_or_default(), value)
+        })
+    }
+
+    /// All values of a field.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let matching = move |(found, _): &(&str, &[u8])| found.eq_ignore_ascii_case(name);
+        self.iter().filter(matching).map(|(_, value)| value)
+    }
+
+    /// The first value of a field, if it is text.
+    pub fn get<'a>(&'a self, name: &'a str) -> Option<&'a str> {
+        let value = self.all(name).next()?;
+        std::str::from_utf8(value).ok()
+    }
+
+    /// The first value of a field as a number.
+    pub fn number<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
+        self.get(name)?.trim().parse().ok()
+    }
+
+    /// Whether a comma-separated list field has an element.
+    pub fn lists(&self, name: &str, element: &str) -> bool {
+        self.all(name)
+            .filter_map(|value| std::str::from_utf8(value).ok())
+            .flat_map(|value| value.split(','))
+            .any(|one| one.trim().eq_ignore_ascii_case(element))
+    }
+
+    fn length(&self) -> Result<Option<u64>, Fault> {
+        let mut values = self.all("content-length");
+        let Some(value) = values.next() else {
+            return Ok(None);
+        };
+        let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+        match values.next() {
+            None if digits => {
+                let text = std::str::from_utf8(value).map_err(|_| Fault::Framing)?;
+                text.parse().map(Some).map_err(|_| Fault::Framing)
+            }
+            _ => Err(Fault::Framing),
+        }
+    }
+
+    /// Whether the body is chunked.
+    fn chunked(&self) -> Result<bool, Fault> {
+        let mut values = self.all("transfer-encoding");
+        match (values.next(), values.next()) {
+            (None, _) => Ok(false),
+            (Some(value), None) if value.eq_ignore_ascii_case(b"chunked") => Ok(true),
+            (Some(_), None) => Err(Fault::Coding),
+            (Some(_), Some(_)) => Err(Fault::Framing),
+        }
+    }
+
+    fn framing(&self) -> Result<Option<Framing>, Fault> {
+        match (self.length()?, self.chunked()?) {
+            (Some(_), true) => Err(Fault::Framing),
+            (Some(length), false) => Ok(Some(Framing::Length(length))),
+            (None, true) => Ok(Some(Framing::Chunked)),
+            (None, false) => Ok(None),
+        }
+    }
+}
+
+/// A request's head.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The method, such as `GET`.
+    pub method: SmolStr,
+    /// The target as it was sent.
+    pub target: SmolStr,
+    /// Whether the sender speaks HTTP/1.1 rather than 1.0.
+    pub is_1_1: bool,
+    /// The fields.
+    pub fields: Fields,
+    /// How the body is delimited.
+    pub framing: Framing,
+}
+
+impl Request {
+    /// Takes a head off the front of `buffer`, once all of it is there.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] if it is no head of at most `max` bytes, or its body's length
+    /// is ambiguous.
+    pub fn take(buffer: &mut BytesMut, max: usize) -> Result<Option<Request>, Fault> {
+        let Some(length) = complete(buffer, max)? else {
+            return Ok(None);
+        };
+        let head = buffer.split_to(length).freeze();
+        let mut slots = [const { MaybeUninit::uninit() }; FIELDS_MAX];
+        let mut parsed = httparse::Request::new(&mut []);
+        let status = parsed
+            .parse_with_uninit_headers(&head, &mut slots)
+            .map_err(fault)?;
+        if status.is_partial() {
+            return Err(Fault::Malformed);
+        }
+        let is_1_1 = parsed.version == Some(1);
+        let fields = fields(&head, parsed.headers);
+        let framing = fields.framing()?.unwrap_or(Framing::Length(0));
+        if framing == Framing::Chunked && !is_1_1 {
+            return Err(Fault::Framing);
+        }
+        Ok(Some(Request {
+            method: parsed.method.unwrap_or_default().into(),
+            target: parsed.path.unwrap_or_default().into(),
+            is_1_1,
+            fields,
+            framing,
+        }))
+    }
+
+    /// The target's path, without the query.
+    pub fn path(&self) -> &str {
+        let target = self.target.as_str();
+        target.split_once('?').map_or(target, |(path, _)| path)
+    }
+
+    /// Whether the sender keeps the connection for further requests.
+    pub fn keeps_alive(&self) -> bool {
+        self.is_1_1 && !self.fields.lists("connection", "close")
+    }
+}
+
+/// A response's head.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// The status.
+    pub status: u16,
+    /// The fields.
+    pub fields: Fields,
+    /// How the body is delimited.
+    pub framing: Framing,
+    /// Whether the connection may carry further requests after the body.
+    pub keeps_alive: bool,
+}
+
+impl Response {
+    /// Takes the head of a response to a `method` off the front of `buffer`,
+    /// once all of it is there. Interim responses are skipped.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] if it is no head of at most `max` bytes, or its body's length
+    /// is ambiguous.
+    pub fn take(
+        buffer: &mut BytesMut,
+        method: &str,
+        max: usize,
+    ) -> Result<Option<Response>, Fault> {
+        loop {
+            let Some(length) = complete(buffer, max)? else {
+                return Ok(None);
+            };
+            let head = buffer.split_to(length).freeze();
+            let response = Response::parse(&head, method)?;
+            if response.status >= 200 {
+                return Ok(Some(response));
+            }
+        }
+    }
+
+    fn parse(head: &Bytes, method: &str) -> Result<Response, Fault> {
+        let mut slots = [const { MaybeUninit::uninit() }; FIELDS_MAX];
+        let mut parsed = httparse::Response::new(&mut []);
+        let status = httparse::ParserConfig::default()
+            .parse_response_with_uninit_headers(&mut parsed, head, &mut slots)
+            .map_err(fault)?;
+        if status.is_partial() {
+            return Err(Fault::Malformed);
+        }
+        let is_1_1 = parsed.version == Some(1);
+        let status = parsed.code.ok_or(Fault::Malformed)?;
+        let fields = fields(head, parsed.headers);
+        let without_body = status < 200 || status == 204 || status == 304 || method == "HEAD";
+        let framing = match fields.framing()? {
+            _ if without_body => Framing::Length(0),
+            Some(framing) => framing,
+            None => Framing::UntilClose,
+        };
+        let closes = fields.lists("connection", "close") || framing == Framing::UntilClose;
+        Ok(Response {
+            status,
+            framing,
+            keeps_alive: is_1_1 && !closes,
+            fields,
+        })
+    }
+}
+
+/// The length of the head at the front of a buffer, once all of it is there.
+fn complete(buffer: &BytesMut, max: usize) -> Result<Option<usize>, Fault> {
+    let found = memmem::find(buffer, HEAD_END).map(|at| at + HEAD_END.len());
+    match found {
+        Some(length) if length > max => Err(Fault::HeadTooLong),
+        None if buffer.len() > max => Err(Fault::HeadTooLong),
+        found => Ok(found),
+    }
+}
+
+fn fields(head: &Bytes, parsed: &[httparse::Header<'_>]) -> Fields {
+    let base = head.as_ptr() as usize;
+    let place = |part: &[u8]| {
+        let start = part.as_ptr() as usize - base;
+        (start as u32, (start + part.len()) as u32)
+    };
+    let list = parsed
+        .iter()
+        .map(|header| Field {
+            name: place(header.name.as_bytes()),
+            value: match header.value.is_empty() {
+                true => (0, 0),
+                false => place(header.value),
+            },
+        })
+        .collect();
+    Fields {
+        bytes: head.clone(),
+        list,
+    }
+}
+
+fn fault(error: httparse::Error) -> Fault {
+    match error {
+        httparse::Error::TooManyHeaders => Fault::HeadTooLong,
+        httparse::Error::Version => Fault::Version,
+        _ => Fault::Malformed,
+    }
+}
--- /dev/null
+++ b/crates/http1/tests/framing.rs
@@ -0,0 +1,144 @@
+//! Heads and bodies, whole, in pieces and malformed.
+
+use bytes::BytesMut;
+use http1::Fault;
+use http1::body::Decoder;
+use http1::body::Framing;
+use http1::body::Step;
+use http1::head::Request;
+use http1::head::Response;
+use http1::write;
+use quickcheck::quickcheck;
+
+const MAX: usize = 16_384;
+
+fn request(text: &str) -> Result<Option<Request>, Fault> {
+    Request::take(&mut BytesMut::from(text), MAX)
+}
+
+fn decode(framing: Framing, bytes: &[u8], step: usize) -> Result<(Vec<u8>, bool), Fault> {
+    let mut decoder = Decoder::new(framing);
+    let mut buffer = BytesMut::new();
+    let mut body = Vec::new();
+    for piece in bytes.chunks(step.max(1)) {
+        buffer.extend_from_slice(piece);
+        loop {
+            match decoder.step(&mut buffer)? {
+                Step::Data(data) => body.extend_from_slice(&data),
+                Step::End | Step::More => break,
+            }
+        }
+    }
+    Ok((body, decoder.is_done()))
+}
+
+#[test]
+fn ambiguous_lengths_are_refused() {
+    let cases = [
+        ("Content-Length: 3\r\nContent-Length: 3\r\n", Fault::Framing),
+        ("Content-Length: 3\r\nContent-Length: 4\r\n", Fault::Framing),
+        ("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", Fault::Framing),
+        ("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", Fault::Framing),
+        ("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Fault::Framing),
+        ("Transfer-Encoding: gzip, chunked\r\n", Fault::Coding),
+        ("Transfer-Encoding: identity\r\n", Fault::Coding),
+        ("Content-Length: +3\r\n", Fault::Framing),
+        ("Content-Length: 3, 3\r\n", Fault::Framing),
+        ("Content-Length: \r\n", Fault::Framing),
+        ("Content-Length: 99999999999999999999999\r\n", Fault::Framing),
+        ("Content-Length : 3\r\n", Fault::Malformed),
+        ("A: b\r\n folded: c\r\n", Fault::Malformed),
+    ];
+    for (fields, fault) in cases {
+        let text = format!("POST / HTTP/1.1\r\nHost: a\r\n{fields}\r\n");
+        assert_eq!(request(&text).err(), Some(fault), "{fields:?}");
+    }
+}
+
+#[test]
+fn a_chunked_body_needs_http_1_1() {
+    let text = "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(request(text).err(), Some(Fault::Framing));
+}
+
+#[test]
+fn a_head_over_the_limit_is_refused_also_before_its_end() {
+    let mut text = "GET / HTTP/1.1\r\nA: ".to_owned();
+    text.extend(std::iter::repeat_n('a', MAX));
+    assert_eq!(request(&text).err(), Some(Fault::HeadTooLong));
+    text.push_str("\r\n\r\n");
+    assert_eq!(request(&text).err(), Some(Fault::HeadTooLong));
+}
+
+#[test]
+fn a_head_in_pieces_is_taken_once_it_is_whole() {
+    let text = "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy";
+    let end = text.len() - 2;
+    for cut in 0..end {
+        assert!(request(&text[..cut]).expect("no fault").is_none());
+    }
+    let head = request(text).expect("no fault").expect("a head");
+    assert_eq!((head.path(), head.framing), ("/a/b", Framing::Length(2)));
+    assert_eq!(head.fields.get("host"), Some("h"));
+    assert!(head.keeps_alive());
+}
+
+#[test]
+fn malformed_chunks_are_refused() {
+    let cases: [&[u8]; 7] = [
+        b"\r\n",
+        b"g\r\n",
+        b"+1\r\na\r\n",
+        b"0x1\r\na\r\n",
+        b"1\r\nab\r\n",
+        b"1 \r\na\r\n",
+        b"123456789\r\n",
+    ];
+    for case in cases {
+        assert_eq!(decode(Framing::Chunked, case, 64).err(), Some(Fault::Malformed), "{case:?}");
+    }
+}
+
+#[test]
+fn trailers_are_passed_over() {
+    let (body, done) = decode(Framing::Chunked, b"2;x=y\r\nab\r\n0\r\nA: b\r\n\r\n", 1).expect("no fault");
+    assert_eq!((body.as_slice(), done), (&b"ab"[..], true));
+}
+
+#[test]
+fn a_response_without_a_length_lasts_until_the_connection_ends() {
+    let mut buffer = BytesMut::from("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nabc");
+    let head = Response::take(&mut buffer, "GET", MAX).expect("no fault").expect("a head");
+    assert_eq!((head.status, head.framing, head.keeps_alive), (200, Framing::UntilClose, false));
+    assert_eq!(&buffer[..], b"abc");
+}
+
+#[test]
+fn what_follows_a_body_is_left_in_the_buffer() {
+    let mut decoder = Decoder::new(Framing::Length(2));
+    let mut buffer = BytesMut::from("abHTTP/1.1 200");
+    assert_eq!(decoder.step(&mut buffer), Ok(Step::Data("ab".into())));
+    assert_eq!(decoder.step(&mut buffer), Ok(Step::End));
+    assert_eq!(&buffer[..], b"HTTP/1.1 200");
+}
+
+quickcheck! {
+    fn chunks_come_out_as_they_went_in(parts: Vec<Vec<u8>>, step: u8) -> bool {
+        let mut sent = Vec::new();
+        for part in &parts {
+            write::chunk(&mut sent, part);
+        }
+        write::last_chunk(&mut sent);
+        let decoded = decode(Framing::Chunked, &sent, usize::from(step));
+        decoded == Ok((parts.concat(), true))
+    }
+
+    fn any_bytes_are_decoded_or_refused(bytes: Vec<u8>, step: u8) -> bool {
+        let _ = decode(Framing::Chunked, &bytes, usize::from(step));
+        let mut buffer = BytesMut::from(&bytes[..]);
+        let _ = Request::take(&mut buffer, MAX);
+        let mut buffer = BytesMut::from(&bytes[..]);
+        let _ = Response::take(&mut buffer, "GET", MAX);
+        true
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent.rs
@@ -0,0 +1,248 @@
+//! The agent: grants the places of the model engine on its host and brings
+//! weights to it.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use peer::FleetKey;
+use peer::datagram::Socket;
+use peer::hub;
+use peer::hub::Hub;
+use platform::boot::Settings;
+use platform::engine::Engine;
+use platform::follow;
+use platform::follow::Change;
+use platform::http::Caller;
+use platform::listing;
+use platform::rows::Store;
+use prometheus::Registry;
+use smol_str::SmolStr;
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snipewinch::host::Identity;
+use snipewinch::host::Name;
+use snipewinch::host::Role;
+use snipewinch::membership::Member;
+use snipewinch::membership::State;
+use snipewinch::membership::View;
+use snipewinch::route;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+use crate::Config;
+use crate::Error;
+use crate::clock::Clock;
+use crate::error::LinksSnafu;
+use crate::error::SystemSnafu;
+use crate::error::UsageSnafu;
+use crate::fleet::Listing;
+use crate::key;
+use crate::operator::Named;
+use crate::operator::Operator;
+use crate::shutdown::Phase;
+use crate::shutdown::wait_for_signal;
+
+mod gate;
+mod loader;
+mod pieces;
+
+use gate::Gate;
+
+/// The shortest time between two polls of the list.
+const LISTING_GAP: Duration = Duration::from_millis(1_000);
+/// The same for what operators write.
+const OPERATOR_GAP: Duration = Duration::from_millis(150);
+/// The version of weights that is meant before any is named.
+const FIRST_VERSION: u64 = 1;
+
+/// What the tasks of an agent share.
+pub(crate) struct Agent {
+    clock: Clock,
+    settings: Settings,
+    service: SmolStr,
+    engine: Engine,
+    caller: Caller,
+    gate: Gate,
+    operator: RefCell<Operator>,
+    listing: RefCell<Listing>,
+    /// The engines that are listed, as hosts of agents.
+    view: RefCell<Rc<View>>,
+    /// Something changed that weights depend on.
+    news: Notify,
+    phase: watch::Sender<Phase>,
+}
+
+/// The weights that the engine is to hold.
+#[derive(Clone, Debug, PartialEq)]
+struct Target {
+    model: SmolStr,
+    version: u64,
+    /// When this process learned of it.
+    learned: Duration,
+    origin: route::Origin,
+}
+
+impl Agent {
+    /// How the configuration says that the engine on this host works.
+    fn spec(&self) -> Option<route::Engine> {
+        let operator = self.operator.borrow();
+        let table = operator.table.as_ref()?;
+        table.service(&self.service)?.engine.clone()
+    }
+
+    /// What the engine is to hold; none while that is not known.
+    fn target(&self) -> Option<Target> {
+        let model = self.spec()?.model?;
+        let operator = self.operator.borrow();
+        let services = &operator.table.as_ref()?.configuration().services;
+        let origin = services.iter().find_map(|service| service.origin.clone())?;
+        let named = operator.weights.get(&model).copied().unwrap_or(Named {
+            version: FIRST_VERSION,
+            learned: Duration::ZERO,
+        });
+        Some(Target {
+            model,
+            version: named.version,
+            learned: named.learned,
+            origin,
+        })
+    }
+
+    /// The agents of the list. Each is named by its address, which is that of
+    /// its engine.
+    fn look(&self) {
+        let listing = self.listing.borrow();
+        let members = listing
+            .entries()
+            .filter(|(_, entry)| entry.service == self.service)
+            .map(|(_, entry)| Member {
+                host: host_name(entry.address),
+                role: Role::Agent,
+                zone: entry.zone.as_str().into(),
+                region: self.region(&entry.zone),
+                service: Some(entry.service.clone()),
+                address: SocketAddr::new(entry.address.ip(), self.settings.peer_port),
+                state: match entry.state {
+                    listing::State::Ready => State::Live,
+                    listing::State::Leaving => State::Leaving,
+                },
+                incarnation: 0,
+            })
+            .collect();
+        *self.view.borrow_mut() = Rc::new(View { members });
+        self.news.notify_waiters();
+    }
+
+    fn region(&self, zone: &str) -> snipewinch::host::Region {
+        let region = self.settings.regions.get(zone);
+        region.map_or(zone, SmolStr::as_str).into()
+    }
+}
+
+fn host_name(address: SocketAddr) -> Name {
+    address.ip().to_string().as_str().into()
+}
+
+/// Runs an agent until it is told to stop.
+pub(crate) async fn run(config: Config) -> Result<(), Error> {
+    let settings = config.settings;
+    let missing = UsageSnafu {
+        detail: "an agent needs the address and the service of its engine",
+    };
+    let backend = settings.backend.context(missing)?;
+    let missing = UsageSnafu {
+        detail: "an agent needs the address and the service of its engine",
+    };
+    let service = settings.identity.service.clone().context(missing)?;
+    log::info!("E7200 agent {} starts beside {backend}", settings.identity.host);
+    let caller = Caller::open();
+    let store = Store::open(caller.clone(), settings.store);
+    let agent = Rc::new(Agent {
+        clock: Clock::start(),
+        service,
+        engine: Engine::open(caller.clone(), backend),
+        caller,
+        gate: Gate::default(),
+        operator: RefCell::default(),
+        listing: RefCell::default(),
+        view: RefCell::default(),
+        news: Notify::new(),
+        phase: watch::Sender::new(Phase::Running),
+        settings,
+    });
+    spawn_local(follow_operators(agent.clone(), store.clone()));
+    spawn_local(follow_listing(agent.clone(), store.clone()));
+    spawn_local(gate::watch(agent.clone()));
+    spawn_local(join(agent.clone(), store, backend));
+    wait_for_signal(&agent.phase).await.context(SystemSnafu)?;
+    log::info!("E7201 the agent stops");
+    Ok(())
+}
+
+/// Starts what needs the fleet's key.
+async fn join(agent: Rc<Agent>, store: Store, backend: SocketAddr) {
+    let key = key::obtain(&store).await;
+    let address = agent.settings.identity.address;
+    match Socket::bind(address).await {
+        Ok(socket) => {
+            spawn_local(gate::talk(agent.clone(), socket, key.clone()));
+        }
+        Err(error) => log::error!("E7202 {address} can't be bound for entries: {error}"),
+    }
+    match open_links(&agent, key, backend).await {
+        Ok((hub, inbox)) => {
+            let (pieces, task) = pieces::spawn(agent.clone(), hub, inbox.weights);
+            spawn_local(loader::run(agent, pieces));
+            if let Err(error) = task.await {
+                log::error!("E7203 the exchange of pieces ended: {error}");
+            }
+        }
+        Err(error) => log::error!("E7204 no links to other agents: {error}"),
+    }
+}
+
+async fn open_links(
+    agent: &Agent,
+    key: FleetKey,
+    backend: SocketAddr,
+) -> Result<(Hub, hub::Inbox), Error> {
+    let identity = Identity {
+        host: host_name(backend),
+        ..agent.settings.identity.clone()
+    };
+    let config = hub::Config {
+        listen: identity.address,
+        identity,
+        key,
+        heartbeat: hub::HEARTBEAT,
+        silence: hub::SILENCE,
+    };
+    Hub::bind(config, &Registry::new()).await.context(LinksSnafu)
+}
+
+async fn follow_operators(agent: Rc<Agent>, store: Store) {
+    let (mut changes, _task) = follow::spawn(store, platform::operator::TABLE, OPERATOR_GAP);
+    while let Some(change) = changes.recv().await {
+        let now = agent.clock.now();
+        let told = !matches!(change, Change::Lost);
+        agent.operator.borrow_mut().take(now, change);
+        if told {
+            agent.news.notify_waiters();
+        }
+    }
+}
+
+async fn follow_listing(agent: Rc<Agent>, store: Store) {
+    let (mut changes, _task) = follow::spawn(store, listing::TABLE, LISTING_GAP);
+    while let Some(change) = changes.recv().await {
+        let now = agent.clock.now();
+        let mut news = agent.listing.borrow_mut().take(now, change);
+        news.extend(agent.listing.borrow_mut().tick(now));
+        if !news.is_empty() {
+            agent.look();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/gate.rs
@@ -0,0 +1,171 @@
+//! Grants the engine's places to entries.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use peer::FleetKey;
+use peer::datagram::Socket;
+use platform::engine::Report;
+use snipewinch::grant::Ask;
+use snipewinch::grant::Giver;
+use snipewinch::grant::TakerId;
+use tokio::time::sleep;
+
+use super::Agent;
+
+/// How often the engine is asked for its state while it works.
+const WATCH: Duration = Duration::from_millis(100);
+/// How often while it does not answer or has nothing to do.
+const WATCH_IDLE: Duration = Duration::from_millis(250);
+/// Answers that may be missing before the engine counts as gone.
+const MISSING_MAX: u32 = 3;
+/// The pause after the socket could not be read.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
+
+/// The places and what is known of the engine.
+#[derive(Debug, Default)]
+pub(super) struct Gate {
+    state: RefCell<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    giver: Giver,
+    /// Where each entry is answered.
+    addresses: HashMap<TakerId, SocketAddr>,
+    report: Option<Report>,
+    /// Reports in a row that did not come.
+    missing: u32,
+    /// Whether the engine is about to load and must become empty.
+    closed: bool,
+    slots: u32,
+}
+
+impl Gate {
+    /// The engine's last report; none if it does not answer.
+    pub(super) fn report(&self) -> Option<Report> {
+        self.state.borrow().report.clone()
+    }
+
+    /// Stops granting places, or goes on.
+    pub(super) fn close(&self, closed: bool) {
+        let mut state = self.state.borrow_mut();
+        state.closed = closed;
+        state.offer();
+    }
+
+    /// Places that are in use.
+    pub(super) fn in_use(&self) -> u64 {
+        self.state.borrow().giver.in_use()
+    }
+
+    /// Takes in a report, or that none came.
+    pub(super) fn take(&self, report: Option<Report>, slots: u32) {
+        let mut state = self.state.borrow_mut();
+        state.slots = slots;
+        match report {
+            Some(report) => {
+                state.missing = 0;
+                state.report = Some(report);
+            }
+            None => {
+                state.missing += 1;
+                if state.missing == MISSING_MAX {
+                    log::warn!("E7210 the engine does not answer");
+                    state.report = None;
+                }
+            }
+        }
+        state.offer();
+    }
+}
+
+impl State {
+    fn offer(&mut self) {
+        let Some(report) = &self.report else {
+            self.giver.offer(0, 0);
+            return;
+        };
+        let version = version(report);
+        let in_use = self.giver.in_use();
+        let at_work = u64::from(report.running + report.waiting);
+        // Requests that came without a place.
+        let others = at_work.saturating_sub(in_use) as u32;
+        let places = match self.closed || report.busy || version == 0 {
+            true => 0,
+            false => self.slots.saturating_sub(others),
+        };
+        self.giver.offer(places, version);
+    }
+}
+
+/// The version of the weights that an engine holds whole; 0 if none.
+pub(super) fn version(report: &Report) -> u64 {
+    let loaded = report.held.iter().filter(|held| held.is_loaded());
+    loaded.map(|held| held.version).max().unwrap_or(0)
+}
+
+/// Follows the engine's state.
+pub(super) async fn watch(agent: Rc<Agent>) {
+    loop {
+        let report = match agent.engine.report().await {
+            Ok(report) => Some(report),
+            Err(error) => {
+                log::debug!("E7211 the engine's state was not read: {error}");
+                None
+            }
+        };
+        let slots = agent.spec().map_or(0, |spec| spec.slots);
+        let works = report.as_ref().is_some_and(|one| one.running + one.waiting > 0);
+        let before = agent.gate.report();
+        agent.gate.take(report, slots);
+        let after = agent.gate.report();
+        if before.map(|one| (one.born_ms, one.orders, one.busy))
+            != after.map(|one| (one.born_ms, one.orders, one.busy))
+        {
+            agent.news.notify_waiters();
+        }
+        sleep(if works { WATCH } else { WATCH_IDLE }).await;
+    }
+}
+
+/// Hears what entries ask for and answers them.
+pub(super) async fn talk(agent: Rc<Agent>, socket: Socket, key: FleetKey) {
+    loop {
+        let (ask, from) = match socket.receive::<Ask>(&key).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::warn!("E7212 nothing was read from entries: {error}");
+                sleep(RECEIVE_PAUSE).await;
+                continue;
+            }
+        };
+        let now = agent.clock.now();
+        let mut state = agent.gate.state.borrow_mut();
+        let state = &mut *state;
+        state.addresses.insert(ask.taker, from);
+        let lapsed = state.giver.expire(now);
+        if lapsed > 0 {
+            log::info!("E7213 {lapsed} places of silent entries are free again");
+        }
+        if !state.giver.hear(now, &ask) {
+            continue;
+        }
+        let mut told = state.giver.give(now);
+        if ask.waiting > 0 && !told.contains(&ask.taker) {
+            told.push(ask.taker);
+        }
+        for taker in told {
+            let Some(address) = state.addresses.get(&taker) else {
+                continue;
+            };
+            let word = state.giver.word(taker);
+            if let Err(error) = socket.send(&key, &word, *address) {
+                log::debug!("E7214 an entry at {address} was not answered: {error}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/loader.rs
@@ -0,0 +1,242 @@
+//! Brings the engine to the newest version of its weights.
+//!
+//! Staged pieces may turn bad at any time, and an order loads what is staged at
+//! the moment it is accepted. So all pieces are read back and checked just
+//! before the order, and put in place again where they are not right.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use platform::engine::Outcome;
+use platform::engine::Report;
+use snipewinch::weights::rollout;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::Agent;
+use super::gate;
+use super::pieces::Known;
+use super::pieces::Pieces;
+
+/// How often to look whether the engine is empty or has loaded.
+const LOOK: Duration = Duration::from_millis(40);
+/// How long to wait for news while there is nothing to do.
+const IDLE: Duration = Duration::from_millis(500);
+/// How long granted requests may take to reach the engine before it stops
+/// accepting.
+const ARRIVAL: Duration = Duration::from_millis(40);
+/// How long a check of the staged pieces holds: the platform's pages bound it
+/// at 3 s.
+const CHECK_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// How long an engine may take to load before the order is looked at again.
+const LOAD_LIMIT: Duration = Duration::from_secs(20);
+/// What an engine takes from the end of its turn to the loaded version, at
+/// most: the requests that it still runs, and loading.
+const RELOAD: Duration = Duration::from_millis(2_600);
+
+/// Runs until the process ends.
+pub(super) async fn run(agent: Rc<Agent>, pieces: Pieces) {
+    let mut loader = Loader {
+        agent,
+        pieces,
+        found: None,
+        told: None,
+    };
+    loop {
+        loader.step().await;
+        let news = loader.agent.news.notified();
+        let _ = timeout(IDLE.min(loader.pause()), news).await;
+    }
+}
+
+struct Loader {
+    agent: Rc<Agent>,
+    pieces: Pieces,
+    /// The version for which the staged pieces were looked through, and the
+    /// engine's start.
+    found: Option<(u64, u64)>,
+    /// What the exchange was told of the engine.
+    told: Option<(u64, bool)>,
+}
+
+impl Loader {
+    /// Goes as far as it can now.
+    async fn step(&mut self) {
+        let (Some(known), Some(report)) = (self.pieces.newest(), self.agent.gate.report()) else {
+            return;
+        };
+        let version = known.target.version;
+        let holds = gate::version(&report) >= version;
+        if self.told != Some((version, holds)) {
+            self.told = Some((version, holds));
+            self.pieces.loaded(known.digest, holds);
+        }
+        if self.found != Some((version, report.born_ms)) {
+            self.found = Some((version, report.born_ms));
+            self.find(&known).await;
+        }
+        if holds || report.busy {
+            return;
+        }
+        let Some(all) = self.pieces.all(&known.digest) else {
+            return;
+        };
+        if self.agent.clock.now() < self.turn(&known, &report) {
+            return;
+        }
+        self.load(&known, &all, &report).await;
+    }
+
+    /// How long there is nothing to do unless there is news.
+    fn pause(&self) -> Duration {
+        let report = self.agent.gate.report();
+        match (self.pieces.newest(), report) {
+            (Some(known), Some(report)) if gate::version(&report) < known.target.version => {
+                match self.pieces.all(&known.digest) {
+                    Some(_) => {
+                        let turn = self.turn(&known, &report);
+                        turn.saturating_sub(self.agent.clock.now()).max(LOOK)
+                    }
+                    None => IDLE,
+                }
+            }
+            _ => IDLE,
+        }
+    }
+
+    /// Hands pieces that are staged already to the exchange.
+    async fn find(&self, known: &Known) {
+        for (piece, digest) in known.manifest.chunks.iter().enumerate() {
+            let piece = piece as u32;
+            match self.agent.engine.staged(&known.target.model, piece).await {
+                Ok(Some(bytes)) if known.manifest.hash.digest(&bytes) == *digest => {
+                    self.pieces.keep(&known.digest, piece, bytes);
+                }
+                // Of another version, spoilt, or the stage is empty.
+                Ok(Some(_)) | Ok(None) if piece == 0 => return,
+                Ok(_) => {}
+                Err(error) => {
+                    log::warn!("E7230 staged pieces were not read: {error}");
+                    return;
+                }
+            }
+        }
+    }
+
+    /// When this engine may be taken out: at once if it serves nothing, else
+    /// in its turn.
+    fn turn(&self, known: &Known, report: &Report) -> Duration {
+        if gate::version(report) == 0 {
+            return Duration::ZERO;
+        }
+        let agent = &self.agent;
+        let window = agent.settings.bounds.version.saturating_sub(RELOAD);
+        let view = agent.view.borrow().clone();
+        let backend = agent.settings.backend.unwrap_or(agent.settings.identity.address);
+        let host = super::host_name(backend);
+        known.target.learned
+            + rollout::turn(&view, &host, &agent.service, &known.digest, window)
+    }
+
+    async fn load(&self, known: &Known, all: &[Bytes], report: &Report) {
+        let version = known.target.version;
+        if !self.stage(known, all).await {
+            return;
+        }
+        self.agent.gate.close(true);
+        let serves = gate::version(report) > 0;
+        if serves {
+            sleep(ARRIVAL).await;
+        }
+        let ordered = self.order(known, all, report).await;
+        if ordered {
+            self.wait(version).await;
+        }
+        self.agent.gate.close(false);
+    }
+
+    /// Puts every piece in place.
+    async fn stage(&self, known: &Known, all: &[Bytes]) -> bool {
+        for (piece, bytes) in all.iter().enumerate() {
+            let put = self.agent.engine.stage(&known.target.model, piece as u32, bytes.clone());
+            if let Err(error) = put.await {
+                log::warn!("E7231 piece {piece} was not staged: {error}");
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Checks what is staged and mends it; true once all of it is right.
+    async fn check(&self, known: &Known, all: &[Bytes]) -> bool {
+        let mut right = true;
+        for (piece, bytes) in all.iter().enumerate() {
+            let number = piece as u32;
+            match self.agent.engine.staged(&known.target.model, number).await {
+                Ok(Some(staged)) if staged == *bytes => {}
+                Ok(_) => {
+                    right = false;
+                    log::warn!("E7232 staged piece {piece} has turned bad; it is put in place again");
+                    let put = self.agent.engine.stage(&known.target.model, number, bytes.clone());
+                    if let Err(error) = put.await {
+                        log::warn!("E7231 piece {piece} was not staged: {error}");
+                    }
+                }
+                Err(error) => {
+                    log::warn!("E7230 staged pieces were not read: {error}");
+                    return false;
+                }
+            }
+        }
+        right
+    }
+
+    /// Orders the engine to load; true if it may have accepted.
+    async fn order(&self, known: &Known, all: &[Bytes], report: &Report) -> bool {
+        let started = self.agent.clock.now();
+        while !self.check(known, all).await {
+            if self.agent.clock.now() - started > CHECK_AGE_MAX {
+                return false;
+            }
+        }
+        let version = known.target.version;
+        let model = &known.target.model;
+        match self.agent.engine.load(model, version, report.orders).await {
+            Ok(Outcome::Begun | Outcome::Done) => {
+                log::info!("E7233 the engine loads version {version}");
+                true
+            }
+            Ok(Outcome::Conflict) => {
+                log::info!("E7234 the engine's state has changed; the order is given anew");
+                false
+            }
+            // The next report tells whether it was accepted.
+            Err(error) => {
+                log::warn!("E7235 the order to load version {version}: {error}");
+                true
+            }
+        }
+    }
+
+    /// Waits until the engine holds a version, or does nothing about it.
+    async fn wait(&self, version: u64) {
+        let started = self.agent.clock.now();
+        loop {
+            sleep(LOOK).await;
+            let report = match self.agent.engine.report().await {
+                Ok(report) => report,
+                Err(error) => {
+                    log::info!("E7236 the engine does not answer while it loads: {error}");
+                    return;
+                }
+            };
+            let slots = self.agent.spec().map_or(0, |spec| spec.slots);
+            let done = gate::version(&report) >= version || !report.busy;
+            self.agent.gate.take(Some(report), slots);
+            if done || self.agent.clock.now() - started > LOAD_LIMIT {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/pieces.rs
@@ -0,0 +1,418 @@
+//! The exchange of pieces of weights between agents, and with the origin.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use peer::hub::Hub;
+use peer::link;
+use peer::link::Event;
+use platform::source::List;
+use platform::source::Source;
+use slotmap::Key;
+use slotmap::KeyData;
+use snipewinch::Digest;
+use snipewinch::digest::Hash;
+use snipewinch::document::Weigh;
+use snipewinch::host::Role;
+use snipewinch::weights::Message;
+use snipewinch::weights::manifest::Id;
+use snipewinch::weights::manifest::Manifest;
+use snipewinch::weights::plan::Candidate;
+use snipewinch::weights::plan::Policy;
+use snipewinch::weights::swarm;
+use snipewinch::weights::swarm::Action;
+use snipewinch::weights::swarm::Link;
+use snipewinch::weights::swarm::Swarm;
+use snipewinch::weights::swarm::Want;
+use snipewinch::wire::Class;
+use snipewinch::wire::Frame;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+use super::Agent;
+use super::Target;
+
+/// The most memory for pieces: two versions and some, so that the one before
+/// can still be passed on while the next arrives.
+const MEMORY_VERSIONS: u64 = 2;
+/// The rate of a link between regions, in Mbit/s.
+const REGION_MBIT: f64 = 20.0;
+/// The pause after the origin gave no list.
+const LIST_PAUSE: Duration = Duration::from_millis(150);
+/// How often to look for a new target without news.
+const LOOK: Duration = Duration::from_millis(500);
+/// Events of links that are taken in at once.
+const EVENTS_AT_ONCE: usize = 32;
+
+/// A version whose manifest is known.
+#[derive(Clone, Debug)]
+pub(super) struct Known {
+    pub(super) target: Target,
+    pub(super) manifest: Arc<Manifest>,
+    pub(super) digest: Digest,
+}
+
+/// What the exchange holds; clones share it.
+#[derive(Clone)]
+pub(super) struct Pieces {
+    state: Rc<RefCell<State>>,
+    events: mpsc::UnboundedSender<swarm::Event>,
+}
+
+struct State {
+    /// None until the lengths of pieces are known.
+    swarm: Option<Swarm>,
+    /// The newest target whose list is known, and the one before.
+    known: Vec<Known>,
+}
+
+impl Pieces {
+    /// What is known of the newest target.
+    pub(super) fn newest(&self) -> Option<Known> {
+        self.state.borrow().known.last().cloned()
+    }
+
+    /// All pieces of a version in order, once all are here.
+    pub(super) fn all(&self, digest: &Digest) -> Option<Vec<Bytes>> {
+        let state = self.state.borrow();
+        let swarm = state.swarm.as_ref()?;
+        swarm.is_here(digest).then(|| swarm.weights(digest))?
+    }
+
+    /// A piece was found on this host.
+    pub(super) fn keep(&self, digest: &Digest, chunk: u32, bytes: Bytes) {
+        // The exchange ends only with the process.
+        let _ = self.events.send(swarm::Event::Kept {
+            manifest: Id::of(digest),
+            chunk,
+            bytes,
+        });
+    }
+
+    /// The engine has loaded a version, or has lost it.
+    pub(super) fn loaded(&self, digest: Digest, holds: bool) {
+        let _ = self.events.send(swarm::Event::Loaded {
+            manifest: digest,
+            holds,
+        });
+    }
+}
+
+/// Starts the exchange.
+pub(super) fn spawn(
+    agent: Rc<Agent>,
+    hub: Hub,
+    inbox: mpsc::Receiver<Event<Message>>,
+) -> (Pieces, JoinHandle<()>) {
+    let (events, answered) = mpsc::unbounded_channel();
+    let pieces = Pieces {
+        state: Rc::new(RefCell::new(State {
+            swarm: None,
+            known: Vec::new(),
+        })),
+        events,
+    };
+    let exchange = Exchange {
+        agent: agent.clone(),
+        hub,
+        pieces: pieces.clone(),
+        dialed: Vec::new(),
+        ups: HashMap::new(),
+    };
+    spawn_local(learn(agent, pieces.clone()));
+    let task = spawn_local(exchange.run(inbox, answered));
+    (pieces, task)
+}
+
+/// Learns the list of each target's pieces.
+async fn learn(agent: Rc<Agent>, pieces: Pieces) {
+    loop {
+        let target = agent.target();
+        let known = pieces.newest().map(|known| known.target);
+        match target {
+            Some(target) if known.as_ref() != Some(&target) => {
+                let source = Source::open(agent.caller.clone(), target.origin.address);
+                match read_list(&source, &target).await {
+                    Some(list) => pieces.know(&agent, target, &list),
+                    None => sleep(LIST_PAUSE).await,
+                }
+            }
+            _ => {
+                let _ = timeout(LOOK, agent.news.notified()).await;
+            }
+        }
+    }
+}
+
+/// A list that came twice the same: one that came spoilt would have the right
+/// pieces refused for ever.
+async fn read_list(source: &Source, target: &Target) -> Option<List> {
+    let mut last: Option<List> = None;
+    loop {
+        let list = match source.list(&target.model, target.version).await {
+            Ok(list) => list,
+            Err(error) => {
+                log::warn!("E7220 no list of version {}: {error}", target.version);
+                return None;
+            }
+        };
+        let right = list.model == target.model && list.version == target.version;
+        if right && last.as_ref() == Some(&list) {
+            return Some(list);
+        }
+        last = Some(list);
+    }
+}
+
+impl Pieces {
+    fn know(&self, agent: &Agent, target: Target, list: &List) {
+        let manifest = match manifest(list) {
+            Ok(manifest) => Arc::new(manifest),
+            Err(why) => {
+                log::error!("E7221 the list of version {} is of no use: {why}", target.version);
+                return;
+            }
+        };
+        let digest = manifest.digest();
+        log::info!("E7222 version {} has {} pieces", target.version, manifest.chunks.len());
+        let mut state = self.state.borrow_mut();
+        let size = manifest.size;
+        state.swarm.get_or_insert_with(|| open_swarm(agent, &target, size));
+        state.known.push(Known {
+            target,
+            manifest,
+            digest,
+        });
+        let excess = state.known.len().saturating_sub(MEMORY_VERSIONS as usize);
+        state.known.drain(..excess);
+        let wants = state.known.iter().map(|known| Want {
+            manifest: known.digest,
+            services: vec![agent.service.clone()],
+        });
+        let wants = wants.rev().collect();
+        drop(state);
+        let weigh = Weigh::Time;
+        let _ = self.events.send(swarm::Event::Wants { wants, weigh });
+        agent.news.notify_waiters();
+    }
+}
+
+fn manifest(list: &List) -> Result<Manifest, String> {
+    let digests: Result<Vec<Digest>, _> = list.digests.iter().map(|hex| hex.parse()).collect();
+    let digests = digests.map_err(|error: snipewinch::digest::ParseError| error.to_string())?;
+    let version = list.version.to_string();
+    Manifest::of_chunks(&list.model, &version, list.chunk_bytes, Hash::Sha256, digests)
+        .map_err(|error| error.to_string())
+}
+
+fn open_swarm(agent: &Agent, target: &Target, size: u64) -> Swarm {
+    let identity = &agent.settings.identity;
+    let origin_zone = target.origin.zone.as_deref();
+    let backend = agent.settings.backend.unwrap_or(identity.address);
+    Swarm::new(swarm::Config {
+        host: super::host_name(backend),
+        region: identity.region.clone(),
+        origin_region: origin_zone.map(|zone| agent.region(zone)),
+        policy: Policy::Swarm,
+        host_mbit: Some(agent.settings.link_mbit),
+        region_mbit: Some(REGION_MBIT),
+        memory_bytes: size * MEMORY_VERSIONS + size / 4,
+        seed: rand::random(),
+    })
+}
+
+struct Exchange {
+    agent: Rc<Agent>,
+    hub: Hub,
+    pieces: Pieces,
+    dialed: Vec<Candidate>,
+    /// Links that came up before there was a swarm.
+    ups: HashMap<Link, swarm::Event>,
+}
+
+impl Exchange {
+    async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<Event<Message>>,
+        mut answered: mpsc::UnboundedReceiver<swarm::Event>,
+    ) {
+        let agent = self.agent.clone();
+        let mut events = Vec::new();
+        let mut view = Rc::default();
+        loop {
+            let wake = self.wake();
+            tokio::select! {
+                count = inbox.recv_many(&mut events, EVENTS_AT_ONCE) => {
+                    if count == 0 {
+                        return;
+                    }
+                    for event in events.drain(..) {
+                        self.take(event);
+                    }
+                }
+                Some(event) = answered.recv() => {
+                    let wants = matches!(event, swarm::Event::Wants { .. });
+                    self.handle(event);
+                    if wants {
+                        view = Rc::default();
+                    }
+                }
+                () = agent.news.notified() => {}
+                () = sleep_until(wake) => self.handle(swarm::Event::Tick),
+            }
+            let seen = agent.view.borrow().clone();
+            if !Rc::ptr_eq(&seen, &view) {
+                view = seen;
+                self.handle(swarm::Event::View(Arc::new((*view).clone())));
+            }
+        }
+    }
+
+    fn wake(&self) -> tokio::time::Instant {
+        let now = self.agent.clock.now();
+        let state = self.pieces.state.borrow();
+        let wake = state.swarm.as_ref().map_or(now + Duration::from_secs(1), |swarm| swarm.wake(now));
+        self.agent.clock.at(wake)
+    }
+
+    fn take(&mut self, event: Event<Message>) {
+        match event {
+            Event::Up { link, peer, .. } if peer.role == Role::Agent => {
+                let link = number(link);
+                self.handle(swarm::Event::Up { link, peer });
+            }
+            Event::Messages { link, messages } => {
+                let link = number(link);
+                self.handle(swarm::Event::Messages { link, messages });
+            }
+            Event::Down { link, .. } => {
+                let link = number(link);
+                self.handle(swarm::Event::Down { link });
+            }
+            Event::Summary { .. } | Event::Up { .. } => {}
+        }
+    }
+
+    fn handle(&mut self, event: swarm::Event) {
+        let now = self.agent.clock.now();
+        let mut state = self.pieces.state.borrow_mut();
+        let Some(swarm) = &mut state.swarm else {
+            drop(state);
+            return self.hold(event);
+        };
+        let mut actions = Vec::new();
+        for (_, up) in self.ups.drain() {
+            actions.extend(swarm.handle(now, up));
+        }
+        actions.extend(swarm.handle(now, event));
+        drop(state);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    /// Keeps links in mind until there is a swarm to tell.
+    fn hold(&mut self, event: swarm::Event) {
+        match event {
+            swarm::Event::Up { link, .. } => drop(self.ups.insert(link, event)),
+            swarm::Event::Down { link } => drop(self.ups.remove(&link)),
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { link, message } => self.send(link, message),
+            Action::Dial(wanted) => self.redial(wanted),
+            Action::ReadManifest { digest } => {
+                let state = self.pieces.state.borrow();
+                let known = state.known.iter().find(|known| known.digest == digest);
+                let bytes = known.map(|known| known.manifest.to_bytes().into());
+                let _ = self.pieces.events.send(swarm::Event::Manifest { digest, bytes });
+            }
+            Action::Fetch {
+                digest,
+                manifest,
+                chunk,
+                ..
+            } => self.fetch(digest, manifest, chunk),
+            Action::Whole { manifest } => {
+                log::info!("E7223 all pieces of manifest {manifest} are here");
+                self.agent.news.notify_waiters();
+            }
+            Action::Corrupt { chunk, source, .. } => match source {
+                Some(host) => log::warn!("E7224 piece {chunk} from {host} is spoilt"),
+                None => log::warn!("E7224 piece {chunk} from the origin is spoilt"),
+            },
+            Action::Reject { manifest, reason } => {
+                log::error!("E7225 manifest {manifest} is given up: {reason}");
+            }
+            Action::StepIn { stripe, .. } => {
+                log::info!("E7226 stepped in for stripe {stripe}");
+            }
+        }
+    }
+
+    fn send(&self, link: Link, message: Message) {
+        let hub = self.hub.clone();
+        let link = link::Key::from(KeyData::from_ffi(link.0));
+        let frame = Frame::Weights(message);
+        let bulk = frame.class() == Class::Chunk;
+        // What a lost frame asked for is asked again after a while; pieces
+        // wait for a slow peer.
+        match bulk && !hub.has_room(link) {
+            true => drop(spawn_local(async move {
+                let _ = hub.send_when_ready(link, frame).await;
+            })),
+            false => drop(hub.send(link, frame)),
+        }
+    }
+
+    fn fetch(&self, digest: Digest, manifest: Id, chunk: u32) {
+        let state = self.pieces.state.borrow();
+        let known = state.known.iter().find(|known| known.digest == digest);
+        let Some(target) = known.map(|known| known.target.clone()) else {
+            return;
+        };
+        let source = Source::open(self.agent.caller.clone(), target.origin.address);
+        let events = self.pieces.events.clone();
+        spawn_local(async move {
+            let bytes = match source.piece(&target.model, target.version, chunk).await {
+                Ok(bytes) => Some(bytes),
+                Err(error) => {
+                    log::info!("E7227 piece {chunk} was not read from the origin: {error}");
+                    None
+                }
+            };
+            let _ = events.send(swarm::Event::Fetched {
+                manifest,
+                chunk,
+                bytes,
+            });
+        });
+    }
+
+    fn redial(&mut self, wanted: Vec<Candidate>) {
+        for old in &self.dialed {
+            if !wanted.iter().any(|one| one.host == old.host) {
+                self.hub.forget(&old.host);
+            }
+        }
+        for one in &wanted {
+            self.hub.dial(one.host.clone(), one.address);
+        }
+        self.dialed = wanted;
+    }
+}
+
+fn number(link: link::Key) -> Link {
+    Link(link.data().as_ffi())
+}
--- /dev/null
+++ b/crates/node/src/command.rs
@@ -0,0 +1,118 @@
+//! The command line.
+
+use std::env;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use platform::boot;
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snipewinch::host::Role;
+use tokio::runtime;
+use tokio::task::LocalSet;
+
+use crate::Config;
+use crate::Error;
+use crate::agent;
+use crate::entry;
+use crate::error::NoSettingsSnafu;
+use crate::error::SettingsSnafu;
+use crate::error::SystemSnafu;
+use crate::log;
+
+/// The exit code for a bad command line or setting.
+const EXIT_USAGE: u8 = 2;
+/// Which level is logged unless said otherwise.
+const LOG_LEVEL: &str = "info";
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// The entry or the agent of one host on the platform; which of them
+        /// is in the platform's settings file.
+        cmd snipewinch-node {
+            /// Prints the version.
+            optional --version
+            /// The platform's settings file, if not the one that the
+            /// environment names.
+            optional --settings path: PathBuf
+            /// The least severe level that is logged: `error`, `warn`, `info`
+            /// or `debug`. Unless set: info. Also SNIPEWINCH_LOG_LEVEL.
+            optional --log-level level: String
+        }
+    }
+}
+
+/// Runs the process as the command line and the environment say.
+pub fn run() -> ExitCode {
+    let flags = match flags::SnipewinchNode::from_env() {
+        Ok(flags) => flags,
+        Err(error) if error.is_help() => {
+            println!("{error}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            let detail = error.to_string();
+            return fail(&Error::Usage { detail });
+        }
+    };
+    if flags.version {
+        println!("snipewinch-node {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    match configure(flags).and_then(start) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &Error) -> ExitCode {
+    eprintln!("snipewinch-node: {error}");
+    match error {
+        Error::NoSettings | Error::Settings { .. } | Error::Usage { .. } => {
+            ExitCode::from(EXIT_USAGE)
+        }
+        _ => ExitCode::FAILURE,
+    }
+}
+
+fn configure(flags: flags::SnipewinchNode) -> Result<Config, Error> {
+    let named = env::var_os(boot::VARIABLE).map(PathBuf::from);
+    let path = flags.settings.or(named).context(NoSettingsSnafu)?;
+    let variable = env::var("SNIPEWINCH_LOG_LEVEL").ok();
+    let level = flags.log_level.or(variable).unwrap_or(LOG_LEVEL.into());
+    let log_level = level.parse().map_err(|_| Error::Usage {
+        detail: format!("{level:?} is no log level; give error, warn, info or debug"),
+    })?;
+    let settings = boot::read(&path, incarnation()).context(SettingsSnafu)?;
+    Ok(Config {
+        settings,
+        path,
+        log_level,
+    })
+}
+
+/// Grows with each start on a host whose time of day does not go back. A later
+/// start that is numbered lower is told apart by its links all the same.
+fn incarnation() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(1, |since| since.as_millis() as u64)
+}
+
+fn start(config: Config) -> Result<(), Error> {
+    log::install(&config)?;
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(SystemSnafu)?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async move {
+        match config.settings.identity.role {
+            Role::Entry => entry::run(config).await,
+            Role::Agent => agent::run(config).await,
+        }
+    })
+}
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,328 @@
+//! The entry: callers' requests, straight to backend servers.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use peer::datagram::Socket;
+use platform::boot::Bounds;
+use platform::follow;
+use platform::http::Caller;
+use platform::listing;
+use platform::rows::Store;
+use rand::RngExt;
+use smol_str::SmolStr;
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snipewinch::grant::Give;
+use snipewinch::retry;
+use snipewinch::route::Limits;
+use snipewinch::route::Table;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::Config;
+use crate::Error;
+use crate::clock::Clock;
+use crate::error::BindSnafu;
+use crate::error::SystemSnafu;
+use crate::error::UsageSnafu;
+use crate::fleet::Listing;
+use crate::key;
+use crate::metrics::Metrics;
+use crate::operator::Operator;
+use crate::page;
+use crate::shutdown::Phase;
+use crate::shutdown::wait_for_signal;
+
+mod answer;
+mod backends;
+mod call;
+mod connection;
+mod desk;
+mod events;
+mod upstream;
+
+use answer::Reason;
+use call::Call;
+use desk::Desk;
+use upstream::Pool;
+
+/// The shortest time between two polls of the list, in which changes add up.
+const LISTING_GAP: Duration = Duration::from_millis(400);
+/// The same for what operators write.
+const OPERATOR_GAP: Duration = Duration::from_millis(150);
+/// How often the desk is looked after while requests wait.
+const BUSY_TICK: Duration = Duration::from_millis(7);
+/// How often otherwise.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+/// How long a leaving entry waits for callers to go elsewhere: the balancer
+/// asks once a second and acts on two misses.
+const LEAVE: Duration = Duration::from_millis(3_200);
+/// What is kept of the time to stop in.
+const STOP_MARGIN: Duration = Duration::from_millis(900);
+/// How long before the bound on old weights no request starts on them.
+const VERSION_MARGIN: Duration = Duration::from_millis(900);
+/// Retries that one entry saves up for a service. All entries share a burst
+/// of some hundreds.
+const RETRIES_SAVED_MAX: u32 = 5;
+/// The part of the shared ratio of retries that is used.
+const RETRY_PART: f64 = 0.8;
+/// The bounds between which a refused caller's return is spread.
+const RETURN_S: (f64, f64) = (0.4, 1.2);
+/// The wait of a caller that came before the configuration.
+const STARTING: Duration = Duration::from_millis(300);
+/// The pause after the system refused a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What all connections share.
+pub(crate) struct Entry {
+    pub(crate) clock: Clock,
+    pub(crate) desk: Desk,
+    pub(crate) pool: Pool,
+    pub(crate) metrics: Metrics,
+    bounds: Bounds,
+    operator: RefCell<Operator>,
+    listing: RefCell<Listing>,
+    retries: RefCell<HashMap<SmolStr, retry::Budget>>,
+    phase: watch::Sender<Phase>,
+    under_way: Rc<Cell<usize>>,
+}
+
+/// Counts a request as under way until it is dropped.
+pub(crate) struct Work {
+    under_way: Rc<Cell<usize>>,
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        self.under_way.set(self.under_way.get() - 1);
+    }
+}
+
+impl Entry {
+    pub(crate) fn table(&self) -> Option<Rc<Table>> {
+        self.operator.borrow().table.clone()
+    }
+
+    pub(crate) fn limits(&self) -> Option<Limits> {
+        let operator = self.operator.borrow();
+        operator.table.as_ref().map(|table| table.configuration().limits)
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Resolves when a stop has come as far as `phase`.
+    pub(crate) async fn reached(&self, phase: Phase) {
+        let mut phases = self.phase.subscribe();
+        // The sender lives in `self`, so waiting can't fail.
+        let _ = phases.wait_for(|current| *current >= phase).await;
+    }
+
+    pub(crate) fn work(&self) -> Work {
+        self.under_way.set(self.under_way.get() + 1);
+        Work {
+            under_way: self.under_way.clone(),
+        }
+    }
+
+    /// The oldest version of a model's weights on which a request may start.
+    pub(crate) fn version_floor(&self, model: Option<&SmolStr>) -> u64 {
+        let operator = self.operator.borrow();
+        let Some(named) = model.and_then(|model| operator.weights.get(model)) else {
+            return 0;
+        };
+        let until = named.learned + self.bounds.version.saturating_sub(VERSION_MARGIN);
+        match self.clock.now() >= until {
+            true => named.version,
+            false => 0,
+        }
+    }
+
+    /// A first try was sent.
+    pub(crate) fn earn(&self, service: &SmolStr) {
+        self.budget(service, |budget| budget.tried());
+    }
+
+    /// Takes one retry out of this entry's share of the budget.
+    pub(crate) fn spend(&self, service: &SmolStr) -> bool {
+        self.budget(service, |budget| budget.take())
+    }
+
+    fn budget<T>(&self, service: &SmolStr, act: impl FnOnce(&mut retry::Budget) -> T) -> T {
+        let percent = (self.bounds.retry_ratio * RETRY_PART * 100.0) as u32;
+        let mut retries = self.retries.borrow_mut();
+        let budget = retries.entry(service.clone());
+        act(budget.or_insert_with(|| retry::Budget::with_savings(percent, RETRIES_SAVED_MAX)))
+    }
+
+    /// When a refused caller may come back.
+    pub(crate) fn retry_after(&self, reason: Reason) -> Duration {
+        match reason {
+            Reason::Starting => STARTING,
+            _ => Duration::from_secs_f64(rand::rng().random_range(RETURN_S.0..RETURN_S.1)),
+        }
+    }
+
+    /// An answer goes to a caller.
+    pub(crate) fn answered(&self, call: &Call, status: u16) {
+        let took = self.clock.now().saturating_sub(call.arrived);
+        log::debug!("E7114 request {} is answered {status} after {} ms", call.id, took.as_millis());
+        self.metrics.answers.with_label_values(&[status.to_string().as_str()]).inc();
+        if !call.route.repeat.is_stream() {
+            self.metrics.first_byte.observe(took.as_secs_f64());
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        let known = self.operator.borrow().table.is_some() && self.listing.borrow().is_known();
+        known && self.phase() == Phase::Running
+    }
+}
+
+/// Runs an entry until it is told to stop.
+pub(crate) async fn run(config: Config) -> Result<(), Error> {
+    let settings = &config.settings;
+    let missing = UsageSnafu {
+        detail: "an entry needs addresses for callers and readiness",
+    };
+    let callers = settings.callers.context(missing)?;
+    let missing = UsageSnafu {
+        detail: "an entry needs addresses for callers and readiness",
+    };
+    let readiness = settings.readiness.context(missing)?;
+    log::info!("E7000 entry {} starts", settings.identity.host);
+    let clock = Clock::start();
+    let entry = Rc::new(Entry {
+        clock,
+        desk: Desk::open(clock, settings),
+        pool: Pool::default(),
+        metrics: Metrics::open(),
+        bounds: settings.bounds,
+        operator: RefCell::default(),
+        listing: RefCell::default(),
+        retries: RefCell::default(),
+        phase: watch::Sender::new(Phase::Running),
+        under_way: Rc::default(),
+    });
+    let shared = entry.clone();
+    let page = move |path: &str| match path {
+        "/readyz" if shared.is_ready() => (200, "ready".to_owned()),
+        "/readyz" => (503, "not ready".to_owned()),
+        _ => (404, "no such page; ask for /readyz".to_owned()),
+    };
+    page::serve(readiness, "readiness", page).await?;
+    let shared = entry.clone();
+    let page = move |_: &str| (200, shared.metrics.text());
+    page::serve(settings.identity.address, "metrics", page).await?;
+    accept(entry.clone(), callers).await?;
+    let store = Store::open(Caller::open(), settings.store);
+    spawn_local(follow_operators(entry.clone(), store.clone()));
+    spawn_local(follow_listing(entry.clone(), store.clone()));
+    spawn_local(talk(entry.clone(), store, settings.identity.address));
+    spawn_local(tick(entry.clone()));
+    wait_for_signal(&entry.phase).await.context(SystemSnafu)?;
+    stop(&entry).await;
+    Ok(())
+}
+
+/// Says that it leaves, serves on while callers still come, and ends once
+/// nothing is under way.
+async fn stop(entry: &Entry) {
+    log::info!("E7005 the entry leaves, with {} requests under way", entry.under_way.get());
+    let started = entry.clock.now();
+    let limit = entry.bounds.stop.saturating_sub(STOP_MARGIN);
+    sleep(LEAVE.min(limit)).await;
+    while entry.under_way.get() > 0 && entry.clock.now() - started < limit {
+        sleep(Duration::from_millis(20)).await;
+    }
+    entry.phase.send_replace(Phase::Closing);
+    sleep(Duration::from_millis(50)).await;
+    while entry.under_way.get() > 0 && entry.clock.now() - started < limit {
+        sleep(Duration::from_millis(20)).await;
+    }
+    log::info!("E7006 the entry ends, with {} requests under way", entry.under_way.get());
+}
+
+async fn accept(entry: Rc<Entry>, address: SocketAddr) -> Result<(), Error> {
+    let what = "callers";
+    let listener = TcpListener::bind(address).await.context(BindSnafu { address, what })?;
+    spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    spawn_local(connection::serve(entry.clone(), stream));
+                }
+                Err(error) => {
+                    log::warn!("E7115 a caller's connection was not accepted: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn follow_operators(entry: Rc<Entry>, store: Store) {
+    let (mut changes, _task) = follow::spawn(store, platform::operator::TABLE, OPERATOR_GAP);
+    while let Some(change) = changes.recv().await {
+        let now = entry.clock.now();
+        entry.operator.borrow_mut().take(now, change);
+    }
+}
+
+async fn follow_listing(entry: Rc<Entry>, store: Store) {
+    let (mut changes, _task) = follow::spawn(store, listing::TABLE, LISTING_GAP);
+    while let Some(change) = changes.recv().await {
+        let now = entry.clock.now();
+        let news = entry.listing.borrow_mut().take(now, change);
+        entry.desk.news(news);
+    }
+}
+
+/// Hears what agents say.
+async fn talk(entry: Rc<Entry>, store: Store, address: SocketAddr) {
+    let socket = match Socket::bind(address).await {
+        Ok(socket) => Rc::new(socket),
+        Err(error) => {
+            log::error!("E7007 {address} can't be bound for agents: {error}; places are used without them");
+            return;
+        }
+    };
+    let key = key::obtain(&store).await;
+    entry.desk.link(socket.clone(), key.clone());
+    loop {
+        match socket.receive::<Give>(&key).await {
+            Ok((give, from)) => entry.desk.hear(from, &give),
+            Err(error) => {
+                log::warn!("E7008 nothing was read from agents: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn tick(entry: Rc<Entry>) {
+    loop {
+        match entry.desk.is_waiting() {
+            true => sleep(BUSY_TICK).await,
+            false => {
+                let _ = timeout(IDLE_TICK, entry.desk.queued()).await;
+            }
+        }
+        let news = entry.listing.borrow_mut().tick(entry.clock.now());
+        if !news.is_empty() {
+            entry.desk.news(news);
+        }
+        entry.desk.tick();
+        entry.pool.sweep();
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/call.rs
@@ -0,0 +1,578 @@
+//! One request: its attempts at backend servers and its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http1::body::Decoder;
+use http1::body::Step;
+use http1::head::Request;
+use http1::head::Response;
+use http1::write;
+use platform::header;
+use smol_str::SmolStr;
+use snipewinch::dispatch::Waiter;
+use snipewinch::health::Outcome;
+use snipewinch::route::Repeat;
+use snipewinch::route::Route;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::WriteHalf;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+use super::Entry;
+use super::answer;
+use super::answer::Reason;
+use super::backends::Key;
+use super::desk::Place;
+use super::desk::Refusal;
+use super::desk::Want;
+use super::events::Events;
+use super::upstream::Upstream;
+
+/// The deadline of a request whose caller names none.
+const DEADLINE: Duration = Duration::from_secs(30);
+/// How long a stream may show no sign of life before it goes on elsewhere: the
+/// platform's pages give 1.5 s as the time after which work that depends on a
+/// dead server is cut off.
+const SILENCE_MAX: Duration = Duration::from_millis(1_500);
+/// The same for an answer in one piece, in goals of its route.
+const SILENCE_GOALS: u32 = 3;
+/// What a free engine takes from a request to its first event, at least: a
+/// pass with the prompts of a few others read between.
+const FIRST_EVENT: Duration = Duration::from_millis(160);
+/// For how many goals of its route a request waits for a place.
+const WAIT_GOALS: f64 = 2.0;
+/// The part of the time left that a request waits at most.
+const WAIT_PART: f64 = 0.3;
+/// How old an idle connection may be that carries a request which must not
+/// run twice: a connection that ends unseen leaves its outcome unknown.
+const FRESH: Duration = Duration::from_millis(300);
+/// The longest answer that is held until it is whole.
+const WHOLE_MAX_BYTES: usize = 256 << 10;
+/// What is kept of the deadline for the way back.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
+
+/// A request on its way.
+pub(crate) struct Call {
+    /// The caller's name for this attempt.
+    pub(crate) id: SmolStr,
+    pub(crate) head: Request,
+    pub(crate) body: Bytes,
+    pub(crate) route: Route,
+    pub(crate) customer: Option<SmolStr>,
+    pub(crate) priority: u32,
+    pub(crate) service: SmolStr,
+    pub(crate) engine: bool,
+    pub(crate) model: Option<SmolStr>,
+    /// When its last byte came, as the process counts.
+    pub(crate) arrived: Duration,
+    /// When the caller or the route gives up.
+    pub(crate) deadline: Duration,
+    /// Whether the connection is closed after the answer.
+    pub(crate) closes: bool,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum End {
+    /// The whole answer was sent; the connection can go on.
+    Whole,
+    /// The connection must be closed: the answer ended early, or the caller
+    /// left.
+    Cut,
+}
+
+/// How one attempt ended.
+enum Attempt {
+    /// The whole answer was sent.
+    Answered,
+    /// The caller can't be written to.
+    CallerGone,
+    /// It has certainly not run.
+    NotRun(Option<Duration>),
+    /// It may have run.
+    Unknown,
+    /// The backend server's own failure, whole and not sent yet.
+    Failure(Box<(Response, Bytes)>),
+}
+
+/// What was sent of an answer so far.
+#[derive(Default)]
+struct Progress {
+    /// Whether the head was sent.
+    begun: bool,
+    events: Events,
+}
+
+impl Call {
+    /// The time after which an answer is late for its caller or its route.
+    pub(crate) fn deadline_of(head: &Request, route: &Route, now: Duration) -> Duration {
+        let asked = head.fields.number::<u64>(header::DEADLINE_MS);
+        let asked = asked.map_or(DEADLINE, Duration::from_millis);
+        now + route.timeout.map_or(asked, |limit| asked.min(limit))
+    }
+
+    fn request(&self, place: &Place, left: Duration, resume: Option<&str>, version: u64) -> Vec<u8> {
+        let mut out = Vec::with_capacity(640 + self.body.len());
+        let mut head = write::Head::request(&mut out, &self.head.method, &self.head.target);
+        let named = self.head.fields.get("connection").unwrap_or_default();
+        for (name, value) in self.head.fields.iter() {
+            if is_forwarded(name, named) && !(resume.is_some() && is(name, header::LAST_EVENT)) {
+                head.field(name, value);
+            }
+        }
+        head.number(header::DEADLINE_MS, left.as_millis());
+        head.field(header::EXPECTED_SERVER, place.id.as_bytes());
+        if let Some(customer) = &self.customer {
+            head.field(header::CUSTOMER, customer.as_bytes());
+        }
+        if let Some(id) = resume {
+            head.field(header::LAST_EVENT, id.as_bytes());
+        }
+        if version > 0 {
+            head.number(header::EXPECTED_VERSION, version);
+        }
+        let has_body = !self.body.is_empty() || !matches!(self.head.method.as_str(), "GET" | "HEAD");
+        if has_body {
+            head.number("Content-Length", self.body.len());
+        }
+        head.end();
+        out.extend_from_slice(&self.body);
+        out
+    }
+}
+
+/// Sends a request on and its answer back.
+pub(crate) async fn run(entry: &Rc<Entry>, call: &Call, out: &mut WriteHalf<'_>) -> End {
+    let mut progress = Progress::default();
+    let mut tried: Vec<Key> = Vec::new();
+    let deadline = entry.clock.at(call.deadline);
+    let worked = tokio::select! {
+        end = attempts(entry, call, &mut progress, &mut tried, out) => Some(end),
+        () = sleep_until(deadline) => None,
+    };
+    match worked {
+        Some(end) => end,
+        None if progress.begun => {
+            log::info!("E7101 request {} is cut at its deadline", call.id);
+            End::Cut
+        }
+        None if tried.is_empty() => refuse(entry, call, out, Reason::Deadline).await,
+        None => refuse(entry, call, out, Reason::Timeout).await,
+    }
+}
+
+async fn attempts(
+    entry: &Rc<Entry>,
+    call: &Call,
+    progress: &mut Progress,
+    tried: &mut Vec<Key>,
+    out: &mut WriteHalf<'_>,
+) -> End {
+    entry.earn(&call.service);
+    let mut runs = 0;
+    let mut sends = 0;
+    let mut failure: Option<Box<(Response, Bytes)>> = None;
+    loop {
+        let version = entry.version_floor(call.model.as_ref());
+        let place = match entry.desk.place(want(entry, call, tried, progress, version)).await {
+            Ok(place) => place,
+            Err(refusal) => return no_place(entry, call, progress, failure, refusal, runs, out).await,
+        };
+        let waited = entry.clock.now().saturating_sub(call.arrived);
+        entry.metrics.wait.observe(waited.as_secs_f64());
+        let key = place.key;
+        let ended = attempt(entry, call, &place, progress, version, out).await;
+        drop(place);
+        sends += 1;
+        let (again, last) = match ended {
+            Attempt::Answered => return End::Whole,
+            Attempt::CallerGone => return End::Cut,
+            Attempt::NotRun(_) => (sends < call.route.attempts + 1, Reason::Busy),
+            Attempt::Unknown => {
+                runs += 1;
+                tried.push(key);
+                let again = call.route.repeat.may_rerun() && runs < call.route.attempts;
+                (again, Reason::Unknown)
+            }
+            Attempt::Failure(answer) => {
+                runs += 1;
+                tried.push(key);
+                let again = call.route.repeat == Repeat::Idempotent && runs < call.route.attempts;
+                failure = Some(answer);
+                (again, Reason::Unknown)
+            }
+        };
+        if !tried.contains(&key) {
+            tried.push(key);
+        }
+        let spent = again && entry.spend(&call.service);
+        log::info!(
+            "E7102 attempt {sends} of request {} at backend server {} failed: ran {runs}, again {spent}",
+            call.id,
+            entry.desk.name(key)
+        );
+        if spent {
+            continue;
+        }
+        if let Some(answer) = failure {
+            return deliver(entry, call, &answer.0, answer.1, out).await;
+        }
+        return match progress.begun {
+            true => End::Cut,
+            false if runs > 0 => refuse(entry, call, out, Reason::Unknown).await,
+            false => refuse(entry, call, out, last).await,
+        };
+    }
+}
+
+async fn no_place(
+    entry: &Rc<Entry>,
+    call: &Call,
+    progress: &Progress,
+    failure: Option<Box<(Response, Bytes)>>,
+    refusal: Refusal,
+    runs: u32,
+    out: &mut WriteHalf<'_>,
+) -> End {
+    let reason = match refusal {
+        _ if runs > 0 => Reason::Unknown,
+        Refusal::Nobody => Reason::Nobody,
+        Refusal::Busy => Reason::Busy,
+    };
+    match failure {
+        Some(answer) => deliver(entry, call, &answer.0, answer.1, out).await,
+        None if progress.begun => End::Cut,
+        None => refuse(entry, call, out, reason).await,
+    }
+}
+
+fn want(entry: &Entry, call: &Call, tried: &[Key], progress: &Progress, version: u64) -> Want {
+    let now = entry.clock.now();
+    let goal = call.route.goal;
+    let left = call.deadline.saturating_sub(now);
+    let patience = goal.mul_f64(WAIT_GOALS).min(left.mul_f64(WAIT_PART));
+    let resumes = !tried.is_empty();
+    Want {
+        service: call.service.clone(),
+        engine: call.engine,
+        version,
+        tried: tried.to_vec(),
+        waiter: Waiter {
+            arrived: call.arrived,
+            due: match progress.begun {
+                true => now + goal,
+                false => (call.arrived + goal).saturating_sub(FIRST_EVENT),
+            },
+            until: match resumes {
+                true => now + patience,
+                false => call.arrived + patience,
+            },
+            priority: call.priority,
+            resumes,
+        },
+    }
+}
+
+async fn attempt(
+    entry: &Rc<Entry>,
+    call: &Call,
+    place: &Place,
+    progress: &mut Progress,
+    version: u64,
+    out: &mut WriteHalf<'_>,
+) -> Attempt {
+    let age_max = match call.route.repeat {
+        Repeat::Never => FRESH,
+        Repeat::Idempotent | Repeat::Stream { .. } => Duration::MAX,
+    };
+    let pooled = entry.pool.take(place.key, age_max);
+    let opened = match pooled {
+        Some(upstream) => Ok(upstream),
+        None => Upstream::connect(place.address).await,
+    };
+    let mut upstream = match opened {
+        Ok(upstream) => upstream,
+        Err(error) => {
+            log::info!("E7103 request {} did not reach {}: {error}", call.id, place.id);
+            entry.desk.saw(place.key, Outcome::Failed, None);
+            entry.metrics.attempts.with_label_values(&["unreached"]).inc();
+            return Attempt::NotRun(None);
+        }
+    };
+    let left = call.deadline.saturating_sub(entry.clock.now());
+    let left = left.saturating_sub(DEADLINE_MARGIN).max(Duration::from_millis(1));
+    let resume = progress.events.last_id.clone();
+    let request = call.request(place, left, resume.as_deref(), version);
+    let silence = match call.route.repeat {
+        Repeat::Stream { .. } => SILENCE_MAX,
+        Repeat::Idempotent => (call.route.goal * SILENCE_GOALS).max(SILENCE_MAX / 3),
+        Repeat::Never => Duration::MAX,
+    };
+    let asked = upstream.ask(&request, &call.head.method, &call.id);
+    let (head, sent) = match timeout(silence, asked).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) => return lost(entry, call, place, &error.to_string()),
+        Err(_) => return lost(entry, call, place, "no answer in time"),
+    };
+    let load = head.fields.get(header::LOAD).and_then(load);
+    let not_run = head.status == 421 || head.fields.get(header::NOT_RUN).is_some();
+    if not_run {
+        log::info!("E7104 backend server {} did not run request {}: {}", place.id, call.id, head.status);
+        entry.desk.saw(place.key, Outcome::Answered, load);
+        entry.metrics.attempts.with_label_values(&["not_run"]).inc();
+        let after = head.fields.number::<f64>("retry-after");
+        finish(entry, place.key, upstream, &head, sent).await;
+        return Attempt::NotRun(after.map(Duration::from_secs_f64));
+    }
+    let is_stream = call.route.repeat.is_stream() && (200..300).contains(&head.status);
+    match is_stream {
+        true => stream(entry, call, place, upstream, &head, progress, out).await,
+        false => whole(entry, call, place, upstream, head, sent, progress, load, out).await,
+    }
+}
+
+fn lost(entry: &Entry, call: &Call, place: &Place, why: &str) -> Attempt {
+    log::info!("E7105 request {} got no answer from {}: {why}", call.id, place.id);
+    entry.desk.saw(place.key, Outcome::Failed, None);
+    entry.metrics.attempts.with_label_values(&["unknown"]).inc();
+    Attempt::Unknown
+}
+
+/// Reads the rest of a refusal, so that its connection can be used again.
+async fn finish(entry: &Entry, key: Key, mut upstream: Upstream, head: &Response, sent: bool) {
+    let mut body = Decoder::new(head.framing);
+    let reading = async {
+        while let Ok(Step::Data(_)) = upstream.next(&mut body).await {}
+        body.is_done()
+    };
+    let done = timeout(Duration::from_millis(20), reading).await.unwrap_or(false);
+    if done && sent && head.keeps_alive {
+        entry.pool.keep(key, upstream, head);
+    }
+}
+
+/// An answer in one piece.
+#[expect(clippy::too_many_arguments, reason = "the state of one attempt")]
+async fn whole(
+    entry: &Rc<Entry>,
+    call: &Call,
+    place: &Place,
+    mut upstream: Upstream,
+    head: Response,
+    sent: bool,
+    progress: &mut Progress,
+    load: Option<(u32, u32, u32)>,
+    out: &mut WriteHalf<'_>,
+) -> Attempt {
+    let mut body = Decoder::new(head.framing);
+    let mut held = Vec::new();
+    loop {
+        match upstream.next(&mut body).await {
+            Ok(Step::Data(data)) => held.extend_from_slice(&data),
+            Ok(Step::End) => break,
+            Ok(Step::More) => {}
+            Err(error) => return lost(entry, call, place, &error.to_string()),
+        }
+        if held.len() > WHOLE_MAX_BYTES {
+            return pass_on(entry, call, place, upstream, body, &head, held, progress, out).await;
+        }
+    }
+    let success = (200..300).contains(&head.status);
+    let signed = head.fields.get(header::SIGNATURE).is_some();
+    if success && !signed {
+        return lost(entry, call, place, "a success without a signature");
+    }
+    entry.desk.saw(place.key, Outcome::Answered, load);
+    if sent && head.keeps_alive {
+        entry.pool.keep(place.key, upstream, &head);
+    }
+    let held = Bytes::from(held);
+    if !success && progress.begun {
+        return Attempt::Unknown;
+    }
+    if !success {
+        entry.metrics.attempts.with_label_values(&["failure"]).inc();
+        return Attempt::Failure(Box::new((head, held)));
+    }
+    entry.metrics.attempts.with_label_values(&["success"]).inc();
+    match deliver(entry, call, &head, held, out).await {
+        End::Whole => Attempt::Answered,
+        End::Cut => Attempt::CallerGone,
+    }
+}
+
+/// An answer that is too long to be held: it is passed on as it comes.
+#[expect(clippy::too_many_arguments, reason = "the state of one attempt")]
+async fn pass_on(
+    entry: &Rc<Entry>,
+    call: &Call,
+    place: &Place,
+    mut upstream: Upstream,
+    mut body: Decoder,
+    head: &Response,
+    held: Vec<u8>,
+    progress: &mut Progress,
+    out: &mut WriteHalf<'_>,
+) -> Attempt {
+    progress.begun = true;
+    let mut bytes = answer::chunked(head, call.closes);
+    write::chunk(&mut bytes, &held);
+    drop(held);
+    loop {
+        if out.write_all(&bytes).await.is_err() {
+            return Attempt::CallerGone;
+        }
+        bytes.clear();
+        match upstream.next(&mut body).await {
+            Ok(Step::Data(data)) => write::chunk(&mut bytes, &data),
+            Ok(Step::End) => break,
+            Ok(Step::More) => {}
+            Err(error) => {
+                let _ = lost(entry, call, place, &error.to_string());
+                // What was sent can't be taken back.
+                return Attempt::CallerGone;
+            }
+        }
+    }
+    write::last_chunk(&mut bytes);
+    entry.desk.saw(place.key, Outcome::Answered, None);
+    entry.answered(call, head.status);
+    match out.write_all(&bytes).await {
+        Ok(()) => Attempt::Answered,
+        Err(_) => Attempt::CallerGone,
+    }
+}
+
+async fn stream(
+    entry: &Rc<Entry>,
+    call: &Call,
+    place: &Place,
+    mut upstream: Upstream,
+    head: &Response,
+    progress: &mut Progress,
+    out: &mut WriteHalf<'_>,
+) -> Attempt {
+    if head.fields.get(header::SIGNATURE).is_none() {
+        return lost(entry, call, place, "a stream without a signature");
+    }
+    let mut body = Decoder::new(head.framing);
+    let mut bytes = Vec::with_capacity(1024);
+    loop {
+        let next = timeout(SILENCE_MAX, upstream.next(&mut body)).await;
+        let step = match next {
+            Ok(Ok(step)) => step,
+            Ok(Err(error)) => {
+                progress.events.cut();
+                return lost(entry, call, place, &error.to_string());
+            }
+            Err(_) => {
+                progress.events.cut();
+                return lost(entry, call, place, "the stream fell silent");
+            }
+        };
+        match step {
+            Step::Data(data) => {
+                let Some(events) = progress.events.add(&data) else {
+                    return lost(entry, call, place, "an event is too long");
+                };
+                if events.is_empty() {
+                    continue;
+                }
+                if !progress.begun {
+                    progress.begun = true;
+                    bytes = answer::chunked(head, call.closes);
+                    let first = entry.clock.now().saturating_sub(call.arrived);
+                    entry.metrics.first_byte.observe(first.as_secs_f64());
+                    entry.desk.saw(place.key, Outcome::Answered, None);
+                }
+                write::chunk(&mut bytes, &events);
+            }
+            Step::End if !progress.events.is_whole() || !progress.begun => {
+                progress.events.cut();
+                return lost(entry, call, place, "the stream ended within an event");
+            }
+            Step::End => break,
+            Step::More => {}
+        }
+        if out.write_all(&bytes).await.is_err() {
+            return Attempt::CallerGone;
+        }
+        bytes.clear();
+    }
+    write::last_chunk(&mut bytes);
+    entry.metrics.attempts.with_label_values(&["success"]).inc();
+    entry.answered(call, head.status);
+    if head.keeps_alive {
+        entry.pool.keep(place.key, upstream, head);
+    }
+    match out.write_all(&bytes).await {
+        Ok(()) => Attempt::Answered,
+        Err(_) => Attempt::CallerGone,
+    }
+}
+
+/// Sends a backend server's whole answer.
+async fn deliver(
+    entry: &Entry,
+    call: &Call,
+    head: &Response,
+    body: Bytes,
+    out: &mut WriteHalf<'_>,
+) -> End {
+    entry.answered(call, head.status);
+    let bytes = answer::whole(head, &body, call.closes);
+    match out.write_all(&bytes).await {
+        Ok(()) => End::Whole,
+        Err(_) => End::Cut,
+    }
+}
+
+/// Sends a refusal of our own.
+async fn refuse(entry: &Entry, call: &Call, out: &mut WriteHalf<'_>, reason: Reason) -> End {
+    let now = entry.clock.now();
+    let held = now.saturating_sub(call.arrived);
+    log::info!(
+        "E7106 request {} on route {} is refused after {} ms: {}",
+        call.id,
+        call.route.name,
+        held.as_millis(),
+        reason.text()
+    );
+    entry.metrics.refusals.with_label_values(&[reason.name()]).inc();
+    entry.answered(call, reason.status());
+    let bytes = answer::refusal(reason, entry.retry_after(reason), Some(&call.id), call.closes);
+    match out.write_all(&bytes).await {
+        Ok(()) => End::Whole,
+        Err(_) => End::Cut,
+    }
+}
+
+fn is(name: &str, other: &str) -> bool {
+    name.eq_ignore_ascii_case(other)
+}
+
+/// Whether a field of a request concerns more than one connection and is not
+/// ours to set.
+fn is_forwarded(name: &str, connection: &str) -> bool {
+    const HOP: [&str; 9] = [
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    let own = HOP.iter().chain(&header::OWN).any(|one| is(name, one));
+    let named = connection.split(',').any(|one| is(one.trim(), name));
+    !own && !named
+}
+
+fn load(value: &str) -> Option<(u32, u32, u32)> {
+    let mut numbers = value.split(',').map(|one| one.trim().parse().ok());
+    Some((numbers.next()??, numbers.next()??, numbers.next()??))
+}
--- /dev/null
+++ b/crates/node/src/fleet.rs
@@ -0,0 +1,145 @@
+//! The backend servers that the platform lists.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use platform::follow::Change;
+use platform::listing;
+use platform::listing::Entry;
+use platform::listing::State;
+use platform::rows::Row;
+use smol_str::SmolStr;
+
+/// How long after the store's return an entry may be missing that lapsed
+/// while it was away. The platform's pages give about two seconds.
+const RETURN_GRACE: Duration = Duration::from_millis(2_200);
+
+/// The list as this process knows it.
+#[derive(Debug, Default)]
+pub(crate) struct Listing {
+    entries: BTreeMap<SmolStr, Entry>,
+    /// Entries that are missing and may come back, until when.
+    missing: BTreeMap<SmolStr, Duration>,
+    /// Whether the store is away.
+    lost: bool,
+    /// When it came back.
+    regained: Option<Duration>,
+    /// Whether the list was ever read.
+    known: bool,
+}
+
+/// What changed for one backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum News {
+    /// It is new, or its entry changed.
+    Listed(SmolStr, Entry),
+    /// It is gone.
+    Gone(SmolStr),
+}
+
+impl Listing {
+    /// Whether the list was ever read.
+    pub(crate) fn is_known(&self) -> bool {
+        self.known
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = (&SmolStr, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// Takes in a change; answers what is new.
+    pub(crate) fn take(&mut self, now: Duration, change: Change) -> Vec<News> {
+        let mut news = Vec::new();
+        match change {
+            Change::Lost => {
+                if !self.lost {
+                    log::warn!("E7040 the list of backend servers is not followed");
+                }
+                self.lost = true;
+                return news;
+            }
+            Change::Whole(rows) => {
+                self.regain(now);
+                let gone = |id: &&SmolStr| !rows.iter().any(|row| row.key == **id);
+                let missing: Vec<SmolStr> = self.entries.keys().filter(gone).cloned().collect();
+                for id in missing {
+                    self.drop_entry(now, id, &mut news);
+                }
+                self.known = true;
+                rows.into_iter().for_each(|row| self.row(now, row, &mut news));
+            }
+            Change::Rows(rows) => {
+                self.regain(now);
+                rows.into_iter().for_each(|row| self.row(now, row, &mut news));
+            }
+        }
+        news
+    }
+
+    /// Drops the entries that have not come back in time.
+    pub(crate) fn tick(&mut self, now: Duration) -> Vec<News> {
+        let due: Vec<SmolStr> = match self.lost {
+            true => Vec::new(),
+            false => {
+                let due = self.missing.iter().filter(|(_, until)| **until <= now);
+                due.map(|(id, _)| id.clone()).collect()
+            }
+        };
+        let mut news = Vec::new();
+        for id in due {
+            self.missing.remove(&id);
+            if self.entries.remove(&id).is_some() {
+                log::info!("E7041 backend server {id} did not come back to the list");
+                news.push(News::Gone(id));
+            }
+        }
+        news
+    }
+
+    fn regain(&mut self, now: Duration) {
+        if std::mem::take(&mut self.lost) {
+            self.regained = Some(now);
+        }
+    }
+
+    fn row(&mut self, now: Duration, row: Row, news: &mut Vec<News>) {
+        let Some(value) = &row.value else {
+            return self.drop_entry(now, row.key, news);
+        };
+        match listing::decode(value) {
+            Ok(entry) => {
+                self.missing.remove(&row.key);
+                let before = self.entries.insert(row.key.clone(), entry.clone());
+                if before.as_ref() == Some(&entry) {
+                    return;
+                }
+                if entry.state == State::Leaving
+                    && before.is_none_or(|before| before.state != State::Leaving)
+                {
+                    log::info!("E7042 backend server {} is leaving", row.key);
+                }
+                news.push(News::Listed(row.key, entry));
+            }
+            Err(error) => {
+                log::warn!("E7043 entry {:?} of the list is passed over: {error}", row.key);
+                self.drop_entry(now, row.key, news);
+            }
+        }
+    }
+
+    fn drop_entry(&mut self, now: Duration, id: SmolStr, news: &mut Vec<News>) {
+        let grace = self.regained.map(|at| at + RETURN_GRACE);
+        match grace {
+            Some(until) if now < until && self.entries.contains_key(&id) => {
+                self.missing.insert(id, until);
+            }
+            _ => {
+                self.missing.remove(&id);
+                if self.entries.remove(&id).is_some() {
+                    log::info!("E7044 backend server {id} is off the list");
+                    news.push(News::Gone(id));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,7 @@
+//! `snipewinch-node`: the entry or the agent of one host on the platform.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    node::command::run()
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,73 @@
+//! Counters and histograms of the process.
+
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// The bounds of latencies, in seconds.
+const LATENCY_S: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0];
+
+/// What an entry counts.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Answers to callers, by status.
+    pub(crate) answers: IntCounterVec,
+    /// Refusals of our own, by reason.
+    pub(crate) refusals: IntCounterVec,
+    /// Requests sent to backend servers, by what became of them.
+    pub(crate) attempts: IntCounterVec,
+    /// Streams that went on at another backend server.
+    pub(crate) resumed: IntCounter,
+    /// From a request's arrival to the first byte of its answer.
+    pub(crate) first_byte: Histogram,
+    /// From a request's arrival to a place at a backend server.
+    pub(crate) wait: Histogram,
+}
+
+impl Metrics {
+    pub(crate) fn open() -> Metrics {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, label: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label]);
+            let counters = counters.expect("the name is valid");
+            registry.register(Box::new(counters.clone())).expect("each name is registered once");
+            counters
+        };
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_S.to_vec());
+            let histogram = Histogram::with_opts(options).expect("the name is valid");
+            registry.register(Box::new(histogram.clone())).expect("each name is registered once");
+            histogram
+        };
+        let resumed = IntCounter::new("snipewinch_streams_resumed_total", "Streams that went on at another backend server");
+        let resumed = resumed.expect("the name is valid");
+        registry.register(Box::new(resumed.clone())).expect("each name is registered once");
+        Metrics {
+            answers: counters("snipewinch_answers_total", "Answers to callers", "status"),
+            refusals: counters("snipewinch_refusals_total", "Requests refused here", "reason"),
+            attempts: counters("snipewinch_attempts_total", "Requests sent to backend servers", "outcome"),
+            resumed,
+            first_byte: histogram("snipewinch_first_byte_seconds", "From a request's arrival to the first byte of its answer"),
+            wait: histogram("snipewinch_place_wait_seconds", "From a request's arrival to a place at a backend server"),
+            registry,
+        }
+    }
+
+    /// All figures in the text format.
+    pub(crate) fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
+            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
+            Err(error) => {
+                log::warn!("E7031 the metrics were not written: {error}");
+                String::new()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/operator.rs
@@ -0,0 +1,85 @@
+//! What operators have decided, as this process knows it.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use platform::follow::Change;
+use platform::operator;
+use platform::operator::Word;
+use platform::rows::Row;
+use smol_str::SmolStr;
+use snipewinch::route::Table;
+
+/// A named version of a model's weights.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Named {
+    pub(crate) version: u64,
+    /// When this process learned of it.
+    pub(crate) learned: Duration,
+}
+
+/// The newest of everything.
+#[derive(Debug, Default)]
+pub(crate) struct Operator {
+    /// None until a configuration is known.
+    pub(crate) table: Option<Rc<Table>>,
+    pub(crate) weights: HashMap<SmolStr, Named>,
+}
+
+impl Operator {
+    /// Takes in a change; true if a configuration came into force.
+    pub(crate) fn take(&mut self, now: Duration, change: Change) -> bool {
+        match change {
+            Change::Lost => false,
+            Change::Rows(rows) | Change::Whole(rows) => {
+                let before = self.version();
+                for row in rows {
+                    self.row(now, &row);
+                }
+                self.version() != before
+            }
+        }
+    }
+
+    /// The version in force; 0 before the first.
+    pub(crate) fn version(&self) -> u64 {
+        let table = self.table.as_ref();
+        table.map_or(0, |table| table.configuration().version)
+    }
+
+    fn row(&mut self, now: Duration, row: &Row) {
+        let Some(value) = &row.value else {
+            return;
+        };
+        match operator::decode(&row.key, value) {
+            Ok(Some(Word::Configuration(configuration))) => {
+                // What is in force never goes back.
+                if configuration.version > self.version() {
+                    log::info!(
+                        "E7020 configuration {} is in force, with {} routes and {} services",
+                        configuration.version,
+                        configuration.routes.len(),
+                        configuration.services.len()
+                    );
+                    self.table = Some(Rc::new(Table::new(*configuration)));
+                }
+            }
+            Ok(Some(Word::Weights { model, version })) => self.name(now, model, version),
+            Ok(None) => {}
+            Err(error) => log::error!("E7021 {error}"),
+        }
+    }
+
+    fn name(&mut self, now: Duration, model: SmolStr, version: u64) {
+        let known = self.weights.get(&model).map_or(0, |named| named.version);
+        if version > known {
+            log::info!("E7022 version {version} of {model} is named");
+            let named = Named {
+                version,
+                learned: now,
+            };
+            self.weights.insert(model, named);
+        }
+    }
+}
--- a/crates/peer/src/handshake.rs
+++ b/crates/peer/src/handshake.rs
@@ -29,6 +29,7 @@
 use crate::error::Error;
 use crate::error::SocketSnafu;
 use crate::seal::Stream;
+use crate::seal::TAG_BYTES;
 use crate::watched::Activity;
 use crate::watched::Watched;
 
@@ -62,6 +63,14 @@
         Stream::open(*blake3::keyed_hash(&self.0, &bytes).as_bytes())
     }
 
+    /// The tag of a message that belongs to no stream.
+    pub(crate) fn tag(&self, message: &[u8]) -> [u8; TAG_BYTES] {
+        let mut tag = [0; TAG_BYTES];
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        hasher.update(message).finalize_xof().fill(&mut tag);
+        tag
+    }
+
     fn prove(&self, side: Side, theirs: &Nonce, ours: &Nonce, identity: &Identity) -> Proof {
         let mut bytes = Vec::new();
         codec::encode(&(side, theirs, ours, identity), &mut bytes);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,6 +6,7 @@
 //! are for, in the order of the link that carried them.
 
 pub mod codec;
+pub mod datagram;
 mod error;
 mod handshake;
 pub mod hub;
--- a/crates/snipewinch/src/digest.rs
+++ b/crates/snipewinch/src/digest.rs
@@ -1,4 +1,4 @@
-//! BLAKE3 digests of documents, manifests and chunks.
+//! Digests of documents, manifests and chunks.
 
 use std::borrow::Cow;
 use std::fmt;
@@ -13,11 +13,39 @@
 use serde::Serialize;
 use serde::Serializer;
 use serde::de;
+use sha2::Digest as _;
+use sha2::Sha256;
 
 /// Length of a digest in bytes.
 pub const LENGTH_BYTES: usize = 32;
 
-/// A BLAKE3 digest: the name of a chunk, a manifest or a document.
+/// The function that a digest was made by.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Hash {
+    /// BLAKE3, for all that snipewinch names itself.
+    #[default]
+    Blake3,
+    /// SHA-256, for pieces that the users' platform names.
+    Sha256,
+}
+
+impl Hash {
+    /// The digest of `bytes`.
+    pub fn digest(self, bytes: &[u8]) -> Digest {
+        match self {
+            Hash::Blake3 => Digest(*blake3::hash(bytes).as_bytes()),
+            Hash::Sha256 => Digest(Sha256::digest(bytes).into()),
+        }
+    }
+
+    /// Whether this is the function used unless said otherwise.
+    pub fn is_default(&self) -> bool {
+        *self == Hash::default()
+    }
+}
+
+/// A digest, BLAKE3 unless said otherwise: the name of a chunk, a manifest or a document.
 ///
 /// Written as 64 hexadecimal digits in text formats and as 32 raw bytes in
 /// binary ones.
@@ -25,9 +53,9 @@
 pub struct Digest([u8; LENGTH_BYTES]);
 
 impl Digest {
-    /// The digest of `bytes`.
+    /// The BLAKE3 digest of `bytes`.
     pub fn of(bytes: &[u8]) -> Digest {
-        Digest(*blake3::hash(bytes).as_bytes())
+        Hash::Blake3.digest(bytes)
     }
 
     /// A digest from its raw bytes.
--- /dev/null
+++ b/crates/snipewinch/src/dispatch.rs
@@ -0,0 +1,167 @@
+//! The queue of an entry for one service: in which order requests go to the
+//! places that are granted, whom to ask for places, and whom to refuse.
+//!
+//! The load that this answers: more requests than the places of a service can
+//! bear, for seconds. A request that starts too late to be on time is worth
+//! little and takes as long as any other, so it gives way to those that can
+//! still be on time, and is refused at once when it has waited so long that
+//! more waiting helps nobody.
+
+use std::time::Duration;
+
+use slotmap::SlotMap;
+
+use crate::mix::Draw;
+
+slotmap::new_key_type! {
+    /// Names a request while it waits.
+    pub struct Ticket;
+}
+
+/// How long a request waits for the nearest free place before all places of
+/// its availability zone are asked for: a few round trips in a zone.
+const WIDEN_ZONE: Duration = Duration::from_millis(6);
+/// How long before the places of all zones are asked for: a few round trips
+/// between regions.
+const WIDEN_ALL: Duration = Duration::from_millis(16);
+/// How long the word of an agent on its free places is believed.
+const HINT_AGE_MAX: Duration = Duration::from_millis(400);
+/// What is believed of an agent that said nothing lately.
+const HINT_UNKNOWN: u16 = 2;
+
+/// One request that waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiter {
+    /// When it arrived.
+    pub arrived: Duration,
+    /// Until when it can start and be on time.
+    pub due: Duration,
+    /// When it is refused.
+    pub until: Duration,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Whether it goes before all others: it has begun and is to go on.
+    pub resumes: bool,
+}
+
+/// The requests that wait for one service.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    waiters: SlotMap<Ticket, Waiter>,
+}
+
+impl Queue {
+    /// Adds a request.
+    pub fn push(&mut self, waiter: Waiter) -> Ticket {
+        self.waiters.insert(waiter)
+    }
+
+    /// Takes a request out.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Waiter> {
+        self.waiters.remove(ticket)
+    }
+
+    /// How many requests wait.
+    pub fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
+    /// The request that the next place goes to, among those that `fits` says
+    /// it suits.
+    pub fn best(&self, now: Duration, mut fits: impl FnMut(Ticket) -> bool) -> Option<Ticket> {
+        let suited = self.waiters.iter().filter(|(ticket, _)| fits(*ticket));
+        let best = suited.min_by_key(|(_, waiter)| rank(now, waiter));
+        best.map(|(ticket, _)| ticket)
+    }
+
+    /// The requests that have waited too long.
+    pub fn expired(&self, now: Duration) -> Vec<Ticket> {
+        let expired = self.waiters.iter().filter(|(_, one)| one.until <= now);
+        expired.map(|(ticket, _)| ticket).collect()
+    }
+
+    /// For how many milliseconds the most urgent request can wait and be on
+    /// time; negative if all are late.
+    pub fn slack_ms(&self, now: Duration) -> i32 {
+        let slack = |one: &Waiter| one.due.as_millis() as i64 - now.as_millis() as i64;
+        let best = self.waiters.values().min_by_key(|one| rank(now, one));
+        best.map_or(0, |one| slack(one).clamp(-60_000, 60_000) as i32)
+    }
+
+    /// When the request that arrived first did so.
+    pub fn oldest(&self) -> Option<Duration> {
+        self.waiters.values().map(|one| one.arrived).min()
+    }
+}
+
+/// On time before late, urgent before others, the nearest due first; of those
+/// that are late, the latest arrival first.
+fn rank(now: Duration, waiter: &Waiter) -> (bool, bool, u32, Duration) {
+    match waiter.due >= now {
+        true => (!waiter.resumes, false, waiter.priority, waiter.due),
+        false => {
+            let age = now.saturating_sub(waiter.arrived);
+            (!waiter.resumes, true, waiter.priority, age)
+        }
+    }
+}
+
+/// An agent that could be asked for places.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// 0 in the own availability zone, 1 in the own region, 2 elsewhere.
+    pub distance: u8,
+    /// Its free places by its last word.
+    pub free: u16,
+    /// How old that word is; none if it said nothing yet.
+    pub age: Option<Duration>,
+}
+
+impl Candidate {
+    fn hint(&self) -> u16 {
+        match self.age {
+            Some(age) if age <= HINT_AGE_MAX => self.free,
+            Some(_) | None => HINT_UNKNOWN,
+        }
+    }
+}
+
+/// For how many places to ask each candidate, given that `waiting` requests
+/// wait, the first since `oldest`.
+///
+/// A place that is found free is asked for once; while none is granted, more
+/// and more agents are asked, and what is granted in excess is handed back.
+pub fn plan(waiting: usize, oldest: Duration, candidates: &[Candidate], seed: u64) -> Vec<u16> {
+    let all = waiting.min(usize::from(u16::MAX)) as u16;
+    let nearest = candidates.iter().map(|one| one.distance).min();
+    if oldest >= WIDEN_ALL {
+        return vec![all; candidates.len()];
+    }
+    if oldest >= WIDEN_ZONE {
+        let near = |one: &Candidate| Some(one.distance) == nearest || one.hint() > 0;
+        return candidates.iter().map(|one| if near(one) { all } else { 0 }).collect();
+    }
+    let mut draw = Draw::new(seed);
+    let mut left: Vec<u16> = candidates.iter().map(Candidate::hint).collect();
+    let ties: Vec<u64> = candidates.iter().map(|_| draw.next()).collect();
+    let mut asks = vec![0; candidates.len()];
+    for _ in 0..waiting {
+        let places = 0..candidates.len();
+        let best = places.min_by_key(|place| {
+            let one = &candidates[*place];
+            let rest = left[*place];
+            (rest == 0, one.distance, u16::MAX - rest, ties[*place])
+        });
+        let Some(best) = best else {
+            break;
+        };
+        left[best] = left[best].saturating_sub(1);
+        asks[best] += 1;
+    }
+    asks
+}
--- /dev/null
+++ b/crates/snipewinch/src/grant.rs
@@ -0,0 +1,318 @@
+//! Places of a backend server, granted to entries one by one.
+//!
+//! Entries that choose apart from each other on reports that lag rush to the
+//! same backend server. So the agent beside it grants its places, and requests
+//! wait at the entries, where each can still go to whichever place is granted
+//! first (late binding: Ousterhout et al., "Sparrow", SOSP 2013).
+//!
+//! Both sides count from the start of the entry's process what was given and
+//! what has ended (credit-based flow control: Kung and Morris, IEEE Network
+//! 1995). Each message carries the sender's totals, so that one which is lost,
+//! repeated or late does no harm: the next one makes up for it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How long a taker may be silent before its places are given to others; it
+/// says something at least each [`RENEWAL`] while it has any.
+pub const LEASE: Duration = Duration::from_millis(1_800);
+/// How often a taker that has places, or waits for some, says so.
+pub const RENEWAL: Duration = Duration::from_millis(400);
+
+/// Names the process of an entry, from its start to its end.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct TakerId(pub u64);
+
+/// What an entry says to an agent.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ask {
+    /// The entry.
+    #[serde(rename = "t")]
+    pub taker: TakerId,
+    /// Grows with each message.
+    #[serde(rename = "n")]
+    pub sequence: u32,
+    /// Requests that wait for a place.
+    #[serde(rename = "w")]
+    pub waiting: u16,
+    /// For how many milliseconds the most urgent of them can wait and be on
+    /// time; negative if it is late.
+    #[serde(rename = "s")]
+    pub slack_ms: i32,
+    /// All places that the entry knows to have been given.
+    #[serde(rename = "g")]
+    pub given: u64,
+    /// How many of them it has handed back.
+    #[serde(rename = "e")]
+    pub ended: u64,
+}
+
+/// What an agent says to an entry.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Give {
+    /// The entry.
+    #[serde(rename = "t")]
+    pub taker: TakerId,
+    /// All places given to it.
+    #[serde(rename = "g")]
+    pub given: u64,
+    /// Places that nobody has or waits for.
+    #[serde(rename = "f")]
+    pub free: u16,
+    /// The version of the weights that the backend server holds; 0 if none.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Whether places are given at all for now.
+    #[serde(rename = "o")]
+    pub open: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Account {
+    sequence: u32,
+    waiting: u16,
+    /// Until when the most urgent request can wait and be on time, in
+    /// milliseconds of the giver's clock.
+    due_ms: i64,
+    given: u64,
+    ended: u64,
+    heard: Duration,
+}
+
+impl Account {
+    fn in_use(&self) -> u64 {
+        self.given.saturating_sub(self.ended)
+    }
+}
+
+/// The agent's side.
+#[derive(Clone, Debug, Default)]
+pub struct Giver {
+    accounts: BTreeMap<TakerId, Account>,
+    places: u64,
+    version: u64,
+}
+
+impl Giver {
+    /// A giver of no places.
+    pub fn new() -> Giver {
+        Giver::default()
+    }
+
+    /// Sets how many places there are, 0 while none may be given, and which
+    /// weights the backend server holds.
+    pub fn offer(&mut self, places: u32, version: u64) {
+        self.places = u64::from(places);
+        self.version = version;
+    }
+
+    /// Places that are in use.
+    pub fn in_use(&self) -> u64 {
+        self.accounts.values().map(Account::in_use).sum()
+    }
+
+    /// Requests that wait for a place, at all entries.
+    pub fn waiting(&self) -> u64 {
+        self.accounts.values().map(|one| u64::from(one.waiting)).sum()
+    }
+
+    /// Takes in what an entry says. False if it is out of date.
+    pub fn hear(&mut self, now: Duration, ask: &Ask) -> bool {
+        let fresh = Account {
+            sequence: 0,
+            waiting: 0,
+            due_ms: 0,
+            given: ask.given,
+            ended: ask.ended,
+            heard: now,
+        };
+        let account = self.accounts.entry(ask.taker).or_insert(fresh);
+        if ask.sequence <= account.sequence {
+            return false;
+        }
+        account.sequence = ask.sequence;
+        account.heard = now;
+        account.given = account.given.max(ask.given);
+        account.ended = account.ended.max(ask.ended);
+        // What was given and has not been heard of yet is on its way.
+        let on_its_way = account.given - ask.given;
+        account.waiting = ask.waiting.saturating_sub(on_its_way.min(u64::from(u16::MAX)) as u16);
+        account.due_ms = now.as_millis() as i64 + i64::from(ask.slack_ms);
+        true
+    }
+
+    /// Gives what can be given; answers to whom. Requests that can still be on
+    /// time go first, the most urgent first among them; then those that are
+    /// late, the latest come first.
+    pub fn give(&mut self, now: Duration) -> Vec<TakerId> {
+        let now_ms = now.as_millis() as i64;
+        let mut told = Vec::new();
+        while self.in_use() < self.places {
+            let waiting = self.accounts.iter_mut().filter(|(_, one)| one.waiting > 0);
+            let rank = |one: &Account| match one.due_ms >= now_ms {
+                true => (false, one.due_ms),
+                false => (true, -one.due_ms),
+            };
+            let Some((taker, account)) = waiting.min_by_key(|(_, one)| rank(one)) else {
+                break;
+            };
+            account.waiting -= 1;
+            account.given += 1;
+            if !told.contains(taker) {
+                told.push(*taker);
+            }
+        }
+        told
+    }
+
+    /// What to tell an entry.
+    pub fn word(&self, taker: TakerId) -> Give {
+        let free = self.places.saturating_sub(self.in_use() + self.waiting());
+        Give {
+            taker,
+            given: self.accounts.get(&taker).map_or(0, |one| one.given),
+            free: free.min(u64::from(u16::MAX)) as u16,
+            version: self.version,
+            open: self.places > 0,
+        }
+    }
+
+    /// Forgets entries that were silent for [`LEASE`]; answers how many places
+    /// they had.
+    pub fn expire(&mut self, now: Duration) -> u64 {
+        let before = self.in_use();
+        self.accounts.retain(|_, one| now.saturating_sub(one.heard) < LEASE);
+        before - self.in_use()
+    }
+
+    /// The entries that it hears from.
+    pub fn takers(&self) -> impl Iterator<Item = TakerId> {
+        self.accounts.keys().copied()
+    }
+}
+
+/// The entry's side: what one agent has given it.
+#[derive(Clone, Copy, Debug)]
+pub struct Taker {
+    id: TakerId,
+    sequence: u32,
+    given: u64,
+    ended: u64,
+    /// Places given and neither used nor handed back.
+    spare: u64,
+    asked: u16,
+    asked_at: Duration,
+    /// When the first ask went out that has not been answered.
+    unanswered: Option<Duration>,
+    heard: Option<Duration>,
+    last: Option<Give>,
+    changed: bool,
+}
+
+impl Taker {
+    /// A taker that has nothing.
+    pub fn new(id: TakerId) -> Taker {
+        Taker {
+            id,
+            sequence: 0,
+            given: 0,
+            ended: 0,
+            spare: 0,
+            asked: 0,
+            asked_at: Duration::ZERO,
+            unanswered: None,
+            heard: None,
+            last: None,
+            changed: false,
+        }
+    }
+
+    /// Takes in what the agent says; answers how many places are new.
+    pub fn hear(&mut self, now: Duration, give: &Give) -> u64 {
+        self.heard = Some(now);
+        self.unanswered = None;
+        self.last = Some(*give);
+        let new = give.given.saturating_sub(self.given);
+        self.given += new;
+        self.spare += new;
+        self.asked = self.asked.saturating_sub(new.min(u64::from(u16::MAX)) as u16);
+        new
+    }
+
+    /// Uses a place that was given; false if there is none.
+    pub fn take(&mut self) -> bool {
+        let found = self.spare > 0;
+        self.spare -= u64::from(found);
+        found
+    }
+
+    /// Hands a place back that is in use.
+    pub fn end(&mut self) {
+        self.ended += 1;
+        self.changed = true;
+    }
+
+    /// Hands back what was given and is not in use.
+    pub fn end_spare(&mut self) {
+        self.ended += self.spare;
+        self.changed |= self.spare > 0;
+        self.spare = 0;
+    }
+
+    /// Places that were given and not handed back.
+    pub fn in_use(&self) -> u64 {
+        self.given - self.ended
+    }
+
+    /// What to send now, if anything: `waiting` requests wait for a place here
+    /// and the most urgent can wait `slack_ms` more.
+    pub fn ask(&mut self, now: Duration, waiting: u16, slack_ms: i32) -> Option<Ask> {
+        let due = now.saturating_sub(self.asked_at) >= RENEWAL;
+        let renews = due && (self.in_use() > 0 || waiting > 0);
+        if !self.changed && waiting == self.asked && !renews {
+            return None;
+        }
+        self.changed = false;
+        self.asked = waiting;
+        self.asked_at = now;
+        self.sequence += 1;
+        if waiting > 0 {
+            self.unanswered.get_or_insert(now);
+        }
+        Some(Ask {
+            taker: self.id,
+            sequence: self.sequence,
+            waiting,
+            slack_ms,
+            given: self.given,
+            ended: self.ended,
+        })
+    }
+
+    /// For how long an ask has gone without an answer.
+    pub fn silence(&self, now: Duration) -> Duration {
+        let since = self.unanswered.unwrap_or(now);
+        now.saturating_sub(since)
+    }
+
+    /// Counts the last ask as never sent, so that the silence starts anew with
+    /// the next one.
+    pub fn give_up_ask(&mut self) {
+        self.unanswered = None;
+        self.asked = 0;
+    }
+
+    /// When the agent last said something.
+    pub fn heard(&self) -> Option<Duration> {
+        self.heard
+    }
+
+    /// What the agent last said.
+    pub fn last(&self) -> Option<&Give> {
+        self.last.as_ref()
+    }
+}
--- /dev/null
+++ b/crates/snipewinch/src/health.rs
@@ -0,0 +1,80 @@
+//! Whether a backend server answers, judged by what requests to it saw.
+//!
+//! A health check can pass while requests fail, so only requests count. After
+//! several failures in a row a backend server rests; then single requests try
+//! it, and one success takes it back.
+
+use std::time::Duration;
+
+/// Failures in a row after which a backend server rests.
+const FAILURES_MAX: u32 = 3;
+/// The first rest; each further one takes twice as long.
+const REST_MIN: Duration = Duration::from_millis(1_000);
+/// The longest rest.
+const REST_MAX: Duration = Duration::from_secs(8);
+
+/// What a request saw.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// An answer, whatever it says.
+    Answered,
+    /// No connection, no answer, or one that broke off.
+    Failed,
+}
+
+/// What is thought of one backend server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    failures: u32,
+    rests: u32,
+    rest_until: Option<Duration>,
+    /// When the request went out that tries a server after its rest.
+    trial: Option<Duration>,
+}
+
+impl Health {
+    /// Whether a request may go there. With all of a service resting, the
+    /// embedder asks nobody else and sends anyway.
+    pub fn admits(&self, now: Duration) -> bool {
+        match (self.rest_until, self.trial) {
+            (None, _) => true,
+            (Some(until), _) if now < until => false,
+            (Some(_), None) => true,
+            // A trial that gave no result by now is no reason to wait longer.
+            (Some(_), Some(since)) => now.saturating_sub(since) > REST_MIN,
+        }
+    }
+
+    /// A request goes there.
+    pub fn sent(&mut self, now: Duration) {
+        if self.rest_until.is_some() {
+            self.trial = Some(now);
+        }
+    }
+
+    /// A request saw something; true if the server begins to rest.
+    pub fn saw(&mut self, now: Duration, outcome: Outcome) -> bool {
+        match outcome {
+            Outcome::Answered => {
+                *self = Health::default();
+                false
+            }
+            Outcome::Failed => {
+                self.failures += 1;
+                self.trial = None;
+                let rests = self.rest_until.is_some() || self.failures >= FAILURES_MAX;
+                if rests {
+                    let factor = 2_u32.saturating_pow(self.rests.min(8));
+                    self.rest_until = Some(now + REST_MIN.saturating_mul(factor).min(REST_MAX));
+                    self.rests += 1;
+                }
+                rests
+            }
+        }
+    }
+
+    /// Whether it rests.
+    pub fn rests(&self, now: Duration) -> bool {
+        self.rest_until.is_some_and(|until| now < until)
+    }
+}
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -19,6 +19,10 @@
 //! | [`call`] | [`call::agent::Agent::open`] | which attempts run, once each, and what is kept of them |
 //! | [`claim`] | [`claim::Table::open`] | whether a call under an idempotency key may run |
 //! | [`routing`] | [`routing::Table`] | which backend server answers a call |
+//! | [`route`] | [`route::Table::new`] | which service answers a host and path, for which customer |
+//! | [`dispatch`] | [`dispatch::Queue`] | which request a place goes to, whom to ask, whom to refuse |
+//! | [`grant`] | [`grant::Giver`], [`grant::Taker`] | who may use a place of a backend server |
+//! | [`health`] | [`health::Health`] | whether a backend server answers |
 //! | [`limit`] | [`limit::Limiter`] | whose call goes on, waits or is refused |
 //! | [`concurrency`], [`deadline`], [`retry`] | | how many at once, until when, how often |
 //! | [`document`] | [`document::Document::parse`] | whether a configuration is valid |
@@ -70,13 +74,17 @@
 pub mod configuration;
 pub mod deadline;
 pub mod digest;
+pub mod dispatch;
 pub mod document;
+pub mod grant;
+pub mod health;
 pub mod host;
 pub mod lease;
 pub mod limit;
 pub mod membership;
 mod mix;
 pub mod retry;
+pub mod route;
 pub mod routing;
 pub mod weights;
 pub mod wire;
--- a/crates/snipewinch/src/retry.rs
+++ b/crates/snipewinch/src/retry.rs
@@ -26,21 +26,28 @@
 pub struct Budget {
     percent: u64,
     saved: u64,
+    saved_max: u64,
 }
 
 impl Budget {
     /// A budget of `percent` retries for each hundred first tries.
     pub fn new(percent: u32) -> Budget {
+        Budget::with_savings(percent, SAVED_MAX)
+    }
+
+    /// A budget that saves up `most` retries at most, for embedders that share
+    /// a budget between many processes.
+    pub fn with_savings(percent: u32, most: u32) -> Budget {
         Budget {
             percent: u64::from(percent),
             saved: 0,
+            saved_max: u64::from(most) * RETRY,
         }
     }
 
     /// A first try was made.
     pub fn tried(&mut self) {
-        let most = u64::from(SAVED_MAX) * RETRY;
-        self.saved = (self.saved + self.percent).min(most);
+        self.saved = (self.saved + self.percent).min(self.saved_max);
     }
 
     /// Takes one retry out of the budget; false if it is used up.
--- a/crates/snipewinch/src/weights/manifest.rs
+++ b/crates/snipewinch/src/weights/manifest.rs
@@ -10,6 +10,7 @@
 use snafu::Snafu;
 
 use crate::Digest;
+use crate::digest::Hash;
 
 /// The longest chunk that a manifest may have.
 pub const CHUNK_MAX_BYTES: u32 = 16 << 20;
@@ -35,6 +36,9 @@
     pub whole: Digest,
     /// The digest of each chunk.
     pub chunks: Vec<Digest>,
+    /// By which function the chunks' digests were made.
+    #[serde(default, skip_serializing_if = "Hash::is_default")]
+    pub hash: Hash,
 }
 
 /// A short name of a manifest for messages: the first bytes of its digest.
@@ -113,6 +117,34 @@
             chunk_bytes,
             whole: Digest::of(weights),
             chunks: weights.chunks(length).map(Digest::of).collect(),
+            hash: Hash::Blake3,
+        };
+        manifest.check()?;
+        Ok(manifest)
+    }
+
+    /// The manifest of a version whose chunks, all of one length, have been
+    /// digested elsewhere. Its digest of all weights is that of the digests.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Shape`] if a length is out of range.
+    pub fn of_chunks(
+        model: &str,
+        version: &str,
+        chunk_bytes: u32,
+        hash: Hash,
+        chunks: Vec<Digest>,
+    ) -> Result<Manifest, Error> {
+        let names: Vec<u8> = chunks.iter().flat_map(|one| *one.as_bytes()).collect();
+        let manifest = Manifest {
+            model: model.into(),
+            version: version.into(),
+            size: u64::from(chunk_bytes) * chunks.len() as u64,
+            chunk_bytes,
+            whole: Digest::of(&names),
+            chunks,
+            hash,
         };
         manifest.check()?;
         Ok(manifest)
--- a/crates/snipewinch/src/weights/rollout.rs
+++ b/crates/snipewinch/src/weights/rollout.rs
@@ -30,6 +30,30 @@
     (count * usize::from(percent.min(100)) / 100).max(1)
 }
 
+/// How long after a version is named this host may take its backend server out
+/// to load it, so that not all do so at once. The turns of all hosts that serve
+/// together are spread evenly over `window`; none waits for another.
+pub fn turn(
+    view: &View,
+    me: &host::Name,
+    service: &SmolStr,
+    manifest: &Digest,
+    window: Duration,
+) -> Duration {
+    let own = weight(manifest, PURPOSE, me);
+    let others = view
+        .members
+        .iter()
+        .filter(|one| one.role == Role::Agent && one.service.as_ref() == Some(service))
+        .filter(|one| one.state != State::Leaving && one.host != *me);
+    let (mut ahead, mut count) = (0_u32, 1_u32);
+    for other in others {
+        ahead += u32::from(weight(manifest, PURPOSE, &other.host) > own);
+        count += 1;
+    }
+    window.mul_f64(f64::from(ahead) / f64::from(count))
+}
+
 /// The hosts before `me` in its chain, the nearest first.
 pub fn before(
     view: &View,
--- a/crates/snipewinch/src/weights/store.rs
+++ b/crates/snipewinch/src/weights/store.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 
 use crate::Digest;
+use crate::digest::Hash;
 
 /// Checked chunks, within a bound.
 ///
@@ -56,8 +57,8 @@
     }
 
     /// Checks `bytes` and holds them; answers whether they are the chunk.
-    pub fn insert(&mut self, digest: &Digest, bytes: Bytes) -> bool {
-        if Digest::of(&bytes) != *digest {
+    pub fn insert(&mut self, hash: Hash, digest: &Digest, bytes: Bytes) -> bool {
+        if hash.digest(&bytes) != *digest {
             return false;
         }
         self.uses += 1;
--- a/crates/snipewinch/src/weights/swarm.rs
+++ b/crates/snipewinch/src/weights/swarm.rs
@@ -136,6 +136,16 @@
         /// Its bytes, unless they could not be read.
         bytes: Option<Bytes>,
     },
+    /// A chunk was found on this host, such as where the engine loads from;
+    /// one that does not match its digest is passed over.
+    Kept {
+        /// The manifest.
+        manifest: Id,
+        /// The chunk.
+        chunk: u32,
+        /// Its bytes.
+        bytes: Bytes,
+    },
     /// The engine has confirmed the version of a manifest, or has lost it.
     Loaded {
         /// The manifest's digest.
@@ -302,6 +312,11 @@
                 chunk,
                 bytes,
             } => self.fetched(now, manifest, chunk, bytes),
+            Event::Kept {
+                manifest,
+                chunk,
+                bytes,
+            } => self.kept(now, manifest, chunk, bytes),
             Event::Loaded { manifest, holds } => self.loaded(&manifest, holds),
             Event::Tick => {}
         }
--- a/crates/snipewinch/src/weights/swarm/exchange.rs
+++ b/crates/snipewinch/src/weights/swarm/exchange.rs
@@ -307,6 +307,19 @@
         }
     }
 
+    /// The embedder found a chunk on this host.
+    pub(super) fn kept(&mut self, now: Duration, id: Id, chunk: u32, bytes: Bytes) {
+        let transfer = self.transfers.get(&id);
+        let manifest = transfer.and_then(|one| one.manifest.clone());
+        let Some(digest) = manifest.as_ref().and_then(|one| one.chunks.get(chunk as usize)) else {
+            return;
+        };
+        let hash = manifest.as_ref().map(|one| one.hash).unwrap_or_default();
+        if hash.digest(&bytes) == *digest {
+            self.complete(now, id, chunk, Source::Origin, bytes);
+        }
+    }
+
     /// Checks a chunk and keeps it.
     fn complete(&mut self, now: Duration, id: Id, chunk: u32, source: Source, bytes: Bytes) {
         let Some(transfer) = self.transfers.get_mut(&id) else {
@@ -321,7 +334,7 @@
             return;
         }
         let digest = manifest.chunks[chunk as usize];
-        if !self.store.insert(&digest, bytes) {
+        if !self.store.insert(manifest.hash, &digest, bytes) {
             self.corrupt(now, id, chunk, source, length);
             return;
         }
--- a/crates/snipewinch/tests/weights_parts.rs
+++ b/crates/snipewinch/tests/weights_parts.rs
@@ -9,6 +9,7 @@
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use snipewinch::Digest;
+use snipewinch::digest::Hash;
 use snipewinch::host;
 use snipewinch::host::Role;
 use snipewinch::membership::Member;
@@ -127,9 +128,9 @@
     let chunk = |byte: u8| Bytes::from(vec![byte; 10]);
     let name = |byte: u8| Digest::of(&chunk(byte));
     let mut store = Store::new(25);
-    assert!(!store.insert(&name(1), chunk(2)));
+    assert!(!store.insert(Hash::Blake3, &name(1), chunk(2)));
     for byte in 1..=4 {
-        assert!(store.insert(&name(byte), chunk(byte)));
+        assert!(store.insert(Hash::Blake3, &name(byte), chunk(byte)));
     }
     let needed = HashSet::from([name(2)]);
     let gone = store.shrink(&needed, &[name(3), name(4)]);
