Reload engines in turns and cut what they still run after a short drain

Also: a request whose time ran out at a dark server was answered as not run.

Change: turns spread over the time left, 0.9 s of draining, pieces take 0.8 of a link, agents tell when they close, the floor is in every grant.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -45,6 +45,7 @@
 use crate::key;
 use crate::operator::Named;
 use crate::operator::Operator;
+use crate::operator::VERSION_MARGIN;
 use crate::shutdown;
 use crate::shutdown::Phase;
 use crate::shutdown::wait_for_signal;
@@ -98,6 +99,16 @@
         table.service(&self.service)?.engine.clone()
     }
 
+    /// The oldest version of weights on which requests may start.
+    fn floor(&self) -> u64 {
+        let Some(model) = self.spec().and_then(|spec| spec.model) else {
+            return 0;
+        };
+        let age = self.bounds.get().version.saturating_sub(VERSION_MARGIN);
+        let operator = self.operator.borrow();
+        operator.named_for(&model, self.clock.now(), age)
+    }
+
     /// What the engine is to hold; none while that is not known.
     fn target(&self) -> Option<Target> {
         let model = self.spec()?.model?;
@@ -108,6 +119,7 @@
         let named = newest.copied().unwrap_or(Named {
             version: FIRST_VERSION,
             learned: Duration::ZERO,
+            found: true,
         });
         Some(Target {
             model,
--- a/crates/node/src/agent/gate.rs
+++ b/crates/node/src/agent/gate.rs
@@ -42,6 +42,9 @@
     /// Whether the engine is about to load and must become empty.
     closed: bool,
     slots: u32,
+    link: Option<(Rc<Socket>, FleetKey)>,
+    /// What entries were last told: whether places are given, and the version.
+    told: (bool, u64),
 }
 
 impl Gate {
@@ -57,11 +60,6 @@
         state.offer();
     }
 
-    /// Places that are in use.
-    pub(super) fn in_use(&self) -> u64 {
-        self.state.borrow().giver.in_use()
-    }
-
     /// Takes in a report, or that none came.
     pub(super) fn take(&self, report: Option<Report>, slots: u32) {
         let mut state = self.state.borrow_mut();
@@ -87,6 +85,7 @@
     fn offer(&mut self) {
         let Some(report) = &self.report else {
             self.giver.offer(0, 0);
+            self.announce((false, 0));
             return;
         };
         let version = version(report);
@@ -99,6 +98,25 @@
             false => self.slots.saturating_sub(others),
         };
         self.giver.offer(places, version);
+        self.announce((places > 0, version));
+    }
+
+    /// Tells all entries when places are no longer given, or are given again.
+    fn announce(&mut self, word: (bool, u64)) {
+        if std::mem::replace(&mut self.told, word) != word {
+            let takers: Vec<TakerId> = self.giver.takers().collect();
+            takers.into_iter().for_each(|taker| self.tell(taker));
+        }
+    }
+
+    fn tell(&self, taker: TakerId) {
+        let (Some((socket, key)), Some(address)) = (&self.link, self.addresses.get(&taker)) else {
+            return;
+        };
+        let word = self.giver.word(taker);
+        if let Err(error) = socket.send(key, &word, *address) {
+            log::debug!("E7214 an entry at {address} was not answered: {error}");
+        }
     }
 }
 
@@ -118,6 +136,7 @@
                 None
             }
         };
+        agent.gate.state.borrow_mut().giver.set_floor(agent.floor());
         let slots = agent.spec().map_or(0, |spec| spec.slots);
         let works = report.as_ref().is_some_and(|one| one.running + one.waiting > 0);
         let before = agent.gate.report();
@@ -134,6 +153,8 @@
 
 /// Hears what entries ask for and answers them.
 pub(super) async fn talk(agent: Rc<Agent>, socket: Socket, key: FleetKey) {
+    let socket = Rc::new(socket);
+    agent.gate.state.borrow_mut().link = Some((socket.clone(), key.clone()));
     loop {
         let (ask, from) = match socket.receive::<Ask>(&key).await {
             Ok(received) => received,
@@ -159,13 +180,7 @@
             told.push(ask.taker);
         }
         for taker in told {
-            let Some(address) = state.addresses.get(&taker) else {
-                continue;
-            };
-            let word = state.giver.word(taker);
-            if let Err(error) = socket.send(&key, &word, *address) {
-                log::debug!("E7214 an entry at {address} was not answered: {error}");
-            }
+            state.tell(taker);
         }
     }
 }
--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -4,6 +4,7 @@
 //! the moment it is accepted. So all pieces are read back and checked just
 //! before the order, and put in place again where they are not right.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,9 +32,12 @@
 const CHECK_AGE_MAX: Duration = Duration::from_millis(1_500);
 /// How long an engine may take to load before the order is looked at again.
 const LOAD_LIMIT: Duration = Duration::from_secs(20);
-/// What an engine takes from the end of its turn to the loaded version, at
-/// most: the requests that it still runs, and loading.
-const RELOAD: Duration = Duration::from_millis(2_600);
+/// How long before the bound on old weights the last engine is taken out.
+const TURN_MARGIN: Duration = Duration::from_millis(1_300);
+/// How long an engine that is taken out may finish what it runs. What it still
+/// runs then goes on at other engines, which costs those a prompt each; waiting
+/// for the longest answers would leave it nearly empty for seconds.
+const DRAIN_MAX: Duration = Duration::from_millis(900);
 
 /// Runs until the process ends.
 pub(super) async fn run(agent: Rc<Agent>, pieces: Pieces) {
@@ -41,6 +45,7 @@
         agent,
         pieces,
         found: None,
+        whole: Cell::default(),
         told: None,
     };
     loop {
@@ -56,6 +61,8 @@
     /// The version for which the staged pieces were looked through, and the
     /// engine's start.
     found: Option<(u64, u64)>,
+    /// The newest version of which all pieces are here, and since when.
+    whole: Cell<(u64, Duration)>,
     /// What the exchange was told of the engine.
     told: Option<(u64, bool)>,
 }
@@ -123,12 +130,27 @@
             return Duration::ZERO;
         }
         let agent = &self.agent;
-        let window = agent.bounds.get().version.saturating_sub(RELOAD);
         let view = agent.view.borrow().clone();
         let backend = agent.settings.backend.unwrap_or(agent.settings.identity.address);
         let host = super::host_name(backend);
-        known.target.learned
-            + rollout::turn(&view, &host, &agent.service, &known.digest, window)
+        let last = known.target.learned
+            + agent.bounds.get().version.saturating_sub(TURN_MARGIN);
+        let since = self.whole_since(known.target.version);
+        let window = last.saturating_sub(since);
+        since + rollout::turn(&view, &host, &agent.service, &known.digest, window)
+    }
+
+    /// When all pieces of a version were here first.
+    fn whole_since(&self, version: u64) -> Duration {
+        let now = self.agent.clock.now();
+        let (seen, since) = self.whole.get();
+        match seen == version {
+            true => since,
+            false => {
+                self.whole.set((version, now));
+                now
+            }
+        }
     }
 
     async fn load(&self, known: &Known, all: &[Bytes], report: &Report) {
@@ -140,6 +162,7 @@
         let serves = gate::version(report) > 0;
         if serves {
             sleep(ARRIVAL).await;
+            self.drain().await;
         }
         let ordered = self.order(known, all, report).await;
         if ordered {
@@ -148,6 +171,18 @@
         self.agent.gate.close(false);
     }
 
+    /// Waits until the engine runs nothing, or for as long as that pays.
+    async fn drain(&self) {
+        let started = self.agent.clock.now();
+        while self.agent.clock.now() - started < DRAIN_MAX {
+            let report = self.agent.gate.report();
+            if report.is_none_or(|one| one.running + one.waiting == 0) {
+                return;
+            }
+            sleep(LOOK).await;
+        }
+    }
+
     /// Puts every piece in place.
     async fn stage(&self, known: &Known, all: &[Bytes]) -> bool {
         for (piece, bytes) in all.iter().enumerate() {
@@ -194,7 +229,7 @@
         }
         let version = known.target.version;
         let model = &known.target.model;
-        match self.agent.engine.load(model, version, report.orders).await {
+        match self.agent.engine.load(model, version, report.orders, true).await {
             Ok(Outcome::Begun | Outcome::Done) => {
                 log::info!("E7233 the engine loads version {version}");
                 true
--- a/crates/node/src/agent/pieces.rs
+++ b/crates/node/src/agent/pieces.rs
@@ -45,6 +45,9 @@
 const MEMORY_VERSIONS: u64 = 2;
 /// The rate of a link between regions, in Mbit/s.
 const REGION_MBIT: f64 = 20.0;
+/// The part of a host's link that pieces take: what is left keeps the queue of
+/// the link short, in which the words between entries and agents wait.
+const LINK_PART: f64 = 0.8;
 /// The pause after the origin gave no list.
 const LIST_PAUSE: Duration = Duration::from_millis(150);
 /// How often to look for a new target without news.
@@ -70,6 +73,9 @@
 }
 
 struct State {
+    /// The version of which a piece did not match its digest: the piece may
+    /// have come spoilt, or the list.
+    doubted: Option<u64>,
     /// None until the lengths of pieces are known.
     swarm: Option<Swarm>,
     /// The newest target whose list is known, and the one before.
@@ -119,6 +125,7 @@
     let (events, answered) = mpsc::unbounded_channel();
     let pieces = Pieces {
         state: Rc::new(RefCell::new(State {
+            doubted: None,
             swarm: None,
             known: Vec::new(),
         })),
@@ -141,8 +148,9 @@
     loop {
         let target = agent.target();
         let known = pieces.newest().map(|known| known.target);
+        let doubted = pieces.state.borrow_mut().doubted.take();
         match target {
-            Some(target) if known.as_ref() != Some(&target) => {
+            Some(target) if known.as_ref() != Some(&target) || doubted == Some(target.version) => {
                 let source = Source::open(agent.caller.clone(), target.origin.address);
                 match read_list(&source, &target).await {
                     Some(list) => pieces.know(&agent, target, &list),
@@ -156,23 +164,17 @@
     }
 }
 
-/// A list that came twice the same: one that came spoilt would have the right
-/// pieces refused for ever.
 async fn read_list(source: &Source, target: &Target) -> Option<List> {
-    let mut last: Option<List> = None;
-    loop {
-        let list = match source.list(&target.model, target.version).await {
-            Ok(list) => list,
-            Err(error) => {
-                log::warn!("E7220 no list of version {}: {error}", target.version);
-                return None;
-            }
-        };
-        let right = list.model == target.model && list.version == target.version;
-        if right && last.as_ref() == Some(&list) {
-            return Some(list);
+    match source.list(&target.model, target.version).await {
+        Ok(list) if list.model == target.model && list.version == target.version => Some(list),
+        Ok(_) => {
+            log::warn!("E7220 the list of version {} came spoilt", target.version);
+            None
+        }
+        Err(error) => {
+            log::warn!("E7220 no list of version {}: {error}", target.version);
+            None
         }
-        last = Some(list);
     }
 }
 
@@ -186,8 +188,12 @@
             }
         };
         let digest = manifest.digest();
-        log::info!("E7222 version {} has {} pieces", target.version, manifest.chunks.len());
         let mut state = self.state.borrow_mut();
+        if state.known.last().is_some_and(|known| known.digest == digest) {
+            return;
+        }
+        log::info!("E7222 version {} has {} pieces", target.version, manifest.chunks.len());
+        state.known.retain(|known| known.target.version != target.version);
         let size = manifest.size;
         state.swarm.get_or_insert_with(|| open_swarm(agent, &target, size));
         state.known.push(Known {
@@ -257,7 +263,7 @@
         region: identity.region.clone(),
         origin_region: origin_zone.map(|zone| agent.region(zone)),
         policy: Policy::Swarm,
-        host_mbit: Some(agent.settings.link_mbit),
+        host_mbit: Some(agent.settings.link_mbit * LINK_PART),
         region_mbit: Some(REGION_MBIT),
         memory_bytes: size * MEMORY_VERSIONS + size / 4,
         seed: rand::random(),
@@ -384,10 +390,15 @@
                 self.pieces.want(&self.agent);
                 self.agent.news.notify_waiters();
             }
-            Action::Corrupt { chunk, source, .. } => match source {
-                Some(host) => log::warn!("E7224 piece {chunk} from {host} is spoilt"),
-                None => log::warn!("E7224 piece {chunk} from the origin is spoilt"),
-            },
+            Action::Corrupt {
+                manifest,
+                chunk,
+                source,
+            } => {
+                let source = source.map_or("the origin".into(), |host| host.0);
+                log::warn!("E7224 piece {chunk} from {source} is spoilt");
+                self.doubt(manifest);
+            }
             Action::Reject { manifest, reason } => {
                 log::error!("E7225 manifest {manifest} is given up: {reason}");
             }
@@ -397,6 +408,13 @@
         }
     }
 
+    /// Has the list of a version read again.
+    fn doubt(&self, manifest: Id) {
+        let mut state = self.pieces.state.borrow_mut();
+        let known = state.known.iter().find(|known| Id::of(&known.digest) == manifest);
+        state.doubted = known.map(|known| known.target.version);
+    }
+
     fn send(&self, link: Link, message: Message) {
         let hub = self.hub.clone();
         let link = link::Key::from(KeyData::from_ffi(link.0));
@@ -428,6 +446,7 @@
                     None
                 }
             };
+            log::info!("E7228 piece {chunk} of version {} is read", target.version);
             let _ = events.send(swarm::Event::Fetched {
                 manifest,
                 chunk,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -38,6 +38,7 @@
 use crate::key;
 use crate::metrics::Metrics;
 use crate::operator::Operator;
+use crate::operator::VERSION_MARGIN;
 use crate::page;
 use crate::shutdown;
 use crate::shutdown::Phase;
@@ -69,8 +70,6 @@
 const LEAVE: Duration = Duration::from_millis(3_200);
 /// What is kept of the time to stop in.
 const STOP_MARGIN: Duration = Duration::from_millis(900);
-/// How long before the bound on old weights no request starts on them.
-const VERSION_MARGIN: Duration = Duration::from_millis(1_100);
 /// Retries that one entry saves up for a service. All entries share a burst
 /// of some hundreds.
 const RETRIES_SAVED_MAX: u32 = 5;
@@ -137,12 +136,10 @@
     }
 
     /// The oldest version of a model's weights on which a request may start.
-    pub(crate) fn version_floor(&self, model: &str) -> u64 {
+    fn version_floor(&self, model: &str) -> u64 {
         let age = self.bounds.get().version.saturating_sub(VERSION_MARGIN);
-        match self.clock.now().checked_sub(age) {
-            Some(until) => self.operator.borrow().named_before(model, until),
-            None => 0,
-        }
+        let operator = self.operator.borrow();
+        operator.named_for(model, self.clock.now(), age)
     }
 
     /// Tells the desk which versions of weights are old by now.
@@ -152,7 +149,8 @@
         for service in services {
             let model = service.engine.as_ref().and_then(|engine| engine.model.as_ref());
             if let Some(model) = model {
-                self.desk.floor(&service.name, self.version_floor(model));
+                let found = self.operator.borrow().found(model);
+                self.desk.set_floor(&service.name, self.version_floor(model), found);
             }
         }
     }
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -24,9 +24,12 @@
 
 /// How long an agent may leave an ask unanswered before its places are used
 /// without it: many round trips between any two regions.
-const SILENCE_MAX: Duration = Duration::from_millis(150);
+const SILENCE_MAX: Duration = Duration::from_millis(300);
 /// For how long a silent agent is done without before it is asked again.
 const SILENCE_REST: Duration = Duration::from_millis(1_000);
+/// How long the word of an agent is believed that it gives no places: some
+/// reloads of an engine.
+const CLOSED_AGE_MAX: Duration = Duration::from_secs(4);
 /// How long the load that a backend server told is believed.
 const LOAD_AGE_MAX: Duration = Duration::from_millis(500);
 
@@ -35,7 +38,6 @@
 pub(crate) struct Load {
     pub(crate) running: u32,
     pub(crate) waiting: u32,
-    pub(crate) slots: u32,
     pub(crate) at: Duration,
 }
 
@@ -70,6 +72,13 @@
         said.unwrap_or(self.listed_version)
     }
 
+    /// Whether its agent has said lately that it gives no places, as while the
+    /// engine loads.
+    pub(crate) fn is_closed(&self, now: Duration) -> bool {
+        let lately = self.taker.heard().is_some_and(|at| now.saturating_sub(at) < CLOSED_AGE_MAX);
+        lately && self.taker.last().is_some_and(|give| !give.open)
+    }
+
     /// Whether its agent answers.
     pub(crate) fn has_agent(&mut self, now: Duration) -> bool {
         if self.taker.silence(now) > SILENCE_MAX {
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -64,7 +64,6 @@
     pub(crate) priority: u32,
     pub(crate) service: SmolStr,
     pub(crate) engine: bool,
-    pub(crate) model: Option<SmolStr>,
     /// When its last byte came, as the process counts.
     pub(crate) arrived: Duration,
     /// When the caller or the route gives up.
@@ -90,7 +89,7 @@
     /// The caller can't be written to.
     CallerGone,
     /// It has certainly not run.
-    NotRun(Option<Duration>),
+    NotRun,
     /// It may have run.
     Unknown,
     /// The backend server's own failure, whole and not sent yet.
@@ -100,7 +99,10 @@
 /// What was sent of an answer so far.
 #[derive(Default)]
 struct Progress {
-    /// Whether the head was sent.
+    /// Whether it was sent to a backend server that has not said that it did
+    /// not run it.
+    may_have_run: bool,
+    /// Whether the head of an answer was sent.
     begun: bool,
     events: Events,
 }
@@ -158,8 +160,8 @@
             log::info!("E7101 request {} is cut at its deadline", call.id);
             End::Cut
         }
-        None if tried.is_empty() => refuse(entry, call, out, Reason::Deadline).await,
-        None => refuse(entry, call, out, Reason::Timeout).await,
+        None if progress.may_have_run => refuse(entry, call, out, Reason::Timeout).await,
+        None => refuse(entry, call, out, Reason::Deadline).await,
     }
 }
 
@@ -177,19 +179,19 @@
     loop {
         let place = match entry.desk.place(want(entry, call, tried, progress)).await {
             Ok(place) => place,
-            Err(refusal) => return no_place(entry, call, progress, failure, refusal, runs, out).await,
+            Err(refusal) => return no_place(entry, call, progress, failure, refusal, out).await,
         };
         let waited = entry.clock.now().saturating_sub(call.arrived);
         entry.metrics.wait.observe(waited.as_secs_f64());
         let key = place.key;
-        let version = call.model.as_ref().map_or(0, |model| entry.version_floor(model));
+        let version = entry.desk.floor(&call.service);
         let ended = attempt(entry, call, &place, progress, version, out).await;
         drop(place);
         sends += 1;
         let (again, last) = match ended {
             Attempt::Answered => return End::Whole,
             Attempt::CallerGone => return End::Cut,
-            Attempt::NotRun(_) => (sends < call.route.attempts + 1, Reason::Busy),
+            Attempt::NotRun => (sends < call.route.attempts + 1, Reason::Busy),
             Attempt::Unknown => {
                 runs += 1;
                 tried.push(key);
@@ -221,7 +223,7 @@
         }
         return match progress.begun {
             true => End::Cut,
-            false if runs > 0 => refuse(entry, call, out, Reason::Unknown).await,
+            false if progress.may_have_run => refuse(entry, call, out, Reason::Unknown).await,
             false => refuse(entry, call, out, last).await,
         };
     }
@@ -233,11 +235,10 @@
     progress: &Progress,
     failure: Option<Box<(Response, Bytes)>>,
     refusal: Refusal,
-    runs: u32,
     out: &mut WriteHalf<'_>,
 ) -> End {
     let reason = match refusal {
-        _ if runs > 0 => Reason::Unknown,
+        _ if progress.may_have_run => Reason::Unknown,
         Refusal::Nobody => Reason::Nobody,
         Refusal::Busy => Reason::Busy,
     };
@@ -297,7 +298,7 @@
             log::info!("E7103 request {} did not reach {}: {error}", call.id, place.id);
             entry.desk.saw(place.key, Outcome::Failed, None);
             entry.metrics.attempts.with_label_values(&["unreached"]).inc();
-            return Attempt::NotRun(None);
+            return Attempt::NotRun;
         }
     };
     let left = call.deadline.saturating_sub(entry.clock.now());
@@ -309,6 +310,7 @@
         Repeat::Idempotent => (call.route.goal * SILENCE_GOALS).max(SILENCE_MAX / 3),
         Repeat::Never => Duration::MAX,
     };
+    let had_run = std::mem::replace(&mut progress.may_have_run, true);
     let asked = upstream.ask(&request, &call.head.method, &call.id);
     let (head, sent) = match timeout(silence, asked).await {
         Ok(Ok(answer)) => answer,
@@ -318,12 +320,12 @@
     let load = head.fields.get(header::LOAD).and_then(load);
     let not_run = head.status == 421 || head.fields.get(header::NOT_RUN).is_some();
     if not_run {
+        progress.may_have_run = had_run;
         log::info!("E7104 backend server {} did not run request {}: {}", place.id, call.id, head.status);
         entry.desk.saw(place.key, Outcome::Answered, load);
         entry.metrics.attempts.with_label_values(&["not_run"]).inc();
-        let after = head.fields.number::<f64>("retry-after");
         finish(entry, place.key, upstream, &head, sent).await;
-        return Attempt::NotRun(after.map(Duration::from_secs_f64));
+        return Attempt::NotRun;
     }
     let is_stream = call.route.repeat.is_stream() && (200..300).contains(&head.status);
     match is_stream {
@@ -362,7 +364,7 @@
     head: Response,
     sent: bool,
     progress: &mut Progress,
-    load: Option<(u32, u32, u32)>,
+    load: Option<(u32, u32)>,
     out: &mut WriteHalf<'_>,
 ) -> Attempt {
     let mut body = Decoder::new(head.framing);
@@ -571,7 +573,8 @@
     !own && !named
 }
 
-fn load(value: &str) -> Option<(u32, u32, u32)> {
+/// Running and waiting requests of a load field.
+fn load(value: &str) -> Option<(u32, u32)> {
     let mut numbers = value.split(',').map(|one| one.trim().parse().ok());
-    Some((numbers.next()??, numbers.next()??, numbers.next()??))
+    Some((numbers.next()??, numbers.next()??))
 }
--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -237,7 +237,6 @@
         priority: found.priority(),
         service: service.clone(),
         engine: engine.is_some(),
-        model: engine.and_then(|engine| engine.model.clone()),
         id: id.into(),
         head,
         body,
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -217,27 +217,46 @@
         self.pump(&service);
     }
 
-    /// Sets the oldest version of weights on which requests may start.
-    pub(crate) fn floor(&self, service: &SmolStr, version: u64) {
+    /// Sets the oldest version of weights on which requests may start, as far
+    /// as this process knows. A version that it `found` named at its start may
+    /// be old: that is so if an agent says it, or most backend servers hold it.
+    pub(crate) fn set_floor(&self, service: &SmolStr, version: u64, found: u64) {
         let mut state = self.state.borrow_mut();
-        state.services.entry(service.clone()).or_default().floor = version;
+        let (mut said, mut count, mut holding) = (0, 0, 0);
+        for (_, one) in state.backends.of_service(service) {
+            said = said.max(one.taker.last().map_or(0, |give| give.floor));
+            count += 1;
+            holding += usize::from(one.version() >= found);
+        }
+        let old = if holding * 2 > count { found } else { 0 };
+        let desk = state.services.entry(service.clone()).or_default();
+        desk.floor = version.max(said).max(old);
+    }
+
+    /// The oldest version of weights on which requests may start.
+    pub(crate) fn floor(&self, service: &SmolStr) -> u64 {
+        let state = self.state.borrow();
+        state.services.get(service).map_or(0, |desk| desk.floor)
     }
 
     /// A request saw how a backend server does.
-    pub(crate) fn saw(&self, key: Key, outcome: Outcome, load: Option<(u32, u32, u32)>) {
+    pub(crate) fn saw(&self, key: Key, outcome: Outcome, load: Option<(u32, u32)>) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let Some(backend) = state.backends.get_mut(key) else {
             return;
         };
-        if let Some((running, waiting, slots)) = load {
+        if let Some((running, waiting)) = load {
             backend.load = Some(Load {
                 running,
                 waiting,
-                slots,
                 at: now,
             });
         }
+        if outcome == Outcome::Failed && backend.is_closed(now) {
+            // The engine cuts what it runs when it loads.
+            return;
+        }
         if backend.health.saw(now, outcome) {
             log::warn!("E7052 backend server {} rests after failures", backend.id);
         }
@@ -316,6 +335,7 @@
 /// Whether a request may go to an engine that nobody grants places of.
 fn may_do_without_agent(backend: &mut Backend, now: Duration) -> bool {
     !backend.has_agent(now)
+        && !backend.is_closed(now)
         && backend.running < WITHOUT_AGENT_MAX
         && backend.health.admits(now)
         && backend.version() > 0
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -11,6 +11,9 @@
 use smol_str::SmolStr;
 use snipewinch::route::Table;
 
+/// How long before the bound on old weights no request is sent that would start
+/// on them: it may wait at the backend server.
+pub(crate) const VERSION_MARGIN: Duration = Duration::from_millis(700);
 /// Named versions of a model that are kept in mind.
 const NAMED_MAX: usize = 16;
 
@@ -20,6 +23,9 @@
     pub(crate) version: u64,
     /// When this process learned of it.
     pub(crate) learned: Duration,
+    /// Whether it was named before this process first read the store: it may
+    /// have been so for long.
+    pub(crate) found: bool,
 }
 
 /// The newest of everything.
@@ -29,6 +35,8 @@
     pub(crate) table: Option<Rc<Table>>,
     /// The versions named for each model, the newest last.
     pub(crate) weights: HashMap<SmolStr, Vec<Named>>,
+    /// Whether the store was read.
+    known: bool,
 }
 
 impl Operator {
@@ -41,6 +49,7 @@
                 for row in rows {
                     self.row(now, &row);
                 }
+                self.known = true;
                 self.version() != before
             }
         }
@@ -83,16 +92,24 @@
             named.push(Named {
                 version,
                 learned: now,
+                found: !self.known,
             });
             let excess = named.len().saturating_sub(NAMED_MAX);
             named.drain(..excess);
         }
     }
 
-    /// The newest version of a model that was named before `until`; 0 if none.
-    pub(crate) fn named_before(&self, model: &str, until: Duration) -> u64 {
+    /// The newest version of a model that was named `age` ago or earlier; 0 if
+    /// none.
+    pub(crate) fn named_for(&self, model: &str, now: Duration, age: Duration) -> u64 {
         let named = self.weights.get(model).into_iter().flatten();
-        let due = named.filter(|named| named.learned <= until);
+        let due = named.filter(|named| named.learned + age <= now);
         due.map(|named| named.version).max().unwrap_or(0)
     }
+
+    /// The version of a model that this process found at its start.
+    pub(crate) fn found(&self, model: &str) -> u64 {
+        let mut named = self.weights.get(model).into_iter().flatten();
+        named.find(|named| named.found).map_or(0, |named| named.version)
+    }
 }
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -66,6 +66,11 @@
     /// The version of the weights that the backend server holds; 0 if none.
     #[serde(rename = "v")]
     pub version: u64,
+    /// The oldest version on which requests may start, as far as the agent
+    /// knows: an entry that has just started can't know for how long a version
+    /// has been named.
+    #[serde(rename = "l", default)]
+    pub floor: u64,
     /// Whether places are given at all for now.
     #[serde(rename = "o")]
     pub open: bool,
@@ -95,6 +100,7 @@
     accounts: BTreeMap<TakerId, Account>,
     places: u64,
     version: u64,
+    floor: u64,
 }
 
 impl Giver {
@@ -110,6 +116,11 @@
         self.version = version;
     }
 
+    /// Sets the oldest version on which requests may start.
+    pub fn set_floor(&mut self, floor: u64) {
+        self.floor = floor;
+    }
+
     /// Places that are in use.
     pub fn in_use(&self) -> u64 {
         self.accounts.values().map(Account::in_use).sum()
@@ -177,6 +188,7 @@
             given: self.accounts.get(&taker).map_or(0, |one| one.given),
             free: free.min(u64::from(u16::MAX)) as u16,
             version: self.version,
+            floor: self.floor,
             open: self.places > 0,
         }
     }
