Send no expected version, share the budget of retries by the entries there are

Change: no expected version, as engines never go back; agents tell how many entries there are; an engine with old weights offers no place.

--- a/crates/node/src/agent/gate.rs
+++ b/crates/node/src/agent/gate.rs
@@ -41,6 +41,8 @@
     missing: u32,
     /// Whether the engine is about to load and must become empty.
     closed: bool,
+    /// The oldest version of weights on which requests may start.
+    floor: u64,
     slots: u32,
     link: Option<(Rc<Socket>, FleetKey)>,
     /// What entries were last told: whether places are given, and the version.
@@ -53,6 +55,13 @@
         self.state.borrow().report.clone()
     }
 
+    /// Sets the oldest version of weights on which requests may start.
+    fn set_floor(&self, floor: u64) {
+        let mut state = self.state.borrow_mut();
+        state.floor = floor;
+        state.giver.set_floor(floor);
+    }
+
     /// Stops granting places, or goes on.
     pub(super) fn close(&self, closed: bool) {
         let mut state = self.state.borrow_mut();
@@ -93,7 +102,8 @@
         let at_work = u64::from(report.running + report.waiting);
         // Requests that came without a place.
         let others = at_work.saturating_sub(in_use) as u32;
-        let places = match self.closed || report.busy || version == 0 {
+        let old = version == 0 || version < self.floor;
+        let places = match self.closed || report.busy || old {
             true => 0,
             false => self.slots.saturating_sub(others),
         };
@@ -136,7 +146,7 @@
                 None
             }
         };
-        agent.gate.state.borrow_mut().giver.set_floor(agent.floor());
+        agent.gate.set_floor(agent.floor());
         let slots = agent.spec().map_or(0, |spec| spec.slots);
         let works = report.as_ref().is_some_and(|one| one.running + one.waiting > 0);
         let before = agent.gate.report();
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -70,11 +70,11 @@
 const LEAVE: Duration = Duration::from_millis(3_200);
 /// What is kept of the time to stop in.
 const STOP_MARGIN: Duration = Duration::from_millis(900);
-/// Retries that one entry saves up for a service. All entries share a burst
-/// of some hundreds.
-const RETRIES_SAVED_MAX: u32 = 5;
-/// The part of the shared ratio of retries that is used.
-const RETRY_PART: f64 = 0.8;
+/// The part of the shared budget of retries that is used: entries that start
+/// or stop count wrongly for a while.
+const RETRY_PART: f64 = 0.75;
+/// How many entries share the budget while that is not known.
+const ENTRIES: u16 = 40;
 /// The bounds between which a refused caller's return is spread.
 const RETURN_S: (f64, f64) = (0.4, 1.2);
 /// The wait of a caller that came before the configuration.
@@ -166,10 +166,18 @@
     }
 
     fn budget<T>(&self, service: &SmolStr, act: impl FnOnce(&mut retry::Budget) -> T) -> T {
-        let percent = (self.bounds.get().retry_ratio * RETRY_PART * 100.0) as u32;
+        let bounds = self.bounds.get();
+        let percent = (bounds.retry_ratio * RETRY_PART * 100.0) as u32;
+        let entries = self.desk.entries().unwrap_or(ENTRIES).max(1);
+        let most = (bounds.retry_burst * RETRY_PART / f64::from(entries)) as u32;
         let mut retries = self.retries.borrow_mut();
-        let budget = retries.entry(service.clone());
-        act(budget.or_insert_with(|| retry::Budget::with_savings(percent, RETRIES_SAVED_MAX)))
+        let budget = retries.entry(service.clone()).or_insert_with(|| {
+            let mut budget = retry::Budget::with_savings(percent, most);
+            budget.fill();
+            budget
+        });
+        budget.save_at_most(most);
+        act(budget)
     }
 
     /// When a refused caller may come back.
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -115,7 +115,7 @@
         now + route.timeout.map_or(asked, |limit| asked.min(limit))
     }
 
-    fn request(&self, place: &Place, left: Duration, resume: Option<&str>, version: u64) -> Vec<u8> {
+    fn request(&self, place: &Place, left: Duration, resume: Option<&str>) -> Vec<u8> {
         let mut out = Vec::with_capacity(640 + self.body.len());
         let mut head = write::Head::request(&mut out, &self.head.method, &self.head.target);
         let named = self.head.fields.get("connection").unwrap_or_default();
@@ -132,9 +132,6 @@
         if let Some(id) = resume {
             head.field(header::LAST_EVENT, id.as_bytes());
         }
-        if version > 0 {
-            head.number(header::EXPECTED_VERSION, version);
-        }
         let has_body = !self.body.is_empty() || !matches!(self.head.method.as_str(), "GET" | "HEAD");
         if has_body {
             head.number("Content-Length", self.body.len());
@@ -184,8 +181,7 @@
         let waited = entry.clock.now().saturating_sub(call.arrived);
         entry.metrics.wait.observe(waited.as_secs_f64());
         let key = place.key;
-        let version = entry.desk.floor(&call.service);
-        let ended = attempt(entry, call, &place, progress, version, out).await;
+        let ended = attempt(entry, call, &place, progress, out).await;
         drop(place);
         sends += 1;
         let (again, last) = match ended {
@@ -280,7 +276,6 @@
     call: &Call,
     place: &Place,
     progress: &mut Progress,
-    version: u64,
     out: &mut WriteHalf<'_>,
 ) -> Attempt {
     let age_max = match call.route.repeat {
@@ -304,7 +299,7 @@
     let left = call.deadline.saturating_sub(entry.clock.now());
     let left = left.saturating_sub(DEADLINE_MARGIN).max(Duration::from_millis(1));
     let resume = progress.events.last_id.clone();
-    let request = call.request(place, left, resume.as_deref(), version);
+    let request = call.request(place, left, resume.as_deref());
     let silence = match call.route.repeat {
         Repeat::Stream { .. } => SILENCE_MAX,
         Repeat::Idempotent => (call.route.goal * SILENCE_GOALS).max(SILENCE_MAX / 3),
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -233,12 +233,6 @@
         desk.floor = version.max(said).max(old);
     }
 
-    /// The oldest version of weights on which requests may start.
-    pub(crate) fn floor(&self, service: &SmolStr) -> u64 {
-        let state = self.state.borrow();
-        state.services.get(service).map_or(0, |desk| desk.floor)
-    }
-
     /// A request saw how a backend server does.
     pub(crate) fn saw(&self, key: Key, outcome: Outcome, load: Option<(u32, u32)>) {
         let now = self.clock.now();
@@ -277,6 +271,13 @@
         state.backends.get(key).map_or("that is gone".into(), |one| one.id.clone())
     }
 
+    /// How many entries there are, by the word of agents; none if none spoke.
+    pub(crate) fn entries(&self) -> Option<u16> {
+        let mut state = self.state.borrow_mut();
+        let words = state.backends.iter_mut().filter_map(|(_, one)| one.taker.last().copied());
+        words.map(|give| give.takers).max()
+    }
+
     /// Resolves when a request begins to wait.
     pub(crate) async fn queued(&self) {
         self.queued.notified().await;
@@ -354,8 +355,10 @@
     /// The request that a place at a backend server goes to.
     fn fit(&self, service: &str, key: Key, now: Duration) -> Option<Ticket> {
         let desk = self.services.get(service)?;
-        let version = self.backends.get(key)?.version();
-        if version < desk.floor {
+        let backend = self.backends.get(key)?;
+        let version = backend.version();
+        let said = backend.taker.last().map_or(0, |give| give.floor);
+        if version < desk.floor.max(said) {
             return None;
         }
         desk.queue.best(now, |ticket| {
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -71,6 +71,9 @@
     /// has been named.
     #[serde(rename = "l", default)]
     pub floor: u64,
+    /// How many entries the agent hears from.
+    #[serde(rename = "n", default)]
+    pub takers: u16,
     /// Whether places are given at all for now.
     #[serde(rename = "o")]
     pub open: bool,
@@ -189,6 +192,7 @@
             free: free.min(u64::from(u16::MAX)) as u16,
             version: self.version,
             floor: self.floor,
+            takers: self.accounts.len().min(usize::from(u16::MAX)) as u16,
             open: self.places > 0,
         }
     }
--- a/crates/snipewinch/src/retry.rs
+++ b/crates/snipewinch/src/retry.rs
@@ -45,6 +45,17 @@
         }
     }
 
+    /// Changes how many retries can be saved up; what is over that is lost.
+    pub fn save_at_most(&mut self, most: u32) {
+        self.saved_max = u64::from(most) * RETRY;
+        self.saved = self.saved.min(self.saved_max);
+    }
+
+    /// Fills the savings.
+    pub fn fill(&mut self) {
+        self.saved = self.saved_max;
+    }
+
     /// A first try was made.
     pub fn tried(&mut self) {
         self.saved = (self.saved + self.percent).min(self.saved_max);
