Admit to an engine by a model of its passes

Cause: requests that arrived in clumps were let onto one engine while its neighbours were idle. A pass reads all prompts that wait, so first events came after 500 to 850 ms and everybody else's stream paused for 440 to 500 ms. Ruled out: waiting for places (mean 0.3 ms).

Change: engine::Model follows the passes; the giver grants a place only where the next pass stays within the pause that routes bear, on time before late; entries ask the agent that tells the shortest delay.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -31,6 +31,7 @@
 use snipewinch::membership::State;
 use snipewinch::membership::View;
 use snipewinch::route;
+use snipewinch::route::Repeat;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -99,6 +100,20 @@
         table.service(&self.service)?.engine.clone()
     }
 
+    /// The shortest pause between events that any route to the engine bears.
+    fn pause(&self) -> Duration {
+        let operator = self.operator.borrow();
+        let routes = operator.table.iter().flat_map(|table| &table.configuration().routes);
+        let ours = routes.filter(|route| {
+            route.targets.iter().any(|target| target.service == self.service)
+        });
+        let pauses = ours.filter_map(|route| match route.repeat {
+            Repeat::Stream { gap, .. } if !gap.is_zero() => Some(gap),
+            Repeat::Idempotent | Repeat::Never | Repeat::Stream { .. } => None,
+        });
+        pauses.min().unwrap_or_default()
+    }
+
     /// The oldest version of weights on which requests may start.
     fn floor(&self) -> u64 {
         let Some(model) = self.spec().and_then(|spec| spec.model) else {
--- a/crates/node/src/agent/gate.rs
+++ b/crates/node/src/agent/gate.rs
@@ -12,7 +12,9 @@
 use snipewinch::grant::Ask;
 use snipewinch::grant::Giver;
 use snipewinch::grant::TakerId;
+use snipewinch::route;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use super::Agent;
 
@@ -44,6 +46,8 @@
     /// The oldest version of weights on which requests may start.
     floor: u64,
     slots: u32,
+    /// When something was last taken in.
+    now: Duration,
     link: Option<(Rc<Socket>, FleetKey)>,
     /// What entries were last told: whether places are given, and the version.
     told: (bool, u64),
@@ -55,6 +59,21 @@
         self.state.borrow().report.clone()
     }
 
+    /// Gives what can be given now.
+    fn give(&self, now: Duration) {
+        let mut state = self.state.borrow_mut();
+        state.now = now;
+        for taker in state.giver.give(now) {
+            state.tell(taker);
+        }
+    }
+
+    /// Sets how the engine works and how long streams bear to pause.
+    fn set_engine(&self, spec: &route::Engine, pause: Duration) {
+        let mut state = self.state.borrow_mut();
+        state.giver.set_engine(spec.passes(), spec.usual_prompt, pause);
+    }
+
     /// Sets the oldest version of weights on which requests may start.
     fn set_floor(&self, floor: u64) {
         let mut state = self.state.borrow_mut();
@@ -70,8 +89,9 @@
     }
 
     /// Takes in a report, or that none came.
-    pub(super) fn take(&self, report: Option<Report>, slots: u32) {
+    pub(super) fn take(&self, now: Duration, report: Option<Report>, slots: u32) {
         let mut state = self.state.borrow_mut();
+        state.now = now;
         state.slots = slots;
         match report {
             Some(report) => {
@@ -123,7 +143,7 @@
         let (Some((socket, key)), Some(address)) = (&self.link, self.addresses.get(&taker)) else {
             return;
         };
-        let word = self.giver.word(taker);
+        let word = self.giver.word(self.now, taker);
         if let Err(error) = socket.send(key, &word, *address) {
             log::debug!("E7214 an entry at {address} was not answered: {error}");
         }
@@ -147,10 +167,14 @@
             }
         };
         agent.gate.set_floor(agent.floor());
-        let slots = agent.spec().map_or(0, |spec| spec.slots);
+        let spec = agent.spec();
+        let slots = spec.as_ref().map_or(0, |spec| spec.slots);
+        if let Some(spec) = &spec {
+            agent.gate.set_engine(spec, agent.pause());
+        }
         let works = report.as_ref().is_some_and(|one| one.running + one.waiting > 0);
         let before = agent.gate.report();
-        agent.gate.take(report, slots);
+        agent.gate.take(agent.clock.now(), report, slots);
         let after = agent.gate.report();
         if before.map(|one| (one.born_ms, one.orders, one.busy))
             != after.map(|one| (one.born_ms, one.orders, one.busy))
@@ -166,7 +190,16 @@
     let socket = Rc::new(socket);
     agent.gate.state.borrow_mut().link = Some((socket.clone(), key.clone()));
     loop {
-        let (ask, from) = match socket.receive::<Ask>(&key).await {
+        let wake = agent.gate.state.borrow().giver.wake(agent.clock.now());
+        let wake = wake.unwrap_or(agent.clock.now() + WATCH_IDLE);
+        let received = tokio::select! {
+            received = socket.receive::<Ask>(&key) => received,
+            () = sleep_until(agent.clock.at(wake)) => {
+                agent.gate.give(agent.clock.now());
+                continue;
+            }
+        };
+        let (ask, from) = match received {
             Ok(received) => received,
             Err(error) => {
                 log::warn!("E7212 nothing was read from entries: {error}");
@@ -177,6 +210,7 @@
         let now = agent.clock.now();
         let mut state = agent.gate.state.borrow_mut();
         let state = &mut *state;
+        state.now = now;
         state.addresses.insert(ask.taker, from);
         let lapsed = state.giver.expire(now);
         if lapsed > 0 {
--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -260,7 +260,7 @@
             };
             let slots = self.agent.spec().map_or(0, |spec| spec.slots);
             let done = gate::version(&report) >= version || !report.busy;
-            self.agent.gate.take(Some(report), slots);
+            self.agent.gate.take(self.agent.clock.now(), Some(report), slots);
             if done || self.agent.clock.now() - started > LOAD_LIMIT {
                 return;
             }
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -38,9 +38,9 @@
 const SILENCE_MAX: Duration = Duration::from_millis(1_500);
 /// The same for an answer in one piece, in goals of its route.
 const SILENCE_GOALS: u32 = 3;
-/// What a free engine takes from a request to its first event, at least: a
-/// pass with the prompts of a few others read between.
-const FIRST_EVENT: Duration = Duration::from_millis(160);
+/// What an event takes from the engine to the caller, and the request back: a
+/// few network delays.
+const WAY: Duration = Duration::from_millis(12);
 /// For how many goals of its route a request waits for a place.
 const WAIT_GOALS: f64 = 2.0;
 /// The part of the time left that a request waits at most.
@@ -104,6 +104,13 @@
     may_have_run: bool,
     /// Whether the head of an answer was sent.
     begun: bool,
+    /// How long the request waited for places.
+    waited: Duration,
+    /// From its arrival to its first event.
+    first: Duration,
+    /// When the last event was sent, and the longest pause between two.
+    last: Duration,
+    pause: Duration,
     events: Events,
 }
 
@@ -115,6 +122,13 @@
         now + route.timeout.map_or(asked, |limit| asked.min(limit))
     }
 
+    /// The tokens of its prompt, by its caller's word.
+    fn prompt_tokens(&self) -> u32 {
+        let tokens = self.head.fields.get(header::TOKENS).unwrap_or_default();
+        let prompt = tokens.split(',').next().unwrap_or_default();
+        prompt.trim().parse().unwrap_or(0)
+    }
+
     fn request(&self, place: &Place, left: Duration, resume: Option<&str>) -> Vec<u8> {
         let mut out = Vec::with_capacity(640 + self.body.len());
         let mut head = write::Head::request(&mut out, &self.head.method, &self.head.target);
@@ -174,12 +188,13 @@
     let mut sends = 0;
     let mut failure: Option<Box<(Response, Bytes)>> = None;
     loop {
+        let asked = entry.clock.now();
         let place = match entry.desk.place(want(entry, call, tried, progress)).await {
             Ok(place) => place,
             Err(refusal) => return no_place(entry, call, progress, failure, refusal, out).await,
         };
-        let waited = entry.clock.now().saturating_sub(call.arrived);
-        entry.metrics.wait.observe(waited.as_secs_f64());
+        progress.waited += entry.clock.now().saturating_sub(asked);
+        entry.metrics.wait.observe(progress.waited.as_secs_f64());
         let key = place.key;
         let ended = attempt(entry, call, &place, progress, out).await;
         drop(place);
@@ -259,8 +274,9 @@
             arrived: call.arrived,
             due: match progress.begun {
                 true => now + goal,
-                false => (call.arrived + goal).saturating_sub(FIRST_EVENT),
+                false => (call.arrived + goal).saturating_sub(WAY),
             },
+            tokens: call.prompt_tokens(),
             until: match resumes {
                 true => now + patience,
                 false => call.arrived + patience,
@@ -476,13 +492,17 @@
                 if events.is_empty() {
                     continue;
                 }
+                let now = entry.clock.now();
                 if !progress.begun {
                     progress.begun = true;
                     bytes = answer::chunked(head, call.closes);
-                    let first = entry.clock.now().saturating_sub(call.arrived);
-                    entry.metrics.first_byte.observe(first.as_secs_f64());
+                    progress.first = now.saturating_sub(call.arrived);
+                    progress.last = now;
+                    entry.metrics.first_byte.observe(progress.first.as_secs_f64());
                     entry.desk.saw(place.key, Outcome::Answered, None);
                 }
+                progress.pause = progress.pause.max(now.saturating_sub(progress.last));
+                progress.last = now;
                 write::chunk(&mut bytes, &events);
             }
             Step::End if !progress.events.is_whole() || !progress.begun => {
@@ -500,6 +520,16 @@
     write::last_chunk(&mut bytes);
     entry.metrics.attempts.with_label_values(&["success"]).inc();
     entry.answered(call, head.status);
+    log::info!(
+        "E7107 stream {} ends at {}: waited {} ms, first event {} ms, longest pause {} ms, tokens {}, goal {} ms",
+        call.id,
+        place.id,
+        progress.waited.as_millis(),
+        progress.first.as_millis(),
+        progress.pause.as_millis(),
+        call.head.fields.get(header::TOKENS).unwrap_or("unknown"),
+        call.route.goal.as_millis()
+    );
     if head.keeps_alive {
         entry.pool.keep(place.key, upstream, head);
     }
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -395,7 +395,7 @@
         };
         let desk = self.services.entry(service.into()).or_default();
         let waiting = desk.queue.len();
-        let slack_ms = desk.queue.slack_ms(now);
+        let (slack_ms, tokens) = desk.queue.most_urgent(now).unwrap_or_default();
         let oldest = desk.queue.oldest().map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let floor = desk.floor;
         let mut keys = Vec::new();
@@ -407,6 +407,9 @@
                 candidates.push(Candidate {
                     distance: one.distance,
                     free: one.taker.last().map_or(0, |give| give.free),
+                    delay: one.taker.last().map_or(Duration::ZERO, |give| {
+                        Duration::from_millis(give.delay_ms.into())
+                    }),
                     age: one.taker.heard().map(|at| now.saturating_sub(at)),
                 });
             }
@@ -418,7 +421,7 @@
                 continue;
             }
             let wanted = asks.get(&key).copied().unwrap_or(0);
-            let Some(ask) = one.taker.ask(now, wanted, slack_ms) else {
+            let Some(ask) = one.taker.ask(now, wanted, slack_ms, tokens) else {
                 continue;
             };
             if let Err(error) = socket.send(&fleet_key, &ask, one.agent) {
--- a/crates/snipewinch/src/dispatch.rs
+++ b/crates/snipewinch/src/dispatch.rs
@@ -28,14 +28,25 @@
 const HINT_AGE_MAX: Duration = Duration::from_millis(400);
 /// What is believed of an agent that said nothing lately.
 const HINT_UNKNOWN: u16 = 2;
+/// The delay that is believed of it.
+const DELAY_UNKNOWN: Duration = Duration::from_millis(110);
+/// What each further request adds to an engine's delay: a usual prompt.
+const DELAY_STEP: Duration = Duration::from_millis(45);
+/// How much sooner an engine of another availability zone must answer to be
+/// asked first: the way there and back, and the bytes between zones.
+const AWAY: Duration = Duration::from_millis(40);
+/// What a free engine takes to the first event, at least.
+const FIRST_EVENT_MIN: Duration = Duration::from_millis(90);
 
 /// One request that waits.
 #[derive(Clone, Copy, Debug)]
 pub struct Waiter {
     /// When it arrived.
     pub arrived: Duration,
-    /// Until when it can start and be on time.
+    /// Until when its first event is on time.
     pub due: Duration,
+    /// Its prompt tokens.
+    pub tokens: u32,
     /// When it is refused.
     pub until: Duration,
     /// Its rank; 0 is the most urgent.
@@ -85,12 +96,12 @@
         expired.map(|(ticket, _)| ticket).collect()
     }
 
-    /// For how many milliseconds the most urgent request can wait and be on
-    /// time; negative if all are late.
-    pub fn slack_ms(&self, now: Duration) -> i32 {
-        let slack = |one: &Waiter| one.due.as_millis() as i64 - now.as_millis() as i64;
-        let best = self.waiters.values().min_by_key(|one| rank(now, one));
-        best.map_or(0, |one| slack(one).clamp(-60_000, 60_000) as i32)
+    /// For how many milliseconds the first event of the most urgent request is
+    /// on time, negative if all are late, and its prompt tokens.
+    pub fn most_urgent(&self, now: Duration) -> Option<(i32, u32)> {
+        let best = self.waiters.values().min_by_key(|one| rank(now, one))?;
+        let slack = best.due.as_millis() as i64 - now.as_millis() as i64;
+        Some((slack.clamp(-60_000, 60_000) as i32, best.tokens))
     }
 
     /// When the request that arrived first did so.
@@ -102,7 +113,7 @@
 /// On time before late, urgent before others, the nearest due first; of those
 /// that are late, the latest arrival first.
 fn rank(now: Duration, waiter: &Waiter) -> (bool, bool, u32, Duration) {
-    match waiter.due >= now {
+    match waiter.due >= now + FIRST_EVENT_MIN {
         true => (!waiter.resumes, false, waiter.priority, waiter.due),
         false => {
             let age = now.saturating_sub(waiter.arrived);
@@ -118,14 +129,27 @@
     pub distance: u8,
     /// Its free places by its last word.
     pub free: u16,
+    /// How long a usual request's first event would take there.
+    pub delay: Duration,
     /// How old that word is; none if it said nothing yet.
     pub age: Option<Duration>,
 }
 
 impl Candidate {
+    fn is_fresh(&self) -> bool {
+        self.age.is_some_and(|age| age <= HINT_AGE_MAX)
+    }
+
+    /// How long the first event would take, and what the way costs.
+    fn cost(&self) -> Duration {
+        let delay = if self.is_fresh() { self.delay } else { DELAY_UNKNOWN };
+        let away = if self.distance > 0 { AWAY } else { Duration::ZERO };
+        delay + away
+    }
+
     fn hint(&self) -> u16 {
         match self.age {
-            Some(age) if age <= HINT_AGE_MAX => self.free,
+            _ if self.is_fresh() => self.free,
             Some(_) | None => HINT_UNKNOWN,
         }
     }
@@ -155,7 +179,8 @@
         let best = places.min_by_key(|place| {
             let one = &candidates[*place];
             let rest = left[*place];
-            (rest == 0, one.distance, u16::MAX - rest, ties[*place])
+            let cost = one.cost() + DELAY_STEP * u32::from(asks[*place]);
+            (rest == 0, cost, ties[*place])
         });
         let Some(best) = best else {
             break;
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -16,12 +16,20 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::engine::Model;
+use crate::engine::Spec;
+
 /// How long a taker may be silent before its places are given to others; it
 /// says something at least each [`RENEWAL`] while it has any.
 pub const LEASE: Duration = Duration::from_millis(1_800);
 /// How often a taker that has places, or waits for some, says so.
 pub const RENEWAL: Duration = Duration::from_millis(400);
 
+/// The part of the longest bearable pause that a pass may take by the model,
+/// which sees neither the context that slows steps down nor requests that come
+/// without a place.
+const PASS_PART: f64 = 0.8;
+
 /// Names the process of an entry, from its start to its end.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
@@ -43,6 +51,12 @@
     /// time; negative if it is late.
     #[serde(rename = "s")]
     pub slack_ms: i32,
+    /// The prompt tokens of the most urgent of them.
+    #[serde(rename = "k", default)]
+    pub tokens: u32,
+    /// How many places it has handed back without using them.
+    #[serde(rename = "u", default)]
+    pub unused: u64,
     /// All places that the entry knows to have been given.
     #[serde(rename = "g")]
     pub given: u64,
@@ -63,6 +77,10 @@
     /// Places that nobody has or waits for.
     #[serde(rename = "f")]
     pub free: u16,
+    /// How long the first event of a usual request would take, in
+    /// milliseconds.
+    #[serde(rename = "d", default)]
+    pub delay_ms: u16,
     /// The version of the weights that the backend server holds; 0 if none.
     #[serde(rename = "v")]
     pub version: u64,
@@ -88,6 +106,8 @@
     due_ms: i64,
     given: u64,
     ended: u64,
+    unused: u64,
+    tokens: f64,
     heard: Duration,
 }
 
@@ -104,6 +124,9 @@
     places: u64,
     version: u64,
     floor: u64,
+    model: Model,
+    usual_tokens: f64,
+    pause: Duration,
 }
 
 impl Giver {
@@ -119,6 +142,14 @@
         self.version = version;
     }
 
+    /// Sets how the engine works, the prompt tokens of a usual request, and the
+    /// longest pause between events for which a stream is on time.
+    pub fn set_engine(&mut self, spec: Spec, usual_tokens: f64, pause: Duration) {
+        self.model.set_spec(spec);
+        self.usual_tokens = usual_tokens;
+        self.pause = pause;
+    }
+
     /// Sets the oldest version on which requests may start.
     pub fn set_floor(&mut self, floor: u64) {
         self.floor = floor;
@@ -142,6 +173,8 @@
             due_ms: 0,
             given: ask.given,
             ended: ask.ended,
+            unused: ask.unused,
+            tokens: 0.0,
             heard: now,
         };
         let account = self.accounts.entry(ask.taker).or_insert(fresh);
@@ -152,6 +185,11 @@
         account.heard = now;
         account.given = account.given.max(ask.given);
         account.ended = account.ended.max(ask.ended);
+        let unused = ask.unused.saturating_sub(account.unused);
+        account.unused += unused;
+        let tokens = account.tokens;
+        account.tokens = f64::from(ask.tokens);
+        self.model.withdraw(tokens * unused as f64);
         // What was given and has not been heard of yet is on its way.
         let on_its_way = account.given - ask.given;
         account.waiting = ask.waiting.saturating_sub(on_its_way.min(u64::from(u16::MAX)) as u16);
@@ -160,33 +198,71 @@
     }
 
     /// Gives what can be given; answers to whom. Requests that can still be on
-    /// time go first, the most urgent first among them; then those that are
-    /// late, the latest come first.
+    /// time here go first, the most urgent first among them; then those that
+    /// are late, the latest come first. None is given while the prompts that
+    /// wait already make the next pass too long.
     pub fn give(&mut self, now: Duration) -> Vec<TakerId> {
-        let now_ms = now.as_millis() as i64;
         let mut told = Vec::new();
-        while self.in_use() < self.places {
-            let waiting = self.accounts.iter_mut().filter(|(_, one)| one.waiting > 0);
-            let rank = |one: &Account| match one.due_ms >= now_ms {
-                true => (false, one.due_ms),
-                false => (true, -one.due_ms),
-            };
-            let Some((taker, account)) = waiting.min_by_key(|(_, one)| rank(one)) else {
-                break;
+        loop {
+            let in_use = self.in_use();
+            self.model.advance(now, in_use);
+            let Some(taker) = self.next(now, in_use) else {
+                return told;
             };
+            let account = self.accounts.get_mut(&taker).expect("it was just found");
             account.waiting -= 1;
             account.given += 1;
-            if !told.contains(taker) {
-                told.push(*taker);
+            self.model.admit(now, in_use, account.tokens);
+            if !told.contains(&taker) {
+                told.push(taker);
+            }
+        }
+    }
+
+    /// Who is given the next place, if there is one now.
+    fn next(&self, now: Duration, in_use: u64) -> Option<TakerId> {
+        if in_use >= self.places {
+            return None;
+        }
+        let now_ms = now.as_millis() as i64;
+        let waiting = self.accounts.iter().filter(|(_, one)| one.waiting > 0);
+        let rank = |one: &Account| {
+            let first = self.model.first_event(now, in_use, one.tokens);
+            match now_ms + first.as_millis() as i64 <= one.due_ms {
+                true => (false, one.due_ms),
+                false => (true, -one.due_ms),
             }
+        };
+        let (taker, account) = waiting.min_by_key(|(_, one)| rank(one))?;
+        let pass = self.model.next_pass(in_use, account.tokens);
+        let fits = self.model.reads_nothing() || pass <= self.longest_pass(rank(account).0);
+        fits.then_some(*taker)
+    }
+
+    /// How long a pass may take: what streams bear, or for requests that are
+    /// late anyway, half of it.
+    fn longest_pass(&self, late: bool) -> Duration {
+        let bearable = self.pause.mul_f64(PASS_PART);
+        match late {
+            _ if self.pause.is_zero() => Duration::MAX,
+            true => bearable / 2,
+            false => bearable,
         }
-        told
+    }
+
+    /// When to look again, if requests wait that a pass has no room for now.
+    pub fn wake(&self, now: Duration) -> Option<Duration> {
+        let waits = self.waiting() > 0 && self.in_use() < self.places;
+        waits.then(|| self.model.pass_end().max(now))
     }
 
     /// What to tell an entry.
-    pub fn word(&self, taker: TakerId) -> Give {
-        let free = self.places.saturating_sub(self.in_use() + self.waiting());
+    pub fn word(&self, now: Duration, taker: TakerId) -> Give {
+        let in_use = self.in_use();
+        let free = self.places.saturating_sub(in_use + self.waiting());
+        let delay = self.model.first_event(now, in_use, self.usual_tokens);
         Give {
+            delay_ms: delay.as_millis().min(u128::from(u16::MAX)) as u16,
             taker,
             given: self.accounts.get(&taker).map_or(0, |one| one.given),
             free: free.min(u64::from(u16::MAX)) as u16,
@@ -218,6 +294,7 @@
     sequence: u32,
     given: u64,
     ended: u64,
+    unused: u64,
     /// Places given and neither used nor handed back.
     spare: u64,
     asked: u16,
@@ -237,6 +314,7 @@
             sequence: 0,
             given: 0,
             ended: 0,
+            unused: 0,
             spare: 0,
             asked: 0,
             asked_at: Duration::ZERO,
@@ -275,6 +353,7 @@
     /// Hands back what was given and is not in use.
     pub fn end_spare(&mut self) {
         self.ended += self.spare;
+        self.unused += self.spare;
         self.changed |= self.spare > 0;
         self.spare = 0;
     }
@@ -285,8 +364,14 @@
     }
 
     /// What to send now, if anything: `waiting` requests wait for a place here
-    /// and the most urgent can wait `slack_ms` more.
-    pub fn ask(&mut self, now: Duration, waiting: u16, slack_ms: i32) -> Option<Ask> {
+    /// and the most urgent, with so many prompt tokens, can wait `slack_ms` more.
+    pub fn ask(
+        &mut self,
+        now: Duration,
+        waiting: u16,
+        slack_ms: i32,
+        tokens: u32,
+    ) -> Option<Ask> {
         let due = now.saturating_sub(self.asked_at) >= RENEWAL;
         let renews = due && (self.in_use() > 0 || waiting > 0);
         if !self.changed && waiting == self.asked && !renews {
@@ -304,6 +389,8 @@
             sequence: self.sequence,
             waiting,
             slack_ms,
+            tokens,
+            unused: self.unused,
             given: self.given,
             ended: self.ended,
         })
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`routing`] | [`routing::Table`] | which backend server answers a call |
 //! | [`route`] | [`route::Table::new`] | which service answers a host and path, for which customer |
 //! | [`dispatch`] | [`dispatch::Queue`] | which request a place goes to, whom to ask, whom to refuse |
+//! | [`engine`] | [`engine::Model`] | when an engine's next answer begins |
 //! | [`grant`] | [`grant::Giver`], [`grant::Taker`] | who may use a place of a backend server |
 //! | [`health`] | [`health::Health`] | whether a backend server answers |
 //! | [`limit`] | [`limit::Limiter`] | whose call goes on, waits or is refused |
@@ -76,6 +77,7 @@
 pub mod digest;
 pub mod dispatch;
 pub mod document;
+pub mod engine;
 pub mod grant;
 pub mod health;
 pub mod host;
--- a/crates/snipewinch/src/route.rs
+++ b/crates/snipewinch/src/route.rs
@@ -6,6 +6,7 @@
 
 use smol_str::SmolStr;
 
+use crate::engine::Spec;
 use crate::mix;
 
 /// Everything that operators decide about requests.
@@ -131,6 +132,19 @@
     pub chunk_bytes: u32,
 }
 
+impl Engine {
+    /// How it works, for predictions.
+    pub fn passes(&self) -> Spec {
+        Spec {
+            slots: self.slots,
+            stride: self.stride,
+            step: self.step,
+            step_per_call: self.step_per_call,
+            read_per_s: self.read_per_s,
+        }
+    }
+}
+
 /// Where weights come from.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Origin {
