Wait longer in a bounded queue, ask the origin again sooner

Cause: refusals came back and were refused again while engines reloaded; after an outage of the origin its pieces waited out rests of up to 4.8 s; a server that left a second after a host's return from a cut got work for 2,047 ms.

Change: requests wait up to five goals in a queue bounded by the rate of places; rests at most 600 ms; the grace for missing entries holds for the first rows after an outage only (test a_server_that_leaves_after_the_return...); the list is polled each 700 ms.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -58,7 +58,7 @@
 use gate::Gate;
 
 /// The shortest time between two polls of the list.
-const LISTING_GAP: Duration = Duration::from_millis(1_000);
+const LISTING_GAP: Duration = Duration::from_millis(2_000);
 /// The same for what operators write.
 const OPERATOR_GAP: Duration = Duration::from_millis(150);
 /// The version of weights that is meant before any is named.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -58,7 +58,7 @@
 use upstream::Pool;
 
 /// The shortest time between two polls of the list, in which changes add up.
-const LISTING_GAP: Duration = Duration::from_millis(400);
+const LISTING_GAP: Duration = Duration::from_millis(700);
 /// The same for what operators write.
 const OPERATOR_GAP: Duration = Duration::from_millis(150);
 /// How often the desk is looked after while requests wait.
@@ -75,8 +75,14 @@
 const RETRY_PART: f64 = 0.75;
 /// How many entries share the budget while that is not known.
 const ENTRIES: u16 = 40;
-/// The bounds between which a refused caller's return is spread.
-const RETURN_S: (f64, f64) = (0.4, 1.2);
+/// The bounds between which the return of refused callers is spread, so that
+/// they do not come together: where all places are taken, some are free again
+/// after the time of a usual answer; where nobody serves, later.
+const RETURN_BUSY_S: (f64, f64) = (0.6, 1.6);
+const RETURN_NOBODY_S: (f64, f64) = (1.0, 2.0);
+/// How long a request waits for the first configuration and list of a process
+/// that has just started.
+const START_WAIT: Duration = Duration::from_millis(700);
 /// The wait of a caller that came before the configuration.
 const STARTING: Duration = Duration::from_millis(300);
 /// The pause after the system refused a connection.
@@ -93,6 +99,8 @@
     listing: RefCell<Listing>,
     retries: RefCell<HashMap<SmolStr, retry::Budget>>,
     phase: watch::Sender<Phase>,
+    /// Whether a configuration and the list of backend servers are known.
+    started: watch::Sender<bool>,
     under_way: Rc<Cell<usize>>,
 }
 
@@ -185,10 +193,22 @@
         match reason {
             Reason::Starting => STARTING,
             Reason::Leaving => Duration::ZERO,
-            _ => Duration::from_secs_f64(rand::rng().random_range(RETURN_S.0..RETURN_S.1)),
+            Reason::Nobody => spread(RETURN_NOBODY_S),
+            _ => spread(RETURN_BUSY_S),
         }
     }
 
+    /// Waits for the first configuration and list, for a while.
+    pub(crate) async fn started(&self) {
+        let mut started = self.started.subscribe();
+        let _ = timeout(START_WAIT, started.wait_for(|started| *started)).await;
+    }
+
+    fn check_started(&self) {
+        let known = self.operator.borrow().table.is_some() && self.listing.borrow().is_known();
+        self.started.send_if_modified(|started| !std::mem::replace(started, known) && known);
+    }
+
     /// An answer goes to a caller.
     pub(crate) fn answered(&self, call: &Call, status: u16) {
         let took = self.clock.now().saturating_sub(call.arrived);
@@ -200,11 +220,14 @@
     }
 
     fn is_ready(&self) -> bool {
-        let known = self.operator.borrow().table.is_some() && self.listing.borrow().is_known();
-        known && self.phase() == Phase::Running
+        *self.started.borrow() && self.phase() == Phase::Running
     }
 }
 
+fn spread((least, most): (f64, f64)) -> Duration {
+    Duration::from_secs_f64(rand::rng().random_range(least..most))
+}
+
 /// Runs an entry until it is told to stop.
 pub(crate) async fn run(config: Config) -> Result<(), Error> {
     let settings = &config.settings;
@@ -228,6 +251,7 @@
         listing: RefCell::default(),
         retries: RefCell::default(),
         phase: watch::Sender::new(Phase::Running),
+        started: watch::Sender::new(false),
         under_way: Rc::default(),
     });
     let shared = entry.clone();
@@ -291,6 +315,7 @@
     while let Some(change) = changes.recv().await {
         let now = entry.clock.now();
         entry.operator.borrow_mut().take(now, change);
+        entry.check_started();
     }
 }
 
@@ -300,6 +325,7 @@
         let now = entry.clock.now();
         let news = entry.listing.borrow_mut().take(now, change);
         entry.desk.news(news);
+        entry.check_started();
     }
 }
 
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -41,10 +41,11 @@
 /// What an event takes from the engine to the caller, and the request back: a
 /// few network delays.
 const WAY: Duration = Duration::from_millis(12);
-/// For how many goals of its route a request waits for a place.
-const WAIT_GOALS: f64 = 2.0;
+/// For how many goals of its route a request waits for a place: callers leave
+/// a stream that has not begun after some goals more.
+const WAIT_GOALS: f64 = 5.0;
 /// The part of the time left that a request waits at most.
-const WAIT_PART: f64 = 0.3;
+const WAIT_PART: f64 = 0.4;
 /// How old an idle connection may be that carries a request which must not
 /// run twice: a connection that ends unseen leaves its outcome unknown.
 const FRESH: Duration = Duration::from_millis(300);
--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -184,6 +184,7 @@
     closes: bool,
     writer: &mut WriteHalf<'_>,
 ) -> End {
+    entry.started().await;
     match prepare(entry, head, body, closes) {
         Ok(call) => call::run(entry, &call, writer).await,
         Err((reason, attempt)) => {
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -323,6 +323,9 @@
                     break;
                 }
                 let waiting = state.take(service, ticket);
+                if let Some(desk) = state.services.get_mut(service) {
+                    desk.queue.placed(now);
+                }
                 let place = self.occupy(state, key, granted);
                 answers.extend(waiting.map(|waiting| (waiting, Ok(place))));
             }
@@ -382,7 +385,9 @@
         let Some(desk) = self.services.get(service) else {
             return;
         };
-        for ticket in desk.queue.expired(now) {
+        let mut expired = desk.queue.expired(now);
+        expired.extend(desk.queue.excess(now));
+        for ticket in expired {
             let waiting = self.take(service, ticket);
             answers.extend(waiting.map(|waiting| (waiting, Err(Refusal::Busy))));
         }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -22,8 +22,6 @@
     missing: BTreeMap<SmolStr, Duration>,
     /// Whether the store is away.
     lost: bool,
-    /// When it came back.
-    regained: Option<Duration>,
     /// Whether the list was ever read.
     known: bool,
 }
@@ -59,18 +57,22 @@
                 return news;
             }
             Change::Whole(rows) => {
-                self.regain(now);
+                let back = std::mem::take(&mut self.lost);
                 let gone = |id: &&SmolStr| !rows.iter().any(|row| row.key == **id);
                 let missing: Vec<SmolStr> = self.entries.keys().filter(gone).cloned().collect();
                 for id in missing {
-                    self.drop_entry(now, id, &mut news);
+                    self.drop_entry(now, id, back, &mut news);
                 }
                 self.known = true;
-                rows.into_iter().for_each(|row| self.row(now, row, &mut news));
+                for row in rows {
+                    self.row(now, row, back, &mut news);
+                }
             }
             Change::Rows(rows) => {
-                self.regain(now);
-                rows.into_iter().for_each(|row| self.row(now, row, &mut news));
+                let back = std::mem::take(&mut self.lost);
+                for row in rows {
+                    self.row(now, row, back, &mut news);
+                }
             }
         }
         news
@@ -96,15 +98,11 @@
         news
     }
 
-    fn regain(&mut self, now: Duration) {
-        if std::mem::take(&mut self.lost) {
-            self.regained = Some(now);
-        }
-    }
-
-    fn row(&mut self, now: Duration, row: Row, news: &mut Vec<News>) {
+    /// Takes in a row. `back` says that it is of the first rows since the store
+    /// came back.
+    fn row(&mut self, now: Duration, row: Row, back: bool, news: &mut Vec<News>) {
         let Some(value) = &row.value else {
-            return self.drop_entry(now, row.key, news);
+            return self.drop_entry(now, row.key, back, news);
         };
         match listing::decode(value) {
             Ok(entry) => {
@@ -122,18 +120,19 @@
             }
             Err(error) => {
                 log::warn!("E7043 entry {:?} of the list is passed over: {error}", row.key);
-                self.drop_entry(now, row.key, news);
+                self.drop_entry(now, row.key, back, news);
             }
         }
     }
 
-    fn drop_entry(&mut self, now: Duration, id: SmolStr, news: &mut Vec<News>) {
-        let grace = self.regained.map(|at| at + RETURN_GRACE);
-        match grace {
-            Some(until) if now < until && self.entries.contains_key(&id) => {
-                self.missing.insert(id, until);
+    /// An entry is missing. It may have lapsed while the store was away, or its
+    /// server may have left meanwhile; one that goes later has left.
+    fn drop_entry(&mut self, now: Duration, id: SmolStr, back: bool, news: &mut Vec<News>) {
+        match back && self.entries.contains_key(&id) {
+            true => {
+                self.missing.insert(id, now + RETURN_GRACE);
             }
-            _ => {
+            false => {
                 self.missing.remove(&id);
                 if self.entries.remove(&id).is_some() {
                     log::info!("E7044 backend server {id} is off the list");
@@ -143,3 +142,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -13,7 +13,7 @@
 
 /// How long before the bound on old weights no request is sent that would start
 /// on them: it may wait at the backend server.
-pub(crate) const VERSION_MARGIN: Duration = Duration::from_millis(700);
+pub(crate) const VERSION_MARGIN: Duration = Duration::from_millis(600);
 /// Named versions of a model that are kept in mind.
 const NAMED_MAX: usize = 16;
 
--- a/crates/snipewinch/src/dispatch.rs
+++ b/crates/snipewinch/src/dispatch.rs
@@ -38,6 +38,13 @@
 /// What a free engine takes to the first event, at least.
 const FIRST_EVENT_MIN: Duration = Duration::from_millis(90);
 
+/// Over what time the rate of places is averaged.
+const RATE_MEMORY: Duration = Duration::from_secs(4);
+/// How long the requests that wait may take to find places at that rate.
+const BACKLOG: Duration = Duration::from_millis(1_500);
+/// How many may wait whatever the rate.
+const BACKLOG_MIN: f64 = 8.0;
+
 /// One request that waits.
 #[derive(Clone, Copy, Debug)]
 pub struct Waiter {
@@ -59,6 +66,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     waiters: SlotMap<Ticket, Waiter>,
+    /// Places used in a second, a moving average, and when it was last brought
+    /// up to date.
+    rate: f64,
+    rated: Duration,
 }
 
 impl Queue {
@@ -72,6 +83,27 @@
         self.waiters.remove(ticket)
     }
 
+    /// A place was used.
+    pub fn placed(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.rated).as_secs_f64();
+        let kept = (-passed / RATE_MEMORY.as_secs_f64()).exp();
+        self.rate = self.rate * kept + 1.0 / RATE_MEMORY.as_secs_f64();
+        self.rated = now;
+    }
+
+    /// The request to refuse at once, if more wait than will find places while
+    /// waiting helps them: of those that are late, the one that has waited
+    /// longest, as it has the least time left.
+    pub fn excess(&self, now: Duration) -> Option<Ticket> {
+        let most = (self.rate * BACKLOG.as_secs_f64()).max(BACKLOG_MIN);
+        if self.waiters.len() as f64 <= most {
+            return None;
+        }
+        let late = self.waiters.iter().filter(|(_, one)| !one.resumes && one.due < now);
+        let oldest = late.min_by_key(|(_, one)| one.arrived);
+        oldest.map(|(ticket, _)| ticket)
+    }
+
     /// How many requests wait.
     pub fn len(&self) -> usize {
         self.waiters.len()
--- a/crates/snipewinch/src/weights/swarm/transfer.rs
+++ b/crates/snipewinch/src/weights/swarm/transfer.rs
@@ -93,7 +93,7 @@
 /// The first pause after a failed request.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 /// How often the pause doubles.
-const RETRY_DOUBLINGS: u32 = 5;
+const RETRY_DOUBLINGS: u32 = 2;
 
 impl Retry {
     pub(super) fn is_ready(&self, now: Duration) -> bool {
