Answer an entry that missed a place it was given

Cause: quickcheck (tests/grant.rs, all_places_come_back) lost the word of a grant; the entry no longer waited, renewed its other places and was never told, so the place stayed taken.

Change: an ask that shows less than was given is answered.

--- a/crates/node/src/agent/gate.rs
+++ b/crates/node/src/agent/gate.rs
@@ -220,7 +220,7 @@
             continue;
         }
         let mut told = state.giver.give(now);
-        if ask.waiting > 0 && !told.contains(&ask.taker) {
+        if state.giver.owes_word(&ask) && !told.contains(&ask.taker) {
             told.push(ask.taker);
         }
         for taker in told {
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -165,6 +165,13 @@
         self.accounts.values().map(|one| u64::from(one.waiting)).sum()
     }
 
+    /// Whether an entry that said this must be answered: it waits, or has not
+    /// heard of all that it was given.
+    pub fn owes_word(&self, ask: &Ask) -> bool {
+        let account = self.accounts.get(&ask.taker);
+        ask.waiting > 0 || account.is_some_and(|one| one.given > ask.given)
+    }
+
     /// Takes in what an entry says. False if it is out of date.
     pub fn hear(&mut self, now: Duration, ask: &Ask) -> bool {
         let fresh = Account {
--- /dev/null
+++ b/crates/snipewinch/tests/grant.rs
@@ -0,0 +1,259 @@
+//! Places are never given twice, and come back whatever is lost on the way.
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use snipewinch::engine::Spec;
+use snipewinch::grant::Ask;
+use snipewinch::grant::Give;
+use snipewinch::grant::Giver;
+use snipewinch::grant::LEASE;
+use snipewinch::grant::RENEWAL;
+use snipewinch::grant::Taker;
+use snipewinch::grant::TakerId;
+
+const PLACES: u32 = 4;
+const STEP: Duration = Duration::from_millis(10);
+
+fn giver() -> Giver {
+    let mut giver = Giver::new();
+    giver.offer(PLACES, 1);
+    giver
+}
+
+/// An entry that uses every place it is given.
+struct Entry {
+    taker: Taker,
+    waiting: u16,
+    running: u64,
+}
+
+impl Entry {
+    fn new(id: u64) -> Entry {
+        Entry {
+            taker: Taker::new(TakerId(id)),
+            waiting: 0,
+            running: 0,
+        }
+    }
+
+    fn hear(&mut self, now: Duration, give: &Give) {
+        self.taker.hear(now, give);
+        while self.waiting > 0 && self.taker.take() {
+            self.waiting -= 1;
+            self.running += 1;
+        }
+        self.taker.end_spare();
+    }
+
+    fn ask(&mut self, now: Duration) -> Option<Ask> {
+        self.taker.ask(now, self.waiting, 100, 500)
+    }
+
+    fn finish(&mut self) {
+        if self.running > 0 {
+            self.running -= 1;
+            self.taker.end();
+        }
+    }
+}
+
+/// What happens in a step; drawn by quickcheck.
+fn act(entry: &mut Entry, draw: u8) {
+    match draw % 4 {
+        0 => entry.waiting = (entry.waiting + 1).min(8),
+        1 => entry.finish(),
+        2 => entry.waiting = entry.waiting.saturating_sub(1),
+        _ => {}
+    }
+}
+
+/// Plays draws against two entries and an agent over links that lose, repeat
+/// and delay messages; answers whether more ran than there are places.
+fn play(draws: &[(u8, u8, u8)], faulty: bool) -> (Giver, [Entry; 2], Duration, bool) {
+    let mut giver = giver();
+    let mut entries = [Entry::new(1), Entry::new(2)];
+    let mut late: Vec<Ask> = Vec::new();
+    let mut now = Duration::ZERO;
+    let mut over = false;
+    for (first, second, fate) in draws {
+        now += STEP;
+        act(&mut entries[0], *first);
+        act(&mut entries[1], *second);
+        let mut asks: Vec<Ask> = entries.iter_mut().filter_map(|one| one.ask(now)).collect();
+        if faulty {
+            match fate % 5 {
+                0 => asks.clear(),
+                1 => late.append(&mut asks),
+                2 => asks.append(&mut late.clone()),
+                3 => asks.extend(asks.clone()),
+                _ => {}
+            }
+        }
+        for ask in asks {
+            giver.hear(now, &ask);
+        }
+        giver.give(now);
+        for (place, entry) in entries.iter_mut().enumerate() {
+            let word = giver.word(now, TakerId(place as u64 + 1));
+            if !(faulty && fate % 7 == 0) {
+                entry.hear(now, &word);
+            }
+        }
+        over |= entries.iter().map(|one| one.running).sum::<u64>() > u64::from(PLACES);
+    }
+    (giver, entries, now, over)
+}
+
+quickcheck! {
+    fn no_more_run_than_there_are_places(draws: Vec<(u8, u8, u8)>) -> bool {
+        let (_, _, _, over) = play(&draws, true);
+        !over
+    }
+
+    fn all_places_come_back(draws: Vec<(u8, u8, u8)>) -> bool {
+        let (mut giver, mut entries, mut now, _) = play(&draws, true);
+        for _ in 0..6 {
+            now += RENEWAL;
+            giver.expire(now);
+            for entry in &mut entries {
+                entry.waiting = 0;
+                while entry.running > 0 {
+                    entry.finish();
+                }
+                if let Some(ask) = entry.ask(now) {
+                    giver.hear(now, &ask);
+                }
+            }
+            for (place, entry) in entries.iter_mut().enumerate() {
+                entry.hear(now, &giver.word(now, TakerId(place as u64 + 1)));
+            }
+        }
+        giver.in_use() == 0
+    }
+}
+
+fn ask(taker: u64, sequence: u32, waiting: u16, slack_ms: i32, tokens: u32) -> Ask {
+    Ask {
+        taker: TakerId(taker),
+        sequence,
+        waiting,
+        slack_ms,
+        tokens,
+        unused: 0,
+        given: 0,
+        ended: 0,
+    }
+}
+
+#[test]
+fn the_places_of_an_entry_that_died_are_given_to_others() {
+    let mut giver = giver();
+    giver.hear(Duration::ZERO, &ask(1, 1, 8, 100, 0));
+    giver.give(Duration::ZERO);
+    assert_eq!(giver.in_use(), u64::from(PLACES));
+    assert_eq!(giver.expire(LEASE), u64::from(PLACES));
+    giver.hear(LEASE, &ask(2, 1, 1, 100, 0));
+    assert_eq!(giver.give(LEASE), [TakerId(2)]);
+}
+
+/// The word that a place was given was lost; the entry no longer waits, but
+/// renews what else it has. The place was taken for as long as it did so.
+#[test]
+fn a_place_whose_word_was_lost_comes_back() {
+    let mut giver = giver();
+    let mut entry = Entry::new(1);
+    entry.waiting = 1;
+    let first = entry.ask(Duration::ZERO).expect("it waits");
+    giver.hear(Duration::ZERO, &first);
+    giver.give(Duration::ZERO);
+    entry.hear(Duration::ZERO, &giver.word(Duration::ZERO, TakerId(1)));
+    entry.waiting = 1;
+    let second = entry.ask(STEP).expect("it waits");
+    giver.hear(STEP, &second);
+    giver.give(STEP);
+    entry.waiting = 0;
+    let renewal = entry.ask(STEP + RENEWAL).expect("it runs one");
+    giver.hear(STEP + RENEWAL, &renewal);
+    assert!(giver.owes_word(&renewal));
+    entry.hear(STEP + RENEWAL, &giver.word(STEP + RENEWAL, TakerId(1)));
+    let back = entry.ask(STEP + RENEWAL).expect("it hands the place back");
+    giver.hear(STEP + RENEWAL, &back);
+    assert_eq!(giver.in_use(), 1);
+}
+
+#[test]
+fn an_agent_that_restarts_takes_over_what_entries_hold() {
+    let mut restarted = giver();
+    let held = Ask {
+        given: 9,
+        ended: 6,
+        ..ask(1, 40, 3, 100, 0)
+    };
+    restarted.hear(Duration::ZERO, &held);
+    assert_eq!(restarted.in_use(), 3);
+    restarted.give(Duration::ZERO);
+    assert_eq!(restarted.word(Duration::ZERO, TakerId(1)).given, 10);
+}
+
+#[test]
+fn the_most_urgent_goes_first_and_late_requests_last() {
+    let mut giver = giver();
+    giver.offer(1, 1);
+    giver.hear(Duration::ZERO, &ask(1, 1, 1, -50, 0));
+    giver.hear(Duration::ZERO, &ask(2, 1, 1, 300, 0));
+    giver.hear(Duration::ZERO, &ask(3, 1, 1, 120, 0));
+    assert_eq!(giver.give(Duration::ZERO), [TakerId(3)]);
+}
+
+/// The load that made first events late by 200 to 400 ms and paused a dozen
+/// streams for 500: six prompts of 1,500 tokens within a pass.
+#[test]
+fn prompts_that_come_in_a_clump_are_spread_over_passes() {
+    let mut giver = Giver::new();
+    giver.offer(16, 1);
+    let spec = Spec {
+        slots: 16,
+        stride: 5,
+        step: Duration::from_micros(9_270),
+        step_per_call: Duration::from_nanos(23_200),
+        read_per_s: 20_700.0,
+    };
+    giver.set_engine(spec, 979.0, Duration::from_millis(400));
+    let mut now = Duration::from_secs(1);
+    giver.hear(now, &ask(1, 1, 6, 1_000, 1_500));
+    giver.give(now);
+    let at_once = giver.in_use();
+    assert!((2..6).contains(&at_once), "{at_once} were admitted at once");
+    while giver.in_use() < 6 {
+        let wake = giver.wake(now).expect("more wait");
+        assert!(wake < now + Duration::from_millis(500));
+        now = wake + Duration::from_millis(1);
+        giver.give(now);
+    }
+}
+
+#[test]
+fn a_prompt_longer_than_any_pass_is_admitted_alone() {
+    let mut giver = Giver::new();
+    giver.offer(16, 1);
+    let spec = Spec {
+        slots: 16,
+        stride: 5,
+        step: Duration::from_millis(9),
+        step_per_call: Duration::ZERO,
+        read_per_s: 1_000.0,
+    };
+    giver.set_engine(spec, 500.0, Duration::from_millis(400));
+    giver.hear(Duration::ZERO, &ask(1, 1, 1, 100, 4_000));
+    assert_eq!(giver.give(Duration::ZERO), [TakerId(1)]);
+}
+
+#[test]
+fn nothing_is_given_while_no_place_is_offered() {
+    let mut giver = giver();
+    giver.offer(0, 0);
+    giver.hear(Duration::ZERO, &ask(1, 1, 1, 100, 0));
+    assert!(giver.give(Duration::ZERO).is_empty());
+    assert!(!giver.word(Duration::ZERO, TakerId(1)).open);
+}
--- /dev/null
+++ b/crates/snipewinch/tests/health.rs
@@ -0,0 +1,58 @@
+//! A backend server rests after failures and comes back by single trials.
+
+use std::time::Duration;
+
+use snipewinch::health::Health;
+use snipewinch::health::Outcome;
+
+fn s(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+fn failed(times: u32) -> Health {
+    let mut health = Health::default();
+    for _ in 0..times {
+        health.saw(s(10), Outcome::Failed);
+    }
+    health
+}
+
+#[test]
+fn a_few_failures_are_borne() {
+    assert!(failed(2).admits(s(10)));
+}
+
+#[test]
+fn more_in_a_row_make_it_rest() {
+    let health = failed(3);
+    assert!(health.rests(s(10)) && !health.admits(s(10)));
+}
+
+#[test]
+fn an_answer_in_between_forgives() {
+    let mut health = failed(2);
+    health.saw(s(10), Outcome::Answered);
+    health.saw(s(10), Outcome::Failed);
+    assert!(health.admits(s(10)));
+}
+
+#[test]
+fn after_the_rest_a_single_trial_decides() {
+    let mut health = failed(3);
+    assert!(health.admits(s(12)));
+    health.sent(s(12));
+    assert!(!health.admits(s(12)), "only one at a time");
+    let mut sound = health;
+    sound.saw(s(12), Outcome::Answered);
+    assert!(sound.admits(s(12)));
+    health.saw(s(12), Outcome::Failed);
+    assert!(!health.admits(s(13)), "the next rest is longer");
+    assert!(health.admits(s(15)));
+}
+
+#[test]
+fn a_trial_without_a_result_does_not_block_for_ever() {
+    let mut health = failed(3);
+    health.sent(s(12));
+    assert!(health.admits(s(14)));
+}
