--- a/crates/daemon/tests/events.rs
+++ b/crates/daemon/tests/events.rs
@@ -53,6 +53,7 @@
         let source = folder.expect("a package").path().join("src");
         sources(&source, &mut files);
     }
+    sources(&root().join("platform/src"), &mut files);
     let mut used: BTreeMap<String, PathBuf> = BTreeMap::new();
     for file in files {
         let text = fs::read_to_string(&file).expect("a source file");
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -156,8 +156,8 @@
 fn size(line: &[u8]) -> Result<u64, Fault> {
     let end = line.iter().position(|byte| *byte == b';');
     let digits = &line[..end.unwrap_or(line.len())];
-    let valid = (1..=SIZE_DIGITS_MAX).contains(&digits.len())
-        && digits.iter().all(u8::is_ascii_hexdigit);
+    let valid =
+        (1..=SIZE_DIGITS_MAX).contains(&digits.len()) && digits.iter().all(u8::is_ascii_hexdigit);
     match std::str::from_utf8(digits) {
         Ok(text) if valid => u64::from_str_radix(text, 16).map_err(|_| Fault::Malformed),
         _ => Err(Fault::Malformed),
--- a/crates/http1/src/write.rs
+++ b/crates/http1/src/write.rs
@@ -41,7 +41,10 @@
 
     /// Starts a response.
     pub fn response(out: &'a mut Vec<u8>, status: u16) -> Head<'a> {
-        write(out, format_args!("HTTP/1.1 {status} {}\r\n", reason(status)));
+        write(
+            out,
+            format_args!("HTTP/1.1 {status} {}\r\n", reason(status)),
+        );
         Head { out }
     }
 
--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -22,11 +22,8 @@
     let mut body = Vec::new();
     for piece in bytes.chunks(step.max(1)) {
         buffer.extend_from_slice(piece);
-        loop {
-            match decoder.step(&mut buffer)? {
-                Step::Data(data) => body.extend_from_slice(&data),
-                Step::End | Step::More => break,
-            }
+        while let Step::Data(data) = decoder.step(&mut buffer)? {
+            body.extend_from_slice(&data);
         }
     }
     Ok((body, decoder.is_done()))
@@ -37,15 +34,27 @@
     let cases = [
         ("Content-Length: 3\r\nContent-Length: 3\r\n", Fault::Framing),
         ("Content-Length: 3\r\nContent-Length: 4\r\n", Fault::Framing),
-        ("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", Fault::Framing),
-        ("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", Fault::Framing),
-        ("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Fault::Framing),
+        (
+            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            Fault::Framing,
+        ),
+        (
+            "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+            Fault::Framing,
+        ),
+        (
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            Fault::Framing,
+        ),
         ("Transfer-Encoding: gzip, chunked\r\n", Fault::Coding),
         ("Transfer-Encoding: identity\r\n", Fault::Coding),
         ("Content-Length: +3\r\n", Fault::Framing),
         ("Content-Length: 3, 3\r\n", Fault::Framing),
         ("Content-Length: \r\n", Fault::Framing),
-        ("Content-Length: 99999999999999999999999\r\n", Fault::Framing),
+        (
+            "Content-Length: 99999999999999999999999\r\n",
+            Fault::Framing,
+        ),
         ("Content-Length : 3\r\n", Fault::Malformed),
         ("A: b\r\n folded: c\r\n", Fault::Malformed),
     ];
@@ -95,21 +104,31 @@
         b"123456789\r\n",
     ];
     for case in cases {
-        assert_eq!(decode(Framing::Chunked, case, 64).err(), Some(Fault::Malformed), "{case:?}");
+        assert_eq!(
+            decode(Framing::Chunked, case, 64).err(),
+            Some(Fault::Malformed),
+            "{case:?}"
+        );
     }
 }
 
 #[test]
 fn trailers_are_passed_over() {
-    let (body, done) = decode(Framing::Chunked, b"2;x=y\r\nab\r\n0\r\nA: b\r\n\r\n", 1).expect("no fault");
+    let (body, done) =
+        decode(Framing::Chunked, b"2;x=y\r\nab\r\n0\r\nA: b\r\n\r\n", 1).expect("no fault");
     assert_eq!((body.as_slice(), done), (&b"ab"[..], true));
 }
 
 #[test]
 fn a_response_without_a_length_lasts_until_the_connection_ends() {
     let mut buffer = BytesMut::from("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nabc");
-    let head = Response::take(&mut buffer, "GET", MAX).expect("no fault").expect("a head");
-    assert_eq!((head.status, head.framing, head.keeps_alive), (200, Framing::UntilClose, false));
+    let head = Response::take(&mut buffer, "GET", MAX)
+        .expect("no fault")
+        .expect("a head");
+    assert_eq!(
+        (head.status, head.framing, head.keeps_alive),
+        (200, Framing::UntilClose, false)
+    );
     assert_eq!(&buffer[..], b"abc");
 }
 
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -103,9 +103,15 @@
     /// The shortest pause between events that any route to the engine bears.
     fn pause(&self) -> Duration {
         let operator = self.operator.borrow();
-        let routes = operator.table.iter().flat_map(|table| &table.configuration().routes);
+        let routes = operator
+            .table
+            .iter()
+            .flat_map(|table| &table.configuration().routes);
         let ours = routes.filter(|route| {
-            route.targets.iter().any(|target| target.service == self.service)
+            route
+                .targets
+                .iter()
+                .any(|target| target.service == self.service)
         });
         let pauses = ours.filter_map(|route| match route.repeat {
             Repeat::Stream { gap, .. } if !gap.is_zero() => Some(gap),
@@ -190,7 +196,10 @@
         detail: "an agent needs the address and the service of its engine",
     };
     let service = settings.identity.service.clone().context(missing)?;
-    log::info!("E7200 agent {} starts beside {backend}", settings.identity.host);
+    log::info!(
+        "E7200 agent {} starts beside {backend}",
+        settings.identity.host
+    );
     let caller = Caller::open();
     let store = Store::open(caller.clone(), settings.store);
     let agent = Rc::new(Agent {
@@ -263,7 +272,9 @@
         heartbeat: hub::HEARTBEAT,
         silence: hub::SILENCE,
     };
-    Hub::bind(config, &Registry::new()).await.context(LinksSnafu)
+    Hub::bind(config, &Registry::new())
+        .await
+        .context(LinksSnafu)
 }
 
 async fn follow_operators(agent: Rc<Agent>, store: Store) {
--- a/crates/node/src/agent/gate.rs
+++ b/crates/node/src/agent/gate.rs
@@ -71,7 +71,9 @@
     /// Sets how the engine works and how long streams bear to pause.
     fn set_engine(&self, spec: &route::Engine, pause: Duration) {
         let mut state = self.state.borrow_mut();
-        state.giver.set_engine(spec.passes(), spec.usual_prompt, pause);
+        state
+            .giver
+            .set_engine(spec.passes(), spec.usual_prompt, pause);
     }
 
     /// Sets the oldest version of weights on which requests may start.
@@ -172,7 +174,9 @@
         if let Some(spec) = &spec {
             agent.gate.set_engine(spec, agent.pause());
         }
-        let works = report.as_ref().is_some_and(|one| one.running + one.waiting > 0);
+        let works = report
+            .as_ref()
+            .is_some_and(|one| one.running + one.waiting > 0);
         let before = agent.gate.report();
         agent.gate.take(agent.clock.now(), report, slots);
         let after = agent.gate.report();
--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -131,10 +131,12 @@
         }
         let agent = &self.agent;
         let view = agent.view.borrow().clone();
-        let backend = agent.settings.backend.unwrap_or(agent.settings.identity.address);
+        let backend = agent
+            .settings
+            .backend
+            .unwrap_or(agent.settings.identity.address);
         let host = super::host_name(backend);
-        let last = known.target.learned
-            + agent.bounds.get().version.saturating_sub(TURN_MARGIN);
+        let last = known.target.learned + agent.bounds.get().version.saturating_sub(TURN_MARGIN);
         let since = self.whole_since(known.target.version);
         let window = last.saturating_sub(since);
         since + rollout::turn(&view, &host, &agent.service, &known.digest, window)
@@ -186,7 +188,10 @@
     /// Puts every piece in place.
     async fn stage(&self, known: &Known, all: &[Bytes]) -> bool {
         for (piece, bytes) in all.iter().enumerate() {
-            let put = self.agent.engine.stage(&known.target.model, piece as u32, bytes.clone());
+            let put = self
+                .agent
+                .engine
+                .stage(&known.target.model, piece as u32, bytes.clone());
             if let Err(error) = put.await {
                 log::warn!("E7231 piece {piece} was not staged: {error}");
                 return false;
@@ -204,8 +209,13 @@
                 Ok(Some(staged)) if staged == *bytes => {}
                 Ok(_) => {
                     right = false;
-                    log::warn!("E7232 staged piece {piece} has turned bad; it is put in place again");
-                    let put = self.agent.engine.stage(&known.target.model, number, bytes.clone());
+                    log::warn!(
+                        "E7232 staged piece {piece} has turned bad; it is put in place again"
+                    );
+                    let put = self
+                        .agent
+                        .engine
+                        .stage(&known.target.model, number, bytes.clone());
                     if let Err(error) = put.await {
                         log::warn!("E7231 piece {piece} was not staged: {error}");
                     }
@@ -229,7 +239,12 @@
         }
         let version = known.target.version;
         let model = &known.target.model;
-        match self.agent.engine.load(model, version, report.orders, true).await {
+        match self
+            .agent
+            .engine
+            .load(model, version, report.orders, true)
+            .await
+        {
             Ok(Outcome::Begun | Outcome::Done) => {
                 log::info!("E7233 the engine loads version {version}");
                 true
@@ -260,7 +275,9 @@
             };
             let slots = self.agent.spec().map_or(0, |spec| spec.slots);
             let done = gate::version(&report) >= version || !report.busy;
-            self.agent.gate.take(self.agent.clock.now(), Some(report), slots);
+            self.agent
+                .gate
+                .take(self.agent.clock.now(), Some(report), slots);
             if done || self.agent.clock.now() - started > LOAD_LIMIT {
                 return;
             }
--- a/crates/node/src/agent/pieces.rs
+++ b/crates/node/src/agent/pieces.rs
@@ -183,19 +183,34 @@
         let manifest = match manifest(list) {
             Ok(manifest) => Arc::new(manifest),
             Err(why) => {
-                log::error!("E7221 the list of version {} is of no use: {why}", target.version);
+                log::error!(
+                    "E7221 the list of version {} is of no use: {why}",
+                    target.version
+                );
                 return;
             }
         };
         let digest = manifest.digest();
         let mut state = self.state.borrow_mut();
-        if state.known.last().is_some_and(|known| known.digest == digest) {
+        if state
+            .known
+            .last()
+            .is_some_and(|known| known.digest == digest)
+        {
             return;
         }
-        log::info!("E7222 version {} has {} pieces", target.version, manifest.chunks.len());
-        state.known.retain(|known| known.target.version != target.version);
+        log::info!(
+            "E7222 version {} has {} pieces",
+            target.version,
+            manifest.chunks.len()
+        );
+        state
+            .known
+            .retain(|known| known.target.version != target.version);
         let size = manifest.size;
-        state.swarm.get_or_insert_with(|| open_swarm(agent, &target, size));
+        state
+            .swarm
+            .get_or_insert_with(|| open_swarm(agent, &target, size));
         state.known.push(Known {
             target,
             manifest,
@@ -235,7 +250,9 @@
             let progress = progress.unwrap_or_default();
             progress.held as f64 / progress.chunks.max(1) as f64
         };
-        let unfinished = before.iter().find(|known| (FAR..1.0).contains(&part(known)));
+        let unfinished = before
+            .iter()
+            .find(|known| (FAR..1.0).contains(&part(known)));
         match unfinished {
             Some(unfinished) => vec![unfinished],
             None => {
@@ -250,8 +267,14 @@
     let digests: Result<Vec<Digest>, _> = list.digests.iter().map(|hex| hex.parse()).collect();
     let digests = digests.map_err(|error: snipewinch::digest::ParseError| error.to_string())?;
     let version = list.version.to_string();
-    Manifest::of_chunks(&list.model, &version, list.chunk_bytes, Hash::Sha256, digests)
-        .map_err(|error| error.to_string())
+    Manifest::of_chunks(
+        &list.model,
+        &version,
+        list.chunk_bytes,
+        Hash::Sha256,
+        digests,
+    )
+    .map_err(|error| error.to_string())
 }
 
 fn open_swarm(agent: &Agent, target: &Target, size: u64) -> Swarm {
@@ -320,7 +343,10 @@
     fn wake(&self) -> tokio::time::Instant {
         let now = self.agent.clock.now();
         let state = self.pieces.state.borrow();
-        let wake = state.swarm.as_ref().map_or(now + Duration::from_secs(1), |swarm| swarm.wake(now));
+        let wake = state
+            .swarm
+            .as_ref()
+            .map_or(now + Duration::from_secs(1), |swarm| swarm.wake(now));
         self.agent.clock.at(wake)
     }
 
@@ -377,7 +403,10 @@
                 let state = self.pieces.state.borrow();
                 let known = state.known.iter().find(|known| known.digest == digest);
                 let bytes = known.map(|known| known.manifest.to_bytes().into());
-                let _ = self.pieces.events.send(swarm::Event::Manifest { digest, bytes });
+                let _ = self
+                    .pieces
+                    .events
+                    .send(swarm::Event::Manifest { digest, bytes });
             }
             Action::Fetch {
                 digest,
@@ -411,7 +440,10 @@
     /// Has the list of a version read again.
     fn doubt(&self, manifest: Id) {
         let mut state = self.pieces.state.borrow_mut();
-        let known = state.known.iter().find(|known| Id::of(&known.digest) == manifest);
+        let known = state
+            .known
+            .iter()
+            .find(|known| Id::of(&known.digest) == manifest);
         state.doubted = known.map(|known| known.target.version);
     }
 
@@ -440,13 +472,15 @@
         let events = self.pieces.events.clone();
         spawn_local(async move {
             let bytes = match source.piece(&target.model, target.version, chunk).await {
-                Ok(bytes) => Some(bytes),
+                Ok(bytes) => {
+                    log::debug!("E7228 piece {chunk} of version {} came", target.version);
+                    Some(bytes)
+                }
                 Err(error) => {
                     log::info!("E7227 piece {chunk} was not read from the origin: {error}");
                     None
                 }
             };
-            log::info!("E7228 piece {chunk} of version {} is read", target.version);
             let _ = events.send(swarm::Event::Fetched {
                 manifest,
                 chunk,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -122,7 +122,10 @@
 
     pub(crate) fn limits(&self) -> Option<Limits> {
         let operator = self.operator.borrow();
-        operator.table.as_ref().map(|table| table.configuration().limits)
+        operator
+            .table
+            .as_ref()
+            .map(|table| table.configuration().limits)
     }
 
     pub(crate) fn phase(&self) -> Phase {
@@ -153,12 +156,18 @@
     /// Tells the desk which versions of weights are old by now.
     fn floor(&self) {
         let table = self.table();
-        let services = table.iter().flat_map(|table| &table.configuration().services);
+        let services = table
+            .iter()
+            .flat_map(|table| &table.configuration().services);
         for service in services {
-            let model = service.engine.as_ref().and_then(|engine| engine.model.as_ref());
+            let model = service
+                .engine
+                .as_ref()
+                .and_then(|engine| engine.model.as_ref());
             if let Some(model) = model {
                 let found = self.operator.borrow().found(model);
-                self.desk.set_floor(&service.name, self.version_floor(model), found);
+                self.desk
+                    .set_floor(&service.name, self.version_floor(model), found);
             }
         }
     }
@@ -206,14 +215,22 @@
 
     fn check_started(&self) {
         let known = self.operator.borrow().table.is_some() && self.listing.borrow().is_known();
-        self.started.send_if_modified(|started| !std::mem::replace(started, known) && known);
+        self.started
+            .send_if_modified(|started| !std::mem::replace(started, known) && known);
     }
 
     /// An answer goes to a caller.
     pub(crate) fn answered(&self, call: &Call, status: u16) {
         let took = self.clock.now().saturating_sub(call.arrived);
-        log::debug!("E7114 request {} is answered {status} after {} ms", call.id, took.as_millis());
-        self.metrics.answers.with_label_values(&[status.to_string().as_str()]).inc();
+        log::debug!(
+            "E7114 request {} is answered {status} after {} ms",
+            call.id,
+            took.as_millis()
+        );
+        self.metrics
+            .answers
+            .with_label_values(&[status.to_string().as_str()])
+            .inc();
         if !call.route.repeat.is_stream() {
             self.metrics.first_byte.observe(took.as_secs_f64());
         }
@@ -279,7 +296,10 @@
 /// Says that it leaves and serves on while callers still come; then closes what
 /// is idle, and ends once nothing is under way.
 async fn stop(entry: &Entry) {
-    log::info!("E7005 the entry leaves, with {} requests under way", entry.under_way.get());
+    log::info!(
+        "E7005 the entry leaves, with {} requests under way",
+        entry.under_way.get()
+    );
     let started = entry.clock.now();
     let limit = entry.bounds.get().stop.saturating_sub(STOP_MARGIN);
     sleep(LEAVE.min(limit)).await;
@@ -288,12 +308,17 @@
     while entry.under_way.get() > 0 && entry.clock.now() - started < limit {
         sleep(Duration::from_millis(20)).await;
     }
-    log::info!("E7006 the entry ends, with {} requests under way", entry.under_way.get());
+    log::info!(
+        "E7006 the entry ends, with {} requests under way",
+        entry.under_way.get()
+    );
 }
 
 async fn accept(entry: Rc<Entry>, address: SocketAddr) -> Result<(), Error> {
     let what = "callers";
-    let listener = TcpListener::bind(address).await.context(BindSnafu { address, what })?;
+    let listener = TcpListener::bind(address)
+        .await
+        .context(BindSnafu { address, what })?;
     spawn_local(async move {
         loop {
             match listener.accept().await {
@@ -334,7 +359,9 @@
     let socket = match Socket::bind(address).await {
         Ok(socket) => Rc::new(socket),
         Err(error) => {
-            log::error!("E7007 {address} can't be bound for agents: {error}; places are used without them");
+            log::error!(
+                "E7007 {address} can't be bound for agents: {error}; places are used without them"
+            );
             return;
         }
     };
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -108,7 +108,10 @@
         head.field(header::ATTEMPT, attempt.as_bytes());
     }
     if reason.comes_back() {
-        head.number("Retry-After", format_args!("{:.2}", retry_after.as_secs_f64()));
+        head.number(
+            "Retry-After",
+            format_args!("{:.2}", retry_after.as_secs_f64()),
+        );
     }
     head.field("Content-Type", b"text/plain");
     head.number("Content-Length", text.len());
@@ -149,9 +152,10 @@
         "trailer",
     ];
     let mut head = write::Head::response(out, from.status);
-    let kept = from.fields.iter().filter(|(name, _)| {
-        !HOP.iter().any(|hop| hop.eq_ignore_ascii_case(name))
-    });
+    let kept = from
+        .fields
+        .iter()
+        .filter(|(name, _)| !HOP.iter().any(|hop| hop.eq_ignore_ascii_case(name)));
     for (name, value) in kept {
         head.field(name, value);
     }
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -75,7 +75,10 @@
     /// Whether its agent has said lately that it gives no places, as while the
     /// engine loads.
     pub(crate) fn is_closed(&self, now: Duration) -> bool {
-        let lately = self.taker.heard().is_some_and(|at| now.saturating_sub(at) < CLOSED_AGE_MAX);
+        let lately = self
+            .taker
+            .heard()
+            .is_some_and(|at| now.saturating_sub(at) < CLOSED_AGE_MAX);
         lately && self.taker.last().is_some_and(|give| !give.open)
     }
 
@@ -151,7 +154,8 @@
     /// The backend server whose agent is at an address.
     pub(crate) fn by_agent(&self, address: SocketAddr) -> Option<Key> {
         let mut all = self.arena.iter();
-        all.find(|(_, one)| one.agent == address).map(|(key, _)| key)
+        all.find(|(_, one)| one.agent == address)
+            .map(|(key, _)| key)
     }
 
     /// Takes in news of the list.
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -147,7 +147,8 @@
         if let Some(id) = resume {
             head.field(header::LAST_EVENT, id.as_bytes());
         }
-        let has_body = !self.body.is_empty() || !matches!(self.head.method.as_str(), "GET" | "HEAD");
+        let has_body =
+            !self.body.is_empty() || !matches!(self.head.method.as_str(), "GET" | "HEAD");
         if has_body {
             head.number("Content-Length", self.body.len());
         }
@@ -307,14 +308,24 @@
     let mut upstream = match opened {
         Ok(upstream) => upstream,
         Err(error) => {
-            log::info!("E7103 request {} did not reach {}: {error}", call.id, place.id);
+            log::info!(
+                "E7103 request {} did not reach {}: {error}",
+                call.id,
+                place.id
+            );
             entry.desk.saw(place.key, Outcome::Failed, None);
-            entry.metrics.attempts.with_label_values(&["unreached"]).inc();
+            entry
+                .metrics
+                .attempts
+                .with_label_values(&["unreached"])
+                .inc();
             return Attempt::NotRun;
         }
     };
     let left = call.deadline.saturating_sub(entry.clock.now());
-    let left = left.saturating_sub(DEADLINE_MARGIN).max(Duration::from_millis(1));
+    let left = left
+        .saturating_sub(DEADLINE_MARGIN)
+        .max(Duration::from_millis(1));
     let resume = progress.events.last_id.clone();
     let request = call.request(place, left, resume.as_deref());
     let silence = match call.route.repeat {
@@ -333,7 +344,12 @@
     let not_run = head.status == 421 || head.fields.get(header::NOT_RUN).is_some();
     if not_run {
         progress.may_have_run = had_run;
-        log::info!("E7104 backend server {} did not run request {}: {}", place.id, call.id, head.status);
+        log::info!(
+            "E7104 backend server {} did not run request {}: {}",
+            place.id,
+            call.id,
+            head.status
+        );
         entry.desk.saw(place.key, Outcome::Answered, load);
         entry.metrics.attempts.with_label_values(&["not_run"]).inc();
         finish(entry, place.key, upstream, &head, sent).await;
@@ -342,12 +358,21 @@
     let is_stream = call.route.repeat.is_stream() && (200..300).contains(&head.status);
     match is_stream {
         true => stream(entry, call, place, upstream, &head, progress, out).await,
-        false => whole(entry, call, place, upstream, head, sent, progress, load, out).await,
+        false => {
+            whole(
+                entry, call, place, upstream, head, sent, progress, load, out,
+            )
+            .await
+        }
     }
 }
 
 fn lost(entry: &Entry, call: &Call, place: &Place, why: &str) -> Attempt {
-    log::info!("E7105 request {} got no answer from {}: {why}", call.id, place.id);
+    log::info!(
+        "E7105 request {} got no answer from {}: {why}",
+        call.id,
+        place.id
+    );
     entry.desk.saw(place.key, Outcome::Failed, None);
     entry.metrics.attempts.with_label_values(&["unknown"]).inc();
     Attempt::Unknown
@@ -360,7 +385,9 @@
         while let Ok(Step::Data(_)) = upstream.next(&mut body).await {}
         body.is_done()
     };
-    let done = timeout(Duration::from_millis(20), reading).await.unwrap_or(false);
+    let done = timeout(Duration::from_millis(20), reading)
+        .await
+        .unwrap_or(false);
     if done && sent && head.keeps_alive {
         entry.pool.keep(key, upstream, head);
     }
@@ -389,7 +416,10 @@
             Err(error) => return lost(entry, call, place, &error.to_string()),
         }
         if held.len() > WHOLE_MAX_BYTES {
-            return pass_on(entry, call, place, upstream, body, &head, held, progress, out).await;
+            return pass_on(
+                entry, call, place, upstream, body, &head, held, progress, out,
+            )
+            .await;
         }
     }
     let success = (200..300).contains(&head.status);
@@ -499,7 +529,10 @@
                     bytes = answer::chunked(head, call.closes);
                     progress.first = now.saturating_sub(call.arrived);
                     progress.last = now;
-                    entry.metrics.first_byte.observe(progress.first.as_secs_f64());
+                    entry
+                        .metrics
+                        .first_byte
+                        .observe(progress.first.as_secs_f64());
                     entry.desk.saw(place.key, Outcome::Answered, None);
                 }
                 progress.pause = progress.pause.max(now.saturating_sub(progress.last));
@@ -567,9 +600,18 @@
         held.as_millis(),
         reason.text()
     );
-    entry.metrics.refusals.with_label_values(&[reason.name()]).inc();
+    entry
+        .metrics
+        .refusals
+        .with_label_values(&[reason.name()])
+        .inc();
     entry.answered(call, reason.status());
-    let bytes = answer::refusal(reason, entry.retry_after(reason), Some(&call.id), call.closes);
+    let bytes = answer::refusal(
+        reason,
+        entry.retry_after(reason),
+        Some(&call.id),
+        call.closes,
+    );
     match out.write_all(&bytes).await {
         Ok(()) => End::Whole,
         Err(_) => End::Cut,
--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -67,7 +67,10 @@
         };
         let attempt = head.fields.get(header::ATTEMPT).map(str::to_owned);
         if head.fields.lists("expect", "100-continue")
-            && writer.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err()
+            && writer
+                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+                .await
+                .is_err()
         {
             return;
         }
@@ -139,7 +142,9 @@
     reader: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
 ) -> Result<Option<Bytes>, Reason> {
-    let max = entry.limits().map_or(usize::MAX, |limits| limits.body_bytes);
+    let max = entry
+        .limits()
+        .map_or(usize::MAX, |limits| limits.body_bytes);
     let until = Instant::now() + BODY_LIMIT;
     let mut decoder = Decoder::new(head.framing);
     let mut held = Vec::new();
@@ -193,7 +198,11 @@
                 attempt.as_deref().unwrap_or("without an id"),
                 reason.text()
             );
-            entry.metrics.refusals.with_label_values(&[reason.name()]).inc();
+            entry
+                .metrics
+                .refusals
+                .with_label_values(&[reason.name()])
+                .inc();
             let after = entry.retry_after(reason);
             let bytes = answer::refusal(reason, after, attempt.as_deref(), closes);
             match writer.write_all(&bytes).await {
@@ -229,7 +238,9 @@
     let Some(service) = found.service(rand::random()) else {
         return Err((Reason::Nobody, attempt));
     };
-    let engine = table.service(service).and_then(|service| service.engine.as_ref());
+    let engine = table
+        .service(service)
+        .and_then(|service| service.engine.as_ref());
     let arrived = entry.clock.now();
     Ok(Call {
         deadline: Call::deadline_of(&head, found.route, arrived),
@@ -255,7 +266,11 @@
     writer: &mut WriteHalf<'_>,
 ) {
     log::info!("E7113 a connection is closed: {}", reason.text());
-    entry.metrics.refusals.with_label_values(&[reason.name()]).inc();
+    entry
+        .metrics
+        .refusals
+        .with_label_values(&[reason.name()])
+        .inc();
     let bytes = answer::refusal(reason, entry.retry_after(reason), attempt, true);
     if writer.write_all(&bytes).await.is_err() || writer.shutdown().await.is_err() {
         return;
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -188,7 +188,10 @@
 
     fn occupy(&self, state: &mut State, key: Key, granted: bool) -> Place {
         let now = self.clock.now();
-        let backend = state.backends.get_mut(key).expect("the caller has found it");
+        let backend = state
+            .backends
+            .get_mut(key)
+            .expect("the caller has found it");
         backend.running += 1;
         backend.health.sent(now);
         Place {
@@ -209,7 +212,10 @@
         };
         let backend = state.backends.get_mut(key).expect("it was just found");
         if backend.without_agent_until.take().is_some() {
-            log::info!("E7051 the agent of backend server {} answers again", backend.id);
+            log::info!(
+                "E7051 the agent of backend server {} answers again",
+                backend.id
+            );
         }
         backend.taker.hear(now, give);
         let service = backend.service.clone();
@@ -268,13 +274,19 @@
     /// The id of a backend server, for logs.
     pub(crate) fn name(&self, key: Key) -> SmolStr {
         let state = self.state.borrow();
-        state.backends.get(key).map_or("that is gone".into(), |one| one.id.clone())
+        state
+            .backends
+            .get(key)
+            .map_or("that is gone".into(), |one| one.id.clone())
     }
 
     /// How many entries there are, by the word of agents; none if none spoke.
     pub(crate) fn entries(&self) -> Option<u16> {
         let mut state = self.state.borrow_mut();
-        let words = state.backends.iter_mut().filter_map(|(_, one)| one.taker.last().copied());
+        let words = state
+            .backends
+            .iter_mut()
+            .filter_map(|(_, one)| one.taker.last().copied());
         words.map(|give| give.takers).max()
     }
 
@@ -314,7 +326,11 @@
         now: Duration,
         answers: &mut Vec<(Waiting, Result<Place, Refusal>)>,
     ) {
-        let keys: Vec<Key> = state.backends.of_service(service).map(|(key, _)| key).collect();
+        let keys: Vec<Key> = state
+            .backends
+            .of_service(service)
+            .map(|(key, _)| key)
+            .collect();
         for key in keys {
             while let Some(ticket) = state.fit(service, key, now) {
                 let backend = state.backends.get_mut(key).expect("it was just found");
@@ -348,7 +364,10 @@
 impl State {
     /// Whether any backend server could take a request, now or soon.
     fn can_serve(&mut self, want: &Want) -> bool {
-        let floor = self.services.get(&want.service).map_or(0, |desk| desk.floor);
+        let floor = self
+            .services
+            .get(&want.service)
+            .map_or(0, |desk| desk.floor);
         let mut all = self.backends.of_service(&want.service);
         all.any(|(key, one)| {
             !want.tried.contains(&key) && one.version().max(one.listed_version) >= floor
@@ -401,7 +420,10 @@
         let desk = self.services.entry(service.into()).or_default();
         let waiting = desk.queue.len();
         let (slack_ms, tokens) = desk.queue.most_urgent(now).unwrap_or_default();
-        let oldest = desk.queue.oldest().map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let oldest = desk
+            .queue
+            .oldest()
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let floor = desk.floor;
         let mut keys = Vec::new();
         let mut candidates = Vec::new();
--- a/crates/node/src/entry/upstream.rs
+++ b/crates/node/src/entry/upstream.rs
@@ -113,7 +113,9 @@
         let mut sent = 0;
         let mut foreign = 0;
         loop {
-            if let Some(head) = Response::take(buffer, method, HEAD_MAX_BYTES).context(GarbageSnafu)? {
+            if let Some(head) =
+                Response::take(buffer, method, HEAD_MAX_BYTES).context(GarbageSnafu)?
+            {
                 if is_answer(&head, attempt) {
                     return Ok((head, sent == request.len()));
                 }
@@ -228,7 +230,9 @@
     /// Keeps a connection after an answer, for as long as the server does.
     pub(crate) fn keep(&self, key: Key, mut upstream: Upstream, head: &Response) {
         let said = head.fields.get("keep-alive").and_then(keep_alive);
-        let idle_max = said.map_or(IDLE_MAX, |said| said.saturating_sub(IDLE_MARGIN).min(IDLE_MAX));
+        let idle_max = said.map_or(IDLE_MAX, |said| {
+            said.saturating_sub(IDLE_MARGIN).min(IDLE_MAX)
+        });
         if !upstream.buffer.is_empty() || idle_max.is_zero() {
             return;
         }
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -21,7 +21,10 @@
         source: platform::boot::Error,
     },
     /// The settings name no file.
-    #[snafu(display("no settings file; name it in {} or by --settings", platform::boot::VARIABLE))]
+    #[snafu(display(
+        "no settings file; name it in {} or by --settings",
+        platform::boot::VARIABLE
+    ))]
     NoSettings,
     /// An address can't be bound.
     #[snafu(display("{address} can't be bound for {what}: {source}; end what listens there"))]
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -119,7 +119,10 @@
                 news.push(News::Listed(row.key, entry));
             }
             Err(error) => {
-                log::warn!("E7043 entry {:?} of the list is passed over: {error}", row.key);
+                log::warn!(
+                    "E7043 entry {:?} of the list is passed over: {error}",
+                    row.key
+                );
                 self.drop_entry(now, row.key, back, news);
             }
         }
--- a/crates/node/src/fleet/tests.rs
+++ b/crates/node/src/fleet/tests.rs
@@ -46,7 +46,11 @@
 fn an_entry_missing_after_an_outage_has_time_to_come_back() {
     let mut listing = listing();
     listing.take(NOW, Change::Lost);
-    assert!(listing.take(NOW, Change::Whole(vec![row("b", "ready")])).is_empty());
+    assert!(
+        listing
+            .take(NOW, Change::Whole(vec![row("b", "ready")]))
+            .is_empty()
+    );
     assert!(listing.tick(NOW + RETURN_GRACE / 2).is_empty());
     listing.take(NOW, Change::Rows(vec![row("a", "ready")]));
     assert!(listing.tick(NOW + RETURN_GRACE).is_empty(), "it came back");
@@ -68,7 +72,10 @@
     let mut listing = listing();
     listing.take(NOW, Change::Lost);
     listing.take(NOW, Change::Rows(Vec::new()));
-    let news = listing.take(NOW + Duration::from_secs(1), Change::Rows(vec![dropped("a")]));
+    let news = listing.take(
+        NOW + Duration::from_secs(1),
+        Change::Rows(vec![dropped("a")]),
+    );
     assert_eq!(news, [News::Gone("a".into())]);
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -36,25 +36,48 @@
         let counters = |name: &str, help: &str, label: &str| {
             let counters = IntCounterVec::new(Opts::new(name, help), &[label]);
             let counters = counters.expect("the name is valid");
-            registry.register(Box::new(counters.clone())).expect("each name is registered once");
+            registry
+                .register(Box::new(counters.clone()))
+                .expect("each name is registered once");
             counters
         };
         let histogram = |name: &str, help: &str| {
             let options = HistogramOpts::new(name, help).buckets(LATENCY_S.to_vec());
             let histogram = Histogram::with_opts(options).expect("the name is valid");
-            registry.register(Box::new(histogram.clone())).expect("each name is registered once");
+            registry
+                .register(Box::new(histogram.clone()))
+                .expect("each name is registered once");
             histogram
         };
-        let resumed = IntCounter::new("snipewinch_streams_resumed_total", "Streams that went on at another backend server");
+        let resumed = IntCounter::new(
+            "snipewinch_streams_resumed_total",
+            "Streams that went on at another backend server",
+        );
         let resumed = resumed.expect("the name is valid");
-        registry.register(Box::new(resumed.clone())).expect("each name is registered once");
+        registry
+            .register(Box::new(resumed.clone()))
+            .expect("each name is registered once");
         Metrics {
             answers: counters("snipewinch_answers_total", "Answers to callers", "status"),
-            refusals: counters("snipewinch_refusals_total", "Requests refused here", "reason"),
-            attempts: counters("snipewinch_attempts_total", "Requests sent to backend servers", "outcome"),
+            refusals: counters(
+                "snipewinch_refusals_total",
+                "Requests refused here",
+                "reason",
+            ),
+            attempts: counters(
+                "snipewinch_attempts_total",
+                "Requests sent to backend servers",
+                "outcome",
+            ),
             resumed,
-            first_byte: histogram("snipewinch_first_byte_seconds", "From a request's arrival to the first byte of its answer"),
-            wait: histogram("snipewinch_place_wait_seconds", "From a request's arrival to a place at a backend server"),
+            first_byte: histogram(
+                "snipewinch_first_byte_seconds",
+                "From a request's arrival to the first byte of its answer",
+            ),
+            wait: histogram(
+                "snipewinch_place_wait_seconds",
+                "From a request's arrival to a place at a backend server",
+            ),
             registry,
         }
     }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -110,6 +110,8 @@
     /// The version of a model that this process found at its start.
     pub(crate) fn found(&self, model: &str) -> u64 {
         let mut named = self.weights.get(model).into_iter().flatten();
-        named.find(|named| named.found).map_or(0, |named| named.version)
+        named
+            .find(|named| named.found)
+            .map_or(0, |named| named.version)
     }
 }
--- /dev/null
+++ b/crates/node/tests/world/mod.rs
@@ -0,0 +1,383 @@
+//! A real entry between a store, scripted backend servers and callers.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use standin::store::Store;
+use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// What the entry under test may take for anything.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a backend server does with one request.
+#[derive(Clone, Debug)]
+pub(crate) enum Act {
+    /// Sends bytes in which `{id}` stands for the attempt's id, keeps the
+    /// connection.
+    Say(String),
+    /// The same, then closes.
+    SayAndClose(String),
+    /// Says nothing and keeps the connection.
+    Silent,
+    /// Closes without an answer.
+    Close,
+}
+
+/// What backend servers saw, in the order in which it came.
+pub(crate) type Seen = Arc<Mutex<Vec<String>>>;
+
+/// A backend server that follows a script, the last act again and again.
+pub(crate) struct Server {
+    pub(crate) address: SocketAddr,
+    pub(crate) seen: Seen,
+    /// Connections that callers have closed.
+    pub(crate) closed: Arc<Mutex<usize>>,
+}
+
+impl Server {
+    pub(crate) async fn spawn(script: Vec<Act>) -> Server {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = Seen::default();
+        let closed = Arc::new(Mutex::new(0));
+        let server = Server {
+            address,
+            seen: seen.clone(),
+            closed: closed.clone(),
+        };
+        let script = Arc::new(script);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(follow(stream, script.clone(), seen.clone(), closed.clone()));
+            }
+        });
+        server
+    }
+
+    pub(crate) fn requests(&self) -> Vec<String> {
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+async fn follow(
+    mut stream: TcpStream,
+    script: Arc<Vec<Act>>,
+    seen: Seen,
+    closed: Arc<Mutex<usize>>,
+) {
+    while let Some(request) = read_request(&mut stream).await {
+        let place = {
+            let mut seen = seen.lock().unwrap();
+            seen.push(request.clone());
+            seen.len() - 1
+        };
+        let id = field(&request, "x-attempt-id").unwrap_or_default();
+        let act = script
+            .get(place)
+            .or(script.last())
+            .cloned()
+            .unwrap_or(Act::Close);
+        let (text, closes) = match act {
+            Act::Say(text) => (text, false),
+            Act::SayAndClose(text) => (text, true),
+            Act::Silent => (String::new(), false),
+            Act::Close => return,
+        };
+        let text = text.replace("{id}", &id);
+        if stream.write_all(text.as_bytes()).await.is_err() || closes {
+            return;
+        }
+    }
+    *closed.lock().unwrap() += 1;
+}
+
+/// One request with its body; none once the connection is closed.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length = field(&text, "content-length").and_then(|text| text.parse().ok());
+            if text.len() >= end + 4 + length.unwrap_or(0) {
+                return Some(text);
+            }
+        }
+        if stream.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+/// A field of a message's head.
+pub(crate) fn field(message: &str, name: &str) -> Option<String> {
+    let head = message.split("\r\n\r\n").next()?;
+    head.lines().skip(1).find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found
+            .eq_ignore_ascii_case(name)
+            .then(|| value.trim().to_owned())
+    })
+}
+
+/// A whole answer in one piece.
+pub(crate) fn whole(status: u16, fields: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} X\r\nX-Attempt-Id: {{id}}\r\nX-Server-Signature: sig\r\n{fields}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// The head of a stream.
+pub(crate) fn stream_head() -> String {
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: sig\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned()
+}
+
+/// A chunk.
+pub(crate) fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// The entry as a process.
+pub(crate) struct World {
+    pub(crate) store: Store,
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+    entry: Child,
+    _folder: TempDir,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.entry.kill();
+        let _ = self.entry.wait();
+    }
+}
+
+async fn free() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn route(name: &str, kind: &str, extra: Value) -> Value {
+    let mut route = json!({
+        "name": name, "host": "songs.example", "prefix": format!("/{name}/"), "routeKind": kind,
+        "timeoutMs": 4000, "goalMs": 300, "priority": 1, "service": "desk", "maxAttempts": 2,
+        "public": false,
+    });
+    for (key, value) in extra.as_object().unwrap() {
+        route[key] = value.clone();
+    }
+    route
+}
+
+/// The configuration that all tests share.
+pub(crate) fn configuration(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            route("read", "idempotent", json!({})),
+            route("grant", "non_idempotent", json!({})),
+            route("brief", "non_idempotent", json!({"timeoutMs": 400})),
+            route("draft", "streaming", json!({"resumable": true, "gapGoalMs": 400})),
+            route("open", "idempotent", json!({"public": true})),
+        ],
+        "services": [{"name": "desk", "maxConns": 100}],
+        "limits": {
+            "maxHeaderBytes": 4096, "maxBodyBytes": 1000, "headerTimeoutMs": 400,
+            "idleTimeoutMs": 5000,
+        },
+        "tenants": [{"name": "archive", "apiKeys": ["k1"]}],
+    })
+}
+
+impl World {
+    /// An entry before the servers; they are called s0, s1 and so on, and the
+    /// first stand in its zone before the others.
+    pub(crate) async fn start(servers: &[&Server]) -> World {
+        let world = World::without_configuration(servers).await;
+        world.store.put("op", "config", &configuration(1));
+        world.wait_ready(true).await;
+        world
+    }
+
+    pub(crate) async fn without_configuration(servers: &[&Server]) -> World {
+        let (store, address) = Store::spawn((Ipv4Addr::LOCALHOST, 0).into()).await.unwrap();
+        for (place, server) in servers.iter().enumerate() {
+            let zone = if place == 0 { "za" } else { "zb" };
+            store.put(
+                "servers",
+                &format!("s{place}"),
+                &listed(server.address, zone, "ready"),
+            );
+        }
+        let (callers, readiness, peers) = (free().await, free().await, free().await);
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("local.toml");
+        std::fs::write(&path, settings(callers, readiness, peers, address)).unwrap();
+        let entry = Command::new(env!("CARGO_BIN_EXE_snipewinch-node"))
+            .env(platform::boot::VARIABLE, &path)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let world = World {
+            store,
+            callers,
+            readiness,
+            entry,
+            _folder: folder,
+        };
+        timeout(PATIENCE, async {
+            while TcpStream::connect(world.callers).await.is_err() {
+                sleep(Duration::from_millis(10)).await;
+            }
+        })
+        .await
+        .unwrap();
+        world
+    }
+
+    pub(crate) async fn is_ready(&self) -> bool {
+        let request = "GET /readyz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        exchange(self.readiness, request)
+            .await
+            .starts_with("HTTP/1.1 200")
+    }
+
+    pub(crate) async fn wait_ready(&self, ready: bool) {
+        let waiting = async {
+            while self.is_ready().await != ready {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(PATIENCE, waiting)
+            .await
+            .expect("the entry changes its readiness");
+    }
+
+    /// Sends bytes to the entry and reads until it closes.
+    pub(crate) async fn ask(&self, request: &str) -> String {
+        exchange(self.callers, request).await
+    }
+
+    /// Tells the entry to stop.
+    pub(crate) fn terminate(&self) {
+        let id = self.entry.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    pub(crate) async fn wait_ended(&mut self) {
+        let waiting = async {
+            while self.entry.try_wait().unwrap().is_none() {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(PATIENCE, waiting).await.expect("the entry ends");
+    }
+}
+
+pub(crate) fn listed(address: SocketAddr, zone: &str, state: &str) -> Value {
+    json!({"service": "desk", "address": address, "zone": zone, "state": state, "slots": 4, "seq": 1})
+}
+
+fn settings(
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    peers: SocketAddr,
+    store: SocketAddr,
+) -> String {
+    let port = peers.port();
+    format!(
+        r#"nodeName = "edge-1"
+serves = ["edge"]
+ip = "127.0.0.1"
+zone = "za"
+region = "ra"
+portRange = [{port}, {port}]
+newField = "of a later platform"
+[zones]
+za = "ra"
+zb = "rb"
+[listen]
+frontend = "{callers}"
+readiness = "{readiness}"
+[limits]
+memoryMb = 182
+linkMbps = 700.0
+[bounds]
+graceS = 8
+version_ms = 8000
+retryBudgetRatio = 0.2
+retryBurst = 400
+[platform]
+address = "{store}"
+"#
+    )
+}
+
+async fn exchange(address: SocketAddr, request: &str) -> String {
+    let working = async {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        // A reset after the answer is the entry's right.
+        let _ = stream.read_to_end(&mut answer).await;
+        String::from_utf8_lossy(&answer).into_owned()
+    };
+    timeout(PATIENCE, working)
+        .await
+        .expect("the entry answers and closes")
+}
+
+/// A request that closes its connection after the answer.
+pub(crate) fn request(method: &str, path: &str, fields: &str, body: &str) -> String {
+    let length = match method {
+        "GET" => String::new(),
+        _ => format!("Content-Length: {}\r\n", body.len()),
+    };
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: songs.example\r\nX-Attempt-Id: a1\r\nApi-Key: k1\r\nX-Deadline-Ms: 3000\r\nConnection: close\r\n{fields}{length}\r\n{body}"
+    )
+}
+
+pub(crate) fn status(answer: &str) -> u16 {
+    answer
+        .split(' ')
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
+}
+
+/// The body of an answer, its chunks joined; none if it is not complete.
+pub(crate) fn body(answer: &str) -> Option<String> {
+    let (_, rest) = answer.split_once("\r\n\r\n")?;
+    if let Some(length) = field(answer, "content-length") {
+        let length: usize = length.parse().ok()?;
+        return (rest.len() == length).then(|| rest.to_owned());
+    }
+    let mut body = String::new();
+    let mut rest = rest;
+    loop {
+        let (size, more) = rest.split_once("\r\n")?;
+        let size = usize::from_str_radix(size, 16).ok()?;
+        if size == 0 {
+            return Some(body);
+        }
+        body.push_str(more.get(..size)?);
+        rest = more.get(size + 2..)?;
+    }
+}
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -41,7 +41,12 @@
     /// # Errors
     ///
     /// What the system says if it was not sent.
-    pub fn send<T: Serialize>(&self, key: &FleetKey, message: &T, to: SocketAddr) -> io::Result<()> {
+    pub fn send<T: Serialize>(
+        &self,
+        key: &FleetKey,
+        message: &T,
+        to: SocketAddr,
+    ) -> io::Result<()> {
         let mut bytes = Vec::with_capacity(128);
         codec::encode(message, &mut bytes);
         let tag = key.tag(&bytes);
--- a/crates/snipewinch/src/dispatch.rs
+++ b/crates/snipewinch/src/dispatch.rs
@@ -99,7 +99,10 @@
         if self.waiters.len() as f64 <= most {
             return None;
         }
-        let late = self.waiters.iter().filter(|(_, one)| !one.resumes && one.due < now);
+        let late = self
+            .waiters
+            .iter()
+            .filter(|(_, one)| !one.resumes && one.due < now);
         let oldest = late.min_by_key(|(_, one)| one.arrived);
         oldest.map(|(ticket, _)| ticket)
     }
@@ -174,8 +177,16 @@
 
     /// How long the first event would take, and what the way costs.
     fn cost(&self) -> Duration {
-        let delay = if self.is_fresh() { self.delay } else { DELAY_UNKNOWN };
-        let away = if self.distance > 0 { AWAY } else { Duration::ZERO };
+        let delay = if self.is_fresh() {
+            self.delay
+        } else {
+            DELAY_UNKNOWN
+        };
+        let away = if self.distance > 0 {
+            AWAY
+        } else {
+            Duration::ZERO
+        };
         delay + away
     }
 
@@ -200,7 +211,10 @@
     }
     if oldest >= WIDEN_ZONE {
         let near = |one: &Candidate| Some(one.distance) == nearest || one.hint() > 0;
-        return candidates.iter().map(|one| if near(one) { all } else { 0 }).collect();
+        return candidates
+            .iter()
+            .map(|one| if near(one) { all } else { 0 })
+            .collect();
     }
     let mut draw = Draw::new(seed);
     let mut left: Vec<u16> = candidates.iter().map(Candidate::hint).collect();
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -162,7 +162,10 @@
 
     /// Requests that wait for a place, at all entries.
     pub fn waiting(&self) -> u64 {
-        self.accounts.values().map(|one| u64::from(one.waiting)).sum()
+        self.accounts
+            .values()
+            .map(|one| u64::from(one.waiting))
+            .sum()
     }
 
     /// Whether an entry that said this must be answered: it waits, or has not
@@ -199,7 +202,9 @@
         self.model.withdraw(tokens * unused as f64);
         // What was given and has not been heard of yet is on its way.
         let on_its_way = account.given - ask.given;
-        account.waiting = ask.waiting.saturating_sub(on_its_way.min(u64::from(u16::MAX)) as u16);
+        account.waiting = ask
+            .waiting
+            .saturating_sub(on_its_way.min(u64::from(u16::MAX)) as u16);
         account.due_ms = now.as_millis() as i64 + i64::from(ask.slack_ms);
         true
     }
@@ -284,7 +289,8 @@
     /// they had.
     pub fn expire(&mut self, now: Duration) -> u64 {
         let before = self.in_use();
-        self.accounts.retain(|_, one| now.saturating_sub(one.heard) < LEASE);
+        self.accounts
+            .retain(|_, one| now.saturating_sub(one.heard) < LEASE);
         before - self.in_use()
     }
 
@@ -340,7 +346,9 @@
         let new = give.given.saturating_sub(self.given);
         self.given += new;
         self.spare += new;
-        self.asked = self.asked.saturating_sub(new.min(u64::from(u16::MAX)) as u16);
+        self.asked = self
+            .asked
+            .saturating_sub(new.min(u64::from(u16::MAX)) as u16);
         new
     }
 
@@ -372,13 +380,7 @@
 
     /// What to send now, if anything: `waiting` requests wait for a place here
     /// and the most urgent, with so many prompt tokens, can wait `slack_ms` more.
-    pub fn ask(
-        &mut self,
-        now: Duration,
-        waiting: u16,
-        slack_ms: i32,
-        tokens: u32,
-    ) -> Option<Ask> {
+    pub fn ask(&mut self, now: Duration, waiting: u16, slack_ms: i32, tokens: u32) -> Option<Ask> {
         let due = now.saturating_sub(self.asked_at) >= RENEWAL;
         let renews = due && (self.in_use() > 0 || waiting > 0);
         if !self.changed && waiting == self.asked && !renews {
--- a/crates/snipewinch/src/route.rs
+++ b/crates/snipewinch/src/route.rs
@@ -219,7 +219,10 @@
                 return Some(&target.service);
             }
         }
-        targets.iter().rfind(|target| target.weight > 0.0).map(|target| &target.service)
+        targets
+            .iter()
+            .rfind(|target| target.weight > 0.0)
+            .map(|target| &target.service)
     }
 }
 
--- a/crates/snipewinch/src/weights/swarm/exchange.rs
+++ b/crates/snipewinch/src/weights/swarm/exchange.rs
@@ -311,7 +311,10 @@
     pub(super) fn kept(&mut self, now: Duration, id: Id, chunk: u32, bytes: Bytes) {
         let transfer = self.transfers.get(&id);
         let manifest = transfer.and_then(|one| one.manifest.clone());
-        let Some(digest) = manifest.as_ref().and_then(|one| one.chunks.get(chunk as usize)) else {
+        let Some(digest) = manifest
+            .as_ref()
+            .and_then(|one| one.chunks.get(chunk as usize))
+        else {
             return;
         };
         let hash = manifest.as_ref().map(|one| one.hash).unwrap_or_default();
--- a/crates/snipewinch/tests/dispatch.rs
+++ b/crates/snipewinch/tests/dispatch.rs
@@ -88,7 +88,9 @@
             assert!(ms(now) > one.due, "one that can be on time is not refused");
             refused += 1;
         }
-        if now % 20 == 0 && let Some(ticket) = queue.best(ms(now), |_| true) {
+        if now % 20 == 0
+            && let Some(ticket) = queue.best(ms(now), |_| true)
+        {
             let one = queue.remove(ticket).expect("it waits");
             queue.placed(ms(now));
             match ms(now + 90) <= one.due {
@@ -97,7 +99,10 @@
             }
         }
     }
-    assert!(on_time > 900, "{on_time} of 1,000 places went to requests on time");
+    assert!(
+        on_time > 900,
+        "{on_time} of 1,000 places went to requests on time"
+    );
     assert!(refused > 800, "{refused} were refused, {late} late");
 }
 
@@ -126,7 +131,11 @@
 
 #[test]
 fn more_are_asked_the_longer_nothing_is_granted() {
-    let candidates = [candidate(0, 0, 100), candidate(0, 0, 100), candidate(2, 0, 100)];
+    let candidates = [
+        candidate(0, 0, 100),
+        candidate(0, 0, 100),
+        candidate(2, 0, 100),
+    ];
     assert_eq!(plan(1, ms(8), &candidates, 1), [1, 1, 0]);
     assert_eq!(plan(1, ms(40), &candidates, 1), [1, 1, 1]);
 }
--- a/crates/snipewinch/tests/route.rs
+++ b/crates/snipewinch/tests/route.rs
@@ -65,13 +65,20 @@
         ("/", "root"),
     ];
     for (path, name) in cases {
-        assert_eq!(found("a.example", path, Some("k2")).as_deref(), Ok(name), "{path}");
+        assert_eq!(
+            found("a.example", path, Some("k2")).as_deref(),
+            Ok(name),
+            "{path}"
+        );
     }
 }
 
 #[test]
 fn the_host_is_matched_without_case_and_port() {
-    assert_eq!(found("A.Example:8080", "/", Some("k1")).as_deref(), Ok("root"));
+    assert_eq!(
+        found("A.Example:8080", "/", Some("k1")).as_deref(),
+        Ok("root")
+    );
     assert_eq!(found("c.example", "/", Some("k1")), Err(Refusal::Route));
     assert_eq!(found("", "/", Some("k1")), Err(Refusal::Route));
 }
@@ -100,7 +107,11 @@
 #[test]
 fn services_are_drawn_by_weight() {
     let mut split = route("split", "a", "/", true);
-    split.targets = vec![target("most", 90.0), target("some", 10.0), target("none", 0.0)];
+    split.targets = vec![
+        target("most", 90.0),
+        target("some", 10.0),
+        target("none", 0.0),
+    ];
     let table = Table::new(Configuration {
         routes: vec![split],
         ..Configuration::default()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod platform;
 pub mod relay;
 pub mod service;
+pub mod store;
 pub mod tokens;
