--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -44,9 +44,11 @@
 use crate::error::UsageSnafu;
 use crate::fleet::Listing;
 use crate::key;
+use crate::metrics::Gauges;
 use crate::operator::Named;
 use crate::operator::Operator;
 use crate::operator::VERSION_MARGIN;
+use crate::page;
 use crate::shutdown;
 use crate::shutdown::Phase;
 use crate::shutdown::wait_for_signal;
@@ -221,6 +223,13 @@
     spawn_local(gate::watch(agent.clone()));
     spawn_local(join(agent.clone(), store, backend));
     spawn_local(reload(agent.clone(), config.path.clone()));
+    let metrics = SocketAddr::new(agent.settings.identity.address.ip(), config.metrics_port);
+    let (shown, gauges) = (agent.clone(), Gauges::open());
+    let page = move |_: &str| {
+        shown.gate.show(&gauges);
+        (200, gauges.text())
+    };
+    page::serve(metrics, "metrics", page).await?;
     wait_for_signal(&agent.phase).await.context(SystemSnafu)?;
     log::info!("E7201 the agent stops");
     Ok(())
--- a/crates/node/src/agent/gate.rs
+++ b/crates/node/src/agent/gate.rs
@@ -17,6 +17,7 @@
 use tokio::time::sleep_until;
 
 use super::Agent;
+use crate::metrics::Gauges;
 
 /// How often the engine is asked for its state while it works.
 const WATCH: Duration = Duration::from_millis(100);
@@ -83,6 +84,15 @@
         state.giver.set_floor(floor);
     }
 
+    /// Brings the figures up to date.
+    pub(super) fn show(&self, gauges: &Gauges) {
+        let state = self.state.borrow();
+        gauges.places.set(state.giver.places() as i64);
+        gauges.in_use.set(state.giver.in_use() as i64);
+        gauges.waiting.set(state.giver.waiting() as i64);
+        gauges.version.set(state.told.1 as i64);
+    }
+
     /// Stops granting places, or goes on.
     pub(super) fn close(&self, closed: bool) {
         let mut state = self.state.borrow_mut();
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -24,6 +24,9 @@
 
 /// The exit code for a bad command line or setting.
 const EXIT_USAGE: u8 = 2;
+/// The port for metrics unless said otherwise: the usual one of Prometheus
+/// exporters.
+const METRICS_PORT: &str = "9464";
 /// Which level is logged unless said otherwise.
 const LOG_LEVEL: &str = "info";
 
@@ -39,6 +42,9 @@
             /// The platform's settings file, if not the one that the
             /// environment names.
             optional --settings path: PathBuf
+            /// The port for metrics. Unless set: 9464. Also
+            /// SNIPEWINCH_METRICS_PORT.
+            optional --metrics-port port: String
             /// The least severe level that is logged: `error`, `warn`, `info`
             /// or `debug`. Unless set: info. Also SNIPEWINCH_LOG_LEVEL.
             optional --log-level level: String
@@ -82,8 +88,11 @@
 fn configure(flags: flags::SnipewinchNode) -> Result<Config, Error> {
     let named = env::var_os(boot::VARIABLE).map(PathBuf::from);
     let path = flags.settings.or(named).context(NoSettingsSnafu)?;
-    let variable = env::var("SNIPEWINCH_LOG_LEVEL").ok();
-    let level = flags.log_level.or(variable).unwrap_or(LOG_LEVEL.into());
+    let level = setting(flags.log_level, "SNIPEWINCH_LOG_LEVEL", LOG_LEVEL);
+    let port = setting(flags.metrics_port, "SNIPEWINCH_METRICS_PORT", METRICS_PORT);
+    let metrics_port = port.parse().map_err(|_| Error::Usage {
+        detail: format!("{port:?} is no port; give a number from 0 to 65535"),
+    })?;
     let log_level = level.parse().map_err(|_| Error::Usage {
         detail: format!("{level:?} is no log level; give error, warn, info or debug"),
     })?;
@@ -91,10 +100,17 @@
     Ok(Config {
         settings,
         path,
+        metrics_port,
         log_level,
     })
 }
 
+/// A flag, or its variable, or the default.
+fn setting(flag: Option<String>, variable: &str, default: &str) -> String {
+    flag.or_else(|| env::var(variable).ok())
+        .unwrap_or_else(|| default.to_owned())
+}
+
 /// Grows with each start on a host whose time of day does not go back. A later
 /// start that is numbered lower is told apart by its links all the same.
 fn incarnation() -> u64 {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -11,6 +11,8 @@
     pub settings: Settings,
     /// Where that was read, to be read again on SIGHUP.
     pub path: PathBuf,
+    /// The port for metrics; 0 takes a free one.
+    pub metrics_port: u16,
     /// The least severe level that is logged.
     pub log_level: log::LevelFilter,
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -280,7 +280,8 @@
     page::serve(readiness, "readiness", page).await?;
     let shared = entry.clone();
     let page = move |_: &str| (200, shared.metrics.text());
-    page::serve(settings.identity.address, "metrics", page).await?;
+    let metrics = SocketAddr::new(settings.identity.address.ip(), config.metrics_port);
+    page::serve(metrics, "metrics", page).await?;
     accept(entry.clone(), callers).await?;
     let store = Store::open(Caller::open(), settings.store);
     spawn_local(follow_operators(entry.clone(), store.clone()));
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -500,6 +500,9 @@
     if head.fields.get(header::SIGNATURE).is_none() {
         return lost(entry, call, place, "a stream without a signature");
     }
+    if progress.begun {
+        entry.metrics.resumed.inc();
+    }
     let mut body = Decoder::new(head.framing);
     let mut bytes = Vec::with_capacity(1024);
     loop {
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -52,6 +52,9 @@
     Busy,
 }
 
+/// Where a request that waits learns of its place.
+type Answered = oneshot::Receiver<Result<Place, Refusal>>;
+
 struct Waiting {
     want: Want,
     answer: oneshot::Sender<Result<Place, Refusal>>,
@@ -144,15 +147,7 @@
 
     async fn queue(&self, want: Want) -> Result<Place, Refusal> {
         let service = want.service.clone();
-        let (answer, answered) = oneshot::channel();
-        let mut state = self.state.borrow_mut();
-        if !state.can_serve(&want) {
-            return Err(Refusal::Nobody);
-        }
-        let desk = state.services.entry(service.clone()).or_default();
-        let ticket = desk.queue.push(want.waiter);
-        desk.waiting.insert(ticket, Waiting { want, answer });
-        drop(state);
+        let (ticket, answered) = self.enter(want)?;
         let _leave = Leave {
             desk: self,
             service: &service,
@@ -163,6 +158,19 @@
         answered.await.unwrap_or(Err(Refusal::Busy))
     }
 
+    /// Puts a request into the queue of its service.
+    fn enter(&self, want: Want) -> Result<(Ticket, Answered), Refusal> {
+        let mut state = self.state.borrow_mut();
+        if !state.can_serve(&want) {
+            return Err(Refusal::Nobody);
+        }
+        let (answer, answered) = oneshot::channel();
+        let service = state.services.entry(want.service.clone()).or_default();
+        let ticket = service.queue.push(want.waiter);
+        service.waiting.insert(ticket, Waiting { want, answer });
+        Ok((ticket, answered))
+    }
+
     /// A place at a service without agents, the nearest and least busy.
     fn pick(&self, want: &Want) -> Option<Place> {
         let now = self.clock.now();
--- a/crates/node/src/entry/upstream.rs
+++ b/crates/node/src/entry/upstream.rs
@@ -131,9 +131,8 @@
                 written = writer.write(&request[sent..]), if sent < request.len() => {
                     sent += written.context(BrokenSnafu)?;
                 }
-                read = reader.read_buf(buffer) => match read.context(BrokenSnafu)? {
-                    0 => return Err(Error::Ended),
-                    _ => {}
+                read = reader.read_buf(buffer) => if read.context(BrokenSnafu)? == 0 {
+                    return Err(Error::Ended);
                 },
             }
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus::HistogramOpts;
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
+use prometheus::IntGauge;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -12,6 +13,54 @@
 /// The bounds of latencies, in seconds.
 const LATENCY_S: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0];
 
+/// What an agent shows.
+#[derive(Debug)]
+pub(crate) struct Gauges {
+    registry: Registry,
+    /// Places of the engine that may be given now.
+    pub(crate) places: IntGauge,
+    /// Places that entries have.
+    pub(crate) in_use: IntGauge,
+    /// Requests that wait for a place here.
+    pub(crate) waiting: IntGauge,
+    /// The version of the weights that the engine holds.
+    pub(crate) version: IntGauge,
+}
+
+impl Gauges {
+    pub(crate) fn open() -> Gauges {
+        let registry = Registry::new();
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("the name is valid");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("each name is registered once");
+            gauge
+        };
+        Gauges {
+            places: gauge(
+                "snipewinch_places",
+                "Places of the engine that may be given",
+            ),
+            in_use: gauge("snipewinch_places_in_use", "Places that entries have"),
+            waiting: gauge(
+                "snipewinch_places_wanted",
+                "Requests that wait for a place here",
+            ),
+            version: gauge(
+                "snipewinch_weights_version",
+                "The version that the engine holds",
+            ),
+            registry,
+        }
+    }
+
+    /// All figures in the text format.
+    pub(crate) fn text(&self) -> String {
+        text(&self.registry)
+    }
+}
+
 /// What an entry counts.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -84,13 +133,17 @@
 
     /// All figures in the text format.
     pub(crate) fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
-            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
-            Err(error) => {
-                log::warn!("E7031 the metrics were not written: {error}");
-                String::new()
-            }
+        text(&self.registry)
+    }
+}
+
+fn text(registry: &Registry) -> String {
+    let mut bytes = Vec::new();
+    match TextEncoder::new().encode(&registry.gather(), &mut bytes) {
+        Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
+        Err(error) => {
+            log::warn!("E7031 the metrics were not written: {error}");
+            String::new()
         }
     }
 }
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -230,6 +230,7 @@
         std::fs::write(&path, settings(callers, readiness, peers, address)).unwrap();
         let entry = Command::new(env!("CARGO_BIN_EXE_snipewinch-node"))
             .env(platform::boot::VARIABLE, &path)
+            .env("SNIPEWINCH_METRICS_PORT", "0")
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -155,6 +155,11 @@
         self.floor = floor;
     }
 
+    /// Places that there are.
+    pub fn places(&self) -> u64 {
+        self.places
+    }
+
     /// Places that are in use.
     pub fn in_use(&self) -> u64 {
         self.accounts.values().map(Account::in_use).sum()
