--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -51,6 +51,8 @@
 const FRESH: Duration = Duration::from_millis(300);
 /// The longest answer that is held until it is whole.
 const WHOLE_MAX_BYTES: usize = 256 << 10;
+/// What a server answers that is not the one expected.
+const MISDIRECTED: u16 = 421;
 /// What is kept of the deadline for the way back.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 
@@ -341,7 +343,7 @@
         Err(_) => return lost(entry, call, place, "no answer in time"),
     };
     let load = head.fields.get(header::LOAD).and_then(load);
-    let not_run = head.status == 421 || head.fields.get(header::NOT_RUN).is_some();
+    let not_run = head.status == MISDIRECTED || head.fields.get(header::NOT_RUN).is_some();
     if not_run {
         progress.may_have_run = had_run;
         log::info!(
@@ -351,6 +353,9 @@
             head.status
         );
         entry.desk.saw(place.key, Outcome::Answered, load);
+        if head.status == MISDIRECTED {
+            entry.desk.misdirected(place.key);
+        }
         entry.metrics.attempts.with_label_values(&["not_run"]).inc();
         finish(entry, place.key, upstream, &head, sent).await;
         return Attempt::NotRun;
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -231,6 +231,16 @@
         self.pump(&service);
     }
 
+    /// Another server answers at a backend server's address: the one that is
+    /// listed there is gone, and gets nothing until its entry changes.
+    pub(crate) fn misdirected(&self, key: Key) {
+        let mut state = self.state.borrow_mut();
+        if let Some(backend) = state.backends.get_mut(key) {
+            log::info!("E7054 another server has the address of backend server {}", backend.id);
+            backend.leaving = true;
+        }
+    }
+
     /// Sets the oldest version of weights on which requests may start, as far
     /// as this process knows. A version that it `found` named at its start may
     /// be old: that is so if an agent says it, or most backend servers hold it.
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -220,6 +220,20 @@
     }
 }
 
+/// The addresses of servers that crashed for good went to another service, and
+/// 137 requests were sent there in vain (incident inc-3c87).
+#[tokio::test]
+async fn a_server_whose_address_another_has_is_not_asked_again() {
+    let first = Server::spawn(vec![Act::Say(whole(421, "X-Instance-Id: other\r\n", ""))]).await;
+    let second = Server::spawn(answers("ok")).await;
+    let world = World::start(&[&first, &second]).await;
+    for _ in 0..4 {
+        let answer = world.ask(&request("POST", "/grant/", "", "x")).await;
+        assert_eq!(status(&answer), 200);
+    }
+    assert_eq!(first.requests().len(), 1);
+}
+
 #[tokio::test]
 async fn a_failure_that_nobody_does_better_is_passed_on() {
     let first = Server::spawn(vec![Act::Say(whole(500, "", "one"))]).await;
