Send what may run once over a connection of its own

Test: what_may_run_once_never_goes_over_a_kept_connection, one connection for three grants before, three now.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -46,9 +46,6 @@
 const WAIT_GOALS: f64 = 5.0;
 /// The part of the time left that a request waits at most.
 const WAIT_PART: f64 = 0.4;
-/// How old an idle connection may be that carries a request which must not
-/// run twice: a connection that ends unseen leaves its outcome unknown.
-const FRESH: Duration = Duration::from_millis(300);
 /// The longest answer that is held until it is whole.
 const WHOLE_MAX_BYTES: usize = 256 << 10;
 /// What a server answers that is not the one expected.
@@ -298,11 +295,12 @@
     progress: &mut Progress,
     out: &mut WriteHalf<'_>,
 ) -> Attempt {
-    let age_max = match call.route.repeat {
-        Repeat::Never => FRESH,
-        Repeat::Idempotent | Repeat::Stream { .. } => Duration::MAX,
+    // A kept connection may have ended unseen, which would leave the outcome of
+    // a request unknown that must not run twice.
+    let pooled = match call.route.repeat {
+        Repeat::Never => None,
+        Repeat::Idempotent | Repeat::Stream { .. } => entry.pool.take(place.key),
     };
-    let pooled = entry.pool.take(place.key, age_max);
     let opened = match pooled {
         Some(upstream) => Ok(upstream),
         None => Upstream::connect(place.address).await,
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -236,7 +236,10 @@
     pub(crate) fn misdirected(&self, key: Key) {
         let mut state = self.state.borrow_mut();
         if let Some(backend) = state.backends.get_mut(key) {
-            log::info!("E7054 another server has the address of backend server {}", backend.id);
+            log::info!(
+                "E7054 another server has the address of backend server {}",
+                backend.id
+            );
             backend.leaving = true;
         }
     }
--- a/crates/node/src/entry/upstream.rs
+++ b/crates/node/src/entry/upstream.rs
@@ -200,7 +200,6 @@
 #[derive(Debug)]
 struct Idle {
     upstream: Upstream,
-    since: Instant,
     until: Instant,
 }
 
@@ -211,15 +210,13 @@
 }
 
 impl Pool {
-    /// A connection that was idle for at most `age_max`, if there is a sound
-    /// one.
-    pub(crate) fn take(&self, key: Key, age_max: Duration) -> Option<Upstream> {
+    /// A connection that is kept and sound, if there is one.
+    pub(crate) fn take(&self, key: Key) -> Option<Upstream> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&key)?;
         while let Some(one) = kept.pop() {
-            let young = now.duration_since(one.since) <= age_max && now < one.until;
-            if young && one.upstream.is_quiet() {
+            if now < one.until && one.upstream.is_quiet() {
                 return Some(one.upstream);
             }
         }
@@ -237,17 +234,13 @@
         }
         upstream.buffer = BytesMut::new();
         upstream.used = true;
-        let since = Instant::now();
+        let until = Instant::now() + idle_max;
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(key).or_default();
         if kept.len() >= IDLE_PER_SERVER_MAX {
             kept.remove(0);
         }
-        kept.push(Idle {
-            upstream,
-            since,
-            until: since + idle_max,
-        });
+        kept.push(Idle { upstream, until });
     }
 
     /// Closes what has been idle for too long.
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -185,6 +185,21 @@
     assert_eq!((first.requests().len(), second.requests().len()), (1, 0));
 }
 
+/// A kept connection was reset under a grant, whose outcome was then unknown
+/// (incident inc-3c87, request 7c129b939b9e8df8).
+#[tokio::test]
+async fn what_may_run_once_never_goes_over_a_kept_connection() {
+    let server = Server::spawn(vec![Act::Say(whole(200, "", "ok"))]).await;
+    let world = World::start(&[&server]).await;
+    for _ in 0..3 {
+        assert_eq!(
+            status(&world.ask(&request("POST", "/grant/", "", "x")).await),
+            200
+        );
+    }
+    assert_eq!(*server.opened.lock().expect("not poisoned"), 3);
+}
+
 /// A backend server went dark in the middle of a grant; the route's time-out
 /// was answered by 503, which says that nothing ran (hunt, REFUSED).
 #[tokio::test]
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -44,6 +44,8 @@
 pub(crate) struct Server {
     pub(crate) address: SocketAddr,
     pub(crate) seen: Seen,
+    /// Connections that were opened.
+    pub(crate) opened: Arc<Mutex<usize>>,
     /// Connections that callers have closed.
     pub(crate) closed: Arc<Mutex<usize>>,
 }
@@ -54,14 +56,17 @@
         let address = listener.local_addr().unwrap();
         let seen = Seen::default();
         let closed = Arc::new(Mutex::new(0));
+        let opened = Arc::new(Mutex::new(0));
         let server = Server {
             address,
             seen: seen.clone(),
             closed: closed.clone(),
+            opened: opened.clone(),
         };
         let script = Arc::new(script);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                *opened.lock().unwrap() += 1;
                 tokio::spawn(follow(stream, script.clone(), seen.clone(), closed.clone()));
             }
         });
