Read staged pieces back only where the order was held up

Cause: 96 pieces were read back before every order, about half of an agent's processor time for a version, although they had been put in place less than 1.8 s before. Change: pieces count as right for 1.8 s by the clock that says more.

--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -1,12 +1,14 @@
 //! Brings the engine to the newest version of its weights.
 //!
 //! Staged pieces may turn bad at any time, and an order loads what is staged at
-//! the moment it is accepted. So all pieces are read back and checked just
-//! before the order, and put in place again where they are not right.
+//! the moment it is accepted. So all pieces are put in place just before the
+//! order; if the order is held up, they are read back and put in place again
+//! where they are not right.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use bytes::Bytes;
 use platform::engine::Outcome;
@@ -19,6 +21,7 @@
 use super::gate;
 use super::pieces::Known;
 use super::pieces::Pieces;
+use crate::clock::Clock;
 
 /// How often to look whether the engine is empty or has loaded.
 const LOOK: Duration = Duration::from_millis(40);
@@ -27,9 +30,9 @@
 /// How long granted requests may take to reach the engine before it stops
 /// accepting.
 const ARRIVAL: Duration = Duration::from_millis(40);
-/// How long a check of the staged pieces holds: the platform's pages bound it
-/// at 3 s.
-const CHECK_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// How long pieces count as right that were put in place or read back: the
+/// platform's pages bound it at 3 s.
+const CHECK_AGE_MAX: Duration = Duration::from_millis(1_800);
 /// How long an engine may take to load before the order is looked at again.
 const LOAD_LIMIT: Duration = Duration::from_secs(20);
 /// How long before the bound on old weights the last engine is taken out.
@@ -39,6 +42,30 @@
 /// for the longest answers would leave it nearly empty for seconds.
 const DRAIN_MAX: Duration = Duration::from_millis(900);
 
+/// A moment by both clocks: the steady one does not count the time for which a
+/// host stands still, the other may jump.
+#[derive(Clone, Copy, Debug)]
+struct Moment {
+    steady: Duration,
+    wall: SystemTime,
+}
+
+impl Moment {
+    fn now(clock: &Clock) -> Moment {
+        Moment {
+            steady: clock.now(),
+            wall: SystemTime::now(),
+        }
+    }
+
+    /// How long ago it was, by the clock that says more.
+    fn age(&self, clock: &Clock) -> Duration {
+        let steady = clock.now().saturating_sub(self.steady);
+        let wall = self.wall.elapsed().unwrap_or(Duration::MAX);
+        steady.max(wall)
+    }
+}
+
 /// Runs until the process ends.
 pub(super) async fn run(agent: Rc<Agent>, pieces: Pieces) {
     let mut loader = Loader {
@@ -157,6 +184,7 @@
 
     async fn load(&self, known: &Known, all: &[Bytes], report: &Report) {
         let version = known.target.version;
+        let staged = Moment::now(&self.agent.clock);
         if !self.stage(known, all).await {
             return;
         }
@@ -166,7 +194,7 @@
             sleep(ARRIVAL).await;
             self.drain().await;
         }
-        let ordered = self.order(known, all, report).await;
+        let ordered = self.order(known, all, report, staged).await;
         if ordered {
             self.wait(version).await;
         }
@@ -200,40 +228,34 @@
         true
     }
 
-    /// Checks what is staged and mends it; true once all of it is right.
+    /// Reads back what is staged and mends it; false if that can't be done.
     async fn check(&self, known: &Known, all: &[Bytes]) -> bool {
-        let mut right = true;
+        let engine = &self.agent.engine;
+        let model = &known.target.model;
         for (piece, bytes) in all.iter().enumerate() {
-            let number = piece as u32;
-            match self.agent.engine.staged(&known.target.model, number).await {
-                Ok(Some(staged)) if staged == *bytes => {}
-                Ok(_) => {
-                    right = false;
-                    log::warn!(
-                        "E7232 staged piece {piece} has turned bad; it is put in place again"
-                    );
-                    let put = self
-                        .agent
-                        .engine
-                        .stage(&known.target.model, number, bytes.clone());
-                    if let Err(error) = put.await {
-                        log::warn!("E7231 piece {piece} was not staged: {error}");
-                    }
-                }
+            let piece = piece as u32;
+            let mended = match engine.staged(model, piece).await {
+                Ok(Some(staged)) if staged == *bytes => continue,
+                Ok(_) => engine.stage(model, piece, bytes.clone()).await,
+                Err(error) => Err(error),
+            };
+            match mended {
+                Ok(()) => log::warn!("E7232 staged piece {piece} had turned bad"),
                 Err(error) => {
-                    log::warn!("E7230 staged pieces were not read: {error}");
+                    log::warn!("E7230 staged piece {piece} was not checked: {error}");
                     return false;
                 }
             }
         }
-        right
+        true
     }
 
     /// Orders the engine to load; true if it may have accepted.
-    async fn order(&self, known: &Known, all: &[Bytes], report: &Report) -> bool {
-        let started = self.agent.clock.now();
-        while !self.check(known, all).await {
-            if self.agent.clock.now() - started > CHECK_AGE_MAX {
+    async fn order(&self, known: &Known, all: &[Bytes], report: &Report, staged: Moment) -> bool {
+        let mut right = staged;
+        while right.age(&self.agent.clock) > CHECK_AGE_MAX {
+            right = Moment::now(&self.agent.clock);
+            if !self.check(known, all).await {
                 return false;
             }
         }
