Keep no idle connections to the origin, and leave room between regions

Weights also took 0.94 of the links between regions.

Change: a connection each, closed after its answer; lists are read spread and with a growing pause; weights pass between regions no faster than they can come from the origin.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -72,6 +72,7 @@
     settings: Settings,
     service: SmolStr,
     engine: Engine,
+    /// For the origin of weights, which all agents ask.
     caller: Caller,
     gate: Gate,
     operator: RefCell<Operator>,
@@ -207,8 +208,8 @@
     let agent = Rc::new(Agent {
         clock: Clock::start(),
         service,
-        engine: Engine::open(caller.clone(), backend),
-        caller,
+        engine: Engine::open(caller, backend),
+        caller: Caller::without_idle(),
         gate: Gate::default(),
         operator: RefCell::default(),
         listing: RefCell::default(),
--- a/crates/node/src/agent/pieces.rs
+++ b/crates/node/src/agent/pieces.rs
@@ -43,13 +43,19 @@
 /// The most memory for pieces: two versions and some, so that the one before
 /// can still be passed on while the next arrives.
 const MEMORY_VERSIONS: u64 = 2;
-/// The rate of a link between regions, in Mbit/s.
-const REGION_MBIT: f64 = 20.0;
+/// How much faster than the origin's link weights may pass between regions: as
+/// fast as they can come, and a little to catch up. Live requests need the rest
+/// of those links.
+const REGION_PART: f64 = 1.1;
 /// The part of a host's link that pieces take: what is left keeps the queue of
 /// the link short, in which the words between entries and agents wait.
 const LINK_PART: f64 = 0.8;
-/// The pause after the origin gave no list.
-const LIST_PAUSE: Duration = Duration::from_millis(150);
+/// The first pause after the origin gave no list, and the longest.
+const LIST_PAUSE_MIN: Duration = Duration::from_millis(100);
+const LIST_PAUSE_MAX: Duration = Duration::from_millis(1_500);
+/// What each agent adds to the time over which all of them spread their
+/// reading of a new list: the origin accepts few connections.
+const LIST_SPREAD: Duration = Duration::from_millis(4);
 /// How often to look for a new target without news.
 const LOOK: Duration = Duration::from_millis(500);
 /// The part of its pieces from which a version has come far.
@@ -145,16 +151,23 @@
 
 /// Learns the list of each target's pieces.
 async fn learn(agent: Rc<Agent>, pieces: Pieces) {
+    let mut failures = 0;
     loop {
         let target = agent.target();
         let known = pieces.newest().map(|known| known.target);
         let doubted = pieces.state.borrow_mut().doubted.take();
         match target {
             Some(target) if known.as_ref() != Some(&target) || doubted == Some(target.version) => {
+                let agents = agent.view.borrow().members.len() as u32;
+                let spread = (LIST_SPREAD * agents).max(backoff(failures));
+                sleep(spread.mul_f64(rand::random())).await;
                 let source = Source::open(agent.caller.clone(), target.origin.address);
                 match read_list(&source, &target).await {
-                    Some(list) => pieces.know(&agent, target, &list),
-                    None => sleep(LIST_PAUSE).await,
+                    Some(list) => {
+                        failures = 0;
+                        pieces.know(&agent, target, &list);
+                    }
+                    None => failures += 1,
                 }
             }
             _ => {
@@ -164,6 +177,16 @@
     }
 }
 
+/// The pause after so many failures in a row; none before the first.
+fn backoff(failures: u32) -> Duration {
+    match failures.checked_sub(1) {
+        None => Duration::ZERO,
+        Some(doublings) => {
+            (LIST_PAUSE_MIN * 2_u32.saturating_pow(doublings.min(8))).min(LIST_PAUSE_MAX)
+        }
+    }
+}
+
 async fn read_list(source: &Source, target: &Target) -> Option<List> {
     match source.list(&target.model, target.version).await {
         Ok(list) if list.model == target.model && list.version == target.version => Some(list),
@@ -287,7 +310,7 @@
         origin_region: origin_zone.map(|zone| agent.region(zone)),
         policy: Policy::Swarm,
         host_mbit: Some(agent.settings.link_mbit * LINK_PART),
-        region_mbit: Some(REGION_MBIT),
+        region_mbit: Some(target.origin.link_mbit * REGION_PART),
         memory_bytes: size * MEMORY_VERSIONS + size / 4,
         seed: rand::random(),
     })
