--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -54,6 +54,7 @@
     /// The version up to which the history is gone.
     compacted: u64,
     down: bool,
+    mute: bool,
 }
 
 /// The store; clones share it.
@@ -137,6 +138,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Holds feeds that may wait for ever, or no longer.
+    pub fn set_mute(&self, mute: bool) {
+        self.state.lock().mute = mute;
+    }
+
     async fn answer(&self, request: Request) -> Result<Response, Refusal> {
         if self.state.lock().down {
             return Ok(error(StatusCode::SERVICE_UNAVAILABLE, "out of service"));
@@ -174,6 +180,9 @@
         let number = |name| parameter(request, name).and_then(|text| text.parse().ok());
         let since: u64 = number("sinceRev").unwrap_or_default();
         let wait_ms: u64 = number("waitMs").unwrap_or_default().min(WAIT_MAX_MS);
+        if wait_ms > 0 && self.state.lock().mute {
+            return std::future::pending().await;
+        }
         let until = Instant::now() + Duration::from_millis(wait_ms);
         loop {
             let changed = self.changed.notified();
