Ask a few agents while no place is free

Change: eight near and four far agents at once, others after 100 ms, and a changed number of requests at most each 50 ms. Tests: where_no_place_is_free_a_few_agents_are_asked (76 before), an_agent_is_not_told_of_each_request_that_waits.

--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -32,6 +32,9 @@
 /// entries together then stay near the places of an engine.
 const WITHOUT_AGENT_MAX: u32 = 1;
 
+/// For how long the same agents are asked while no place is free.
+const SEED_AGE: Duration = Duration::from_millis(100);
+
 /// A request that wants a place.
 #[derive(Clone, Debug)]
 pub(crate) struct Want {
@@ -69,6 +72,8 @@
 }
 
 struct State {
+    /// Sets the choices of this entry apart from those of others.
+    seed: u64,
     backends: Backends,
     services: HashMap<SmolStr, Service>,
     link: Option<(Rc<Socket>, FleetKey)>,
@@ -112,6 +117,7 @@
     pub(crate) fn open(clock: Clock, settings: &Settings) -> Desk {
         let taker = TakerId(rand::rng().random());
         let state = State {
+            seed: rand::rng().random(),
             backends: Backends::new(settings, taker),
             services: HashMap::new(),
             link: None,
@@ -462,7 +468,8 @@
                 });
             }
         }
-        let asks = dispatch::plan(waiting, oldest, &candidates, rand::rng().random());
+        let seed = self.seed ^ (now.as_millis() / SEED_AGE.as_millis()) as u64;
+        let asks = dispatch::plan(waiting, oldest, &candidates, seed);
         let asks: HashMap<Key, u16> = keys.into_iter().zip(asks).collect();
         for (key, one) in self.backends.iter_mut() {
             if one.service != service {
--- a/crates/snipewinch/src/dispatch.rs
+++ b/crates/snipewinch/src/dispatch.rs
@@ -24,6 +24,10 @@
 /// How long before the places of all zones are asked for: a few round trips
 /// between regions.
 const WIDEN_ALL: Duration = Duration::from_millis(16);
+/// Agents of the nearest zone, and of all others, that are asked at once while
+/// no place is free.
+const ASKED_NEAR_MAX: usize = 8;
+const ASKED_FAR_MAX: usize = 4;
 /// How long the word of an agent on its free places is believed.
 const HINT_AGE_MAX: Duration = Duration::from_millis(400);
 /// What is believed of an agent that said nothing lately.
@@ -202,21 +206,36 @@
 /// wait, the first since `oldest`.
 ///
 /// A place that is found free is asked for once; while none is granted, more
-/// and more agents are asked, and what is granted in excess is handed back.
+/// and more agents are asked, and what is granted in excess is handed back. How
+/// many are asked at once is bounded: where no place is free for seconds, all
+/// entries would otherwise fill the links with asks to all agents. Which of them
+/// depends on `seed`, which the embedder changes now and then.
 pub fn plan(waiting: usize, oldest: Duration, candidates: &[Candidate], seed: u64) -> Vec<u16> {
     let all = waiting.min(usize::from(u16::MAX)) as u16;
     let nearest = candidates.iter().map(|one| one.distance).min();
-    if oldest >= WIDEN_ALL {
-        return vec![all; candidates.len()];
-    }
+    let mut draw = Draw::new(seed);
     if oldest >= WIDEN_ZONE {
-        let near = |one: &Candidate| Some(one.distance) == nearest || one.hint() > 0;
-        return candidates
-            .iter()
-            .map(|one| if near(one) { all } else { 0 })
-            .collect();
+        let far = if oldest >= WIDEN_ALL {
+            ASKED_FAR_MAX
+        } else {
+            0
+        };
+        let mut order: Vec<usize> = (0..candidates.len()).collect();
+        order.sort_by_cached_key(|place| (candidates[*place].hint() == 0, draw.next()));
+        let (mut near, mut far) = (ASKED_NEAR_MAX, far);
+        let mut asks = vec![0; candidates.len()];
+        for place in order {
+            let left = match Some(candidates[place].distance) == nearest {
+                true => &mut near,
+                false => &mut far,
+            };
+            if *left > 0 {
+                *left -= 1;
+                asks[place] = all;
+            }
+        }
+        return asks;
     }
-    let mut draw = Draw::new(seed);
     let mut left: Vec<u16> = candidates.iter().map(Candidate::hint).collect();
     let ties: Vec<u64> = candidates.iter().map(|_| draw.next()).collect();
     let mut asks = vec![0; candidates.len()];
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -25,6 +25,8 @@
 /// How often a taker that has places, or waits for some, says so.
 pub const RENEWAL: Duration = Duration::from_millis(400);
 
+/// How soon an agent is told again that another number of requests waits.
+const ASK_GAP: Duration = Duration::from_millis(50);
 /// The part of the longest bearable pause that a pass may take by the model,
 /// which sees neither the context that slows steps down nor requests that come
 /// without a place.
@@ -388,7 +390,10 @@
     pub fn ask(&mut self, now: Duration, waiting: u16, slack_ms: i32, tokens: u32) -> Option<Ask> {
         let due = now.saturating_sub(self.asked_at) >= RENEWAL;
         let renews = due && (self.in_use() > 0 || waiting > 0);
-        if !self.changed && waiting == self.asked && !renews {
+        // How many wait matters less than whether any does.
+        let recent = now.saturating_sub(self.asked_at) < ASK_GAP;
+        let same = waiting == self.asked || (recent && waiting > 0 && self.asked > 0);
+        if !self.changed && same && !renews {
             return None;
         }
         self.changed = false;
--- a/crates/snipewinch/tests/dispatch.rs
+++ b/crates/snipewinch/tests/dispatch.rs
@@ -140,6 +140,24 @@
     assert_eq!(plan(1, ms(40), &candidates, 1), [1, 1, 1]);
 }
 
+/// Forty-eight entries that asked all of 76 agents at each change filled the
+/// links between regions for seconds (grown bluebonnet, trouble-1).
+#[test]
+fn where_no_place_is_free_a_few_agents_are_asked() {
+    let near = std::iter::repeat_n(candidate(0, 0, 100), 25);
+    let far = std::iter::repeat_n(candidate(2, 0, 100), 51);
+    let candidates: Vec<Candidate> = near.chain(far).collect();
+    let asked = |seed: u64| {
+        let asks = plan(30, ms(500), &candidates, seed);
+        let asked: Vec<usize> = (0..76).filter(|place| asks[*place] > 0).collect();
+        asked
+    };
+    assert!(asked(1).len() <= 12, "{:?}", asked(1));
+    assert_eq!(asked(1), asked(1), "the same for the same seed");
+    let ever: std::collections::BTreeSet<usize> = (0..400).flat_map(asked).collect();
+    assert_eq!(ever.len(), 76, "each is asked some time");
+}
+
 #[test]
 fn nobody_to_ask_is_no_fault() {
     assert!(plan(3, ms(40), &[], 1).is_empty());
--- a/crates/snipewinch/tests/grant.rs
+++ b/crates/snipewinch/tests/grant.rs
@@ -182,6 +182,23 @@
     assert_eq!(giver.in_use(), 1);
 }
 
+#[test]
+fn an_agent_is_not_told_of_each_request_that_waits() {
+    let mut taker = Taker::new(TakerId(1));
+    let mut asks = 0;
+    for tick in 0..100_u64 {
+        let now = Duration::from_millis(1_000 + tick * 7);
+        let waiting = 5 + (tick % 3) as u16;
+        asks += u32::from(taker.ask(now, waiting, 100, 500).is_some());
+    }
+    assert!(asks <= 15, "{asks} asks in 0.7 s");
+    let last = Duration::from_millis(1_701);
+    assert!(
+        taker.ask(last, 0, 0, 0).is_some(),
+        "that none waits is told at once"
+    );
+}
+
 #[test]
 fn an_agent_that_restarts_takes_over_what_entries_hold() {
     let mut restarted = giver();
