--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -17,6 +17,7 @@
 use platform::engine::Engine;
 use platform::follow;
 use platform::follow::Change;
+use platform::follow::Pace;
 use platform::http::Caller;
 use platform::listing;
 use platform::rows::Store;
@@ -59,10 +60,16 @@
 
 use gate::Gate;
 
-/// The shortest time between two polls of the list.
-const LISTING_GAP: Duration = Duration::from_millis(2_000);
-/// The same for what operators write.
-const OPERATOR_GAP: Duration = Duration::from_millis(150);
+/// How often the list of backend servers is asked for.
+const LISTING_PACE: Pace = Pace {
+    gap: Duration::from_millis(2_000),
+    bytes_per_s: 100_000.0,
+};
+/// The same for what operators write, of which an agent needs little at once.
+const OPERATOR_PACE: Pace = Pace {
+    gap: Duration::from_millis(150),
+    bytes_per_s: 30_000.0,
+};
 /// The version of weights that is meant before any is named.
 const FIRST_VERSION: u64 = 1;
 
@@ -288,7 +295,7 @@
 }
 
 async fn follow_operators(agent: Rc<Agent>, store: Store) {
-    let (mut changes, _task) = follow::spawn(store, platform::operator::TABLE, OPERATOR_GAP);
+    let (mut changes, _task) = follow::spawn(store, platform::operator::TABLE, OPERATOR_PACE);
     while let Some(change) = changes.recv().await {
         let now = agent.clock.now();
         let told = !matches!(change, Change::Lost);
@@ -300,7 +307,7 @@
 }
 
 async fn follow_listing(agent: Rc<Agent>, store: Store) {
-    let (mut changes, _task) = follow::spawn(store, listing::TABLE, LISTING_GAP);
+    let (mut changes, _task) = follow::spawn(store, listing::TABLE, LISTING_PACE);
     while let Some(change) = changes.recv().await {
         let now = agent.clock.now();
         let mut news = agent.listing.borrow_mut().take(now, change);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -11,6 +11,7 @@
 use peer::datagram::Socket;
 use platform::boot::Bounds;
 use platform::follow;
+use platform::follow::Pace;
 use platform::http::Caller;
 use platform::listing;
 use platform::rows::Store;
@@ -57,10 +58,17 @@
 use desk::Desk;
 use upstream::Pool;
 
-/// The shortest time between two polls of the list, in which changes add up.
-const LISTING_GAP: Duration = Duration::from_millis(700);
-/// The same for what operators write.
-const OPERATOR_GAP: Duration = Duration::from_millis(150);
+/// How often the list of backend servers is asked for.
+const LISTING_PACE: Pace = Pace {
+    gap: Duration::from_millis(700),
+    bytes_per_s: 200_000.0,
+};
+/// The same for what operators write: a configuration of 90 KB is read once a
+/// second, half the time in which it must be in force.
+const OPERATOR_PACE: Pace = Pace {
+    gap: Duration::from_millis(150),
+    bytes_per_s: 90_000.0,
+};
 /// How often the desk is looked after while requests wait.
 const BUSY_TICK: Duration = Duration::from_millis(7);
 /// How often otherwise.
@@ -337,7 +345,7 @@
 }
 
 async fn follow_operators(entry: Rc<Entry>, store: Store) {
-    let (mut changes, _task) = follow::spawn(store, platform::operator::TABLE, OPERATOR_GAP);
+    let (mut changes, _task) = follow::spawn(store, platform::operator::TABLE, OPERATOR_PACE);
     while let Some(change) = changes.recv().await {
         let now = entry.clock.now();
         entry.operator.borrow_mut().take(now, change);
@@ -346,7 +354,7 @@
 }
 
 async fn follow_listing(entry: Rc<Entry>, store: Store) {
-    let (mut changes, _task) = follow::spawn(store, listing::TABLE, LISTING_GAP);
+    let (mut changes, _task) = follow::spawn(store, listing::TABLE, LISTING_PACE);
     while let Some(change) = changes.recv().await {
         let now = entry.clock.now();
         let news = entry.listing.borrow_mut().take(now, change);
