--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -115,3 +115,6 @@
             .map_or(0, |named| named.version)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/operator/tests.rs
@@ -0,0 +1,65 @@
+use std::time::Duration;
+
+use platform::follow::Change;
+use platform::rows::Row;
+
+use super::Operator;
+
+const BOUND: Duration = Duration::from_secs(7);
+
+fn named(version: u64) -> Change {
+    let value = format!(r#"{{"model":"m","version":{version}}}"#);
+    Change::Rows(vec![Row {
+        key: "version/m".into(),
+        value: Some(value.into_bytes()),
+        version,
+    }])
+}
+
+fn configured(version: u64) -> Change {
+    let value = format!(r#"{{"version":{version}}}"#);
+    Change::Rows(vec![Row {
+        key: "config".into(),
+        value: Some(value.into_bytes()),
+        version,
+    }])
+}
+
+fn s(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+/// A version was named 2 s after another; only the newest name counted, and
+/// requests began on the first of three (ptcr scale-1, VERSION).
+#[test]
+fn every_name_counts_from_its_own_time() {
+    let mut operator = Operator::default();
+    operator.take(s(0), Change::Whole(Vec::new()));
+    operator.take(s(18), named(2));
+    operator.take(s(20), named(3));
+    let floor = |now| operator.named_for("m", now, BOUND);
+    assert_eq!(
+        [floor(s(24)), floor(s(25)), floor(s(26)), floor(s(27))],
+        [0, 2, 2, 3]
+    );
+    assert_eq!(operator.named_for("other", s(99), BOUND), 0);
+}
+
+#[test]
+fn a_version_found_at_the_start_may_be_old() {
+    let mut operator = Operator::default();
+    operator.take(s(1), named(4));
+    operator.take(s(2), named(5));
+    assert_eq!(operator.found("m"), 4);
+}
+
+#[test]
+fn names_and_configurations_do_not_go_back() {
+    let mut operator = Operator::default();
+    operator.take(s(1), named(4));
+    operator.take(s(2), named(3));
+    assert_eq!(operator.named_for("m", s(99), BOUND), 4);
+    assert!(operator.take(s(3), configured(7)));
+    assert!(!operator.take(s(4), configured(6)));
+    assert_eq!(operator.version(), 7);
+}
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -403,3 +403,18 @@
     assert_eq!(field(&answer, "connection").as_deref(), Some("close"));
     world.wait_ended().await;
 }
+
+/// Twenty processes ended by SIGHUP (ptcr fresh-7870, exits of their own).
+#[tokio::test]
+async fn a_process_that_is_told_to_read_its_settings_goes_on() {
+    let server = Server::spawn(answers("ok")).await;
+    let world = World::start(&[&server]).await;
+    for _ in 0..3 {
+        world.signal("-HUP");
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(
+            status(&world.ask(&request("GET", "/read/", "", "")).await),
+            200
+        );
+    }
+}
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -281,8 +281,13 @@
 
     /// Tells the entry to stop.
     pub(crate) fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Sends a signal to the entry.
+    pub(crate) fn signal(&self, signal: &str) {
         let id = self.entry.id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        let sent = Command::new("kill").args([signal, &id]).status().unwrap();
         assert!(sent.success());
     }
 
