Take a version found at the start as old unless an agent saw it named

Ruled out: late names (all were heard within 20 ms).

Change: agents say whether they saw the newest version named; if none did, it counts as old. An agent that has not spoken yet is asked whatever its version. Test: a_version_found_at_the_start_is_old_unless_somebody_saw_it_named.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -140,6 +140,12 @@
         operator.named_for(&model, self.clock.now(), age)
     }
 
+    /// Whether this process saw the newest version of the weights named.
+    fn saw_named(&self) -> bool {
+        let model = self.spec().and_then(|spec| spec.model);
+        model.is_some_and(|model| self.operator.borrow().saw_named(&model))
+    }
+
     /// What the engine is to hold; none while that is not known.
     fn target(&self) -> Option<Target> {
         let model = self.spec()?.model?;
--- a/crates/node/src/agent/gate.rs
+++ b/crates/node/src/agent/gate.rs
@@ -78,10 +78,10 @@
     }
 
     /// Sets the oldest version of weights on which requests may start.
-    fn set_floor(&self, floor: u64) {
+    fn set_floor(&self, floor: u64, aged: bool) {
         let mut state = self.state.borrow_mut();
         state.floor = floor;
-        state.giver.set_floor(floor);
+        state.giver.set_floor(floor, aged);
     }
 
     /// Brings the figures up to date.
@@ -178,7 +178,7 @@
                 None
             }
         };
-        agent.gate.set_floor(agent.floor());
+        agent.gate.set_floor(agent.floor(), agent.saw_named());
         let spec = agent.spec();
         let slots = spec.as_ref().map_or(0, |spec| spec.slots);
         if let Some(spec) = &spec {
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -72,6 +72,12 @@
         said.unwrap_or(self.listed_version)
     }
 
+    /// Whether it may hold weights of a version or newer. One whose agent has
+    /// not spoken yet may: it has to be asked for the entry to learn of it.
+    pub(crate) fn may_hold(&self, version: u64) -> bool {
+        self.taker.last().is_none() || self.version().max(self.listed_version) >= version
+    }
+
     /// Whether its agent has said lately that it gives no places, as while the
     /// engine loads.
     pub(crate) fn is_closed(&self, now: Duration) -> bool {
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -15,6 +15,7 @@
 use snipewinch::dispatch::Queue;
 use snipewinch::dispatch::Ticket;
 use snipewinch::dispatch::Waiter;
+use snipewinch::grant;
 use snipewinch::grant::Give;
 use snipewinch::grant::TakerId;
 use snipewinch::health::Outcome;
@@ -250,20 +251,17 @@
         }
     }
 
-    /// Sets the oldest version of weights on which requests may start, as far
-    /// as this process knows. A version that it `found` named at its start may
-    /// be old: that is so if an agent says it, or most backend servers hold it.
-    pub(crate) fn set_floor(&self, service: &SmolStr, version: u64, found: u64) {
+    /// Sets the oldest version of weights on which requests may start: `own` by
+    /// the clock of this process, `found` the version named at its start.
+    pub(crate) fn set_floor(&self, service: &SmolStr, own: u64, found: u64) {
         let mut state = self.state.borrow_mut();
-        let (mut said, mut count, mut holding) = (0, 0, 0);
-        for (_, one) in state.backends.of_service(service) {
-            said = said.max(one.taker.last().map_or(0, |give| give.floor));
-            count += 1;
-            holding += usize::from(one.version() >= found);
-        }
-        let old = if holding * 2 > count { found } else { 0 };
+        let words: Vec<Give> = state
+            .backends
+            .of_service(service)
+            .filter_map(|(_, one)| one.taker.last().copied())
+            .collect();
         let desk = state.services.entry(service.clone()).or_default();
-        desk.floor = version.max(said).max(old);
+        desk.floor = grant::floor(own, found, words.iter());
     }
 
     /// A request saw how a backend server does.
@@ -396,9 +394,7 @@
             .get(&want.service)
             .map_or(0, |desk| desk.floor);
         let mut all = self.backends.of_service(&want.service);
-        all.any(|(key, one)| {
-            !want.tried.contains(&key) && one.version().max(one.listed_version) >= floor
-        })
+        all.any(|(key, one)| !want.tried.contains(&key) && one.may_hold(floor))
     }
 
     /// The request that a place at a backend server goes to.
@@ -456,7 +452,7 @@
         let mut candidates = Vec::new();
         for (key, one) in self.backends.of_service(service) {
             let usable = one.has_agent(now) && one.health.admits(now);
-            if usable && one.version().max(one.listed_version) >= floor.max(1) {
+            if usable && one.may_hold(floor.max(1)) {
                 keys.push(key);
                 candidates.push(Candidate {
                     distance: one.distance,
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -107,6 +107,12 @@
         due.map(|named| named.version).max().unwrap_or(0)
     }
 
+    /// Whether this process saw the newest version of a model named.
+    pub(crate) fn saw_named(&self, model: &str) -> bool {
+        let named = self.weights.get(model).and_then(|named| named.last());
+        named.is_some_and(|named| !named.found)
+    }
+
     /// The version of a model that this process found at its start.
     pub(crate) fn found(&self, model: &str) -> u64 {
         let mut named = self.weights.get(model).into_iter().flatten();
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -91,6 +91,10 @@
     /// has been named.
     #[serde(rename = "l", default)]
     pub floor: u64,
+    /// Whether the agent knows when the newest version was named; one that
+    /// started later does not.
+    #[serde(rename = "a", default)]
+    pub aged: bool,
     /// How many entries the agent hears from.
     #[serde(rename = "n", default)]
     pub takers: u16,
@@ -126,6 +130,7 @@
     places: u64,
     version: u64,
     floor: u64,
+    aged: bool,
     model: Model,
     usual_tokens: f64,
     pause: Duration,
@@ -152,9 +157,11 @@
         self.pause = pause;
     }
 
-    /// Sets the oldest version on which requests may start.
-    pub fn set_floor(&mut self, floor: u64) {
+    /// Sets the oldest version on which requests may start, and whether it is
+    /// known when the newest was named.
+    pub fn set_floor(&mut self, floor: u64, aged: bool) {
         self.floor = floor;
+        self.aged = aged;
     }
 
     /// Places that there are.
@@ -287,6 +294,7 @@
             free: free.min(u64::from(u16::MAX)) as u16,
             version: self.version,
             floor: self.floor,
+            aged: self.aged,
             takers: self.accounts.len().min(usize::from(u16::MAX)) as u16,
             open: self.places > 0,
         }
@@ -307,6 +315,22 @@
     }
 }
 
+/// The oldest version on which an entry may have requests start: `own` by its
+/// own clock, `found` the version that was named when it started, 0 if none.
+///
+/// For how long the latter has been named only those can say who saw it named.
+/// If no agent did, it counts as old: after a restart of all processes none is
+/// left who knows better.
+pub fn floor<'a>(own: u64, found: u64, words: impl Iterator<Item = &'a Give>) -> u64 {
+    let (mut said, mut aged) = (0, false);
+    for word in words {
+        said = said.max(word.floor);
+        aged |= word.aged;
+    }
+    let unknown = if aged { 0 } else { found };
+    own.max(said).max(unknown)
+}
+
 /// The entry's side: what one agent has given it.
 #[derive(Clone, Copy, Debug)]
 pub struct Taker {
--- a/crates/snipewinch/tests/grant.rs
+++ b/crates/snipewinch/tests/grant.rs
@@ -11,6 +11,7 @@
 use snipewinch::grant::RENEWAL;
 use snipewinch::grant::Taker;
 use snipewinch::grant::TakerId;
+use snipewinch::grant::floor;
 
 const PLACES: u32 = 4;
 const STEP: Duration = Duration::from_millis(10);
@@ -274,3 +275,34 @@
     assert!(giver.give(Duration::ZERO).is_empty());
     assert!(!giver.word(Duration::ZERO, TakerId(1)).open);
 }
+
+fn word(floor: u64, aged: bool) -> Give {
+    let mut giver = giver();
+    giver.set_floor(floor, aged);
+    giver.word(Duration::ZERO, TakerId(1))
+}
+
+/// All processes were killed 23 s after a version had been named that few
+/// engines held; the entries that came back let requests start on the old one
+/// (bluebonnet scale-1, VERSION 410).
+#[test]
+fn a_version_found_at_the_start_is_old_unless_somebody_saw_it_named() {
+    assert_eq!(floor(0, 2, [].iter()), 2, "nobody speaks yet");
+    assert_eq!(
+        floor(0, 2, [word(0, false)].iter()),
+        2,
+        "the agents have restarted too"
+    );
+    assert_eq!(
+        floor(0, 2, [word(0, false), word(1, true)].iter()),
+        1,
+        "one saw it"
+    );
+    assert_eq!(floor(0, 2, [word(2, true)].iter()), 2, "it is old");
+    assert_eq!(
+        floor(3, 2, [word(1, true)].iter()),
+        3,
+        "the own clock counts"
+    );
+    assert_eq!(floor(0, 0, [].iter()), 0, "none is named");
+}
