Read the store less, and lists of digests from other agents

Change: entries ask for the list after 0.45 of the time in which a leaving server must be left alone; agents, once settled, after 5 s for the list and 15 s for what operators write, and hear of new versions from entries. An agent reads a list of digests from the origin only if none of its region has passed it on in its turn. Staged pieces that were found before the exchange knew the manifest were passed over: it is told at once.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -25,6 +25,7 @@
 use smol_str::SmolStr;
 use snafu::OptionExt;
 use snafu::ResultExt;
+use snipewinch::grant;
 use snipewinch::host::Identity;
 use snipewinch::host::Name;
 use snipewinch::host::Role;
@@ -60,15 +61,22 @@
 
 use gate::Gate;
 
-/// How often the list of backend servers is asked for.
+/// How often the list of backend servers is asked for, of which an agent needs
+/// only who the other agents are.
 const LISTING_PACE: Pace = Pace {
     gap: Duration::from_millis(2_000),
     bytes_per_s: 100_000.0,
+    rest_max: Duration::from_secs(4),
+    relaxed: Some(Duration::from_secs(5)),
 };
-/// The same for what operators write, of which an agent needs little at once.
+/// The same for what operators write, of which an agent needs little: entries
+/// tell it of new versions of weights, and a configuration that is longer by many
+/// routes says nothing new of the engine.
 const OPERATOR_PACE: Pace = Pace {
     gap: Duration::from_millis(150),
     bytes_per_s: 30_000.0,
+    rest_max: Duration::from_secs(8),
+    relaxed: Some(Duration::from_secs(15)),
 };
 /// The version of weights that is meant before any is named.
 const FIRST_VERSION: u64 = 1;
@@ -90,6 +98,8 @@
     news: Notify,
     phase: watch::Sender<Phase>,
     bounds: Cell<Bounds>,
+    /// The newest version of the weights that any entry spoke of.
+    heard_version: Cell<u64>,
 }
 
 /// The weights that the engine is to hold.
@@ -140,6 +150,21 @@
         operator.named_for(&model, self.clock.now(), age)
     }
 
+    /// An entry says which version of the weights is the newest named.
+    fn hear_named(&self, word: grant::Named) {
+        if word.version <= self.heard_version.get() {
+            return;
+        }
+        let Some(model) = self.spec().and_then(|spec| spec.model) else {
+            return;
+        };
+        self.heard_version.set(word.version);
+        let now = self.clock.now();
+        if self.operator.borrow_mut().hear(now, model, word) {
+            self.news.notify_waiters();
+        }
+    }
+
     /// Whether this process saw the newest version of the weights named.
     fn saw_named(&self) -> bool {
         let model = self.spec().and_then(|spec| spec.model);
@@ -191,6 +216,12 @@
         self.news.notify_waiters();
     }
 
+    /// This host's name among agents.
+    fn host(&self) -> Name {
+        let own = self.settings.identity.address;
+        host_name(self.settings.backend.unwrap_or(own))
+    }
+
     fn region(&self, zone: &str) -> snipewinch::host::Region {
         let region = self.settings.regions.get(zone);
         region.map_or(zone, SmolStr::as_str).into()
@@ -230,6 +261,7 @@
         news: Notify::new(),
         phase: watch::Sender::new(Phase::Running),
         bounds: Cell::new(settings.bounds),
+        heard_version: Cell::new(0),
         settings,
     });
     spawn_local(follow_operators(agent.clone(), store.clone()));
--- a/crates/node/src/agent/gate.rs
+++ b/crates/node/src/agent/gate.rs
@@ -221,6 +221,9 @@
                 continue;
             }
         };
+        if let Some(named) = ask.named {
+            agent.hear_named(named);
+        }
         let now = agent.clock.now();
         let mut state = agent.gate.state.borrow_mut();
         let state = &mut *state;
--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -158,15 +158,10 @@
         }
         let agent = &self.agent;
         let view = agent.view.borrow().clone();
-        let backend = agent
-            .settings
-            .backend
-            .unwrap_or(agent.settings.identity.address);
-        let host = super::host_name(backend);
         let last = known.target.learned + agent.bounds.get().version.saturating_sub(TURN_MARGIN);
         let since = self.whole_since(known.target.version);
         let window = last.saturating_sub(since);
-        since + rollout::turn(&view, &host, &agent.service, &known.digest, window)
+        since + rollout::turn(&view, &agent.host(), &agent.service, &known.digest, window)
     }
 
     /// When all pieces of a version were here first.
--- a/crates/node/src/agent/pieces.rs
+++ b/crates/node/src/agent/pieces.rs
@@ -21,6 +21,7 @@
 use snipewinch::weights::Message;
 use snipewinch::weights::manifest::Id;
 use snipewinch::weights::manifest::Manifest;
+use snipewinch::weights::plan;
 use snipewinch::weights::plan::Candidate;
 use snipewinch::weights::plan::Policy;
 use snipewinch::weights::succession;
@@ -32,10 +33,10 @@
 use snipewinch::weights::swarm::Want;
 use snipewinch::wire::Class;
 use snipewinch::wire::Frame;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
@@ -51,13 +52,16 @@
 const REGION_PART: f64 = 1.1;
 /// The part of a host's link that pieces take: what is left keeps the queue of
 /// the link short, in which the words between entries and agents wait.
-const LINK_PART: f64 = 0.8;
+const LINK_PART: f64 = 0.92;
 /// The first pause after the origin gave no list, and the longest.
 const LIST_PAUSE_MIN: Duration = Duration::from_millis(100);
 const LIST_PAUSE_MAX: Duration = Duration::from_millis(1_500);
-/// What each agent adds to the time over which all of them spread their
-/// reading of a new list: the origin accepts few connections.
-const LIST_SPREAD: Duration = Duration::from_millis(4);
+/// How long after the one before it in its region an agent reads a new list
+/// from the origin: most have got it from another agent by then, which takes a
+/// new link and a few round trips.
+const LIST_STEP: Duration = Duration::from_millis(100);
+/// How long an agent that was asked for its list is given.
+const LIST_PATIENCE: Duration = Duration::from_millis(200);
 /// What is kept of the time in which a version must be in use, to pass its last
 /// pieces on and load it: the engines load in turns.
 const LOAD_TIME: Duration = Duration::from_millis(1_500);
@@ -81,6 +85,8 @@
 pub(super) struct Pieces {
     state: Rc<RefCell<State>>,
     events: mpsc::UnboundedSender<swarm::Event>,
+    /// A list became known.
+    learned: Rc<Notify>,
 }
 
 struct State {
@@ -144,6 +150,7 @@
             wanted: Vec::new(),
         })),
         events,
+        learned: Rc::default(),
     };
     let exchange = Exchange {
         agent: agent.clone(),
@@ -151,6 +158,7 @@
         pieces: pieces.clone(),
         dialed: Vec::new(),
         ups: HashMap::new(),
+        list_asked: None,
     };
     spawn_local(learn(agent, pieces.clone()));
     let task = spawn_local(exchange.run(inbox, answered));
@@ -166,14 +174,18 @@
         let doubted = pieces.state.borrow_mut().doubted.take();
         match target {
             Some(target) if known.as_ref() != Some(&target) || doubted == Some(target.version) => {
-                let agents = agent.view.borrow().members.len() as u32;
-                let spread = (LIST_SPREAD * agents).max(backoff(failures));
-                sleep(spread.mul_f64(rand::random())).await;
+                let pause = match failures {
+                    0 => list_turn(&agent, &target),
+                    failures => backoff(failures).mul_f64(rand::random()),
+                };
+                if doubted.is_none() && pieces.learns(&target, pause).await {
+                    continue;
+                }
                 let source = Source::open(agent.caller.clone(), target.origin.address);
                 match read_list(&source, &target).await {
                     Some(list) => {
                         failures = 0;
-                        pieces.know(&agent, target, &list);
+                        pieces.read(&agent, target, &list);
                     }
                     None => failures += 1,
                 }
@@ -187,14 +199,21 @@
     }
 }
 
-/// The pause after so many failures in a row; none before the first.
+/// The longest pause after so many failures in a row.
 fn backoff(failures: u32) -> Duration {
-    match failures.checked_sub(1) {
-        None => Duration::ZERO,
-        Some(doublings) => {
-            (LIST_PAUSE_MIN * 2_u32.saturating_pow(doublings.min(8))).min(LIST_PAUSE_MAX)
-        }
-    }
+    let doublings = failures.saturating_sub(1).min(8);
+    (LIST_PAUSE_MIN * 2_u32.saturating_pow(doublings)).min(LIST_PAUSE_MAX)
+}
+
+/// How long this agent leaves the reading of a new list to others of its
+/// region. All of them would fill the origin's narrow link with lists while the
+/// first pieces have to pass.
+fn list_turn(agent: &Agent, target: &Target) -> Duration {
+    let identity = &agent.settings.identity;
+    let name = Digest::of(format!("{}/{}", target.model, target.version).as_bytes());
+    let view = agent.view.borrow();
+    let rank = plan::rank(&view, &agent.host(), &identity.region, &name);
+    LIST_STEP * rank as u32
 }
 
 async fn read_list(source: &Source, target: &Target) -> Option<List> {
@@ -212,17 +231,82 @@
 }
 
 impl Pieces {
-    fn know(&self, agent: &Agent, target: Target, list: &List) {
-        let manifest = match manifest(list) {
-            Ok(manifest) => Arc::new(manifest),
-            Err(why) => {
-                log::error!(
-                    "E7221 the list of version {} is of no use: {why}",
-                    target.version
-                );
+    /// Waits for the list of a target to come from another agent; false if it
+    /// has not after `pause`.
+    async fn learns(&self, target: &Target, pause: Duration) -> bool {
+        let learned = async {
+            while self.newest().is_none_or(|known| known.target != *target) {
+                self.learned.notified().await;
+            }
+        };
+        timeout(pause, learned).await.is_ok()
+    }
+
+    /// Takes in the list that the origin gave.
+    fn read(&self, agent: &Agent, target: Target, list: &List) {
+        match manifest(list) {
+            Ok(manifest) => self.know(agent, target, manifest),
+            Err(why) => log::error!(
+                "E7221 the list of version {} is of no use: {why}",
+                target.version
+            ),
+        }
+    }
+
+    /// Whether another agent's manifest may be the list that is missing here,
+    /// or show that the one which is here came spoilt.
+    fn lacks(&self, agent: &Agent, manifest: Id) -> bool {
+        let Some(target) = agent.target() else {
+            return false;
+        };
+        let state = self.state.borrow();
+        let is_known = state
+            .known
+            .iter()
+            .any(|known| Id::of(&known.digest) == manifest);
+        let has_begun = state
+            .known
+            .iter()
+            .any(|known| known.target.version == target.version && state.stage(known).held > 0.0);
+        !is_known && !has_begun
+    }
+
+    /// Takes in a manifest that another agent sent. One that differs from the
+    /// list that is here has the origin asked again.
+    fn offer(&self, agent: &Agent, bytes: &[u8]) {
+        let Some(target) = agent.target() else {
+            return;
+        };
+        let manifest = match Manifest::parse(bytes, &Digest::of(bytes)) {
+            Ok(manifest) => manifest,
+            Err(error) => {
+                log::warn!("E7229 the list that an agent sent is of no use: {error}");
                 return;
             }
         };
+        let version = target.version;
+        let named = manifest.model == target.model && manifest.version == version.to_string();
+        let mut state = self.state.borrow_mut();
+        let known = state
+            .known
+            .iter()
+            .find(|known| known.target.version == version);
+        match known.map(|known| known.digest == manifest.digest()) {
+            _ if !named => {}
+            None => {
+                drop(state);
+                self.know(agent, target, manifest);
+            }
+            Some(true) => {}
+            Some(false) => {
+                log::warn!("E7229 another agent has another list of version {version}");
+                state.doubted = Some(version);
+            }
+        }
+    }
+
+    fn know(&self, agent: &Agent, target: Target, manifest: Manifest) {
+        let manifest = Arc::new(manifest);
         let digest = manifest.digest();
         let mut state = self.state.borrow_mut();
         if state
@@ -253,6 +337,7 @@
         state.known.drain(..excess);
         drop(state);
         self.want(agent);
+        self.learned.notify_waiters();
         agent.news.notify_waiters();
     }
 
@@ -264,13 +349,19 @@
             return;
         }
         state.wanted.clone_from(&wanted);
-        let wants = wanted.into_iter().map(|manifest| Want {
-            manifest,
+        let wants = wanted.iter().map(|manifest| Want {
+            manifest: *manifest,
             services: vec![agent.service.clone()],
         });
         let wants = wants.collect();
         let weigh = Weigh::Time;
+        // The exchange ends only with the process.
         let _ = self.events.send(swarm::Event::Wants { wants, weigh });
+        // At once, or pieces that are found staged would be passed over.
+        for digest in wanted {
+            let bytes = state.manifest_bytes(&digest);
+            let _ = self.events.send(swarm::Event::Manifest { digest, bytes });
+        }
     }
 }
 
@@ -298,6 +389,12 @@
         }
     }
 
+    /// The manifest with this digest, as agents send it to each other.
+    fn manifest_bytes(&self, digest: &Digest) -> Option<Bytes> {
+        let known = self.known.iter().find(|known| known.digest == *digest)?;
+        Some(known.manifest.to_bytes().into())
+    }
+
     /// How far a version has come.
     fn stage(&self, known: &Known) -> Stage {
         let swarm = self.swarm.as_ref();
@@ -327,9 +424,8 @@
 fn open_swarm(agent: &Agent, target: &Target, size: u64) -> Swarm {
     let identity = &agent.settings.identity;
     let origin_zone = target.origin.zone.as_deref();
-    let backend = agent.settings.backend.unwrap_or(identity.address);
     Swarm::new(swarm::Config {
-        host: super::host_name(backend),
+        host: agent.host(),
         region: identity.region.clone(),
         origin_region: origin_zone.map(|zone| agent.region(zone)),
         policy: Policy::Swarm,
@@ -347,6 +443,8 @@
     dialed: Vec<Candidate>,
     /// Links that came up before there was a swarm.
     ups: HashMap<Link, swarm::Event>,
+    /// When another agent was last asked for its list.
+    list_asked: Option<Duration>,
 }
 
 impl Exchange {
@@ -404,6 +502,7 @@
                 self.handle(swarm::Event::Up { link, peer });
             }
             Event::Messages { link, messages } => {
+                self.overhear(link, &messages);
                 let link = number(link);
                 self.handle(swarm::Event::Messages { link, messages });
             }
@@ -415,6 +514,27 @@
         }
     }
 
+    /// Gets a list that is missing here from an agent that has it.
+    fn overhear(&mut self, link: link::Key, messages: &[Message]) {
+        for message in messages {
+            match message {
+                Message::Have { manifest, .. } if self.pieces.lacks(&self.agent, *manifest) => {
+                    let now = self.agent.clock.now();
+                    let waits = |asked| now.saturating_sub(asked) < LIST_PATIENCE;
+                    if !self.list_asked.is_some_and(waits) {
+                        self.list_asked = Some(now);
+                        let manifest = *manifest;
+                        let ask = Frame::Weights(Message::AskManifest { manifest });
+                        // A lost frame is made up for by the origin's list.
+                        let _ = self.hub.send(link, ask);
+                    }
+                }
+                Message::Manifest { bytes, .. } => self.pieces.offer(&self.agent, bytes),
+                _ => {}
+            }
+        }
+    }
+
     fn handle(&mut self, event: swarm::Event) {
         let now = self.agent.clock.now();
         let mut state = self.pieces.state.borrow_mut();
@@ -447,9 +567,7 @@
             Action::Send { link, message } => self.send(link, message),
             Action::Dial(wanted) => self.redial(wanted),
             Action::ReadManifest { digest } => {
-                let state = self.pieces.state.borrow();
-                let known = state.known.iter().find(|known| known.digest == digest);
-                let bytes = known.map(|known| known.manifest.to_bytes().into());
+                let bytes = self.pieces.state.borrow().manifest_bytes(&digest);
                 let _ = self
                     .pieces
                     .events
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -58,17 +58,19 @@
 use desk::Desk;
 use upstream::Pool;
 
-/// How often the list of backend servers is asked for.
-const LISTING_PACE: Pace = Pace {
-    gap: Duration::from_millis(700),
-    bytes_per_s: 200_000.0,
-};
-/// The same for what operators write: a configuration of 90 KB is read once a
-/// second, half the time in which it must be in force.
-const OPERATOR_PACE: Pace = Pace {
-    gap: Duration::from_millis(150),
-    bytes_per_s: 90_000.0,
-};
+/// The part of the time in which a backend server that leaves must be left
+/// alone after which the list is asked for again: heartbeats change the list all
+/// the time, and each poll costs a call.
+const LISTING_PART: f64 = 0.45;
+/// The most that is read of the list in a second.
+const LISTING_BYTES_PER_S: f64 = 200_000.0;
+/// The least time between two reads of what operators write.
+const OPERATOR_GAP: Duration = Duration::from_millis(150);
+/// The most that is read of it in a second: a configuration of 90 KB once.
+const OPERATOR_BYTES_PER_S: f64 = 90_000.0;
+/// The part of the time in which a configuration must be in force for which
+/// the reading of the next one may be held up.
+const OPERATOR_REST_PART: f64 = 0.35;
 /// How often the desk is looked after while requests wait.
 const BUSY_TICK: Duration = Duration::from_millis(7);
 /// How often otherwise.
@@ -173,9 +175,10 @@
                 .as_ref()
                 .and_then(|engine| engine.model.as_ref());
             if let Some(model) = model {
-                let found = self.operator.borrow().found(model);
-                self.desk
-                    .set_floor(&service.name, self.version_floor(model), found);
+                let operator = self.operator.borrow();
+                let (found, newest) = (operator.found(model), operator.newest(model));
+                let own = self.version_floor(model);
+                self.desk.set_versions(&service.name, own, found, newest);
             }
         }
     }
@@ -345,7 +348,13 @@
 }
 
 async fn follow_operators(entry: Rc<Entry>, store: Store) {
-    let (mut changes, _task) = follow::spawn(store, platform::operator::TABLE, OPERATOR_PACE);
+    let pace = Pace {
+        gap: OPERATOR_GAP,
+        bytes_per_s: OPERATOR_BYTES_PER_S,
+        rest_max: entry.bounds.get().configuration.mul_f64(OPERATOR_REST_PART),
+        relaxed: None,
+    };
+    let (mut changes, _task) = follow::spawn(store, platform::operator::TABLE, pace);
     while let Some(change) = changes.recv().await {
         let now = entry.clock.now();
         entry.operator.borrow_mut().take(now, change);
@@ -354,7 +363,14 @@
 }
 
 async fn follow_listing(entry: Rc<Entry>, store: Store) {
-    let (mut changes, _task) = follow::spawn(store, listing::TABLE, LISTING_PACE);
+    let gap = entry.bounds.get().drain.mul_f64(LISTING_PART);
+    let pace = Pace {
+        gap,
+        bytes_per_s: LISTING_BYTES_PER_S,
+        rest_max: gap,
+        relaxed: None,
+    };
+    let (mut changes, _task) = follow::spawn(store, listing::TABLE, pace);
     while let Some(change) = changes.recv().await {
         let now = entry.clock.now();
         let news = entry.listing.borrow_mut().take(now, change);
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -16,6 +16,7 @@
 use snipewinch::dispatch::Ticket;
 use snipewinch::dispatch::Waiter;
 use snipewinch::grant;
+use snipewinch::grant::Ask;
 use snipewinch::grant::Give;
 use snipewinch::grant::TakerId;
 use snipewinch::health::Outcome;
@@ -28,6 +29,7 @@
 use super::backends::Load;
 use crate::clock::Clock;
 use crate::fleet::News;
+use crate::operator::Named;
 
 /// Requests that an entry has at once at an engine whose agent is silent. All
 /// entries together then stay near the places of an engine.
@@ -68,6 +70,8 @@
 struct Service {
     /// The oldest version of weights on which a request may start.
     floor: u64,
+    /// The newest version that is named.
+    named: Option<Named>,
     queue: Queue,
     waiting: HashMap<Ticket, Waiting>,
 }
@@ -252,8 +256,15 @@
     }
 
     /// Sets the oldest version of weights on which requests may start: `own` by
-    /// the clock of this process, `found` the version named at its start.
-    pub(crate) fn set_floor(&self, service: &SmolStr, own: u64, found: u64) {
+    /// the clock of this process, `found` the version named at its start. Agents
+    /// are told of the newest that is `named`.
+    pub(crate) fn set_versions(
+        &self,
+        service: &SmolStr,
+        own: u64,
+        found: u64,
+        named: Option<Named>,
+    ) {
         let mut state = self.state.borrow_mut();
         let words: Vec<Give> = state
             .backends
@@ -262,6 +273,7 @@
             .collect();
         let desk = state.services.entry(service.clone()).or_default();
         desk.floor = grant::floor(own, found, words.iter());
+        desk.named = named;
     }
 
     /// A request saw how a backend server does.
@@ -448,6 +460,7 @@
             .oldest()
             .map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let floor = desk.floor;
+        let named = desk.named.map(|named| named.word(now));
         let mut keys = Vec::new();
         let mut candidates = Vec::new();
         for (key, one) in self.backends.of_service(service) {
@@ -475,6 +488,7 @@
             let Some(ask) = one.taker.ask(now, wanted, slack_ms, tokens) else {
                 continue;
             };
+            let ask = Ask { named, ..ask };
             if let Err(error) = socket.send(&fleet_key, &ask, one.agent) {
                 log::debug!("E7053 an ask to {} was not sent: {error}", one.agent);
             }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -9,6 +9,7 @@
 use platform::operator::Word;
 use platform::rows::Row;
 use smol_str::SmolStr;
+use snipewinch::grant;
 use snipewinch::route::Table;
 
 /// How long before the bound on old weights no request is sent that would start
@@ -39,6 +40,17 @@
     known: bool,
 }
 
+impl Named {
+    /// What an entry says of it.
+    pub(crate) fn word(&self, now: Duration) -> grant::Named {
+        let age = now.saturating_sub(self.learned).as_millis();
+        grant::Named {
+            version: self.version,
+            age_ms: (!self.found).then(|| age.min(u128::from(u32::MAX)) as u32),
+        }
+    }
+}
+
 impl Operator {
     /// Takes in a change; true if a configuration came into force.
     pub(crate) fn take(&mut self, now: Duration, change: Change) -> bool {
@@ -89,14 +101,40 @@
         let known = named.last().map_or(0, |named| named.version);
         if version > known {
             log::info!("E7022 version {version} of the weights is named");
-            named.push(Named {
-                version,
-                learned: now,
-                found: !self.known,
-            });
-            let excess = named.len().saturating_sub(NAMED_MAX);
-            named.drain(..excess);
+            push(
+                named,
+                Named {
+                    version,
+                    learned: now,
+                    found: !self.known,
+                },
+            );
+        }
+    }
+
+    /// An entry says which version of a model is the newest named; true if that
+    /// is new here.
+    pub(crate) fn hear(&mut self, now: Duration, model: SmolStr, word: grant::Named) -> bool {
+        let named = self.weights.entry(model).or_default();
+        let is_new = word.version > named.last().map_or(0, |named| named.version);
+        if is_new {
+            log::info!("E7022 version {} of the weights is named", word.version);
+            let age = word.age_ms.map(|ms| Duration::from_millis(ms.into()));
+            push(
+                named,
+                Named {
+                    version: word.version,
+                    learned: now.saturating_sub(age.unwrap_or_default()),
+                    found: age.is_none(),
+                },
+            );
         }
+        is_new
+    }
+
+    /// The newest version of a model that is named.
+    pub(crate) fn newest(&self, model: &str) -> Option<Named> {
+        self.weights.get(model)?.last().copied()
     }
 
     /// The newest version of a model that was named `age` ago or earlier; 0 if
@@ -109,8 +147,7 @@
 
     /// Whether this process saw the newest version of a model named.
     pub(crate) fn saw_named(&self, model: &str) -> bool {
-        let named = self.weights.get(model).and_then(|named| named.last());
-        named.is_some_and(|named| !named.found)
+        self.newest(model).is_some_and(|named| !named.found)
     }
 
     /// The version of a model that this process found at its start.
@@ -122,5 +159,11 @@
     }
 }
 
+fn push(named: &mut Vec<Named>, one: Named) {
+    named.push(one);
+    let excess = named.len().saturating_sub(NAMED_MAX);
+    named.drain(..excess);
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/operator/tests.rs
+++ b/crates/node/src/operator/tests.rs
@@ -2,6 +2,7 @@
 
 use platform::follow::Change;
 use platform::rows::Row;
+use snipewinch::grant;
 
 use super::Operator;
 
@@ -63,3 +64,21 @@
     assert!(!operator.take(s(4), configured(6)));
     assert_eq!(operator.version(), 7);
 }
+
+/// Agents read what operators write only now and then, as they are many and a
+/// configuration is long; entries tell them of versions.
+#[test]
+fn a_version_heard_from_an_entry_counts_from_when_it_was_named() {
+    let mut operator = Operator::default();
+    operator.take(s(0), Change::Whole(Vec::new()));
+    let word = |version, age_ms| grant::Named { version, age_ms };
+    assert!(operator.hear(s(20), "m".into(), word(2, Some(2_000))));
+    assert!(!operator.hear(s(21), "m".into(), word(2, Some(3_000))));
+    assert_eq!(operator.named_for("m", s(24), BOUND), 0);
+    assert_eq!(operator.named_for("m", s(25), BOUND), 2);
+    assert!(operator.saw_named("m"));
+    assert!(operator.hear(s(26), "m".into(), word(3, None)));
+    assert!(!operator.saw_named("m"));
+    operator.take(s(27), named(3));
+    assert_eq!(operator.newest("m").map(|named| named.learned), Some(s(26)));
+}
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -65,6 +65,22 @@
     /// How many of them it has handed back.
     #[serde(rename = "e")]
     pub ended: u64,
+    /// The newest version of the weights that the entry knows to be named:
+    /// entries follow the operators closely, agents need not.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub named: Option<Named>,
+}
+
+/// A version of weights that operators have named.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Named {
+    /// The version.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// For how many milliseconds it has been named; none if the sender started
+    /// later and can't know.
+    #[serde(rename = "a", default)]
+    pub age_ms: Option<u32>,
 }
 
 /// What an agent says to an entry.
@@ -436,6 +452,7 @@
             unused: self.unused,
             given: self.given,
             ended: self.ended,
+            named: None,
         })
     }
 
--- a/crates/snipewinch/src/weights/plan.rs
+++ b/crates/snipewinch/src/weights/plan.rs
@@ -12,7 +12,9 @@
 use crate::Digest;
 use crate::host;
 use crate::host::Region;
+use crate::host::Role;
 use crate::membership::Member;
+use crate::membership::View;
 
 /// Stripes into which chunks are dealt; each has one gateway in each region.
 pub const STRIPES: u32 = 4;
@@ -21,6 +23,9 @@
 /// The fewest peers that an agent dials in its region, if there are as many.
 const DIALS_MIN: usize = 4;
 
+/// The purpose of [`rank`] among other uses of the hash.
+const RANK_PURPOSE: &[u8] = b"rank";
+
 /// Hosts that take from one host in a tree.
 const FANOUT: usize = 2;
 
@@ -166,6 +171,17 @@
     }
 }
 
+/// How many agents of a region come before `me` in the order that a name gives:
+/// the order in which they stand by to do what one of them has to do.
+pub fn rank(view: &View, me: &host::Name, region: &Region, name: &Digest) -> usize {
+    let own = weight(name, RANK_PURPOSE, me);
+    let local = view.members.iter().filter(|one| one.region == *region);
+    let agents = local.filter(|one| one.role == Role::Agent && one.host != *me);
+    agents
+        .filter(|one| weight(name, RANK_PURPOSE, &one.host) > own)
+        .count()
+}
+
 /// The highest random weight of a host for a purpose.
 pub(crate) fn weight(manifest: &Digest, purpose: &[u8], host: &host::Name) -> u64 {
     let mut hasher = blake3::Hasher::new_keyed(manifest.as_bytes());
--- a/crates/snipewinch/tests/grant.rs
+++ b/crates/snipewinch/tests/grant.rs
@@ -144,6 +144,7 @@
         unused: 0,
         given: 0,
         ended: 0,
+        named: None,
     }
 }
 
