Finish an older version also if it bridges the time until the newest

An origin that comes back with 0.08 of the older version missing leaves engines without any usable version for seconds; finishing it costs 0.2 s.

--- a/crates/node/src/agent/pieces.rs
+++ b/crates/node/src/agent/pieces.rs
@@ -42,6 +42,7 @@
 
 use super::Agent;
 use super::Target;
+use crate::operator::VERSION_MARGIN;
 
 /// The most memory for pieces: two versions and some, so that the one before
 /// can still be passed on while the next arrives.
@@ -62,9 +63,6 @@
 const LIST_STEP: Duration = Duration::from_millis(100);
 /// How long an agent that was asked for its list is given.
 const LIST_PATIENCE: Duration = Duration::from_millis(200);
-/// What is kept of the time in which a version must be in use, to pass its last
-/// pieces on and load it: the engines load in turns.
-const LOAD_TIME: Duration = Duration::from_millis(1_500);
 /// Bytes a second for one megabit a second.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 /// How often to look for a new target without news.
@@ -264,10 +262,10 @@
             .known
             .iter()
             .any(|known| Id::of(&known.digest) == manifest);
-        let has_begun = state
-            .known
-            .iter()
-            .any(|known| known.target.version == target.version && state.stage(known).held > 0.0);
+        let has_begun = state.known.iter().any(|known| {
+            let held = state.stage(known, Duration::ZERO).held;
+            known.target.version == target.version && held > 0.0
+        });
         !is_known && !has_begun
     }
 
@@ -372,17 +370,19 @@
         let Some((newest, before)) = self.known.split_last() else {
             return Vec::new();
         };
-        let due = newest.target.learned + agent.bounds.get().version.saturating_sub(LOAD_TIME);
-        let left = due.saturating_sub(agent.clock.now());
+        let now = agent.clock.now();
+        let bound = agent.bounds.get().version.saturating_sub(VERSION_MARGIN);
         let rate = newest.target.origin.link_mbit * BYTES_PER_MBIT;
-        let stage = self.stage(newest);
-        let unfinished = before
-            .iter()
-            .find(|known| succession::finishes_first(self.stage(known), stage, rate, left));
+        let stage = self.stage(newest, bound);
+        let finishes =
+            |known: &&Known| succession::finishes_first(now, self.stage(known, bound), stage, rate);
+        let unfinished = before.iter().find(finishes);
         match unfinished {
             Some(unfinished) => vec![unfinished.digest],
             None => {
-                let whole = before.iter().filter(|known| self.stage(known).is_whole());
+                let whole = before
+                    .iter()
+                    .filter(|known| self.stage(known, bound).is_whole());
                 let all = std::iter::once(newest).chain(whole);
                 all.map(|known| known.digest).collect()
             }
@@ -395,14 +395,15 @@
         Some(known.manifest.to_bytes().into())
     }
 
-    /// How far a version has come.
-    fn stage(&self, known: &Known) -> Stage {
+    /// How far a version has come that must be in use `bound` after its name.
+    fn stage(&self, known: &Known, bound: Duration) -> Stage {
         let swarm = self.swarm.as_ref();
         let progress = swarm.and_then(|swarm| swarm.progress(&known.digest));
         let progress = progress.unwrap_or_default();
         Stage {
             bytes: known.manifest.size as f64,
             held: progress.held as f64 / progress.chunks.max(1) as f64,
+            due: known.target.learned + bound,
         }
     }
 }
--- a/crates/snipewinch/src/weights/succession.rs
+++ b/crates/snipewinch/src/weights/succession.rs
@@ -3,14 +3,18 @@
 //!
 //! The load that this answers: two versions named within the time of one copy,
 //! over an origin's link that carries one copy in seconds. Both at once would
-//! make both late; the older one is worth finishing only if that leaves enough
-//! time for the newer one, which replaces it.
+//! make both late. The older one is finished first if that makes neither late,
+//! or if engines can serve with it while the newest is still on its way and what
+//! they hold now is too old.
 
 use std::time::Duration;
 
 /// The part of its chunks from which an older version has come far: less would
 /// be finished so shortly before the newest that no engine loads it.
 const FAR: f64 = 0.4;
+/// From the last chunk at the host that reads it from the origin to engines
+/// that serve with the version: passing on, and loading.
+const READY: Duration = Duration::from_millis(1_500);
 
 /// One version on its way.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -19,6 +23,8 @@
     pub bytes: f64,
     /// The part of them that is here, from 0 to 1.
     pub held: f64,
+    /// From when on engines may not serve with an older one.
+    pub due: Duration,
 }
 
 impl Stage {
@@ -27,15 +33,21 @@
         self.held >= 1.0
     }
 
-    fn missing(self) -> f64 {
-        self.bytes * (1.0 - self.held)
+    /// How long the rest takes at so many bytes a second.
+    fn rest(self, bytes_per_s: f64) -> Duration {
+        let missing = self.bytes * (1.0 - self.held).max(0.0);
+        Duration::try_from_secs_f64(missing / bytes_per_s).unwrap_or(Duration::MAX / 4)
     }
 }
 
-/// Whether to finish `older` before `newest` is begun: the newest can still be
-/// fetched after it at `bytes_per_s` within `left`, the time until engines must
-/// begin to load it.
-pub fn finishes_first(older: Stage, newest: Stage, bytes_per_s: f64, left: Duration) -> bool {
-    let both = (older.missing() + newest.missing()) / bytes_per_s;
-    (FAR..1.0).contains(&older.held) && both <= left.as_secs_f64()
+/// Whether to finish `older` before `newest` is begun, over a link that carries
+/// `bytes_per_s`.
+pub fn finishes_first(now: Duration, older: Stage, newest: Stage, bytes_per_s: f64) -> bool {
+    let cost = older.rest(bytes_per_s);
+    let older_ready = now + cost + READY;
+    let newest_ready = older_ready + newest.rest(bytes_per_s);
+    let fits = newest_ready <= newest.due;
+    let serves_from = older_ready.max(older.due);
+    let serves_for = newest_ready.min(newest.due).saturating_sub(serves_from);
+    (FAR..1.0).contains(&older.held) && (fits || serves_for > cost)
 }
--- a/crates/snipewinch/tests/succession.rs
+++ b/crates/snipewinch/tests/succession.rs
@@ -9,28 +9,40 @@
 /// The rate of an origin's link of 7.3 Mbit/s: a copy takes 2.6 s.
 const RATE: f64 = 7.3 * 125_000.0;
 
-fn stage(held: f64) -> Stage {
-    Stage { bytes: SIZE, held }
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn stage(held: f64, due_ms: u64) -> Stage {
+    Stage {
+        bytes: SIZE,
+        held,
+        due: ms(due_ms),
+    }
 }
 
 #[test]
 fn a_version_that_is_nearly_here_is_finished_if_there_is_time_for_both() {
-    let left = Duration::from_secs(6);
-    assert!(finishes_first(stage(0.75), stage(0.0), RATE, left));
-    assert!(!finishes_first(stage(0.2), stage(0.0), RATE, left));
-    assert!(!finishes_first(stage(1.0), stage(0.0), RATE, left));
+    let newest = stage(0.0, 10_000);
+    let finishes = |held| finishes_first(ms(2_000), stage(held, 8_000), newest, RATE);
+    assert!(finishes(0.75));
+    assert!(!finishes(0.2));
+    assert!(!finishes(1.0));
 }
 
 /// The origin was away for six seconds in the middle of the older version.
 /// Finishing it would make the newest late, without which no engine may serve.
 #[test]
 fn a_version_that_would_make_the_newest_late_is_left() {
-    let left = Duration::from_millis(500);
-    assert!(!finishes_first(stage(0.75), stage(0.0), RATE, left));
-    assert!(!finishes_first(
-        stage(0.99),
-        stage(0.1),
-        RATE,
-        Duration::ZERO
-    ));
+    let newest = stage(0.0, 9_400);
+    assert!(!finishes_first(ms(8_600), stage(0.75, 7_400), newest, RATE));
+    assert!(!finishes_first(ms(9_400), stage(0.99, 7_400), newest, RATE));
+}
+
+/// The same with little of the older version missing and longer bounds: engines
+/// serve with it for 1.5 s in which they would serve nothing.
+#[test]
+fn a_version_that_bridges_the_time_until_the_newest_is_finished() {
+    let newest = stage(0.0, 11_400);
+    assert!(finishes_first(ms(8_500), stage(0.92, 9_400), newest, RATE));
 }
