--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -22,6 +22,7 @@
 use platform::listing;
 use platform::rows::Store;
 use prometheus::Registry;
+use rand::RngExt;
 use smol_str::SmolStr;
 use snafu::OptionExt;
 use snafu::ResultExt;
@@ -33,10 +34,11 @@
 use snipewinch::membership::State;
 use snipewinch::membership::View;
 use snipewinch::route;
-use snipewinch::route::Repeat;
+use snipewinch::terms::Terms;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use crate::Config;
 use crate::Error;
@@ -69,15 +71,16 @@
     rest_max: Duration::from_secs(4),
     relaxed: Some(Duration::from_secs(5)),
 };
-/// The same for what operators write, of which an agent needs little: entries
-/// tell it of new versions of weights, and a configuration that is longer by many
-/// routes says nothing new of the engine.
-const OPERATOR_PACE: Pace = Pace {
-    gap: Duration::from_millis(150),
-    bytes_per_s: 30_000.0,
-    rest_max: Duration::from_secs(8),
-    relaxed: Some(Duration::from_secs(15)),
-};
+/// How often named versions of weights are read; entries tell of them sooner.
+const VERSIONS_GAP: Duration = Duration::from_secs(5);
+/// The pause after a failed read.
+const VERSIONS_PAUSE: Duration = Duration::from_millis(700);
+/// How far these pauses are spread, so that agents do not read together.
+const VERSIONS_SPREAD: std::ops::Range<f64> = 0.7..1.3;
+/// How long an agent waits for an entry to tell it what the configuration says
+/// of its engine before it reads it whole. Requests that need it come with an
+/// entry's word.
+const TERMS_PATIENCE: Duration = Duration::from_secs(6);
 /// The version of weights that is meant before any is named.
 const FIRST_VERSION: u64 = 1;
 
@@ -90,7 +93,10 @@
     /// For the origin of weights, which all agents ask.
     caller: Caller,
     gate: Gate,
+    /// The versions of weights that operators have named.
     operator: RefCell<Operator>,
+    /// What the configuration says of the engine; none until that is known.
+    terms: RefCell<Option<Terms>>,
     listing: RefCell<Listing>,
     /// The engines that are listed, as hosts of agents.
     view: RefCell<Rc<View>>,
@@ -115,29 +121,31 @@
 impl Agent {
     /// How the configuration says that the engine on this host works.
     fn spec(&self) -> Option<route::Engine> {
-        let operator = self.operator.borrow();
-        let table = operator.table.as_ref()?;
-        table.service(&self.service)?.engine.clone()
+        let terms = self.terms.borrow();
+        terms.as_ref().map(|terms| terms.engine.clone())
     }
 
     /// The shortest pause between events that any route to the engine bears.
     fn pause(&self) -> Duration {
-        let operator = self.operator.borrow();
-        let routes = operator
-            .table
-            .iter()
-            .flat_map(|table| &table.configuration().routes);
-        let ours = routes.filter(|route| {
-            route
-                .targets
-                .iter()
-                .any(|target| target.service == self.service)
-        });
-        let pauses = ours.filter_map(|route| match route.repeat {
-            Repeat::Stream { gap, .. } if !gap.is_zero() => Some(gap),
-            Repeat::Idempotent | Repeat::Never | Repeat::Stream { .. } => None,
-        });
-        pauses.min().unwrap_or_default()
+        let terms = self.terms.borrow();
+        terms.as_ref().map(|terms| terms.pause).unwrap_or_default()
+    }
+
+    /// Takes in what a configuration says of the engine.
+    fn take_terms(&self, new: Terms) {
+        let mut terms = self.terms.borrow_mut();
+        let known = terms.as_ref().map_or(0, |terms| terms.version);
+        if new.version < known || terms.as_ref() == Some(&new) {
+            return;
+        }
+        log::info!(
+            "E7205 configuration {} holds for the engine, with {} places",
+            new.version,
+            new.engine.slots
+        );
+        self.gate.set_terms(new.digest());
+        *terms = Some(new);
+        self.news.notify_waiters();
     }
 
     /// The oldest version of weights on which requests may start.
@@ -150,6 +158,18 @@
         operator.named_for(&model, self.clock.now(), age)
     }
 
+    /// Takes in rows of the operators.
+    fn take_rows(&self, rows: Change) {
+        let now = self.clock.now();
+        let is_new = self.operator.borrow_mut().take(now, rows);
+        let table = self.operator.borrow().table.clone();
+        let terms = table.and_then(|table| Terms::of(&table, &self.service));
+        if let Some(terms) = terms.filter(|_| is_new) {
+            self.take_terms(terms);
+        }
+        self.news.notify_waiters();
+    }
+
     /// An entry says which version of the weights is the newest named.
     fn hear_named(&self, word: grant::Named) {
         if word.version <= self.heard_version.get() {
@@ -174,11 +194,9 @@
     /// What the engine is to hold; none while that is not known.
     fn target(&self) -> Option<Target> {
         let model = self.spec()?.model?;
-        let operator = self.operator.borrow();
-        let services = &operator.table.as_ref()?.configuration().services;
-        let origin = services.iter().find_map(|service| service.origin.clone())?;
-        let newest = operator.weights.get(&model).and_then(|named| named.last());
-        let named = newest.copied().unwrap_or(Named {
+        let origin = self.terms.borrow().as_ref()?.origin.clone()?;
+        let newest = self.operator.borrow().newest(&model);
+        let named = newest.unwrap_or(Named {
             version: FIRST_VERSION,
             learned: Duration::ZERO,
             found: true,
@@ -256,6 +274,7 @@
         caller: Caller::without_idle(),
         gate: Gate::default(),
         operator: RefCell::default(),
+        terms: RefCell::default(),
         listing: RefCell::default(),
         view: RefCell::default(),
         news: Notify::new(),
@@ -332,15 +351,37 @@
         .context(LinksSnafu)
 }
 
+/// Reads the named versions of weights now and then, and the configuration if no
+/// entry has told what it says of the engine.
 async fn follow_operators(agent: Rc<Agent>, store: Store) {
-    let (mut changes, _task) = follow::spawn(store, platform::operator::TABLE, OPERATOR_PACE);
-    while let Some(change) = changes.recv().await {
-        let now = agent.clock.now();
-        let told = !matches!(change, Change::Lost);
-        agent.operator.borrow_mut().take(now, change);
-        if told {
-            agent.news.notify_waiters();
-        }
+    let mut failures = 0;
+    loop {
+        let patience = TERMS_PATIENCE.mul_f64(rand::rng().random_range(VERSIONS_SPREAD));
+        let alone = agent.terms.borrow().is_none() && agent.clock.now() >= patience;
+        let from = match alone {
+            true => platform::operator::CONFIGURATION,
+            false => platform::operator::VERSION_PREFIX,
+        };
+        let until = platform::operator::VERSION_END;
+        let read = store.read_keys(platform::operator::TABLE, from, until);
+        let pause = match read.await {
+            Ok(rows) => {
+                failures = 0;
+                agent.take_rows(Change::Rows(rows.rows));
+                VERSIONS_GAP
+            }
+            Err(error) => {
+                failures += 1;
+                if failures == 1 {
+                    log::warn!("E7206 the operators' rows are not read: {error}");
+                }
+                VERSIONS_PAUSE
+            }
+        };
+        // Until it is known how the engine works, an agent is of no use.
+        let waits = agent.terms.borrow().is_none();
+        let pause = if waits { VERSIONS_PAUSE } else { pause };
+        sleep(pause.mul_f64(rand::rng().random_range(VERSIONS_SPREAD))).await;
     }
 }
 
--- a/crates/node/src/agent/gate.rs
+++ b/crates/node/src/agent/gate.rs
@@ -9,8 +9,8 @@
 use peer::FleetKey;
 use peer::datagram::Socket;
 use platform::engine::Report;
-use snipewinch::grant::Ask;
 use snipewinch::grant::Giver;
+use snipewinch::grant::Message;
 use snipewinch::grant::TakerId;
 use snipewinch::route;
 use tokio::time::sleep;
@@ -84,6 +84,11 @@
         state.giver.set_floor(floor, aged);
     }
 
+    /// Sets the digest of what the configuration says of the engine.
+    pub(super) fn set_terms(&self, digest: u32) {
+        self.state.borrow_mut().giver.set_terms(digest);
+    }
+
     /// Brings the figures up to date.
     pub(super) fn show(&self, gauges: &Gauges) {
         let state = self.state.borrow();
@@ -207,14 +212,18 @@
         let wake = agent.gate.state.borrow().giver.wake(agent.clock.now());
         let wake = wake.unwrap_or(agent.clock.now() + WATCH_IDLE);
         let received = tokio::select! {
-            received = socket.receive::<Ask>(&key) => received,
+            received = socket.receive::<Message>(&key) => received,
             () = sleep_until(agent.clock.at(wake)) => {
                 agent.gate.give(agent.clock.now());
                 continue;
             }
         };
         let (ask, from) = match received {
-            Ok(received) => received,
+            Ok((Message::Ask(ask), from)) => (ask, from),
+            Ok((Message::Terms(terms), _)) => {
+                agent.take_terms(*terms);
+                continue;
+            }
             Err(error) => {
                 log::warn!("E7212 nothing was read from entries: {error}");
                 sleep(RECEIVE_PAUSE).await;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -23,6 +23,7 @@
 use snipewinch::retry;
 use snipewinch::route::Limits;
 use snipewinch::route::Table;
+use snipewinch::terms::Terms;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -183,6 +184,18 @@
         }
     }
 
+    /// Tells the desk what the configuration says of engines.
+    fn set_terms(&self) {
+        let Some(table) = self.table() else {
+            return;
+        };
+        for service in &table.configuration().services {
+            if let Some(terms) = Terms::of(&table, &service.name) {
+                self.desk.set_terms(&service.name, terms);
+            }
+        }
+    }
+
     /// A first try was sent.
     pub(crate) fn earn(&self, service: &SmolStr) {
         self.budget(service, |budget| budget.tried());
@@ -357,7 +370,9 @@
     let (mut changes, _task) = follow::spawn(store, platform::operator::TABLE, pace);
     while let Some(change) = changes.recv().await {
         let now = entry.clock.now();
-        entry.operator.borrow_mut().take(now, change);
+        if entry.operator.borrow_mut().take(now, change) {
+            entry.set_terms();
+        }
         entry.check_started();
     }
 }
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -62,6 +62,8 @@
     pub(crate) taker: Taker,
     /// Until when the agent is done without.
     pub(crate) without_agent_until: Option<Duration>,
+    /// When the agent was last told what the configuration says of its engine.
+    pub(crate) told_terms: Option<Duration>,
 }
 
 impl Backend {
@@ -203,6 +205,7 @@
                     health: Health::default(),
                     taker: Taker::new(self.taker),
                     without_agent_until: None,
+                    told_terms: None,
                     id: id.clone(),
                 };
                 let key = self.arena.insert(backend);
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -18,8 +18,10 @@
 use snipewinch::grant;
 use snipewinch::grant::Ask;
 use snipewinch::grant::Give;
+use snipewinch::grant::Message;
 use snipewinch::grant::TakerId;
 use snipewinch::health::Outcome;
+use snipewinch::terms::Terms;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -35,6 +37,8 @@
 /// entries together then stay near the places of an engine.
 const WITHOUT_AGENT_MAX: u32 = 1;
 
+/// How soon an agent is told again what the configuration says of its engine.
+const TERMS_GAP: Duration = Duration::from_millis(1_000);
 /// For how long the same agents are asked while no place is free.
 const SEED_AGE: Duration = Duration::from_millis(100);
 
@@ -72,6 +76,8 @@
     floor: u64,
     /// The newest version that is named.
     named: Option<Named>,
+    /// What agents must know of the configuration, and its digest.
+    terms: Option<(Terms, u32)>,
     queue: Queue,
     waiting: HashMap<Ticket, Waiting>,
 }
@@ -238,6 +244,7 @@
         }
         backend.taker.hear(now, give);
         let service = backend.service.clone();
+        state.tell_terms(key, now, give);
         drop(state);
         self.pump(&service);
     }
@@ -255,6 +262,14 @@
         }
     }
 
+    /// Sets what the agents of a service are told of the configuration.
+    pub(crate) fn set_terms(&self, service: &SmolStr, terms: Terms) {
+        let digest = terms.digest();
+        let mut state = self.state.borrow_mut();
+        let desk = state.services.entry(service.clone()).or_default();
+        desk.terms = Some((terms, digest));
+    }
+
     /// Sets the oldest version of weights on which requests may start: `own` by
     /// the clock of this process, `found` the version named at its start. Agents
     /// are told of the newest that is `named`.
@@ -409,6 +424,29 @@
         all.any(|(key, one)| !want.tried.contains(&key) && one.may_hold(floor))
     }
 
+    /// Tells an agent what the configuration says of its engine, if it knows
+    /// something else.
+    fn tell_terms(&mut self, key: Key, now: Duration, give: &Give) {
+        let Some(backend) = self.backends.get_mut(key) else {
+            return;
+        };
+        let desk = self.services.get(&backend.service);
+        let (Some((socket, fleet_key)), Some((terms, digest))) =
+            (&self.link, desk.and_then(|desk| desk.terms.as_ref()))
+        else {
+            return;
+        };
+        let recent = |told| now.saturating_sub(told) < TERMS_GAP;
+        if *digest == give.terms || backend.told_terms.is_some_and(recent) {
+            return;
+        }
+        backend.told_terms = Some(now);
+        let message = Message::Terms(Box::new(terms.clone()));
+        if let Err(error) = socket.send(fleet_key, &message, backend.agent) {
+            log::debug!("E7053 terms for {} were not sent: {error}", backend.agent);
+        }
+    }
+
     /// The request that a place at a backend server goes to.
     fn fit(&self, service: &str, key: Key, now: Duration) -> Option<Ticket> {
         let desk = self.services.get(service)?;
@@ -488,8 +526,8 @@
             let Some(ask) = one.taker.ask(now, wanted, slack_ms, tokens) else {
                 continue;
             };
-            let ask = Ask { named, ..ask };
-            if let Err(error) = socket.send(&fleet_key, &ask, one.agent) {
+            let message = Message::Ask(Ask { named, ..ask });
+            if let Err(error) = socket.send(&fleet_key, &message, one.agent) {
                 log::debug!("E7053 an ask to {} was not sent: {error}", one.agent);
             }
         }
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -18,6 +18,7 @@
 
 use crate::engine::Model;
 use crate::engine::Spec;
+use crate::terms::Terms;
 
 /// How long a taker may be silent before its places are given to others; it
 /// says something at least each [`RENEWAL`] while it has any.
@@ -71,6 +72,17 @@
     pub named: Option<Named>,
 }
 
+/// What an entry sends to an agent.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Message {
+    /// It asks for places, or hands some back.
+    #[serde(rename = "a")]
+    Ask(Ask),
+    /// It tells what the configuration says of the agent's engine.
+    #[serde(rename = "t")]
+    Terms(Box<Terms>),
+}
+
 /// A version of weights that operators have named.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Named {
@@ -117,6 +129,9 @@
     /// Whether places are given at all for now.
     #[serde(rename = "o")]
     pub open: bool,
+    /// The digest of the terms that the agent knows; 0 if it knows none.
+    #[serde(rename = "c", default)]
+    pub terms: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -147,6 +162,7 @@
     version: u64,
     floor: u64,
     aged: bool,
+    terms: u32,
     model: Model,
     usual_tokens: f64,
     pause: Duration,
@@ -180,6 +196,11 @@
         self.aged = aged;
     }
 
+    /// Sets the digest of the terms by which places are given.
+    pub fn set_terms(&mut self, digest: u32) {
+        self.terms = digest;
+    }
+
     /// Places that there are.
     pub fn places(&self) -> u64 {
         self.places
@@ -313,6 +334,7 @@
             aged: self.aged,
             takers: self.accounts.len().min(usize::from(u16::MAX)) as u16,
             open: self.places > 0,
+            terms: self.terms,
         }
     }
 
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -88,6 +88,7 @@
 pub mod retry;
 pub mod route;
 pub mod routing;
+pub mod terms;
 pub mod weights;
 pub mod wire;
 
--- a/crates/snipewinch/src/route.rs
+++ b/crates/snipewinch/src/route.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 
 use crate::engine::Spec;
@@ -104,7 +106,7 @@
 }
 
 /// How a service's model engines work.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Engine {
     /// Requests that run at once.
     pub slots: u32,
@@ -146,7 +148,7 @@
 }
 
 /// Where weights come from.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Origin {
     /// Its address.
     pub address: SocketAddr,
--- /dev/null
+++ b/crates/snipewinch/tests/terms.rs
@@ -0,0 +1,120 @@
+//! What agents are told of a configuration.
+
+use std::time::Duration;
+
+use snipewinch::grant::Message;
+use snipewinch::route::Configuration;
+use snipewinch::route::Engine;
+use snipewinch::route::Origin;
+use snipewinch::route::Repeat;
+use snipewinch::route::Route;
+use snipewinch::route::Service;
+use snipewinch::route::Table;
+use snipewinch::route::Target;
+use snipewinch::terms::Terms;
+
+/// The longest datagram that is taken, less its tag and a margin.
+const DATAGRAM_MAX_BYTES: usize = 1_100;
+
+fn route(name: &str, service: &str, gap_ms: u64) -> Route {
+    Route {
+        name: name.into(),
+        host: "host.example".into(),
+        prefix: format!("/{name}/").into(),
+        repeat: Repeat::Stream {
+            resumable: true,
+            gap: Duration::from_millis(gap_ms),
+        },
+        timeout: None,
+        goal: Duration::from_millis(400),
+        priority: 1,
+        targets: vec![Target {
+            service: service.into(),
+            weight: 1.0,
+        }],
+        attempts: 2,
+        public: false,
+    }
+}
+
+fn service(name: &str, engine: Option<Engine>, origin: Option<Origin>) -> Service {
+    Service {
+        name: name.into(),
+        connections: Some(976),
+        engine,
+        origin,
+    }
+}
+
+fn table(version: u64, routes: Vec<Route>) -> Table {
+    let engine = Engine {
+        slots: 16,
+        stride: 5,
+        model: Some("a model with a name of some length".into()),
+        warm: Duration::from_millis(300),
+        step: Duration::from_micros(9_270),
+        step_per_call: Duration::from_nanos(23_200),
+        step_per_kilotoken: Duration::from_nanos(32_200),
+        read_per_s: 20_700.0,
+        usual_prompt: 979.123_456_789,
+        usual_answer: 91.123_456_789,
+        chunks: 96,
+        chunk_bytes: 24_576,
+    };
+    let origin = Origin {
+        address: ([172, 20, 0, 3], 8_442).into(),
+        zone: Some("hill-country-a".into()),
+        link_mbit: 7.3,
+    };
+    Table::new(Configuration {
+        version,
+        routes,
+        services: vec![
+            service("engines", Some(engine), None),
+            service("desk", None, None),
+            service("weights", None, Some(origin)),
+        ],
+        ..Configuration::default()
+    })
+}
+
+#[test]
+fn the_shortest_pause_of_the_routes_to_the_engines_counts() {
+    let routes = vec![
+        route("slow", "engines", 900),
+        route("quick", "engines", 400),
+        route("other", "desk", 100),
+        route("unbounded", "engines", 0),
+    ];
+    let table = table(3, routes);
+    let terms = Terms::of(&table, &"engines".into()).expect("it has engines");
+    assert_eq!(
+        (terms.version, terms.pause),
+        (3, Duration::from_millis(400))
+    );
+    assert_eq!(
+        terms.origin.map(|origin| origin.address.port()),
+        Some(8_442)
+    );
+    assert_eq!(Terms::of(&table, &"desk".into()), None);
+}
+
+/// A configuration that grew by 880 routes was read by 76 agents and filled the
+/// links between regions (grown bluebonnet scale-1, CONFIG and DENIED; trouble-3,
+/// RECOVER). It says nothing new of the engines.
+#[test]
+fn a_configuration_of_more_routes_says_nothing_new() {
+    let terms = |version, count| {
+        let routes = (0..count).map(|place| route(&format!("r{place}"), "engines", 400));
+        Terms::of(&table(version, routes.collect()), &"engines".into()).expect("it has engines")
+    };
+    assert_eq!(terms(3, 1).digest(), terms(4, 900).digest());
+    let other = Terms {
+        pause: Duration::from_millis(500),
+        ..terms(3, 1)
+    };
+    assert_ne!(terms(3, 1).digest(), other.digest());
+    let message = Message::Terms(Box::new(terms(4, 900)));
+    let length = serde_json::to_vec(&message).expect("serializable").len();
+    assert!(length <= DATAGRAM_MAX_BYTES, "{length} bytes");
+}
