Do not take chunks on narrow hosts' links for live calls

Change: the delay that is borne grows by two chunks on the hosts' links, up to the 100 ms of RFC 6817. Test: chunks_on_narrow_links_of_hosts_are_not_taken_for_live_calls.

--- a/crates/snipewinch/src/weights/flow.rs
+++ b/crates/snipewinch/src/weights/flow.rs
@@ -8,8 +8,13 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// The queueing delay at which the rate stays as it is.
-const TARGET: Duration = Duration::from_millis(15);
+/// The least queueing delay at which the rate stays as it is.
+const TARGET_MIN: Duration = Duration::from_millis(15);
+/// The most; RFC 6817 allows no more.
+const TARGET_MAX: Duration = Duration::from_millis(100);
+/// Chunks that may pass before a request on the links of its two hosts: one at
+/// each end.
+const CHUNKS_BEFORE: f64 = 2.0;
 /// The share by which one sample changes the rate at most.
 const GAIN: f64 = 0.08;
 /// Samples of which the least counts: single late ones are not a queue.
@@ -29,19 +34,30 @@
 pub struct Flow {
     rate: f64,
     max: Option<f64>,
+    target: Duration,
     next: Duration,
     recent: VecDeque<Duration>,
     base: VecDeque<Duration>,
     bucket_ends: Duration,
 }
 
+/// The queueing delay that is no sign of live calls: what chunks of
+/// `chunk_bytes` cause on hosts' links of `bytes_per_s`, none if they are
+/// unlimited.
+pub fn target(chunk_bytes: u32, bytes_per_s: Option<f64>) -> Duration {
+    let chunk = bytes_per_s.map_or(0.0, |rate| f64::from(chunk_bytes) / rate);
+    let chunks = Duration::try_from_secs_f64(CHUNKS_BEFORE * chunk).unwrap_or(TARGET_MAX);
+    (TARGET_MIN + chunks).min(TARGET_MAX)
+}
+
 impl Flow {
-    /// A transfer of at most `max` bytes a second; none if the link's rate is
-    /// unknown.
-    pub fn new(max: Option<f64>) -> Flow {
+    /// A transfer of at most `max` bytes a second, none if the link's rate is
+    /// unknown, that bears a queueing delay of `target`.
+    pub fn new(max: Option<f64>, target: Duration) -> Flow {
         Flow {
             rate: max.unwrap_or(START_BYTES_S),
             max,
+            target,
             next: Duration::ZERO,
             recent: VecDeque::new(),
             base: VecDeque::new(),
@@ -87,7 +103,7 @@
         let base = self.base.iter().min().copied().unwrap_or(delay);
         let current = self.recent.iter().min().copied().unwrap_or(delay);
         let queueing = current.saturating_sub(base).as_secs_f64();
-        let target = TARGET.as_secs_f64();
+        let target = self.target.as_secs_f64();
         let off = ((target - queueing) / target).clamp(-1.0, 1.0);
         self.rate *= 1.0 + GAIN * off;
         let floor = self.max.map_or(START_BYTES_S, |max| max) * FLOOR;
--- a/crates/snipewinch/src/weights/swarm/gateway.rs
+++ b/crates/snipewinch/src/weights/swarm/gateway.rs
@@ -10,6 +10,7 @@
 use super::transfer::Transfer;
 use crate::document::Weigh;
 use crate::weights::Message;
+use crate::weights::flow;
 use crate::weights::flow::Flow;
 use crate::weights::manifest::Id;
 use crate::weights::plan;
@@ -170,8 +171,10 @@
 
     fn begin(&mut self, now: Duration, id: Id, chunk: u32, key: PeerKey) {
         let max = self.flow_max(id);
+        let host_rate = self.config.host_mbit.map(|mbit| mbit * BYTES_PER_MBIT);
+        let target = flow::target(self.length(id, chunk), host_rate);
         if let Some(peer) = self.peers.get_mut(key) {
-            let flow = peer.flow.get_or_insert_with(|| Flow::new(max));
+            let flow = peer.flow.get_or_insert_with(|| Flow::new(max, target));
             flow.limit(max);
         }
         if let Some(transfer) = self.transfers.get_mut(&id) {
--- a/crates/snipewinch/tests/weights_parts.rs
+++ b/crates/snipewinch/tests/weights_parts.rs
@@ -15,6 +15,7 @@
 use snipewinch::membership::Member;
 use snipewinch::membership::State;
 use snipewinch::weights::bitmap::Bitmap;
+use snipewinch::weights::flow;
 use snipewinch::weights::flow::Flow;
 use snipewinch::weights::manifest::Error;
 use snipewinch::weights::manifest::Manifest;
@@ -164,7 +165,7 @@
 #[test]
 fn a_flow_gives_way_to_a_queue_and_takes_what_is_idle() {
     let share = 500_000.0;
-    let mut flow = Flow::new(Some(share));
+    let mut flow = Flow::new(Some(share), Duration::from_millis(15));
     let mut now = Duration::ZERO;
     let mut run = |flow: &mut Flow, delay_ms: u64| {
         for _ in 0..100 {
@@ -179,3 +180,23 @@
     assert!(pressed >= share * 0.09, "{pressed}");
     assert_eq!(run(&mut flow, 10), share);
 }
+
+/// On hosts' links of 7.3 Mbit/s a chunk takes 34 ms. Transfers between regions
+/// took that for live calls and fell to a tenth of their rate: a version was
+/// whole in the origin's region after 4.2 s and elsewhere after 10 s (bluebonnet
+/// quiet-1).
+#[test]
+fn chunks_on_narrow_links_of_hosts_are_not_taken_for_live_calls() {
+    let share = 500_000.0;
+    let host_rate = 0.8 * 7.3 * 125_000.0;
+    let mut flow = Flow::new(Some(share), flow::target(24_576, Some(host_rate)));
+    for sample in 0..200_u64 {
+        let now = Duration::from_millis(20 * sample);
+        let delay = if sample < 8 { 4 } else { 38 };
+        flow.sample(now, Duration::from_millis(delay));
+    }
+    assert_eq!(flow.rate(), share);
+    assert_eq!(flow::target(24_576, None), Duration::from_millis(15));
+    let slowest = flow::target(1 << 20, Some(host_rate));
+    assert_eq!(slowest, Duration::from_millis(100));
+}
