Leave a silent engine after 2.5 pauses of its route

Streams moved on after 1.5 s of silence, which for those that had waited for a place is after their callers leave. Ruled out: our close of the connection (it went out at once; a frozen engine can't act on it). Change: a stream moves on after 2.5 pauses for which it is on time, 1 s here (health::silence_max). Test: a_silent_server_is_left_before_callers_leave.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 use snipewinch::dispatch::Waiter;
 use snipewinch::health::Outcome;
+use snipewinch::health::silence_max;
 use snipewinch::route::Repeat;
 use snipewinch::route::Route;
 use tokio::io::AsyncWriteExt;
@@ -32,12 +33,10 @@
 
 /// The deadline of a request whose caller names none.
 const DEADLINE: Duration = Duration::from_secs(30);
-/// How long a stream may show no sign of life before it goes on elsewhere: the
-/// platform's pages give 1.5 s as the time after which work that depends on a
-/// dead server is cut off.
-const SILENCE_MAX: Duration = Duration::from_millis(1_500);
-/// The same for an answer in one piece, in goals of its route.
+/// How long an answer in one piece may be waited for before another server is
+/// asked, in goals of its route, and at least.
 const SILENCE_GOALS: u32 = 3;
+const SILENCE_MIN: Duration = Duration::from_millis(500);
 /// What an event takes from the engine to the caller, and the request back: a
 /// few network delays.
 const WAY: Duration = Duration::from_millis(12);
@@ -329,8 +328,8 @@
     let resume = progress.events.last_id.clone();
     let request = call.request(place, left, resume.as_deref());
     let silence = match call.route.repeat {
-        Repeat::Stream { .. } => SILENCE_MAX,
-        Repeat::Idempotent => (call.route.goal * SILENCE_GOALS).max(SILENCE_MAX / 3),
+        Repeat::Stream { gap, .. } => silence_max(gap),
+        Repeat::Idempotent => (call.route.goal * SILENCE_GOALS).max(SILENCE_MIN),
         Repeat::Never => Duration::MAX,
     };
     let had_run = std::mem::replace(&mut progress.may_have_run, true);
@@ -506,10 +505,14 @@
     if progress.begun {
         entry.metrics.resumed.inc();
     }
+    let silence = match call.route.repeat {
+        Repeat::Stream { gap, .. } => silence_max(gap),
+        Repeat::Idempotent | Repeat::Never => Duration::MAX,
+    };
     let mut body = Decoder::new(head.framing);
     let mut bytes = Vec::with_capacity(1024);
     loop {
-        let next = timeout(SILENCE_MAX, upstream.next(&mut body)).await;
+        let next = timeout(silence, upstream.next(&mut body)).await;
         let step = match next {
             Ok(Ok(step)) => step,
             Ok(Err(error)) => {
--- a/crates/snipewinch/src/health.rs
+++ b/crates/snipewinch/src/health.rs
@@ -13,6 +13,27 @@
 /// The longest rest.
 const REST_MAX: Duration = Duration::from_secs(8);
 
+/// How long a stream may show no sign of life, in pauses for which it is on
+/// time: a slow pass of an engine and the way of its events stay below.
+const SILENCE_PAUSES: f64 = 2.5;
+/// The least that is waited, and what is waited where no pause is named: the
+/// platform's pages give 1.5 s as the time after which work that depends on a
+/// dead server is cut off.
+const SILENCE_MIN: Duration = Duration::from_millis(750);
+const SILENCE_USUAL: Duration = Duration::from_millis(1_500);
+
+/// How long a stream may show no sign of life before it goes on elsewhere, if it
+/// is on time with pauses of `pause`, zero if none is named. Callers leave after
+/// a few such pauses more, and a stream may have waited before.
+pub fn silence_max(pause: Duration) -> Duration {
+    match pause.is_zero() {
+        true => SILENCE_USUAL,
+        false => pause
+            .mul_f64(SILENCE_PAUSES)
+            .clamp(SILENCE_MIN, SILENCE_USUAL),
+    }
+}
+
 /// What a request saw.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
--- a/crates/snipewinch/tests/health.rs
+++ b/crates/snipewinch/tests/health.rs
@@ -4,6 +4,7 @@
 
 use snipewinch::health::Health;
 use snipewinch::health::Outcome;
+use snipewinch::health::silence_max;
 
 fn s(s: u64) -> Duration {
     Duration::from_secs(s)
@@ -56,3 +57,16 @@
     health.sent(s(12));
     assert!(health.admits(s(14)));
 }
+
+/// A host froze with the engine on it. A stream that had waited 1.74 s for a
+/// place was still there when its caller left after 3.2 s (ptcr mix, seed
+/// 9508798725, GONE).
+#[test]
+fn a_silent_server_is_left_before_callers_leave() {
+    let waited = Duration::from_millis(1_740);
+    let pause = Duration::from_millis(400);
+    let caller_leaves = pause * 8;
+    assert!(waited + silence_max(pause) + pause <= caller_leaves);
+    assert_eq!(silence_max(Duration::ZERO), Duration::from_millis(1_500));
+    assert!(silence_max(Duration::from_millis(50)) >= Duration::from_millis(750));
+}
