--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -69,12 +69,14 @@
     gap: Duration::from_millis(2_000),
     bytes_per_s: 100_000.0,
     rest_max: Duration::from_secs(4),
-    relaxed: Some(Duration::from_secs(5)),
+    relaxed: Some(Duration::from_secs(8)),
 };
 /// How often named versions of weights are read; entries tell of them sooner.
-const VERSIONS_GAP: Duration = Duration::from_secs(5);
+const VERSIONS_GAP: Duration = Duration::from_secs(10);
 /// The pause after a failed read.
 const VERSIONS_PAUSE: Duration = Duration::from_millis(700);
+/// The longest pause while it is not known how the engine works.
+const TERMS_PAUSE: Duration = Duration::from_secs(2);
 /// How far these pauses are spread, so that agents do not read together.
 const VERSIONS_SPREAD: std::ops::Range<f64> = 0.7..1.3;
 /// How long an agent waits for an entry to tell it what the configuration says
@@ -380,7 +382,7 @@
         };
         // Until it is known how the engine works, an agent is of no use.
         let waits = agent.terms.borrow().is_none();
-        let pause = if waits { VERSIONS_PAUSE } else { pause };
+        let pause = if waits { pause.min(TERMS_PAUSE) } else { pause };
         sleep(pause.mul_f64(rand::rng().random_range(VERSIONS_SPREAD))).await;
     }
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -19,6 +19,8 @@
 use smol_str::SmolStr;
 use snafu::OptionExt;
 use snafu::ResultExt;
+use snipewinch::dispatch;
+use snipewinch::dispatch::Shortage;
 use snipewinch::grant::Give;
 use snipewinch::retry;
 use snipewinch::route::Limits;
@@ -86,11 +88,6 @@
 const RETRY_PART: f64 = 0.75;
 /// How many entries share the budget while that is not known.
 const ENTRIES: u16 = 40;
-/// The bounds between which the return of refused callers is spread, so that
-/// they do not come together: where all places are taken, some are free again
-/// after the time of a usual answer; where nobody serves, later.
-const RETURN_BUSY_S: (f64, f64) = (0.6, 1.6);
-const RETURN_NOBODY_S: (f64, f64) = (1.0, 2.0);
 /// How long a request waits for the first configuration and list of a process
 /// that has just started.
 const START_WAIT: Duration = Duration::from_millis(700);
@@ -221,13 +218,14 @@
         act(budget)
     }
 
-    /// When a refused caller may come back.
-    pub(crate) fn retry_after(&self, reason: Reason) -> Duration {
+    /// When a refused caller with so much time left may come back.
+    pub(crate) fn retry_after(&self, reason: Reason, left: Duration) -> Duration {
+        let draw = rand::rng().random();
         match reason {
             Reason::Starting => STARTING,
             Reason::Leaving => Duration::ZERO,
-            Reason::Nobody => spread(RETURN_NOBODY_S),
-            _ => spread(RETURN_BUSY_S),
+            Reason::Nobody => dispatch::return_after(Shortage::Nobody, left, draw),
+            _ => dispatch::return_after(Shortage::Busy, left, draw),
         }
     }
 
@@ -265,10 +263,6 @@
     }
 }
 
-fn spread((least, most): (f64, f64)) -> Duration {
-    Duration::from_secs_f64(rand::rng().random_range(least..most))
-}
-
 /// Runs an entry until it is told to stop.
 pub(crate) async fn run(config: Config) -> Result<(), Error> {
     let settings = &config.settings;
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -617,7 +617,7 @@
     entry.answered(call, reason.status());
     let bytes = answer::refusal(
         reason,
-        entry.retry_after(reason),
+        entry.retry_after(reason, call.deadline.saturating_sub(now)),
         Some(&call.id),
         call.closes,
     );
--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -36,6 +36,8 @@
 /// How long a connection is read from after a refusal that closes it, so that
 /// the caller reads the refusal and not a reset.
 const LINGER: Duration = Duration::from_millis(300);
+/// What a refused caller is taken to have left where its deadline was not read.
+const LEFT_UNKNOWN: Duration = Duration::from_secs(3);
 /// The limits before a configuration is known.
 const HEAD_MAX_BYTES: usize = 16 << 10;
 const HEAD_LIMIT: Duration = Duration::from_secs(3);
@@ -203,7 +205,7 @@
                 .refusals
                 .with_label_values(&[reason.name()])
                 .inc();
-            let after = entry.retry_after(reason);
+            let after = entry.retry_after(reason, LEFT_UNKNOWN);
             let bytes = answer::refusal(reason, after, attempt.as_deref(), closes);
             match writer.write_all(&bytes).await {
                 Ok(()) => End::Whole,
@@ -271,7 +273,12 @@
         .refusals
         .with_label_values(&[reason.name()])
         .inc();
-    let bytes = answer::refusal(reason, entry.retry_after(reason), attempt, true);
+    let bytes = answer::refusal(
+        reason,
+        entry.retry_after(reason, LEFT_UNKNOWN),
+        attempt,
+        true,
+    );
     if writer.write_all(&bytes).await.is_err() || writer.shutdown().await.is_err() {
         return;
     }
--- a/crates/snipewinch/src/dispatch.rs
+++ b/crates/snipewinch/src/dispatch.rs
@@ -7,6 +7,7 @@
 //! still be on time, and is refused at once when it has waited so long that
 //! more waiting helps nobody.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -49,6 +50,35 @@
 /// How many may wait whatever the rate.
 const BACKLOG_MIN: f64 = 8.0;
 
+/// The part of the time that callers have left within which they come back when
+/// asked to; the platform's pages name it.
+const RETURN_PART: f64 = 1.0 / 3.0;
+/// Between which parts of that time refused callers are spread: while all places
+/// are taken, some are free after the time of a usual answer; while nobody
+/// serves, the longest wait has the best chance, as each caller comes back once.
+const RETURN_BUSY: Range<f64> = 0.35..0.9;
+const RETURN_NOBODY: Range<f64> = 0.8..1.0;
+
+/// Why a request is refused that may come back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shortage {
+    /// All places are taken.
+    Busy,
+    /// Nobody serves for now.
+    Nobody,
+}
+
+/// When a refused caller with so much time left is to come back; `draw`, from 0
+/// to 1, sets callers apart so that they do not come together.
+pub fn return_after(shortage: Shortage, left: Duration, draw: f64) -> Duration {
+    let parts = match shortage {
+        Shortage::Busy => RETURN_BUSY,
+        Shortage::Nobody => RETURN_NOBODY,
+    };
+    let part = parts.start + (parts.end - parts.start) * draw;
+    left.mul_f64(RETURN_PART * part)
+}
+
 /// One request that waits.
 #[derive(Clone, Copy, Debug)]
 pub struct Waiter {
--- a/crates/snipewinch/tests/dispatch.rs
+++ b/crates/snipewinch/tests/dispatch.rs
@@ -4,8 +4,10 @@
 
 use snipewinch::dispatch::Candidate;
 use snipewinch::dispatch::Queue;
+use snipewinch::dispatch::Shortage;
 use snipewinch::dispatch::Waiter;
 use snipewinch::dispatch::plan;
+use snipewinch::dispatch::return_after;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -162,3 +164,20 @@
 fn nobody_to_ask_is_no_fault() {
     assert!(plan(3, ms(40), &[], 1).is_empty());
 }
+
+/// For 4 s no engine held weights that were new enough. Refused callers came back
+/// after 1 to 2 s whatever time they had left, most of them into the same outage,
+/// and come back only once (bluebonnet scale-1).
+#[test]
+fn refused_callers_come_back_when_they_have_a_chance_and_in_time() {
+    let left = Duration::from_secs(6);
+    let honoured = left / 3;
+    let at = |shortage, draw| return_after(shortage, left, draw);
+    assert!(at(Shortage::Nobody, 0.0) >= honoured.mul_f64(0.79));
+    assert!(at(Shortage::Nobody, 1.0) <= honoured);
+    assert!(at(Shortage::Busy, 0.0) < at(Shortage::Nobody, 0.0));
+    let spread = at(Shortage::Busy, 1.0) - at(Shortage::Busy, 0.0);
+    assert!(spread >= Duration::from_secs(1), "{spread:?}");
+    let late = return_after(Shortage::Nobody, Duration::from_millis(300), 1.0);
+    assert!(late <= Duration::from_millis(100));
+}
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -20,6 +20,7 @@
 use serde_json::json;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout_at;
 
 use crate::http::Handler;
@@ -55,6 +56,7 @@
     compacted: u64,
     down: bool,
     mute: bool,
+    slow_reads: Duration,
 }
 
 /// The store; clones share it.
@@ -143,19 +145,31 @@
         self.state.lock().mute = mute;
     }
 
+    /// Makes answers that hold rows late, as over a link that many share.
+    pub fn set_slow_reads(&self, delay: Duration) {
+        self.state.lock().slow_reads = delay;
+    }
+
     async fn answer(&self, request: Request) -> Result<Response, Refusal> {
         if self.state.lock().down {
             return Ok(error(StatusCode::SERVICE_UNAVAILABLE, "out of service"));
         }
         match (request.method(), request.uri().path()) {
-            (&Method::GET, "/rows-get") => self.get(&request),
+            (&Method::GET, "/rows-get") => self.get(&request).await,
             (&Method::GET, "/rows-feed") => self.feed(&request).await,
             (&Method::POST, "/rows-tx") => self.transact(read_json(request).await?),
             _ => Ok(error(StatusCode::NOT_FOUND, "no such call")),
         }
     }
 
-    fn get(&self, request: &Request) -> Result<Response, Refusal> {
+    async fn get(&self, request: &Request) -> Result<Response, Refusal> {
+        let (answer, delay) = self.rows(request);
+        sleep(delay).await;
+        Ok(answer)
+    }
+
+    /// Rows by key, and how late they come.
+    fn rows(&self, request: &Request) -> (Response, Duration) {
         let table = parameter(request, "table").unwrap_or_default();
         let from = parameter(request, "from").unwrap_or_default();
         let limit = parameter(request, "limit").and_then(|text| text.parse().ok());
@@ -171,8 +185,12 @@
             .map(|(name, row)| shown(name, row))
             .collect();
         let more = found.next().is_some();
+        let delay = match rows.is_empty() {
+            true => Duration::ZERO,
+            false => state.slow_reads,
+        };
         let body = json!({"rows": rows, "hasMore": more, "ver": state.version, "nowMs": 0});
-        Ok(json(StatusCode::OK, &body))
+        (json(StatusCode::OK, &body), delay)
     }
 
     async fn feed(&self, request: &Request) -> Result<Response, Refusal> {
