Follow the list of agents closely while weights are on their way

Change: a follower that is relaxed polls at once when there is a hurry; the agent sets one while its engine does not hold the newest version.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -17,6 +17,7 @@
 use platform::engine::Engine;
 use platform::follow;
 use platform::follow::Change;
+use platform::follow::Hurry;
 use platform::follow::Pace;
 use platform::http::Caller;
 use platform::listing;
@@ -70,6 +71,7 @@
     bytes_per_s: 100_000.0,
     rest_max: Duration::from_secs(4),
     relaxed: Some(Duration::from_secs(8)),
+    settle: Duration::from_secs(15),
 };
 /// How often named versions of weights are read; entries tell of them sooner.
 const VERSIONS_GAP: Duration = Duration::from_secs(10);
@@ -108,6 +110,8 @@
     bounds: Cell<Bounds>,
     /// The newest version of the weights that any entry spoke of.
     heard_version: Cell<u64>,
+    /// Whether the list of agents matters at once.
+    hurry: Hurry,
 }
 
 /// The weights that the engine is to hold.
@@ -183,6 +187,7 @@
         self.heard_version.set(word.version);
         let now = self.clock.now();
         if self.operator.borrow_mut().hear(now, model, word) {
+            self.hurry.set(true);
             self.news.notify_waiters();
         }
     }
@@ -211,6 +216,13 @@
         })
     }
 
+    /// Has the list followed closely while weights are on their way: they pass
+    /// through agents that must be there.
+    fn hasten(&self, held: u64) {
+        let newest = self.target().map_or(0, |target| target.version);
+        self.hurry.set(held < newest);
+    }
+
     /// The agents of the list. Each is named by its address, which is that of
     /// its engine.
     fn look(&self) {
@@ -283,6 +295,7 @@
         phase: watch::Sender::new(Phase::Running),
         bounds: Cell::new(settings.bounds),
         heard_version: Cell::new(0),
+        hurry: Hurry::default(),
         settings,
     });
     spawn_local(follow_operators(agent.clone(), store.clone()));
@@ -388,7 +401,8 @@
 }
 
 async fn follow_listing(agent: Rc<Agent>, store: Store) {
-    let (mut changes, _task) = follow::spawn(store, listing::TABLE, LISTING_PACE);
+    let hurry = agent.hurry.clone();
+    let (mut changes, _task) = follow::spawn_hurried(store, listing::TABLE, LISTING_PACE, hurry);
     while let Some(change) = changes.recv().await {
         let now = agent.clock.now();
         let mut news = agent.listing.borrow_mut().take(now, change);
--- a/crates/node/src/agent/gate.rs
+++ b/crates/node/src/agent/gate.rs
@@ -195,6 +195,7 @@
         let before = agent.gate.report();
         agent.gate.take(agent.clock.now(), report, slots);
         let after = agent.gate.report();
+        agent.hasten(after.as_ref().map_or(0, version));
         if before.map(|one| (one.born_ms, one.orders, one.busy))
             != after.map(|one| (one.born_ms, one.orders, one.busy))
         {
--- a/crates/node/src/agent/pieces.rs
+++ b/crates/node/src/agent/pieces.rs
@@ -53,7 +53,7 @@
 const REGION_PART: f64 = 1.1;
 /// The part of a host's link that pieces take: what is left keeps the queue of
 /// the link short, in which the words between entries and agents wait.
-const LINK_PART: f64 = 0.92;
+const LINK_PART: f64 = 0.8;
 /// The first pause after the origin gave no list, and the longest.
 const LIST_PAUSE_MIN: Duration = Duration::from_millis(100);
 const LIST_PAUSE_MAX: Duration = Duration::from_millis(1_500);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -360,6 +360,7 @@
         bytes_per_s: OPERATOR_BYTES_PER_S,
         rest_max: entry.bounds.get().configuration.mul_f64(OPERATOR_REST_PART),
         relaxed: None,
+        settle: Duration::ZERO,
     };
     let (mut changes, _task) = follow::spawn(store, platform::operator::TABLE, pace);
     while let Some(change) = changes.recv().await {
@@ -378,6 +379,7 @@
         bytes_per_s: LISTING_BYTES_PER_S,
         rest_max: gap,
         relaxed: None,
+        settle: Duration::ZERO,
     };
     let (mut changes, _task) = follow::spawn(store, listing::TABLE, pace);
     while let Some(change) = changes.recv().await {
