Take no request later than 2.9 s after SIGTERM

Ruled out: the time to end (7.1 of 8 s, within the last sixth). Test: a_stopping_entry_takes_nothing_that_it_must_finish_and_may_not.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -46,6 +46,7 @@
 use crate::page;
 use crate::shutdown;
 use crate::shutdown::Phase;
+use crate::shutdown::Stop;
 use crate::shutdown::wait_for_signal;
 
 mod answer;
@@ -78,11 +79,6 @@
 const BUSY_TICK: Duration = Duration::from_millis(7);
 /// How often otherwise.
 const IDLE_TICK: Duration = Duration::from_millis(100);
-/// How long a leaving entry waits for callers to go elsewhere: the balancer
-/// asks once a second and acts on two misses.
-const LEAVE: Duration = Duration::from_millis(3_200);
-/// What is kept of the time to stop in.
-const STOP_MARGIN: Duration = Duration::from_millis(900);
 /// The part of the shared budget of retries that is used: entries that start
 /// or stop count wrongly for a while.
 const RETRY_PART: f64 = 0.75;
@@ -320,11 +316,11 @@
         entry.under_way.get()
     );
     let started = entry.clock.now();
-    let limit = entry.bounds.get().stop.saturating_sub(STOP_MARGIN);
-    sleep(LEAVE.min(limit)).await;
+    let stop = Stop::within(entry.bounds.get().stop);
+    sleep(stop.close).await;
     entry.phase.send_replace(Phase::Closing);
     sleep(Duration::from_millis(50)).await;
-    while entry.under_way.get() > 0 && entry.clock.now() - started < limit {
+    while entry.under_way.get() > 0 && entry.clock.now() - started < stop.end {
         sleep(Duration::from_millis(20)).await;
     }
     log::info!(
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -1,6 +1,7 @@
 //! The steps of a graceful stop.
 
 use std::path::Path;
+use std::time::Duration;
 
 use platform::boot;
 use platform::boot::Settings;
@@ -8,6 +9,33 @@
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
 
+/// How long a leaving entry answers new requests: the balancer asks once a second
+/// and acts on two misses. What comes later than 3 s after the signal must be
+/// finished, so nothing may.
+const LEAVE: Duration = Duration::from_millis(2_900);
+/// What is kept of the time to stop in.
+const STOP_MARGIN: Duration = Duration::from_millis(900);
+
+/// When the steps of a stop are due, from the signal on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Stop {
+    /// Idle connections are closed and no request is taken any more.
+    pub(crate) close: Duration,
+    /// The process ends whatever is under way.
+    pub(crate) end: Duration,
+}
+
+impl Stop {
+    /// The steps of a stop after which the process would be killed in `limit`.
+    pub(crate) fn within(limit: Duration) -> Stop {
+        let end = limit.saturating_sub(STOP_MARGIN);
+        Stop {
+            close: LEAVE.min(end),
+            end,
+        }
+    }
+}
+
 /// How far a stop has come.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Phase {
@@ -46,3 +74,6 @@
     phase.send_replace(Phase::Leaving);
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
