--- a/crates/snipewinch/tests/weights_parts.rs
+++ b/crates/snipewinch/tests/weights_parts.rs
@@ -14,11 +14,13 @@
 use snipewinch::host::Role;
 use snipewinch::membership::Member;
 use snipewinch::membership::State;
+use snipewinch::membership::View;
 use snipewinch::weights::bitmap::Bitmap;
 use snipewinch::weights::flow;
 use snipewinch::weights::flow::Flow;
 use snipewinch::weights::manifest::Error;
 use snipewinch::weights::manifest::Manifest;
+use snipewinch::weights::plan;
 use snipewinch::weights::plan::Plan;
 use snipewinch::weights::plan::Policy;
 use snipewinch::weights::store::Store;
@@ -200,3 +202,33 @@
     let slowest = flow::target(1 << 20, Some(host_rate));
     assert_eq!(slowest, Duration::from_millis(100));
 }
+
+/// Twenty agents read the same list of digests from an origin whose link carries
+/// one copy in 2.6 s; one of each region is enough.
+#[test]
+fn agents_of_a_region_stand_by_in_one_order() {
+    let view = View {
+        members: members(21, 3),
+    };
+    let name = Digest::of(b"model/2");
+    for region in ["r0", "r1", "r2"].map(host::Region::from) {
+        let local = view.members.iter().filter(|one| one.region == region);
+        let mut ranks: Vec<usize> = local
+            .map(|one| plan::rank(&view, &one.host, &region, &name))
+            .collect();
+        ranks.sort_unstable();
+        assert_eq!(ranks, [0, 1, 2, 3, 4, 5, 6]);
+    }
+    let other = Digest::of(b"model/3");
+    let first = |name| {
+        let region = host::Region::from("r0");
+        let mut local = view.members.iter().filter(|one| one.region == region);
+        let first = local.find(|one| plan::rank(&view, &one.host, &region, name) == 0);
+        first.map(|one| one.host.clone())
+    };
+    assert_ne!(
+        first(&name),
+        first(&other),
+        "versions burden different hosts"
+    );
+}
