Log and count the answers that an entry does not complete

E7118 now names the request, its route, the cause, the time since its arrival and its last event, the length of its deadline and the configuration then and now. E7119 names the idle limit by which a connection was closed and the one in force, at info if they differ. E7105 says for how long a stalled server had sent nothing, and E7111 names the request whose caller left; it is also logged if the caller is found gone by a write. Three counters go with the lines. What callers are sent does not change.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -54,6 +54,7 @@
 mod backends;
 mod call;
 mod connection;
+mod cut;
 mod dispatcher;
 mod events;
 mod pool;
@@ -136,6 +137,11 @@
             .map(|table| table.configuration().limits)
     }
 
+    /// The version of the configuration in force; 0 before the first.
+    pub(crate) fn configuration_version(&self) -> u64 {
+        self.operator.borrow().configuration_version()
+    }
+
     pub(crate) fn phase(&self) -> Phase {
         *self.phase.borrow()
     }
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -26,6 +26,8 @@
 use super::answer;
 use super::answer::Reason;
 use super::backends::Key;
+use super::cut;
+use super::cut::Cause;
 use super::dispatcher::Refusal;
 use super::dispatcher::Slot;
 use super::dispatcher::SlotRequest;
@@ -74,6 +76,8 @@
     /// The time by which the caller, or the route if it is stricter, needs the
     /// answer.
     pub(crate) deadline: Duration,
+    /// The version of the configuration in force when it arrived.
+    pub(crate) configuration_version: u64,
     /// Whether the connection is closed after the answer.
     pub(crate) closes: bool,
 }
@@ -83,9 +87,11 @@
 pub(crate) enum End {
     /// The complete answer was sent; the connection can be reused.
     Complete,
-    /// The answer is incomplete or the caller has disconnected; the connection
-    /// must be closed.
+    /// The caller disconnected before the answer was complete.
     Aborted,
+    /// The entry ended the answer before it was complete; the connection must
+    /// be closed.
+    Cut,
 }
 
 /// How one attempt ended.
@@ -94,6 +100,8 @@
     Answered,
     /// Nothing more can be sent to the caller.
     CallerGone,
+    /// The backend server broke off an answer that no other can complete.
+    BrokenOff,
     /// The backend server has certainly not executed the request.
     NotRun,
     /// The backend server may have executed the request.
@@ -115,7 +123,7 @@
     queue_time: Duration,
     /// The time from its arrival to its first event.
     first_event_delay: Duration,
-    /// When the last event was sent.
+    /// When the last event, or part of an answer without events, was sent.
     last_event: Duration,
     /// The longest time between two events.
     event_gap_max: Duration,
@@ -187,7 +195,7 @@
         Some(end) => end,
         None if progress.head_sent => {
             log::info!("E7101 request {} cut off at its deadline", call.id);
-            End::Aborted
+            cut::end(entry, call, Cause::Deadline, progress.last_event)
         }
         None if progress.may_have_run => refuse(entry, call, out, Reason::AnswerTimeout).await,
         None => refuse(entry, call, out, Reason::DeadlinePassed).await,
@@ -227,6 +235,9 @@
         let (may_retry, reason) = match attempt_end {
             AttemptEnd::Answered => return End::Complete,
             AttemptEnd::CallerGone => return End::Aborted,
+            AttemptEnd::BrokenOff => {
+                return cut::end(entry, call, Cause::BrokenOff, progress.last_event);
+            }
             AttemptEnd::NotRun => (sends < call.route.attempts_max + 1, Reason::Busy),
             AttemptEnd::Unknown => {
                 possible_runs += 1;
@@ -260,7 +271,7 @@
             return send_answer(entry, call, &answer.0, answer.1, out).await;
         }
         return match progress.head_sent {
-            true => End::Aborted,
+            true => cut::end(entry, call, Cause::NoRetry, progress.last_event),
             false if progress.may_have_run => refuse(entry, call, out, Reason::Unknown).await,
             false => refuse(entry, call, out, reason).await,
         };
@@ -284,7 +295,7 @@
     };
     match failure {
         Some(answer) => send_answer(entry, call, &answer.0, answer.1, out).await,
-        None if progress.head_sent => End::Aborted,
+        None if progress.head_sent => cut::end(entry, call, Cause::NoSlot, progress.last_event),
         None => refuse(entry, call, out, reason).await,
     }
 }
@@ -500,7 +511,7 @@
     entry.metrics.attempts.with_label_values(&["success"]).inc();
     match send_answer(entry, call, &head, buffered, out).await {
         End::Complete => AttemptEnd::Answered,
-        End::Aborted => AttemptEnd::CallerGone,
+        End::Aborted | End::Cut => AttemptEnd::CallerGone,
     }
 }
 
@@ -519,6 +530,7 @@
     out: &mut WriteHalf<'_>,
 ) -> AttemptEnd {
     progress.head_sent = true;
+    progress.last_event = entry.clock.now();
     let mut bytes = answer::chunked(head, call.closes);
     write::chunk(&mut bytes, &buffered);
     drop(buffered);
@@ -528,13 +540,16 @@
         }
         bytes.clear();
         match connection.read_step(&mut body).await {
-            Ok(Step::Data(data)) => write::chunk(&mut bytes, &data),
+            Ok(Step::Data(data)) => {
+                progress.last_event = entry.clock.now();
+                write::chunk(&mut bytes, &data);
+            }
             Ok(Step::End) => break,
             Ok(Step::Incomplete) => {}
             Err(error) => {
                 let _ = record_no_answer(entry, call, slot, &error.to_string());
                 // Part of the answer is sent, so no other attempt can follow.
-                return AttemptEnd::CallerGone;
+                return AttemptEnd::BrokenOff;
             }
         }
     }
@@ -571,6 +586,7 @@
     };
     let mut body = Decoder::new(head.framing);
     let mut bytes = Vec::with_capacity(1024);
+    let mut last_received = entry.clock.now();
     loop {
         let next = timeout(event_timeout, connection.read_step(&mut body)).await;
         let step = match next {
@@ -581,9 +597,12 @@
             }
             Err(_) => {
                 progress.events.discard_partial();
-                return record_no_answer(entry, call, slot, "no event in time");
+                let silence = entry.clock.now().saturating_sub(last_received);
+                let cause = format!("no event in time, silent for {} ms", silence.as_millis());
+                return record_no_answer(entry, call, slot, &cause);
             }
         };
+        last_received = entry.clock.now();
         match step {
             Step::Data(data) => {
                 let Some(events) = progress.events.push(&data) else {
--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -8,7 +8,9 @@
 use http1::body::Decoder;
 use http1::body::Step;
 use http1::head::Request;
+use log::Level;
 use platform::header;
+use snipewinch::route::Limits;
 use snipewinch::route::Refusal;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -98,10 +100,7 @@
         let answering = answer_request(&entry, head, body, !keep_alive, &mut writer);
         let end = tokio::select! {
             end = answering => end,
-            () = wait_for_close(&mut reader, &mut buffer) => {
-                log::debug!("E7111 caller closed its connection before the answer was complete");
-                return;
-            }
+            () = wait_for_close(&mut reader, &mut buffer) => End::Aborted,
         };
         match end {
             End::Complete if keep_alive => {}
@@ -109,8 +108,16 @@
                 let _ = writer.shutdown().await;
                 return;
             }
+            End::Aborted => {
+                entry.metrics.callers_left.inc();
+                log::debug!(
+                    "E7111 caller closed its connection before the answer to request {} was complete",
+                    attempt.as_deref().unwrap_or("without an id")
+                );
+                return;
+            }
             // Without the last chunk, the answer is recognizably incomplete.
-            End::Aborted => return,
+            End::Cut => return,
         }
     }
 }
@@ -120,7 +127,7 @@
     let limits = entry.limits();
     let head_max = limits.map_or(HEAD_MAX_BYTES_DEFAULT, |limits| limits.head_bytes_max);
     let head_limit = limits.map_or(HEAD_TIMEOUT_DEFAULT, |limits| limits.head_timeout);
-    let idle = limits.map_or(IDLE_TIMEOUT_DEFAULT, |limits| limits.idle_timeout);
+    let idle = idle_timeout(limits);
     let mut until = Instant::now() + if buffer.is_empty() { idle } else { head_limit };
     loop {
         match Request::decode(buffer, head_max) {
@@ -141,12 +148,36 @@
             Ok(Ok(1..)) if is_idle => until = Instant::now() + head_limit,
             Ok(Ok(1..)) => {}
             Ok(Ok(0)) | Ok(Err(_)) => return Received::Closed,
-            Err(_) if buffer.is_empty() => return Received::Closed,
+            Err(_) if buffer.is_empty() => {
+                record_idle_close(entry, idle);
+                return Received::Closed;
+            }
             Err(_) => return Received::Refused(Reason::RequestTimeout),
         }
     }
 }
 
+/// Records that a connection is closed at its idle limit, the one in force when
+/// the wait began.
+fn record_idle_close(entry: &Entry, limit: Duration) {
+    entry.metrics.idle_connections_closed.inc();
+    let in_force = idle_timeout(entry.limits());
+    let level = match limit == in_force {
+        true => Level::Debug,
+        false => Level::Info,
+    };
+    log::log!(
+        level,
+        "E7119 closing an idle connection at its limit of {} ms; the limit in force is {} ms",
+        limit.as_millis(),
+        in_force.as_millis()
+    );
+}
+
+fn idle_timeout(limits: Option<Limits>) -> Duration {
+    limits.map_or(IDLE_TIMEOUT_DEFAULT, |limits| limits.idle_timeout)
+}
+
 /// Receives the body of a request; none if the caller closed its connection.
 async fn receive_body(
     entry: &Entry,
@@ -263,6 +294,7 @@
         priority: matched.priority(),
         service: service.clone(),
         has_engine: engine.is_some(),
+        configuration_version: table.configuration().version,
         id: id.into(),
         head,
         body,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -73,6 +73,12 @@
     pub(crate) attempts: IntCounterVec,
     /// Streams that were resumed at another backend server.
     pub(crate) streams_resumed: IntCounter,
+    /// Answers that this entry ended before they were complete, by cause.
+    pub(crate) answers_cut: IntCounterVec,
+    /// Callers that disconnected before their answer was complete.
+    pub(crate) callers_left: IntCounter,
+    /// Idle connections of callers that were closed at their idle limit.
+    pub(crate) idle_connections_closed: IntCounter,
     /// The time from a request's arrival to the first byte of its response, in
     /// seconds.
     pub(crate) first_byte: Histogram,
@@ -100,14 +106,13 @@
                 .expect("each name is registered once");
             histogram
         };
-        let streams_resumed = IntCounter::new(
-            "snipewinch_streams_resumed_total",
-            "Streams that went on at another backend server",
-        );
-        let streams_resumed = streams_resumed.expect("the name is valid");
-        registry
-            .register(Box::new(streams_resumed.clone()))
-            .expect("each name is registered once");
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("the name is valid");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("each name is registered once");
+            counter
+        };
         EntryMetrics {
             answers: counters("snipewinch_answers_total", "Answers to callers", "status"),
             refusals: counters(
@@ -120,7 +125,23 @@
                 "Requests sent to backend servers",
                 "outcome",
             ),
-            streams_resumed,
+            streams_resumed: counter(
+                "snipewinch_streams_resumed_total",
+                "Streams that went on at another backend server",
+            ),
+            answers_cut: counters(
+                "snipewinch_answers_cut_total",
+                "Answers ended here before they were complete",
+                "cause",
+            ),
+            callers_left: counter(
+                "snipewinch_callers_left_total",
+                "Callers that left before their answer was complete",
+            ),
+            idle_connections_closed: counter(
+                "snipewinch_idle_connections_closed_total",
+                "Idle connections closed at their limit",
+            ),
             first_byte: histogram(
                 "snipewinch_first_byte_seconds",
                 "From a request's arrival to the first byte of its answer",
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -1,6 +1,7 @@
 //! Runs an entry as a process between a store, scripted backend servers and
 //! callers.
 
+use std::fs::File;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::process::Child;
@@ -24,6 +25,9 @@
 /// The time limit of each step of a test.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The file in the test's directory that holds captured log lines.
+const LOG_FILE: &str = "entry.log";
+
 /// A backend server's reaction to one request.
 #[derive(Clone, Debug)]
 pub(crate) enum Action {
@@ -162,13 +166,22 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
+/// What becomes of the log lines of an entry.
+#[derive(Clone, Copy, Debug)]
+enum Logging {
+    /// They are kept, at all levels, and the entry serves its metrics.
+    Captured,
+    Discarded,
+}
+
 /// The process of an entry, and the store that it uses.
 pub(crate) struct Harness {
     pub(crate) store: Store,
     pub(crate) callers: SocketAddr,
     pub(crate) readiness: SocketAddr,
+    metrics: SocketAddr,
     entry: Child,
-    _directory: TempDir,
+    directory: TempDir,
 }
 
 impl Drop for Harness {
@@ -220,13 +233,29 @@
     /// The first is in the entry's availability zone, the others in another.
     pub(crate) async fn start(servers: &[&Server]) -> Harness {
         let harness = Harness::without_configuration(servers).await;
-        harness.store.put("op", "config", &configuration(1));
-        harness.wait_ready(true).await;
+        harness.configure(&configuration(1)).await;
+        harness
+    }
+
+    /// The same, but with a given configuration, and the entry's log lines and
+    /// metrics can be read.
+    pub(crate) async fn start_logged(servers: &[&Server], configuration: &Value) -> Harness {
+        let harness = Harness::spawn(servers, Logging::Captured).await;
+        harness.configure(configuration).await;
         harness
     }
 
     /// The same, but without a configuration in the store.
     pub(crate) async fn without_configuration(servers: &[&Server]) -> Harness {
+        Harness::spawn(servers, Logging::Discarded).await
+    }
+
+    async fn configure(&self, configuration: &Value) {
+        self.store.put("op", "config", configuration);
+        self.wait_ready(true).await;
+    }
+
+    async fn spawn(servers: &[&Server], logging: Logging) -> Harness {
         let (store, address) = Store::spawn((Ipv4Addr::LOCALHOST, 0).into()).await.unwrap();
         for (index, server) in servers.iter().enumerate() {
             let zone = if index == 0 { "za" } else { "zb" };
@@ -244,18 +273,27 @@
         let directory = tempfile::tempdir().unwrap();
         let path = directory.path().join("local.toml");
         std::fs::write(&path, settings(callers, readiness, peers, address)).unwrap();
+        let (lines, level, metrics) = match logging {
+            Logging::Captured => {
+                let file = File::create(directory.path().join(LOG_FILE)).unwrap();
+                (file.into(), "debug", unused_address().await)
+            }
+            Logging::Discarded => (Stdio::null(), "info", (Ipv4Addr::LOCALHOST, 0).into()),
+        };
         let entry = Command::new(env!("CARGO_BIN_EXE_snipewinch-node"))
             .env(platform::boot::PATH_VARIABLE, &path)
-            .env("SNIPEWINCH_METRICS_PORT", "0")
-            .stdout(Stdio::null())
+            .env("SNIPEWINCH_METRICS_PORT", metrics.port().to_string())
+            .env("SNIPEWINCH_LOG_LEVEL", level)
+            .stdout(lines)
             .spawn()
             .unwrap();
         let harness = Harness {
             store,
             callers,
             readiness,
+            metrics,
             entry,
-            _directory: directory,
+            directory,
         };
         timeout(TIMEOUT, async {
             while TcpStream::connect(harness.callers).await.is_err() {
@@ -285,6 +323,41 @@
             .expect("the entry changes its readiness");
     }
 
+    /// The lines of an event that the entry has logged so far.
+    pub(crate) fn lines(&self, event: &str) -> Vec<Value> {
+        let text = std::fs::read_to_string(self.directory.path().join(LOG_FILE)).unwrap();
+        // The last line may still be incomplete.
+        let complete = text.rsplit_once('\n').map_or("", |(complete, _)| complete);
+        let lines = complete
+            .lines()
+            .map(|line| serde_json::from_str(line).unwrap());
+        lines
+            .filter(|line: &Value| line["event"] == event)
+            .collect()
+    }
+
+    /// Waits until the entry has logged `count` lines of an event.
+    pub(crate) async fn wait_lines(&self, event: &str, count: usize) -> Vec<Value> {
+        let waiting = async {
+            loop {
+                let lines = self.lines(event);
+                if lines.len() >= count {
+                    return lines;
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(TIMEOUT, waiting).await.expect("the entry logs it")
+    }
+
+    /// The value of a metric, with its labels in the name; 0 if it is not there.
+    pub(crate) async fn metric(&self, name: &str) -> u64 {
+        let request = "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        let text = exchange(self.metrics, request).await;
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        value.map_or(0, |value| value.trim().parse().unwrap())
+    }
+
     /// Sends bytes to the entry and returns what it sends until it closes the
     /// connection.
     pub(crate) async fn ask(&self, request: &str) -> String {
