Reserve the ports of the entry that a test starts

A test failed to reach its entry in 2 of 10 runs of the package's tests, once with "Address already in use": the harness closed a port before it gave it to the entry, and a server of another test was given the same one meanwhile.

--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -18,6 +18,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -169,7 +170,7 @@
 /// What becomes of the log lines of an entry.
 #[derive(Clone, Copy, Debug)]
 enum Logging {
-    /// They are kept, at all levels, and the entry serves its metrics.
+    /// They are kept, at all levels.
     Captured,
     Discarded,
 }
@@ -182,6 +183,7 @@
     metrics: SocketAddr,
     entry: Child,
     directory: TempDir,
+    _reserved: [TcpSocket; 4],
 }
 
 impl Drop for Harness {
@@ -191,9 +193,13 @@
     }
 }
 
-async fn unused_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-    listener.local_addr().unwrap()
+/// Reserves a port for the entry. While the socket is open, the port is given
+/// to nobody who asks for any, but who names it may listen there.
+fn reserve_port() -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+    socket
 }
 
 fn route(name: &str, kind: &str, extra: Value) -> Value {
@@ -237,8 +243,8 @@
         harness
     }
 
-    /// The same, but with a given configuration, and the entry's log lines and
-    /// metrics can be read.
+    /// The same, but with a given configuration, and the entry's log lines can
+    /// be read.
     pub(crate) async fn start_logged(servers: &[&Server], configuration: &Value) -> Harness {
         let harness = Harness::spawn(servers, Logging::Captured).await;
         harness.configure(configuration).await;
@@ -265,20 +271,19 @@
                 &listed(server.address, zone, "ready"),
             );
         }
-        let (callers, readiness, peers) = (
-            unused_address().await,
-            unused_address().await,
-            unused_address().await,
-        );
+        let reserved = [(); 4].map(|()| reserve_port());
+        let [callers, readiness, peers, metrics] = reserved
+            .each_ref()
+            .map(|socket| socket.local_addr().unwrap());
         let directory = tempfile::tempdir().unwrap();
         let path = directory.path().join("local.toml");
         std::fs::write(&path, settings(callers, readiness, peers, address)).unwrap();
-        let (lines, level, metrics) = match logging {
+        let (lines, level) = match logging {
             Logging::Captured => {
                 let file = File::create(directory.path().join(LOG_FILE)).unwrap();
-                (file.into(), "debug", unused_address().await)
+                (file.into(), "debug")
             }
-            Logging::Discarded => (Stdio::null(), "info", (Ipv4Addr::LOCALHOST, 0).into()),
+            Logging::Discarded => (Stdio::null(), "info"),
         };
         let entry = Command::new(env!("CARGO_BIN_EXE_snipewinch-node"))
             .env(platform::boot::PATH_VARIABLE, &path)
@@ -294,6 +299,7 @@
             metrics,
             entry,
             directory,
+            _reserved: reserved,
         };
         timeout(TIMEOUT, async {
             while TcpStream::connect(harness.callers).await.is_err() {
