Reproduce answers that are cut while a backend server is silent

Callers saw an accepted request end without a complete answer, or with a 502, although its backend server was only silent for a second and then went on. The entry drops a server at the stall timeout before another has taken the stream over, so an absent, refusing, silent or breaking second server or an empty retry budget cuts the answer.

The harness's servers now take steps in time: send, pause, close, reset and bytes without end. Its entries can have another retry budget, and a route whose streams cannot resume joins the shared configuration.

--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -9,7 +9,6 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-#[allow(dead_code)]
 mod harness;
 
 use harness::Action;
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -1,6 +1,8 @@
 //! Runs an entry as a process between a store, scripted backend servers and
 //! callers.
 
+#![allow(dead_code, reason = "each file of tests uses a part of it")]
+
 use std::fs::File;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -13,6 +15,7 @@
 
 use serde_json::Value;
 use serde_json::json;
+use socket2::SockRef;
 use standin::store::Store;
 use tempfile::TempDir;
 use tokio::io::AsyncReadExt;
@@ -25,6 +28,8 @@
 
 /// The time limit of each step of a test.
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// How many bytes a flood sends at once.
+const FLOOD_BLOCK_BYTES: usize = 128 << 10;
 
 /// The file in the test's directory that holds captured log lines.
 const LOG_FILE: &str = "entry.log";
@@ -41,6 +46,32 @@
     Hang,
     /// Closes the connection without an answer.
     Close,
+    /// Takes steps in order and keeps the connection open.
+    Steps(Vec<Part>),
+}
+
+/// A step of a backend server's reaction.
+#[derive(Clone, Debug)]
+pub(crate) enum Part {
+    /// Sends bytes, in which `{id}` stands for the id of the attempt.
+    Send(String),
+    /// Sends nothing for a while.
+    Pause(Duration),
+    /// Closes the connection.
+    Close,
+    /// Resets the connection.
+    Reset,
+    /// Repeats bytes until the entry closes the connection.
+    Endless(String),
+}
+
+/// What became of bytes without end.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Flood {
+    /// How many bytes the connection took.
+    pub(crate) bytes: usize,
+    /// How many floods the entry has ended by closing the connection.
+    pub(crate) ended: usize,
 }
 
 /// The requests that a backend server received, in order.
@@ -54,6 +85,7 @@
     pub(crate) opened: Arc<Mutex<usize>>,
     /// How many connections the entry has closed.
     pub(crate) closed: Arc<Mutex<usize>>,
+    pub(crate) flood: Arc<Mutex<Flood>>,
 }
 
 impl Server {
@@ -63,11 +95,13 @@
         let seen = RequestLog::default();
         let closed = Arc::new(Mutex::new(0));
         let opened = Arc::new(Mutex::new(0));
+        let flood = Arc::default();
         let server = Server {
             address,
             seen: seen.clone(),
             closed: closed.clone(),
             opened: opened.clone(),
+            flood: Arc::clone(&flood),
         };
         let script = Arc::new(script);
         tokio::spawn(async move {
@@ -78,6 +112,7 @@
                     script.clone(),
                     seen.clone(),
                     closed.clone(),
+                    flood.clone(),
                 ));
             }
         });
@@ -87,6 +122,10 @@
     pub(crate) fn requests(&self) -> Vec<String> {
         self.seen.lock().unwrap().clone()
     }
+
+    pub(crate) fn flood(&self) -> Flood {
+        *self.flood.lock().unwrap()
+    }
 }
 
 async fn run_script(
@@ -94,6 +133,7 @@
     script: Arc<Vec<Action>>,
     seen: RequestLog,
     closed: Arc<Mutex<usize>>,
+    flood: Arc<Mutex<Flood>>,
 ) {
     while let Some(request) = read_request(&mut stream).await {
         let index = {
@@ -108,6 +148,10 @@
             .cloned()
             .unwrap_or(Action::Close);
         let (text, closes) = match action {
+            Action::Steps(parts) => match take_steps(&mut stream, parts, &id, &flood).await {
+                Some(()) => continue,
+                None => return,
+            },
             Action::Send(text) => (text, false),
             Action::SendAndClose(text) => (text, true),
             Action::Hang => (String::new(), false),
@@ -121,6 +165,48 @@
     *closed.lock().unwrap() += 1;
 }
 
+/// Takes steps in order; none once the connection is closed.
+async fn take_steps(
+    stream: &mut TcpStream,
+    parts: Vec<Part>,
+    id: &str,
+    flood: &Mutex<Flood>,
+) -> Option<()> {
+    for part in parts {
+        match part {
+            Part::Send(text) => {
+                let text = text.replace("{id}", id);
+                stream.write_all(text.as_bytes()).await.ok()?;
+            }
+            Part::Pause(pause) => sleep(pause).await,
+            Part::Close => return None,
+            Part::Reset => {
+                // The bytes sent before arrive first.
+                sleep(Duration::from_millis(50)).await;
+                let socket = SockRef::from(&*stream);
+                socket.set_linger(Some(Duration::ZERO)).unwrap();
+                return None;
+            }
+            Part::Endless(text) => {
+                let text = text.replace("{id}", id);
+                let block = text.repeat(FLOOD_BLOCK_BYTES.div_ceil(text.len()));
+                while let Ok(sent) = stream.write(block.as_bytes()).await {
+                    flood.lock().unwrap().bytes += sent;
+                    // A partial write would break the repeated text.
+                    if stream.write_all(&block.as_bytes()[sent..]).await.is_err() {
+                        break;
+                    }
+                    flood.lock().unwrap().bytes += block.len() - sent;
+                    sleep(Duration::from_millis(1)).await;
+                }
+                flood.lock().unwrap().ended += 1;
+                return None;
+            }
+        }
+    }
+    Some(())
+}
+
 /// Reads a request with its body; none once the connection is closed.
 async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
@@ -169,12 +255,22 @@
 
 /// What becomes of the log lines of an entry.
 #[derive(Clone, Copy, Debug)]
-enum Logging {
+pub(crate) enum Logging {
     /// They are kept, at all levels.
     Captured,
     Discarded,
 }
 
+/// An event of a stream with a number as its id and data.
+pub(crate) fn event(number: usize) -> String {
+    format!("id: {number}\ndata: {number}\n\n")
+}
+
+/// The chunks of numbered events, each event in its own.
+pub(crate) fn events(numbers: std::ops::RangeInclusive<usize>) -> String {
+    numbers.map(|number| chunk(&event(number))).collect()
+}
+
 /// The process of an entry, and the store that it uses.
 pub(crate) struct Harness {
     pub(crate) store: Store,
@@ -224,6 +320,7 @@
             route("brief", "non_idempotent", json!({"timeoutMs": 400})),
             route("draft", "streaming", json!({"resumable": true, "gapGoalMs": 400})),
             route("open", "idempotent", json!({"public": true})),
+            route("reel", "streaming", json!({"resumable": false, "gapGoalMs": 400})),
         ],
         "services": [{"name": "desk", "maxConns": 100}],
         "limits": {
@@ -234,42 +331,68 @@
     })
 }
 
+/// What differs between the entries of tests.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    pub(crate) retry_ratio: f64,
+    pub(crate) retry_burst: u32,
+    /// The slots of each server.
+    pub(crate) slots: u32,
+    pub(crate) logging: Logging,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            retry_ratio: 0.2,
+            retry_burst: 400,
+            slots: 4,
+            logging: Logging::Discarded,
+        }
+    }
+}
+
 impl Harness {
     /// Starts an entry for the servers, which are listed as s0, s1 and so on.
     /// The first is in the entry's availability zone, the others in another.
     pub(crate) async fn start(servers: &[&Server]) -> Harness {
-        let harness = Harness::without_configuration(servers).await;
-        harness.configure(&configuration(1)).await;
-        harness
+        Harness::start_with(servers, &Options::default(), &configuration(1)).await
     }
 
-    /// The same, but with a given configuration, and the entry's log lines can
-    /// be read.
+    /// The same with a given configuration, and the entry's log lines can be
+    /// read.
     pub(crate) async fn start_logged(servers: &[&Server], configuration: &Value) -> Harness {
-        let harness = Harness::spawn(servers, Logging::Captured).await;
-        harness.configure(configuration).await;
-        harness
+        let options = Options {
+            logging: Logging::Captured,
+            ..Options::default()
+        };
+        Harness::start_with(servers, &options, configuration).await
     }
 
-    /// The same, but without a configuration in the store.
-    pub(crate) async fn without_configuration(servers: &[&Server]) -> Harness {
-        Harness::spawn(servers, Logging::Discarded).await
+    /// The same with other options and another configuration.
+    pub(crate) async fn start_with(
+        servers: &[&Server],
+        options: &Options,
+        configuration: &Value,
+    ) -> Harness {
+        let harness = Harness::open(servers, options).await;
+        harness.store.put("op", "config", configuration);
+        harness.wait_ready(true).await;
+        harness
     }
 
-    async fn configure(&self, configuration: &Value) {
-        self.store.put("op", "config", configuration);
-        self.wait_ready(true).await;
+    /// Starts an entry without a configuration in the store.
+    pub(crate) async fn without_configuration(servers: &[&Server]) -> Harness {
+        Harness::open(servers, &Options::default()).await
     }
 
-    async fn spawn(servers: &[&Server], logging: Logging) -> Harness {
+    async fn open(servers: &[&Server], options: &Options) -> Harness {
         let (store, address) = Store::spawn((Ipv4Addr::LOCALHOST, 0).into()).await.unwrap();
         for (index, server) in servers.iter().enumerate() {
             let zone = if index == 0 { "za" } else { "zb" };
-            store.put(
-                "servers",
-                &format!("s{index}"),
-                &listed(server.address, zone, "ready"),
-            );
+            let mut row = listed(server.address, zone, "ready");
+            row["slots"] = options.slots.into();
+            store.put("servers", &format!("s{index}"), &row);
         }
         let reserved = [(); 4].map(|()| reserve_port());
         let [callers, readiness, peers, metrics] = reserved
@@ -277,8 +400,8 @@
             .map(|socket| socket.local_addr().unwrap());
         let directory = tempfile::tempdir().unwrap();
         let path = directory.path().join("local.toml");
-        std::fs::write(&path, settings(callers, readiness, peers, address)).unwrap();
-        let (lines, level) = match logging {
+        std::fs::write(&path, settings(callers, readiness, peers, address, options)).unwrap();
+        let (lines, level) = match options.logging {
             Logging::Captured => {
                 let file = File::create(directory.path().join(LOG_FILE)).unwrap();
                 (file.into(), "debug")
@@ -370,6 +493,15 @@
         exchange(self.callers, request).await
     }
 
+    /// The memory that the entry occupies (`VmRSS`), in KiB.
+    pub(crate) fn memory_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.entry.id());
+        let page = std::fs::read_to_string(path).unwrap();
+        let line = page.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number.and_then(|number| number.parse().ok()).unwrap()
+    }
+
     /// Sends SIGTERM to the entry.
     pub(crate) fn terminate(&self) {
         self.signal("-TERM");
@@ -401,8 +533,10 @@
     readiness: SocketAddr,
     peers: SocketAddr,
     store: SocketAddr,
+    options: &Options,
 ) -> String {
     let port = peers.port();
+    let (ratio, burst) = (options.retry_ratio, options.retry_burst);
     format!(
         r#"nodeName = "edge-1"
 serves = ["edge"]
@@ -423,15 +557,15 @@
 [bounds]
 graceS = 8
 version_ms = 8000
-retryBudgetRatio = 0.2
-retryBurst = 400
+retryBudgetRatio = {ratio:?}
+retryBurst = {burst}
 [platform]
 address = "{store}"
 "#
     )
 }
 
-async fn exchange(address: SocketAddr, request: &str) -> String {
+pub(crate) async fn exchange(address: SocketAddr, request: &str) -> String {
     let working = async {
         let mut stream = TcpStream::connect(address).await.unwrap();
         stream.write_all(request.as_bytes()).await.unwrap();
--- a/crates/node/tests/logs.rs
+++ b/crates/node/tests/logs.rs
@@ -8,7 +8,6 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-#[allow(dead_code)]
 mod harness;
 
 use harness::Action;
--- /dev/null
+++ b/crates/node/tests/silence.rs
@@ -0,0 +1,314 @@
+//! Tests an entry whose backend servers are silent for longer than a stream may
+//! pause, and then go on or never do.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+mod harness;
+
+use harness::Action;
+use harness::Harness;
+use harness::Options;
+use harness::Part;
+use harness::Server;
+use harness::body;
+use harness::complete_answer;
+use harness::configuration;
+use harness::event;
+use harness::events;
+use harness::request;
+use harness::status;
+use harness::stream_head;
+
+/// Longer than the pause after which a stream moves to another server.
+const SILENCE: Duration = Duration::from_millis(1_300);
+/// The end of a chunked body.
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// A server that sends the first of three events, is silent and goes on.
+async fn silent_after_first_event() -> Server {
+    Server::spawn(vec![Action::Steps(vec![
+        Part::Send(stream_head() + &events(1..=1)),
+        Part::Pause(SILENCE),
+        Part::Send(events(2..=3) + LAST_CHUNK),
+    ])])
+    .await
+}
+
+/// A server that has no more than the rest of a stream after its first event.
+async fn resuming() -> Server {
+    Server::spawn(vec![Action::Send(
+        stream_head() + &events(2..=3) + LAST_CHUNK,
+    )])
+    .await
+}
+
+async fn refusing() -> Server {
+    Server::spawn(vec![Action::Send(complete_answer(
+        503,
+        "X-Not-Executed: 1\r\n",
+        "",
+    ))])
+    .await
+}
+
+async fn silent_before_the_rest() -> Server {
+    Server::spawn(vec![Action::Steps(vec![
+        Part::Pause(SILENCE),
+        Part::Send(stream_head() + &events(2..=3) + LAST_CHUNK),
+    ])])
+    .await
+}
+
+async fn breaking_off_inside_an_event() -> Server {
+    Server::spawn(vec![Action::SendAndClose(
+        stream_head() + &harness::chunk("id: 2\nda"),
+    )])
+    .await
+}
+
+fn three_events() -> String {
+    (1..=3).map(event).collect()
+}
+
+#[track_caller]
+fn assert_complete(answer: &str, expected: &str) {
+    assert_eq!(
+        (status(answer), body(answer).as_deref()),
+        (200, Some(expected)),
+        "{answer:?}"
+    );
+}
+
+async fn ask_for_stream(harness: &Harness) -> String {
+    harness.ask(&request("POST", "/draft/", "", "x")).await
+}
+
+/// Asks for a stream and raises the timeouts once the server has the request.
+async fn ask_beside_a_configuration(harness: &Harness, server: &Server) -> String {
+    let changing = async {
+        while server.requests().is_empty() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let newer = with_timeouts(configuration(2), 5_000);
+        harness.store.put("op", "config", &newer);
+    };
+    let (answer, ()) = tokio::join!(ask_for_stream(harness), changing);
+    answer
+}
+
+fn with_timeouts(mut configuration: Value, timeout_ms: u64) -> Value {
+    for route in configuration["routes"].as_array_mut().expect("a list") {
+        route["timeoutMs"] = timeout_ms.into();
+    }
+    configuration
+}
+
+#[tokio::test]
+async fn a_stream_that_falls_silent_with_no_other_server_is_not_cut() {
+    let first = silent_after_first_event().await;
+    let harness = Harness::start(&[&first]).await;
+    assert_complete(&ask_for_stream(&harness).await, &three_events());
+}
+
+#[tokio::test]
+async fn a_stream_that_falls_silent_while_the_other_server_refuses_is_not_cut() {
+    let (first, second) = (silent_after_first_event().await, refusing().await);
+    let harness = Harness::start(&[&first, &second]).await;
+    assert_complete(&ask_for_stream(&harness).await, &three_events());
+}
+
+#[tokio::test]
+async fn a_stream_that_falls_silent_while_the_other_server_is_silent_is_not_cut() {
+    let first = silent_after_first_event().await;
+    let second = silent_before_the_rest().await;
+    let harness = Harness::start(&[&first, &second]).await;
+    assert_complete(&ask_for_stream(&harness).await, &three_events());
+}
+
+#[tokio::test]
+async fn a_stream_that_falls_silent_while_the_other_server_breaks_off_is_not_cut() {
+    let first = silent_after_first_event().await;
+    let second = breaking_off_inside_an_event().await;
+    let harness = Harness::start(&[&first, &second]).await;
+    assert_complete(&ask_for_stream(&harness).await, &three_events());
+}
+
+#[tokio::test]
+async fn a_stream_that_falls_silent_while_the_other_server_breaks_off_later_is_not_cut() {
+    let first = silent_after_first_event().await;
+    let cut = stream_head() + &events(2..=2);
+    let second = Server::spawn(vec![Action::SendAndClose(cut)]).await;
+    let harness = Harness::start(&[&first, &second]).await;
+    assert_complete(&ask_for_stream(&harness).await, &three_events());
+}
+
+#[tokio::test]
+async fn a_configuration_cuts_no_silent_stream_with_no_other_server() {
+    let first = silent_after_first_event().await;
+    let harness = Harness::start(&[&first]).await;
+    let answer = ask_beside_a_configuration(&harness, &first).await;
+    assert_complete(&answer, &three_events());
+}
+
+#[tokio::test]
+async fn a_configuration_cuts_no_silent_stream_whose_other_server_refuses() {
+    let (first, second) = (silent_after_first_event().await, refusing().await);
+    let harness = Harness::start(&[&first, &second]).await;
+    let answer = ask_beside_a_configuration(&harness, &first).await;
+    assert_complete(&answer, &three_events());
+}
+
+#[tokio::test]
+async fn a_configuration_cuts_no_silent_stream_whose_other_server_is_silent() {
+    let first = silent_after_first_event().await;
+    let second = silent_before_the_rest().await;
+    let harness = Harness::start(&[&first, &second]).await;
+    let answer = ask_beside_a_configuration(&harness, &first).await;
+    assert_complete(&answer, &three_events());
+}
+
+#[tokio::test]
+async fn a_configuration_cuts_no_silent_stream_whose_other_server_breaks_off() {
+    let first = silent_after_first_event().await;
+    let second = breaking_off_inside_an_event().await;
+    let harness = Harness::start(&[&first, &second]).await;
+    let answer = ask_beside_a_configuration(&harness, &first).await;
+    assert_complete(&answer, &three_events());
+}
+
+#[tokio::test]
+async fn streams_that_fall_silent_at_once_are_not_cut_when_no_retry_is_left() {
+    const STREAMS: usize = 30;
+    let (first, second) = (silent_after_first_event().await, resuming().await);
+    let options = Options {
+        retry_ratio: 0.0,
+        retry_burst: 0,
+        slots: 100,
+        ..Options::default()
+    };
+    let harness = Harness::start_with(&[&first, &second], &options, &configuration(1)).await;
+    let callers = harness.callers;
+    let mut asking = JoinSet::new();
+    for _ in 0..STREAMS {
+        asking.spawn(async move {
+            harness::exchange(callers, &request("POST", "/draft/", "", "x")).await
+        });
+    }
+    let answers = asking.join_all().await;
+    assert_eq!(first.requests().len(), STREAMS);
+    let expected = three_events();
+    let cut = answers
+        .iter()
+        .filter(|answer| body(answer).as_deref() != Some(expected.as_str()))
+        .count();
+    assert_eq!(cut, 0, "of {STREAMS} answers");
+}
+
+#[tokio::test]
+async fn a_stream_that_is_silent_before_its_first_event_is_not_refused() {
+    let first = Server::spawn(vec![Action::Steps(vec![
+        Part::Send(stream_head()),
+        Part::Pause(SILENCE),
+        Part::Send(events(1..=3) + LAST_CHUNK),
+    ])])
+    .await;
+    let harness = Harness::start(&[&first]).await;
+    assert_complete(&ask_for_stream(&harness).await, &three_events());
+}
+
+#[tokio::test]
+async fn a_stream_that_is_silent_before_its_head_is_not_refused() {
+    let first = Server::spawn(vec![Action::Steps(vec![
+        Part::Pause(SILENCE),
+        Part::Send(stream_head() + &events(1..=3) + LAST_CHUNK),
+    ])])
+    .await;
+    let harness = Harness::start(&[&first]).await;
+    assert_complete(&ask_for_stream(&harness).await, &three_events());
+}
+
+#[tokio::test]
+async fn a_read_whose_only_server_is_silent_is_answered() {
+    let first = Server::spawn(vec![Action::Steps(vec![
+        Part::Pause(SILENCE),
+        Part::Send(complete_answer(200, "", "late")),
+    ])])
+    .await;
+    let harness = Harness::start(&[&first]).await;
+    let answer = harness.ask(&request("GET", "/read/", "", "")).await;
+    assert_complete(&answer, "late");
+}
+
+#[tokio::test]
+async fn a_stream_that_cannot_resume_is_not_refused_before_its_first_event() {
+    let first = Server::spawn(vec![Action::Steps(vec![
+        Part::Send(stream_head()),
+        Part::Pause(SILENCE),
+        Part::Send(events(1..=3) + LAST_CHUNK),
+    ])])
+    .await;
+    let second = resuming().await;
+    let harness = Harness::start(&[&first, &second]).await;
+    let answer = harness.ask(&request("POST", "/reel/", "", "x")).await;
+    assert_complete(&answer, &three_events());
+    assert_eq!(second.requests().len(), 0);
+}
+
+#[tokio::test]
+async fn a_stream_that_cannot_resume_is_not_cut_in_the_middle() {
+    let (first, second) = (silent_after_first_event().await, resuming().await);
+    let harness = Harness::start(&[&first, &second]).await;
+    let answer = harness.ask(&request("POST", "/reel/", "", "x")).await;
+    assert_complete(&answer, &three_events());
+    assert_eq!(second.requests().len(), 0);
+}
+
+#[tokio::test]
+async fn a_stream_of_a_dead_server_is_taken_over_within_two_seconds() {
+    let first = Server::spawn(vec![Action::Send(stream_head() + &events(1..=1))]).await;
+    let second = resuming().await;
+    let harness = Harness::start(&[&first, &second]).await;
+    let asked = Instant::now();
+    let answer = ask_for_stream(&harness).await;
+    assert_complete(&answer, &three_events());
+    let took = asked.elapsed();
+    assert!(took < Duration::from_secs(2), "{took:?}");
+}
+
+#[tokio::test]
+async fn a_server_that_wakes_up_after_its_stream_moved_repeats_and_loses_no_event() {
+    let first = silent_after_first_event().await;
+    let second = Server::spawn(vec![Action::Steps(vec![
+        Part::Send(stream_head() + &events(2..=2)),
+        Part::Pause(Duration::from_millis(600)),
+        Part::Send(events(3..=3) + LAST_CHUNK),
+    ])])
+    .await;
+    let harness = Harness::start(&[&first, &second]).await;
+    assert_complete(&ask_for_stream(&harness).await, &three_events());
+}
+
+#[tokio::test]
+async fn a_server_that_wakes_up_while_its_stream_moves_repeats_and_loses_no_event() {
+    let first = Server::spawn(vec![Action::Steps(vec![
+        Part::Send(stream_head() + &events(1..=1)),
+        Part::Pause(SILENCE),
+        Part::Send(events(2..=2)),
+        Part::Pause(Duration::from_millis(300)),
+        Part::Send(events(3..=3) + LAST_CHUNK),
+    ])])
+    .await;
+    let second = Server::spawn(vec![Action::Steps(vec![
+        Part::Send(stream_head()),
+        Part::Pause(Duration::from_millis(450)),
+        Part::Send(events(2..=3) + LAST_CHUNK),
+    ])])
+    .await;
+    let harness = Harness::start(&[&first, &second]).await;
+    assert_complete(&ask_for_stream(&harness).await, &three_events());
+}
