Reproduce idle connections closed by a limit that was raised

Callers saw their kept connection closed while a newer configuration let it stay open, and their next request got nothing. The entry reads the idle limit when it begins to wait and never again.

--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -5,8 +5,13 @@
 use std::time::Instant;
 
 use serde_json::Value;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 mod harness;
 
@@ -312,3 +317,90 @@
     let harness = Harness::start(&[&first, &second]).await;
     assert_complete(&ask_for_stream(&harness).await, &three_events());
 }
+
+/// The idle limit that a newer configuration replaces.
+const OLD_IDLE_LIMIT: Duration = Duration::from_millis(1_500);
+
+fn with_idle_limit(version: u64, limit: Duration) -> Value {
+    let mut configuration = configuration(version);
+    configuration["limits"]["idleTimeoutMs"] = (limit.as_millis() as u64).into();
+    configuration
+}
+
+async fn start_with_old_idle_limit(server: &Server) -> Harness {
+    let old = with_idle_limit(1, OLD_IDLE_LIMIT);
+    Harness::start_with(&[server], &Options::default(), &old).await
+}
+
+/// Puts a configuration with another idle limit and waits until it is in force.
+async fn change_idle_limit(harness: &Harness, limit: Duration) {
+    let mut newer = with_idle_limit(2, limit);
+    newer["tenants"][0]["apiKeys"] = json!(["k1", "k2"]);
+    harness.store.put("op", "config", &newer);
+    let probe = request("GET", "/read/", "", "").replace("k1", "k2");
+    let put = Instant::now();
+    while status(&harness.ask(&probe).await) != 200 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let took = put.elapsed();
+    assert!(took < OLD_IDLE_LIMIT / 2, "in force only after {took:?}");
+}
+
+async fn connect(harness: &Harness) -> TcpStream {
+    let connecting = TcpStream::connect(harness.callers);
+    connecting.await.expect("the entry listens")
+}
+
+/// Sends a request over a connection that stays open and returns the answer; an
+/// empty one if the entry has closed it.
+async fn ask_over(stream: &mut TcpStream) -> String {
+    let kept = request("GET", "/read/", "", "").replace("Connection: close\r\n", "");
+    let _ = stream.write_all(kept.as_bytes()).await;
+    let mut answer = Vec::new();
+    let reading = async {
+        while body(&String::from_utf8_lossy(&answer)).is_none() {
+            match stream.read_buf(&mut answer).await {
+                Ok(1..) => {}
+                Ok(0) | Err(_) => break,
+            }
+        }
+    };
+    let _ = timeout(Duration::from_secs(5), reading).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test]
+async fn a_kept_connection_is_not_closed_by_an_idle_limit_that_was_raised() {
+    let server = Server::spawn(vec![Action::Send(complete_answer(200, "", "ok"))]).await;
+    let harness = start_with_old_idle_limit(&server).await;
+    let mut kept = connect(&harness).await;
+    assert_complete(&ask_over(&mut kept).await, "ok");
+    let idle_since = Instant::now();
+    change_idle_limit(&harness, Duration::from_secs(5)).await;
+    sleep((OLD_IDLE_LIMIT + Duration::from_millis(500)).saturating_sub(idle_since.elapsed())).await;
+    assert_complete(&ask_over(&mut kept).await, "ok");
+}
+
+#[tokio::test]
+async fn an_unused_connection_is_not_closed_by_an_idle_limit_that_was_raised() {
+    let server = Server::spawn(vec![Action::Send(complete_answer(200, "", "ok"))]).await;
+    let harness = start_with_old_idle_limit(&server).await;
+    let mut unused = connect(&harness).await;
+    let idle_since = Instant::now();
+    change_idle_limit(&harness, Duration::from_secs(5)).await;
+    sleep((OLD_IDLE_LIMIT + Duration::from_millis(500)).saturating_sub(idle_since.elapsed())).await;
+    assert_complete(&ask_over(&mut unused).await, "ok");
+}
+
+#[tokio::test]
+async fn an_idle_connection_is_closed_after_a_limit_that_was_raised() {
+    let server = Server::spawn(vec![Action::Send(complete_answer(200, "", "ok"))]).await;
+    let harness = start_with_old_idle_limit(&server).await;
+    let mut kept = connect(&harness).await;
+    assert_complete(&ask_over(&mut kept).await, "ok");
+    let raised = OLD_IDLE_LIMIT + Duration::from_millis(500);
+    change_idle_limit(&harness, raised).await;
+    let mut byte = [0; 1];
+    let closed = timeout(raised + Duration::from_secs(1), kept.read(&mut byte)).await;
+    assert_eq!(closed.expect("closed in time").expect("closed cleanly"), 0);
+}
