Keep a silent attempt open until another one has gone on

Cause: an entry took silence for death. After the stall timeout it closed the connection, and only then looked for another backend server. Where the other one refused, was silent too or broke off, where no slot was free, no retry left or the stream could not resume, the answer was cut though nothing had failed. It is a failure detector whose verdict could not be revised.

Now a silent attempt stays open while a further one starts beside it, within the same limits of attempts, retries and slots. The first that goes on answers; a silent one is also what is left if that one breaks off, and events that the caller has are skipped. Only a broken connection, a failure or a refusal ends an attempt. When to retry, wait or end is decided in snipewinch::attempt, without a network. An answer is judged by its status and signature when its head arrives, also if it is too long to be buffered, and none of them can follow a head already sent.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -51,12 +51,14 @@
 use crate::status_server;
 
 mod answer;
+mod attempt;
 mod backends;
 mod call;
 mod connection;
 mod cut;
 mod dispatcher;
 mod events;
+mod exchange;
 mod pool;
 
 use answer::Reason;
--- /dev/null
+++ b/crates/node/src/entry/attempt.rs
@@ -0,0 +1,235 @@
+//! One attempt of a request at a backend server.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http1::body::Decoder;
+use http1::body::Step;
+use http1::head::Response;
+use platform::header;
+use smol_str::SmolStr;
+use snipewinch::attempt;
+use tokio::time::timeout;
+
+use super::Entry;
+use super::dispatcher::Slot;
+use super::events;
+use super::events::EventBuffer;
+use super::exchange::Exchange;
+use super::pool::Error;
+use crate::clock::Clock;
+
+/// The longest answer that is buffered until it is complete.
+const BUFFERED_MAX_BYTES: usize = 256 << 10;
+/// The status of a server that is not the one named in
+/// [`header::EXPECTED_SERVER`]; it has not executed the request.
+const MISDIRECTED: u16 = 421;
+/// How long the rest of a refusal is read, so that its connection can be used
+/// again.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// What an attempt has produced.
+#[derive(Debug)]
+pub(crate) enum Output {
+    /// The backend server did not execute the request.
+    NotRun,
+    /// Complete events of a stream.
+    Events(Bytes),
+    /// The stream has ended after a complete event.
+    StreamEnd,
+    /// The complete body of an answer that is no stream.
+    Complete(Bytes),
+    /// The first bytes of a success that is too long to be buffered.
+    Long(Bytes),
+}
+
+/// The answer that is being read.
+#[derive(Debug)]
+struct Answer {
+    head: Response,
+    body: Decoder,
+    is_stream: bool,
+}
+
+/// A request at a backend server, and its answer as far as it has arrived. On
+/// drop, the slot is released and the connection closed, which cancels the
+/// request there.
+pub(crate) struct Attempt {
+    pub(crate) key: attempt::Key,
+    pub(crate) slot: Slot,
+    /// When the request was sent or the last bytes of the answer arrived.
+    pub(crate) last_progress: Duration,
+    /// When it is next checked whether the backend server is silent.
+    pub(crate) silence_check: Duration,
+    /// Whether it was silent at the last check.
+    pub(crate) is_silent: bool,
+    clock: Clock,
+    exchange: Exchange,
+    /// Whether a success is a stream of events.
+    expects_stream: bool,
+    answer: Option<Answer>,
+    buffered: Vec<u8>,
+    events: EventBuffer,
+    /// The id of the event after which it goes on.
+    position: Option<SmolStr>,
+}
+
+impl Attempt {
+    pub(crate) fn new(
+        key: attempt::Key,
+        slot: Slot,
+        clock: Clock,
+        exchange: Exchange,
+        expects_stream: bool,
+        position: Option<SmolStr>,
+    ) -> Attempt {
+        let now = clock.now();
+        Attempt {
+            key,
+            slot,
+            last_progress: now,
+            silence_check: now,
+            is_silent: false,
+            clock,
+            exchange,
+            expects_stream,
+            answer: None,
+            buffered: Vec::new(),
+            events: EventBuffer::default(),
+            position,
+        }
+    }
+
+    /// The head of the answer, once it has arrived.
+    pub(crate) fn head(&self) -> Option<&Response> {
+        self.answer.as_ref().map(|answer| &answer.head)
+    }
+
+    /// Removes the events up to the one with id `last`, which the caller has
+    /// from another attempt.
+    pub(crate) fn skip_sent(&mut self, events: Bytes, last: Option<&SmolStr>) -> Bytes {
+        let unsent = match self.position.as_ref() == last {
+            true => events.clone(),
+            false => last.map_or(Bytes::new(), |last| events::after(&events, last)),
+        };
+        self.position = events::last_id(&events).or(self.position.take());
+        unsent
+    }
+
+    /// The id of the last event that it has sent, or after which it was resumed.
+    pub(crate) fn position(&self) -> Option<&SmolStr> {
+        self.position.as_ref()
+    }
+
+    /// Whether the answer says that another server has the address.
+    pub(crate) fn is_misdirected(&self) -> bool {
+        self.head().is_some_and(|head| head.status == MISDIRECTED)
+    }
+
+    /// The running and waiting requests that the backend server reported.
+    pub(crate) fn load(&self) -> Option<(u32, u32)> {
+        let value = self.head()?.fields.get(header::LOAD)?;
+        let mut numbers = value.split(',').map(|number| number.trim().parse().ok());
+        Some((numbers.next()??, numbers.next()??))
+    }
+
+    /// Waits for the next output. Cancelling it loses nothing.
+    pub(crate) async fn next(&mut self) -> Result<Output, Error> {
+        loop {
+            let Some(answer) = &mut self.answer else {
+                let head = self.exchange.read_head().await?;
+                self.last_progress = self.clock.now();
+                if let Some(output) = self.begin_answer(head)? {
+                    return Ok(output);
+                }
+                continue;
+            };
+            let step = self.exchange.connection.read_step(&mut answer.body).await?;
+            self.last_progress = self.clock.now();
+            match step {
+                Step::Data(data) if answer.is_stream => {
+                    let events = self.events.push(&data)?;
+                    if !events.is_empty() {
+                        return Ok(Output::Events(events));
+                    }
+                }
+                Step::Data(data) => {
+                    self.buffered.extend_from_slice(&data);
+                    let limit = BUFFERED_MAX_BYTES;
+                    match self.buffered.len() > limit {
+                        true if is_success(&answer.head) => {
+                            return Ok(Output::Long(std::mem::take(&mut self.buffered).into()));
+                        }
+                        true => return Err(Error::TooLong { limit }),
+                        false => {}
+                    }
+                }
+                Step::End if answer.is_stream && !self.events.is_at_boundary() => {
+                    return Err(Error::PartialEvent);
+                }
+                Step::End if answer.is_stream => return Ok(Output::StreamEnd),
+                Step::End => {
+                    return Ok(Output::Complete(std::mem::take(&mut self.buffered).into()));
+                }
+                Step::Incomplete => {}
+            }
+        }
+    }
+
+    /// Reads the next bytes of an answer that is too long to be buffered; none
+    /// at its end.
+    pub(crate) async fn next_part(&mut self) -> Result<Option<Bytes>, Error> {
+        let Some(answer) = &mut self.answer else {
+            return Ok(None);
+        };
+        loop {
+            match self.exchange.connection.read_step(&mut answer.body).await? {
+                Step::Data(data) => return Ok(Some(data)),
+                Step::End => return Ok(None),
+                Step::Incomplete => {}
+            }
+        }
+    }
+
+    /// Records the head of the answer. Returns an output if the request was
+    /// not executed.
+    fn begin_answer(&mut self, head: Response) -> Result<Option<Output>, Error> {
+        let not_run = head.status == MISDIRECTED || head.fields.get(header::NOT_RUN).is_some();
+        let is_signed = head.fields.get(header::SIGNATURE).is_some();
+        if !not_run && is_success(&head) && !is_signed {
+            return Err(Error::Unsigned);
+        }
+        self.answer = Some(Answer {
+            body: Decoder::new(head.framing),
+            is_stream: self.expects_stream && is_success(&head),
+            head,
+        });
+        Ok(not_run.then_some(Output::NotRun))
+    }
+
+    /// Releases the slot, and keeps the connection in the pool if the answer is
+    /// complete and another request may follow it.
+    pub(crate) fn finish(self, entry: &Entry) {
+        let is_sent = self.exchange.is_sent();
+        let Some(answer) = self.answer else {
+            return;
+        };
+        if answer.body.is_done() && is_sent && answer.head.keeps_alive {
+            entry
+                .pool
+                .keep(self.slot.key, self.exchange.connection, &answer.head);
+        }
+    }
+
+    /// Reads the rest of a refusal before [`Attempt::finish`].
+    pub(crate) async fn finish_refusal(mut self, entry: &Entry) {
+        let reading = async { while let Ok(Some(_)) = self.next_part().await {} };
+        if timeout(REFUSAL_TIMEOUT, reading).await.is_ok() {
+            self.finish(entry);
+        }
+    }
+}
+
+fn is_success(head: &Response) -> bool {
+    (200..300).contains(&head.status)
+}
--- a/crates/node/src/entry/events.rs
+++ b/crates/node/src/entry/events.rs
@@ -5,6 +5,8 @@
 use memchr::memmem;
 use smol_str::SmolStr;
 
+use super::pool::Error;
+
 /// The longest event that is buffered until it is complete.
 const EVENT_MAX_BYTES: usize = 1 << 20;
 
@@ -12,29 +14,19 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventBuffer {
     pending: BytesMut,
-    /// The id of the last complete event that has one.
-    pub(crate) last_id: Option<SmolStr>,
 }
 
 impl EventBuffer {
-    /// Adds bytes and returns the events that are complete now, concatenated;
-    /// none if the incomplete event is too long to be buffered.
-    pub(crate) fn push(&mut self, data: &[u8]) -> Option<Bytes> {
+    /// Adds bytes and returns the events that are complete now, concatenated.
+    pub(crate) fn push(&mut self, data: &[u8]) -> Result<Bytes, Error> {
         self.pending.extend_from_slice(data);
         let complete = memmem::rfind(&self.pending, b"\n\n").map_or(0, |at| at + 2);
         if self.pending.len() - complete > EVENT_MAX_BYTES {
-            return None;
-        }
-        let events = self.pending.split_to(complete).freeze();
-        if let Some(id) = last_id(&events) {
-            self.last_id = Some(id);
+            return Err(Error::TooLong {
+                limit: EVENT_MAX_BYTES,
+            });
         }
-        Some(events)
-    }
-
-    /// Discards the incomplete event at the end of a stream that was cut off.
-    pub(crate) fn discard_partial(&mut self) {
-        self.pending.clear();
+        Ok(self.pending.split_to(complete).freeze())
     }
 
     /// Whether the stream is between two events.
@@ -43,9 +35,23 @@
     }
 }
 
-fn last_id(events: &[u8]) -> Option<SmolStr> {
+/// The id of the last of several complete events that has one.
+pub(crate) fn last_id(events: &[u8]) -> Option<SmolStr> {
     let mut lines = events.split(|byte| *byte == b'\n').rev();
     let line = lines.find(|line| line.starts_with(b"id:"))?;
     let id = std::str::from_utf8(&line[3..]).ok()?;
     Some(id.trim().into())
 }
+
+/// The events after the one with an id; none if it is not among them.
+pub(crate) fn after(events: &Bytes, id: &str) -> Bytes {
+    let mut start = 0;
+    while let Some(length) = memmem::find(&events[start..], b"\n\n") {
+        let end = start + length + 2;
+        if last_id(&events[start..end]).is_some_and(|found| found == id) {
+            return events.slice(end..);
+        }
+        start = end;
+    }
+    Bytes::new()
+}
--- a/crates/node/src/entry/pool.rs
+++ b/crates/node/src/entry/pool.rs
@@ -15,7 +15,6 @@
 use snafu::Snafu;
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -34,17 +33,11 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// The most idle connections that are kept to one server.
 const IDLE_PER_SERVER_MAX: usize = 8;
-/// The largest head of an answer.
-const HEAD_MAX_BYTES: usize = 32 << 10;
 /// The minimum free space of the buffer for a read.
 const READ_SPACE_MIN_BYTES: usize = 4 << 10;
-/// The most answers to other requests that are skipped before the expected one.
-const STALE_ANSWERS_MAX: usize = 2;
-/// The longest body of an answer to another request that is skipped.
-const STALE_ANSWER_MAX_BYTES: usize = 256 << 10;
-
 /// Why an exchange of a request and its answer failed.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub(crate) enum Error {
     /// The connection could not be opened; nothing was sent.
     #[snafu(display("failed to connect: {detail}"))]
@@ -70,13 +63,25 @@
     /// Only answers to other requests arrived.
     #[snafu(display("received only answers to other requests"))]
     Mismatched,
+    /// A success, or a stream of events, lacks the backend server's signature.
+    #[snafu(display("success without a signature"))]
+    Unsigned,
+    /// An event, or an answer that is no success, is too long to be buffered.
+    #[snafu(display("more than {limit} bytes to buffer"))]
+    TooLong {
+        /// The largest length, in bytes.
+        limit: usize,
+    },
+    /// A stream ended, but not after a complete event.
+    #[snafu(display("stream ended without a complete last event"))]
+    PartialEvent,
 }
 
 /// An open connection to a backend server.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    io: TcpStream,
-    buffer: BytesMut,
+    pub(super) io: TcpStream,
+    pub(super) buffer: BytesMut,
     /// Whether it has carried an exchange before.
     pub(crate) used: bool,
 }
@@ -99,46 +104,7 @@
         })
     }
 
-    /// Sends a request and waits for the head of the answer to `attempt`.
-    /// Returns it with false if the answer arrived before the whole request was
-    /// sent; the connection cannot be reused then.
-    pub(crate) async fn exchange(
-        &mut self,
-        request: &[u8],
-        method: &str,
-        attempt: &str,
-    ) -> Result<(Response, bool), Error> {
-        let Connection { io, buffer, .. } = self;
-        let (mut reader, mut writer) = io.split();
-        let mut sent = 0;
-        let mut mismatched = 0;
-        loop {
-            if let Some(head) =
-                Response::decode(buffer, method, HEAD_MAX_BYTES).context(MalformedSnafu)?
-            {
-                if is_answer(&head, attempt) {
-                    return Ok((head, sent == request.len()));
-                }
-                mismatched += 1;
-                if mismatched > STALE_ANSWERS_MAX {
-                    return Err(Error::Mismatched);
-                }
-                skip_answer(&mut reader, buffer, &head).await?;
-                continue;
-            }
-            buffer.reserve(READ_SPACE_MIN_BYTES);
-            tokio::select! {
-                written = writer.write(&request[sent..]), if sent < request.len() => {
-                    sent += written.context(IoSnafu)?;
-                }
-                read = reader.read_buf(buffer) => if read.context(IoSnafu)? == 0 {
-                    return Err(Error::Closed);
-                },
-            }
-        }
-    }
-
-    /// Reads the next bytes of a body, or its end.
+    /// Reads the next bytes of a body, or its end. Cancelling it loses nothing.
     pub(crate) async fn read_step(&mut self, body: &mut Decoder) -> Result<Step, Error> {
         loop {
             match body.step(&mut self.buffer).context(MalformedSnafu)? {
@@ -165,40 +131,6 @@
     }
 }
 
-/// Whether an answer belongs to the attempt. An error may lack the id, as a
-/// server that refuses a request need not have read it.
-fn is_answer(head: &Response, attempt: &str) -> bool {
-    match head.fields.get(platform::header::ATTEMPT) {
-        Some(found) => found == attempt,
-        None => head.status >= 400,
-    }
-}
-
-/// Reads the rest of an answer to another request and discards it.
-async fn skip_answer(
-    reader: &mut tokio::net::tcp::ReadHalf<'_>,
-    buffer: &mut BytesMut,
-    head: &Response,
-) -> Result<(), Error> {
-    let mut body = Decoder::new(head.framing);
-    let mut length = 0;
-    loop {
-        match body.step(buffer).context(MalformedSnafu)? {
-            Step::Data(data) => length += data.len(),
-            Step::End => return Ok(()),
-            Step::Incomplete => {
-                let read = reader.read_buf(buffer).await.context(IoSnafu)?;
-                if read == 0 {
-                    return Err(Error::Closed);
-                }
-            }
-        }
-        if length > STALE_ANSWER_MAX_BYTES {
-            return Err(Error::Mismatched);
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -24,6 +24,7 @@
 //! | [`dispatch`] | [`dispatch::Queue`] | which request gets a free slot, which agents to demand slots from, which requests to refuse |
 //! | [`engine`] | [`engine::Predictor`] | when an engine's next answer begins |
 //! | [`grant`] | [`grant::Issuer`], [`grant::Holder`] | which entry may use a slot of a backend server |
+//! | [`attempt`] | [`attempt::Attempts`] | when a request goes to another backend server, and when it ends without an answer |
 //! | [`health`] | [`health::Health`] | when a backend server is ejected and readmitted |
 //! | [`limit`] | [`limit::Limiter`] | which calls are admitted, wait or are refused |
 //! | [`concurrency`], [`deadline`], [`retry`] | | how many calls run at once, until when, and how often they are retried |
@@ -70,6 +71,7 @@
 //! The programs under `examples/` embed the limits, the routing table, the
 //! configuration follower and the claims, and connect them by channels.
 
+pub mod attempt;
 pub mod call;
 pub mod claim;
 pub mod concurrency;
