Keep a call's attempt until another host takes it

Callers got 503 for calls whose agent had only been silent: 0.6 s after its link was lost the entry gave the attempt up and then looked for another host. If there was none, all were busy or the retry budget was spent, the call failed although the agent could come back with the answer. After the fourth attempt it failed without a look.

Cause: a timeout used as a failure detector whose verdict could not be revised. The entry now asks for another host first. The attempt is given up when one takes the call; else the call waits for the link and asks again every 0.6 s until its deadline. The retry budget is charged only for a host that was found, and the time of an attempt counts from its start message.

Before the change:

a_call_is_not_given_up_before_another_agent_has_taken_it left: [Fail(Id(1), Failure { kind: NoBackend, executed: Unknown, .. })] right: [] a_call_whose_agent_stays_silent_ends_at_its_deadline left: [(600ms, NoBackend)] right: [(10s, Deadline)] a_call_whose_agent_stays_silent_goes_on_at_the_first_that_takes_it [] instead of a second route

With it all tests of call.rs pass, the simulation under every fault among them, and those of the daemon's calls.rs.

--- a/crates/daemon/src/entry/calls/driver.rs
+++ b/crates/daemon/src/entry/calls/driver.rs
@@ -275,12 +275,9 @@
         version: Option<&str>,
         retry: bool,
     ) -> Event {
-        let Some(active) = self.calls.get_mut(&call) else {
+        let Some(active) = self.calls.get(&call) else {
             return Event::Unrouted(call, Kind::NoBackend, 0);
         };
-        if retry && !self.retry_budget.withdraw() {
-            return Event::Unrouted(call, Kind::Busy, RETRY_AFTER_MS);
-        }
         let need = active.request.model.as_deref();
         let need = need.map(|model| Need { model, version });
         let request = PickRequest {
@@ -291,12 +288,13 @@
             wait_max: None,
         };
         match self.router.pick(&request) {
+            Ok(_) if retry && !self.retry_budget.withdraw() => {
+                Event::Unrouted(call, Kind::Busy, RETRY_AFTER_MS)
+            }
             Ok(host) => {
                 let label = if retry { "again" } else { "first" };
                 self.attempts.with_label_values(&[label]).inc();
                 self.router.started(&host, &active.prefixes);
-                active.sent_at = self.context.now();
-                active.head_at = None;
                 Event::Routed(call, host)
             }
             Err(refusal) => {
@@ -306,8 +304,14 @@
         }
     }
 
-    fn send(&self, link: Link, message: Message) -> Option<Event> {
+    fn send(&mut self, link: Link, message: Message) -> Option<Event> {
         let start = started_attempt(&message);
+        if let Some(attempt) = start
+            && let Some(active) = self.calls.get_mut(&attempt.call)
+        {
+            active.sent_at = self.context.now();
+            active.head_at = None;
+        }
         let sent = self.context.hub.send(link_key(link), Frame::Call(message));
         match (sent, start) {
             (Err(_), Some(attempt)) => Some(Event::Unsent(attempt)),
--- a/crates/snipewinch/src/call/entry.rs
+++ b/crates/snipewinch/src/call/entry.rs
@@ -33,7 +33,7 @@
 /// Bytes of an answer that may be in flight or buffered for the caller.
 pub const WINDOW_BYTES: u64 = 256 << 10;
 /// How long a repeatable call waits for a new link to its agent before it is
-/// repeated elsewhere.
+/// repeated elsewhere; it waits as long again while no other host takes it.
 pub const RECONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long an at-most-once call waits for a new link to its agent before its
 /// outcome is reported as unknown.
@@ -216,7 +216,7 @@
         match event {
             Event::Begin(call, request, deadline) => self.begin(now, call, request, deadline),
             Event::Routed(call, host) => self.routed(now, call, host),
-            Event::Unrouted(call, kind, retry_ms) => self.unrouted(call, kind, retry_ms),
+            Event::Unrouted(call, kind, retry_ms) => self.unrouted(now, call, kind, retry_ms),
             Event::Up(link, host, incarnation) => self.up(now, link, host, incarnation),
             Event::Down(link) => self.down(now, link),
             Event::Message(link, message) => self.message(now, link, message),
@@ -246,15 +246,75 @@
         }
     }
 
+    /// Looks for another host for a call whose agent is out of reach. Until
+    /// one is found the call keeps its attempt, which may still be running:
+    /// silence does not prove that the agent is lost.
+    fn replace(&mut self, now: Duration, call: Id) {
+        let Some(pending) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let Phase::Reconnecting(target, _) = &pending.phase else {
+            return;
+        };
+        let target = target.clone();
+        if !pending.is_repeatable() || pending.cancelling {
+            self.retry_if_repeatable(call, target.host, Executed::Unknown, Settled::Lost);
+            return;
+        }
+        if pending.attempts + 1 >= ATTEMPTS_MAX {
+            pending.phase = Phase::Reconnecting(target, now);
+            return;
+        }
+        let mut avoid = pending.avoid.clone();
+        avoid.push(target.host.clone());
+        let version = pending.version();
+        pending.phase = Phase::Replacing(target);
+        self.out.push(Action::Route {
+            call,
+            avoid,
+            version,
+            retry: true,
+        });
+    }
+
+    /// Gives up the attempt of a call that another host takes over.
+    fn give_up_replaced(&mut self, call: Id) {
+        let Some(pending) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let Phase::Replacing(target) = &pending.phase else {
+            return;
+        };
+        let host = target.host.clone();
+        pending.phase = Phase::Routing;
+        pending.executed = pending.executed.max(Executed::Unknown);
+        pending.avoid.push(host.clone());
+        pending.attempts += 1;
+        self.out.push(Action::Settled(call, host, Settled::Lost));
+        if pending.reset() {
+            self.out.push(Action::Reset(call));
+        }
+    }
+
     fn routed(&mut self, now: Duration, call: Id, host: host::Name) {
         let Some(pending) = self.calls.get_mut(&call) else {
             return;
         };
-        if !matches!(pending.phase, Phase::Routing) {
+        if !matches!(pending.phase, Phase::Replacing(_) | Phase::Routing) {
             return;
         }
         let Some(agent) = self.agents.get(&host).copied() else {
-            self.retry_unexecuted(call, host, Kind::NoBackend, 0, Settled::Lost);
+            match &pending.phase {
+                Phase::Replacing(target) => {
+                    pending.phase = Phase::Reconnecting(target.clone(), now);
+                    self.out.push(Action::Settled(call, host, Settled::Lost));
+                }
+                _ => self.retry_unexecuted(call, host, Kind::NoBackend, 0, Settled::Lost),
+            }
+            return;
+        };
+        self.give_up_replaced(call);
+        let Some(pending) = self.calls.get_mut(&call) else {
             return;
         };
         let target = Target {
@@ -270,11 +330,16 @@
         self.out.push(Action::Send(agent.link, start));
     }
 
-    fn unrouted(&mut self, call: Id, kind: Kind, retry_ms: u32) {
-        if let Some(pending) = self.calls.get(&call)
-            && matches!(pending.phase, Phase::Routing)
-        {
-            self.fail(call, kind, retry_ms);
+    fn unrouted(&mut self, now: Duration, call: Id, kind: Kind, retry_ms: u32) {
+        let Some(pending) = self.calls.get_mut(&call) else {
+            return;
+        };
+        match &pending.phase {
+            Phase::Replacing(target) => {
+                pending.phase = Phase::Reconnecting(target.clone(), now);
+            }
+            Phase::Routing => self.fail(call, kind, retry_ms),
+            Phase::Reconnecting(..) | Phase::Sent(..) => {}
         }
     }
 
@@ -356,11 +421,14 @@
         let mut restarted = Vec::new();
         for (call, pending) in &mut self.calls {
             match &pending.phase {
-                Phase::Reconnecting(target, _) if target.host != host => {}
-                Phase::Reconnecting(target, _) if target.incarnation != incarnation => {
+                Phase::Reconnecting(target, _) | Phase::Replacing(target)
+                    if target.host != host => {}
+                Phase::Reconnecting(target, _) | Phase::Replacing(target)
+                    if target.incarnation != incarnation =>
+                {
                     restarted.push((*call, target.host.clone()));
                 }
-                Phase::Reconnecting(target, _) => {
+                Phase::Reconnecting(target, _) | Phase::Replacing(target) => {
                     let target = target.clone();
                     self.out
                         .push(Action::Send(link, pending.query(now, &target)));
@@ -447,7 +515,11 @@
         };
         match &pending.phase {
             // The outcome of an at-most-once call must still be recorded.
-            Phase::Reconnecting(..) | Phase::Sent(..) if pending.request.at_most_once => return,
+            Phase::Reconnecting(..) | Phase::Replacing(_) | Phase::Sent(..)
+                if pending.request.at_most_once =>
+            {
+                return;
+            }
             Phase::Sent(target, link) => {
                 let cancel = Message::Cancel(target.attempt);
                 self.out.push(Action::Send(*link, cancel));
@@ -455,7 +527,7 @@
                 self.out
                     .push(Action::Settled(call, host, Settled::Abandoned));
             }
-            Phase::Reconnecting(target, _) => {
+            Phase::Reconnecting(target, _) | Phase::Replacing(target) => {
                 let host = target.host.clone();
                 self.out
                     .push(Action::Settled(call, host, Settled::Abandoned));
@@ -484,7 +556,9 @@
         };
         match &pending.phase {
             Phase::Routing => self.fail(call, Kind::Deadline, 0),
-            Phase::Reconnecting(target, _) | Phase::Sent(target, _) if now >= pending.deadline => {
+            Phase::Reconnecting(target, _) | Phase::Replacing(target) | Phase::Sent(target, _)
+                if now >= pending.deadline =>
+            {
                 let host = target.host.clone();
                 pending.executed = pending.executed.max(Executed::Unknown);
                 let kind = match pending.request.at_most_once {
@@ -495,9 +569,8 @@
                     .push(Action::Settled(call, host, Settled::Deadline));
                 self.fail(call, kind, 0);
             }
-            Phase::Reconnecting(target, since) if now >= *since + pending.reconnect_timeout() => {
-                let host = target.host.clone();
-                self.retry_if_repeatable(call, host, Executed::Unknown, Settled::Lost);
+            Phase::Reconnecting(_, since) if now >= *since + pending.reconnect_timeout() => {
+                self.replace(now, call);
             }
             Phase::Sent(target, link) if pending.must_cancel(now) => {
                 let cancel = Message::Cancel(target.attempt);
@@ -510,6 +583,7 @@
                     .push(Action::Send(link, pending.query(now, &target)));
             }
             Phase::Reconnecting(..) => pending.cancelling = true,
+            Phase::Replacing(_) => {}
         }
     }
 }
--- a/crates/snipewinch/src/call/entry/message.rs
+++ b/crates/snipewinch/src/call/entry/message.rs
@@ -14,7 +14,7 @@
 use super::Kind;
 use super::Link;
 use super::Message;
-use super::Phase;
+use super::Pending;
 use super::Refusal;
 use super::Settled;
 use super::Total;
@@ -72,10 +72,8 @@
     }
 
     pub(super) fn host_of(&self, call: Id) -> host::Name {
-        match self.calls.get(&call).map(|pending| &pending.phase) {
-            Some(Phase::Reconnecting(target, _) | Phase::Sent(target, _)) => target.host.clone(),
-            Some(Phase::Routing) | None => host::Name::from(""),
-        }
+        let target = self.calls.get(&call).and_then(Pending::target);
+        target.map_or_else(|| host::Name::from(""), |target| target.host.clone())
     }
 
     fn head(&mut self, now: Duration, link: Link, attempt: Attempt, head: Head) {
--- a/crates/snipewinch/src/call/entry/pending.rs
+++ b/crates/snipewinch/src/call/entry/pending.rs
@@ -39,6 +39,8 @@
     Sent(Target, Link),
     /// The link to the agent was lost at this time; waits for a new one.
     Reconnecting(Target, Duration),
+    /// Another host is being selected while the agent is out of reach.
+    Replacing(Target),
 }
 
 /// How a received part relates to what has been received before.
@@ -128,14 +130,19 @@
         }))
     }
 
-    /// The model version of the answer that has begun.
+    /// The model version of the stream that has begun. An answer that is
+    /// buffered begins anew at another host, on any version.
     pub(super) fn version(&self) -> Option<SmolStr> {
-        self.head.as_ref().and_then(|head| head.version.clone())
+        let resumed = |head: &&Head| self.request.is_streamed(head);
+        let head = self.head.as_ref().filter(resumed);
+        head.and_then(|head| head.version.clone())
     }
 
     pub(super) fn target(&self) -> Option<&Target> {
         match &self.phase {
-            Phase::Reconnecting(target, _) | Phase::Sent(target, _) => Some(target),
+            Phase::Reconnecting(target, _) | Phase::Replacing(target) | Phase::Sent(target, _) => {
+                Some(target)
+            }
             Phase::Routing => None,
         }
     }
@@ -143,7 +150,7 @@
     pub(super) fn is_current(&self, attempt: Attempt, link: Link) -> bool {
         match &self.phase {
             Phase::Sent(target, on) => target.attempt == attempt && *on == link,
-            Phase::Reconnecting(..) | Phase::Routing => false,
+            Phase::Reconnecting(..) | Phase::Replacing(_) | Phase::Routing => false,
         }
     }
 
@@ -263,7 +270,7 @@
     pub(super) fn is_due(&self, now: Duration) -> bool {
         let quiet = now >= self.last_message_at.max(self.queried_at) + QUERY_INTERVAL;
         match &self.phase {
-            Phase::Routing => now >= self.deadline,
+            Phase::Replacing(_) | Phase::Routing => now >= self.deadline,
             Phase::Reconnecting(_, since) => {
                 now >= self.deadline
                     || now >= *since + self.reconnect_timeout()
--- a/crates/snipewinch/tests/call.rs
+++ b/crates/snipewinch/tests/call.rs
@@ -14,6 +14,7 @@
 use quickcheck::QuickCheck;
 use snipewinch::Digest;
 use snipewinch::call::Attempt;
+use snipewinch::call::Head;
 use snipewinch::call::Id;
 use snipewinch::call::Link;
 use snipewinch::call::Message;
@@ -21,8 +22,15 @@
 use snipewinch::call::Refusal;
 use snipewinch::call::Request;
 use snipewinch::call::Start;
+use snipewinch::call::Total;
 use snipewinch::call::agent;
 use snipewinch::call::agent::Agent;
+use snipewinch::call::entry;
+use snipewinch::call::entry::Entry;
+use snipewinch::call::entry::Kind;
+use snipewinch::call::entry::RECONNECT_TIMEOUT;
+use snipewinch::call::entry::Settled;
+use snipewinch::host;
 
 const CASES: u64 = 200;
 const GEN_SEED: u64 = 5;
@@ -226,3 +234,103 @@
         assert!(!late.iter().any(runs), "{name}: {late:?}");
     }
 }
+
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// Starts a call at agent `a` and closes its link; returns the entry and the
+/// attempt. Time has not passed.
+fn entry_with_lost_link() -> (Entry, Attempt) {
+    let mut entry = Entry::open(Origin(7));
+    let call = entry.next_id();
+    let request = Arc::new(Request::default());
+    let now = Duration::ZERO;
+    let host = || host::Name::from("a");
+    entry.handle(now, entry::Event::Up(Link(1), host(), 1));
+    entry.handle(now, entry::Event::Begin(call, request, DEADLINE));
+    entry.handle(now, entry::Event::Routed(call, host()));
+    entry.handle(now, entry::Event::Down(Link(1)));
+    let attempt = Attempt {
+        origin: Origin(7),
+        call,
+        retry: 0,
+    };
+    (entry, attempt)
+}
+
+fn routes(actions: &[entry::Action]) -> bool {
+    let is_route = |action: &entry::Action| matches!(action, entry::Action::Route { .. });
+    actions.iter().any(is_route)
+}
+
+#[test]
+fn a_call_is_not_given_up_before_another_agent_has_taken_it() {
+    let (mut entry, attempt) = entry_with_lost_link();
+    let call = attempt.call;
+    let mut now = Duration::ZERO;
+    for kind in [Kind::NoBackend, Kind::Busy] {
+        now += RECONNECT_TIMEOUT;
+        assert!(routes(&entry.handle(now, entry::Event::Tick)), "{kind:?}");
+        let unrouted = entry::Event::Unrouted(call, kind, 0);
+        assert_eq!(entry.handle(now, unrouted), [], "{kind:?}");
+    }
+    now += Duration::from_millis(800);
+    let up = entry::Event::Up(Link(2), "a".into(), 1);
+    let asked = entry.handle(now, up);
+    let is_query = |action: &entry::Action| matches!(action, entry::Action::Send(Link(2), Message::Query(asked, ..)) if *asked == attempt);
+    assert!(asked.iter().any(is_query), "{asked:?}");
+    let head = Head {
+        status: 200,
+        headers: Vec::new(),
+        version: None,
+    };
+    let total = Total {
+        parts: 1,
+        length_bytes: 0,
+        digest: Digest::of(b""),
+    };
+    for message in [Message::Head(attempt, head), Message::End(attempt, total)] {
+        let ended = entry.handle(now, entry::Event::Message(Link(2), message));
+        assert!(!ended.is_empty());
+    }
+    assert!(entry.is_empty());
+}
+
+#[test]
+fn a_call_whose_agent_stays_silent_goes_on_at_the_first_that_takes_it() {
+    let (mut entry, attempt) = entry_with_lost_link();
+    let call = attempt.call;
+    let mut now = RECONNECT_TIMEOUT;
+    assert!(routes(&entry.handle(now, entry::Event::Tick)));
+    entry.handle(now, entry::Event::Unrouted(call, Kind::Busy, 0));
+    entry.handle(now, entry::Event::Up(Link(3), "b".into(), 1));
+    now += RECONNECT_TIMEOUT;
+    let actions = entry.handle(now, entry::Event::Tick);
+    assert!(routes(&actions), "{actions:?}");
+    let actions = entry.handle(now, entry::Event::Routed(call, "b".into()));
+    let lost = entry::Action::Settled(call, "a".into(), Settled::Lost);
+    assert!(actions.contains(&lost), "{actions:?}");
+    let is_start = |action: &entry::Action| matches!(action, entry::Action::Send(Link(3), Message::Start(start)) if start.attempt.retry == 1);
+    assert!(actions.iter().any(is_start), "{actions:?}");
+}
+
+#[test]
+fn a_call_whose_agent_stays_silent_ends_at_its_deadline() {
+    let (mut entry, attempt) = entry_with_lost_link();
+    let mut failures = Vec::new();
+    let mut now = Duration::ZERO;
+    while now < DEADLINE {
+        now += Duration::from_millis(50);
+        let mut actions = entry.handle(now, entry::Event::Tick);
+        if routes(&actions) {
+            let unrouted = entry::Event::Unrouted(attempt.call, Kind::NoBackend, 0);
+            actions.extend(entry.handle(now, unrouted));
+        }
+        for action in actions {
+            if let entry::Action::Fail(_, failure) = action {
+                failures.push((now, failure.kind));
+            }
+        }
+    }
+    assert_eq!(failures, [(DEADLINE, Kind::Deadline)]);
+    assert!(entry.is_empty());
+}
