Do not take a silent engine for a drained one

Cause: the drain read the last report of the poll. No report counted as no requests, so an engine that had stopped to answer was drained at once, and a report from before the last requests did not show them. The order to load cuts off what runs.

Before the change a_silent_engine_does_not_count_as_drained failed at its first case: "silent, never reported: 2.062µs", left: true, right: false.

--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -218,16 +218,23 @@
         self.agent.slot_pool.set_closed(false);
     }
 
-    /// Waits until the engine has no requests, at most [`DRAIN_TIMEOUT`].
+    /// Waits until the engine answers that it has no requests, at most
+    /// [`DRAIN_TIMEOUT`].
     async fn drain(&self) {
-        let started = self.agent.clock.now();
-        while self.agent.clock.now() - started < DRAIN_TIMEOUT {
-            let report = self.agent.slot_pool.report();
-            if report.is_none_or(|one| one.running + one.waiting == 0) {
-                return;
+        let drained = async {
+            while !self.is_drained().await {
+                sleep(POLL_INTERVAL).await;
             }
-            sleep(POLL_INTERVAL).await;
-        }
+        };
+        let _ = timeout(DRAIN_TIMEOUT, drained).await;
+    }
+
+    /// Whether the engine answers that it has no requests. The last report may
+    /// be older than the last request, and an engine that does not answer may
+    /// still have some.
+    async fn is_drained(&self) -> bool {
+        let report = self.agent.engine.report().await;
+        report.is_ok_and(|one| one.running + one.waiting == 0)
     }
 
     /// Stages every chunk; false if that failed.
@@ -330,3 +337,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/agent/loader/tests.rs
@@ -0,0 +1,172 @@
+//! The steps of a load beside an engine that falls silent and then goes on.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use peer::FleetKey;
+use platform::boot::Bounds;
+use platform::boot::Settings;
+use platform::engine::Engine;
+use platform::engine::Report;
+use platform::follow::Urgency;
+use platform::http::Transport;
+use snipewinch::host::Identity;
+use snipewinch::host::Role;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+use super::DRAIN_TIMEOUT;
+use super::Loader;
+use crate::agent::Agent;
+use crate::agent::chunks;
+use crate::agent::open_links;
+use crate::agent::slot_pool::SlotPool;
+use crate::clock::Clock;
+use crate::shutdown::Phase;
+
+const IDLE: &str = r#"{"models":[{"name":"m","version":2}],"active":0,"queued":0}"#;
+const RUNNING: &str = r#"{"models":[{"name":"m","version":2}],"active":1,"queued":0}"#;
+
+/// Starts an engine that answers each request with `report` after a silence
+/// that ends `silence` from now.
+async fn engine(report: &'static str, silence: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let silent_until = Instant::now() + silence;
+    spawn_local(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            spawn_local(async move {
+                let mut request = [0; 4096];
+                while stream
+                    .read(&mut request)
+                    .await
+                    .is_ok_and(|length| length > 0)
+                {
+                    sleep_until(silent_until).await;
+                    let length = report.len();
+                    let response =
+                        format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{report}");
+                    if stream.write_all(response.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+fn settings(backend: SocketAddr) -> Settings {
+    Settings {
+        identity: Identity {
+            host: "agent".into(),
+            incarnation: 1,
+            role: Role::Agent,
+            zone: "z".into(),
+            region: "r".into(),
+            service: Some("s".into()),
+            address: "127.0.0.1:0".parse().unwrap(),
+        },
+        frontend: None,
+        readiness: None,
+        backend: Some(backend),
+        peer_port: 0,
+        regions: BTreeMap::new(),
+        store: "127.0.0.1:1".parse().unwrap(),
+        heartbeat: Duration::from_millis(1_200),
+        link_mbit: 100.0,
+        memory_bytes: 1 << 27,
+        bounds: Bounds {
+            shutdown_grace: Duration::from_secs(8),
+            version_skew: Duration::from_secs(8),
+            drain: Duration::from_secs(2),
+            configuration_apply: Duration::from_secs(2),
+            retry_ratio: 0.2,
+            retry_burst: 10.0,
+        },
+    }
+}
+
+async fn loader(backend: SocketAddr) -> Loader {
+    let settings = settings(backend);
+    let agent = Rc::new(Agent {
+        clock: Clock::start(),
+        service: "s".into(),
+        engine: Engine::open(Transport::open(), backend),
+        origin_transport: Transport::without_idle(),
+        slot_pool: SlotPool::default(),
+        operator_state: RefCell::default(),
+        engine_config: RefCell::default(),
+        listing: RefCell::default(),
+        view: RefCell::default(),
+        changed: Notify::new(),
+        phase: watch::Sender::new(Phase::Running),
+        bounds: Cell::new(settings.bounds),
+        announced_version: Cell::new(0),
+        urgency: Urgency::default(),
+        settings,
+    });
+    let key = FleetKey::new("a key of tests, of no fleet at all");
+    let (hub, inbox) = open_links(&agent, key, backend).await.unwrap();
+    let (chunks, _task) = chunks::spawn(agent.clone(), hub, inbox.weights);
+    Loader {
+        agent,
+        chunks,
+        scanned: None,
+        completed: Cell::default(),
+        reported: None,
+    }
+}
+
+fn report(json: &str) -> Report {
+    serde_json::from_str(json).unwrap()
+}
+
+#[tokio::test]
+async fn a_silent_engine_does_not_count_as_drained() {
+    let silent = Duration::from_secs(3_600);
+    let cases = [
+        ("silent, never reported", RUNNING, silent, None, false),
+        (
+            "silent after it was idle",
+            RUNNING,
+            silent,
+            Some(IDLE),
+            false,
+        ),
+        (
+            "busy since its last report",
+            RUNNING,
+            Duration::ZERO,
+            Some(IDLE),
+            false,
+        ),
+        ("idle", IDLE, Duration::ZERO, Some(RUNNING), true),
+    ];
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        for (name, answer, silence, last, is_drained) in cases {
+            let loader = loader(engine(answer, silence).await).await;
+            let now = loader.agent.clock.now();
+            let last = last.map(report);
+            loader.agent.slot_pool.apply_report(now, last, 4);
+            let started = Instant::now();
+            loader.drain().await;
+            let ended_early = started.elapsed() < DRAIN_TIMEOUT;
+            assert_eq!(ended_early, is_drained, "{name}: {:?}", started.elapsed());
+        }
+    });
+    run.await;
+}
