Wait for a load though the engine is silent

While an engine loaded weights, its agent could grant slots to entries again, stage all chunks anew and send the order a second time. Requests then waited at an engine that was loading; only the condition on the number of accepted orders kept the second order from being carried out.

Cause: one report that did not come within a second ended the wait for the load, and the slots were opened by the report from before the order. A sound engine may be silent for a second or two.

The wait now ends only with an answer of the engine, or after LOAD_TIMEOUT. An engine that has restarted answers that it is not busy, which ends the wait as before. E7236 is logged once for each silence.

Before the change a_silent_engine_does_not_end_the_wait_for_its_load failed: version 1 instead of 2 after the wait, left: 1, right: 2.

--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -314,24 +314,32 @@
         }
     }
 
-    /// Waits until the engine has loaded `version` or is no longer busy.
+    /// Waits until the engine answers that it has loaded `version` or is not
+    /// busy, at most [`LOAD_TIMEOUT`].
     async fn wait_until_loaded(&self, version: u64) {
         let started = self.agent.clock.now();
-        loop {
+        let mut is_silent = false;
+        while self.agent.clock.now() - started <= LOAD_TIMEOUT {
             sleep(POLL_INTERVAL).await;
             let report = match self.agent.engine.report().await {
                 Ok(report) => report,
+                // Whether the load goes on is only known from an answer.
                 Err(error) => {
-                    log::info!("E7236 reading the engine's state during loading failed: {error}");
-                    return;
+                    if !std::mem::replace(&mut is_silent, true) {
+                        log::info!(
+                            "E7236 reading the engine's state during loading failed: {error}"
+                        );
+                    }
+                    continue;
                 }
             };
+            is_silent = false;
             let slots = self.agent.engine_spec().map_or(0, |spec| spec.slots);
             let done = slot_pool::loaded_version(&report) >= version || !report.busy;
             self.agent
                 .slot_pool
                 .apply_report(self.agent.clock.now(), Some(report), slots);
-            if done || self.agent.clock.now() - started > LOAD_TIMEOUT {
+            if done {
                 return;
             }
         }
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -31,12 +31,14 @@
 use crate::agent::Agent;
 use crate::agent::chunks;
 use crate::agent::open_links;
+use crate::agent::slot_pool;
 use crate::agent::slot_pool::SlotPool;
 use crate::clock::Clock;
 use crate::shutdown::Phase;
 
 const IDLE: &str = r#"{"models":[{"name":"m","version":2}],"active":0,"queued":0}"#;
 const RUNNING: &str = r#"{"models":[{"name":"m","version":2}],"active":1,"queued":0}"#;
+const OLD_IDLE: &str = r#"{"models":[{"name":"m","version":1}],"active":0,"queued":0}"#;
 
 /// Starts an engine that answers each request with `report` after a silence
 /// that ends `silence` from now.
@@ -170,3 +172,18 @@
     });
     run.await;
 }
+
+#[tokio::test]
+async fn a_silent_engine_does_not_end_the_wait_for_its_load() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let loader = loader(engine(IDLE, Duration::from_millis(1_500)).await).await;
+        let now = loader.agent.clock.now();
+        let last = Some(report(OLD_IDLE));
+        loader.agent.slot_pool.apply_report(now, last, 4);
+        loader.wait_until_loaded(2).await;
+        let report = loader.agent.slot_pool.report().unwrap();
+        assert_eq!(slot_pool::loaded_version(&report), 2);
+    });
+    run.await;
+}
