Keep confirmed versions after one unanswered read

Calls that waited at an agent were refused, and no more were sent to it, when its engine had left one request for its state unanswered for two seconds. At a service with one sound engine callers got 503.

Cause: a read without an answer counted as an engine that holds no weights. A sound engine may be silent that long.

The last state now stays in force for calls until a second read in a row has failed. No order is sent by it: the state is read first, as before. After an order whose outcome is unknown nothing is confirmed until the state was read, as before.

Before the change one_unanswered_read_does_not_withdraw_the_versions_of_a_sound_engine failed after the first unanswered read: left: 0, right: 1. All tests of loader.rs pass, also the one with random losses of orders and answers.

--- a/crates/snipewinch/src/weights/load.rs
+++ b/crates/snipewinch/src/weights/load.rs
@@ -21,6 +21,9 @@
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 /// The first retry delay after a failed order or read.
 const RETRY_MIN: Duration = Duration::from_millis(200);
+/// Failed reads in a row after which the engine counts as holding nothing. A
+/// sound engine may be silent for longer than one read waits.
+const FAILED_READS_MAX: u32 = 2;
 /// How often the retry delay doubles at most.
 const RETRY_DOUBLINGS_MAX: u32 = 5;
 /// The shortest drain, even if no calls run: calls admitted just before it are
@@ -189,6 +192,8 @@
     next_read: Duration,
     in_progress: bool,
     failures: u32,
+    /// Reads in a row that failed since the engine last gave its state.
+    failed_reads: u32,
     pending: Option<Pending>,
 }
 
@@ -211,6 +216,7 @@
             next_read: Duration::ZERO,
             in_progress: false,
             failures: 0,
+            failed_reads: 0,
             pending: None,
         }
     }
@@ -270,7 +276,7 @@
         if self.in_progress {
             return Action::Wait(now + READ_INTERVAL);
         }
-        if now >= self.next_read || self.state.is_none() {
+        if now >= self.next_read || self.state.is_none() || self.failed_reads > 0 {
             if now < self.next_read {
                 return Action::Wait(self.next_read);
             }
@@ -301,17 +307,25 @@
         }
     }
 
-    /// Records the engine's state, none if it could not be read.
+    /// Records the engine's state, none if it could not be read. After a first
+    /// failed read the last state stays in force, but no order is sent by it.
     pub fn record_state(&mut self, now: Duration, state: Option<State>) {
         self.in_progress = false;
         match state {
             Some(state) => {
                 self.fence = self.fence.max(state.fence);
                 self.failures = 0;
+                self.failed_reads = 0;
                 self.next_read = now + READ_INTERVAL;
                 self.state = Some(state);
             }
-            None => self.schedule_retry(now),
+            None => {
+                self.failed_reads += 1;
+                if self.failed_reads >= FAILED_READS_MAX {
+                    self.state = None;
+                }
+                self.schedule_retry(now);
+            }
         }
     }
 
@@ -323,6 +337,7 @@
             Outcome::Done(state) => {
                 self.fence = self.fence.max(state.fence);
                 self.failures = 0;
+                self.failed_reads = 0;
                 self.next_read = now + READ_INTERVAL;
                 self.state = Some(state);
             }
@@ -332,7 +347,10 @@
                 self.next_read = now;
             }
             // The order may have been carried out, or may be later.
-            Outcome::Unknown => self.schedule_retry(now),
+            Outcome::Unknown => {
+                self.state = None;
+                self.schedule_retry(now);
+            }
         }
     }
 
@@ -343,7 +361,6 @@
     }
 
     fn schedule_retry(&mut self, now: Duration) {
-        self.state = None;
         self.next_read = now + RETRY_MIN * 2_u32.pow(self.failures.min(RETRY_DOUBLINGS_MAX));
         self.failures += 1;
     }
--- a/crates/snipewinch/tests/loader.rs
+++ b/crates/snipewinch/tests/loader.rs
@@ -276,3 +276,34 @@
     assert!(matches!(&action, Action::Send { order: Order::Load(one), .. } if *one == adapter));
     assert_eq!(loader.confirmed(&ready).len(), 1);
 }
+
+#[test]
+fn one_unanswered_read_does_not_withdraw_the_versions_of_a_sound_engine() {
+    let mut loader = Loader::new(7);
+    loader.set_targets(vec![target("v1")], None);
+    let holds = holding(&[target("v1")]);
+    read(&mut loader, STEP, &holds);
+    let mut now = STEP;
+    for confirmed in [1, 0] {
+        now += Duration::from_secs(2);
+        assert_eq!(loader.next_action(now, &ready, 0), Action::ReadState);
+        loader.record_state(now, None);
+        assert_eq!(loader.confirmed(&ready).len(), confirmed);
+    }
+    now += Duration::from_secs(2);
+    read(&mut loader, now, &holds);
+    assert_eq!(loader.confirmed(&ready).len(), 1);
+}
+
+#[test]
+fn no_order_is_sent_between_an_unanswered_read_and_the_next_answer() {
+    let mut loader = Loader::new(7);
+    loader.set_targets(vec![target("v1")], None);
+    read(&mut loader, STEP, &holding(&[target("v1")]));
+    let now = STEP + Duration::from_secs(2);
+    assert_eq!(loader.next_action(now, &ready, 0), Action::ReadState);
+    loader.record_state(now, None);
+    loader.set_targets(vec![target("v2")], None);
+    let action = loader.next_action(now, &ready, 0);
+    assert!(matches!(action, Action::Wait(_)), "{action:?}");
+}
