End a stream at its closing event

A stream whose `data: [DONE]` had arrived was cut off at the deadline, or failed as malformed, if the engine then kept the connection open without a word or went on to send bytes that are no part of the answer.

Cause: the end of the connection, not the closing event, completed the answer, so the engine's silence after it decided. Bytes after it counted towards the longest event.

The closing event now completes the answer; what follows is not read.

Before the change a_stream_is_complete_at_its_closing_event_though_the_engine_falls_silent failed with "the answer is complete: Elapsed(())" after 5 s and bytes_without_end_after_the_closing_event_do_not_spoil_a_complete_stream with "EventTooLong { max_bytes: 262144 }".

--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -171,6 +171,11 @@
             if let Some(part) = self.take_part() {
                 return Ok(Some(part));
             }
+            // Nothing that follows the closing event belongs to the answer,
+            // and the end of the connection may be long in coming.
+            if self.parser.as_ref().is_some_and(Parser::is_done) {
+                return Ok(None);
+            }
             let Some(frame) = self.body.frame().await else {
                 return self.finish();
             };
--- a/crates/backend/src/events.rs
+++ b/crates/backend/src/events.rs
@@ -40,9 +40,12 @@
     ///
     /// # Errors
     ///
-    /// [`Error::EventTooLong`] if the remaining bytes exceed
+    /// [`Error::EventTooLong`] if the bytes of an incomplete event exceed
     /// [`EVENT_MAX_BYTES`].
     pub fn push(&mut self, bytes: &Bytes) -> Result<Option<Data>, Error> {
+        if self.done {
+            return Ok(None);
+        }
         self.buffer.extend_from_slice(bytes);
         let mut complete_bytes = 0;
         let mut tokens = 0;
@@ -59,7 +62,7 @@
                 None => complete_bytes += length,
             }
         }
-        if self.buffer.len() - complete_bytes > EVENT_MAX_BYTES {
+        if !self.done && self.buffer.len() - complete_bytes > EVENT_MAX_BYTES {
             return EventTooLongSnafu {
                 max_bytes: EVENT_MAX_BYTES,
             }
