Do not pass on a service's stream that ends inside an event as complete

Callers could get the first part of a plain service's event stream as a complete answer: a service that broke off closed the connection, and an answer with neither a length nor chunks ends just so.

Cause: the end of such a connection counted as the end of the answer wherever it came. Only streams of engines, which have a closing event, were checked.

An event stream without a length and chunks is now complete only if it ends after an empty line; else it has been broken off and is tried elsewhere if it may be.

Before the change an_unframed_stream_of_a_service_that_ends_inside_an_event_is_not_complete failed at its case "inside a line", which was taken for complete.

--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -4,7 +4,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -24,6 +26,7 @@
 use crate::error::RequestSnafu;
 use crate::error::StatusSnafu;
 use crate::error::TruncatedSnafu;
+use crate::events::Boundary;
 use crate::events::Parser;
 
 /// The maximum size of a part of an answer that is not a stream of events.
@@ -55,6 +58,9 @@
     pub head: Head,
     body: Incoming,
     parser: Option<Parser>,
+    /// For a stream of events that is not parsed and whose end is that of the
+    /// connection.
+    boundary: Option<Boundary>,
     buffered: Option<Bytes>,
 }
 
@@ -152,11 +158,15 @@
             headers,
             version: header_text(MODEL_VERSION),
         };
-        let parser = is_event_stream && start.request.is_streamed(&head);
+        let is_parsed = is_event_stream && start.request.is_streamed(&head);
+        let is_framed = parts.headers.contains_key(CONTENT_LENGTH)
+            || parts.headers.contains_key(TRANSFER_ENCODING);
+        let has_boundary = is_event_stream && !is_parsed && !is_framed;
         Reply {
             head,
             body,
-            parser: parser.then(Parser::open),
+            parser: is_parsed.then(Parser::open),
+            boundary: has_boundary.then(Boundary::default),
             buffered: None,
         }
     }
@@ -183,6 +193,9 @@
                 continue;
             };
             let Some(parser) = &mut self.parser else {
+                if let Some(boundary) = &mut self.boundary {
+                    boundary.push(&bytes);
+                }
                 self.buffered = Some(bytes);
                 continue;
             };
@@ -208,9 +221,14 @@
     }
 
     fn finish(&self) -> Result<Option<Data>, Error> {
-        match &self.parser {
-            Some(parser) if !parser.is_done() => TruncatedSnafu.fail(),
-            _ => Ok(None),
+        let ended_early = self.parser.as_ref().is_some_and(|one| !one.is_done());
+        let is_cut = self
+            .boundary
+            .as_ref()
+            .is_some_and(Boundary::is_inside_event);
+        match ended_early || is_cut {
+            true => TruncatedSnafu.fail(),
+            false => Ok(None),
         }
     }
 }
--- a/crates/backend/src/error.rs
+++ b/crates/backend/src/error.rs
@@ -39,8 +39,11 @@
         /// The cause.
         source: hyper::Error,
     },
-    /// A stream of events ended without the event that closes it.
-    #[snafu(display("the engine's stream ended without `data: [DONE]`: check the engine's log"))]
+    /// A stream of events ended inside an event, or an engine's stream without
+    /// the event that closes it.
+    #[snafu(display(
+        "the stream ended inside an event or without `data: [DONE]`: check the backend server's log"
+    ))]
     Truncated,
     /// An event of a stream exceeds the maximum size.
     #[snafu(display(
--- a/crates/backend/src/events.rs
+++ b/crates/backend/src/events.rs
@@ -11,6 +11,10 @@
 /// The maximum size of an event, in bytes.
 pub const EVENT_MAX_BYTES: usize = 256 << 10;
 
+/// The ends of an event, with each kind of line break.
+const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+/// The length of the longest of [`EVENT_ENDS`].
+const EVENT_END_MAX_BYTES: usize = 3;
 /// The payload of the event that closes a stream.
 const DONE: &[u8] = b"[DONE]";
 
@@ -78,6 +82,28 @@
     }
 }
 
+/// Tells whether a stream that is not parsed has ended inside an event.
+#[derive(Debug, Default)]
+pub(crate) struct Boundary {
+    /// The last bytes, enough to recognize the empty line after an event.
+    tail: Vec<u8>,
+}
+
+impl Boundary {
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        let kept = &bytes[bytes.len().saturating_sub(EVENT_END_MAX_BYTES)..];
+        self.tail.extend_from_slice(kept);
+        let surplus = self.tail.len().saturating_sub(EVENT_END_MAX_BYTES);
+        self.tail.drain(..surplus);
+    }
+
+    /// Whether bytes have come since the last empty line.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        let is_end = |end: &&[u8]| self.tail.ends_with(end);
+        !self.tail.is_empty() && !EVENT_ENDS.iter().any(is_end)
+    }
+}
+
 /// The length in bytes of the first event, including the empty line that ends
 /// it.
 fn event_length(bytes: &[u8]) -> Option<usize> {
--- a/crates/backend/tests/call.rs
+++ b/crates/backend/tests/call.rs
@@ -1,4 +1,5 @@
-//! Answers of a backend server that are complete before their connection ends.
+//! Answers of a backend server that end with their connection, or only long
+//! after they are complete.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,8 +22,9 @@
 /// The longest time in which an answer that has arrived must be complete.
 const END_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Serves one request with `answer` and keeps the connection open and silent.
-async fn serve_one(answer: String) -> Server {
+/// Serves one request with `answer`; then closes the connection, or keeps it
+/// open and silent.
+async fn serve_one(answer: String, closes: bool) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     tokio::spawn(async move {
@@ -30,7 +32,9 @@
         let mut request = [0; 4096];
         assert!(stream.read(&mut request).await.unwrap() > 0);
         stream.write_all(answer.as_bytes()).await.unwrap();
-        std::future::pending::<()>().await;
+        if !closes {
+            std::future::pending::<()>().await;
+        }
     });
     Server::open(&address)
 }
@@ -74,7 +78,7 @@
 
 #[tokio::test]
 async fn a_stream_is_complete_at_its_closing_event_though_the_engine_falls_silent() {
-    let server = serve_one(unframed(&format!("{EVENT}{DONE}"))).await;
+    let server = serve_one(unframed(&format!("{EVENT}{DONE}")), false).await;
     let mut reply = server.call(&start(Some("m"))).await.unwrap();
     let bytes = timeout(END_TIMEOUT, read(&mut reply)).await;
     let bytes = bytes.expect("the answer is complete").unwrap();
@@ -84,9 +88,31 @@
 #[tokio::test]
 async fn bytes_without_end_after_the_closing_event_do_not_spoil_a_complete_stream() {
     let rest = "x".repeat(1 << 20);
-    let server = serve_one(unframed(&format!("{EVENT}{DONE}{rest}"))).await;
+    let server = serve_one(unframed(&format!("{EVENT}{DONE}{rest}")), false).await;
     let mut reply = server.call(&start(Some("m"))).await.unwrap();
     let bytes = timeout(END_TIMEOUT, read(&mut reply)).await;
     let bytes = bytes.expect("the answer is complete").unwrap();
     assert_eq!(bytes, EVENT.as_bytes());
 }
+
+#[tokio::test]
+async fn an_unframed_stream_of_a_service_that_ends_inside_an_event_is_not_complete() {
+    let cases = [
+        ("between events", "data: a\n\ndata: b\n\n", true),
+        ("carriage returns", "data: a\r\n\r\n", true),
+        ("no event", "", true),
+        ("inside a line", "data: a\n\ndata: b", false),
+        ("after a line", "data: a\n\ndata: b\n", false),
+    ];
+    for (name, body, is_complete) in cases {
+        let server = serve_one(unframed(body), true).await;
+        let mut reply = server.call(&start(None)).await.unwrap();
+        match read(&mut reply).await {
+            Ok(bytes) => assert!(is_complete && bytes == body.as_bytes(), "{name}"),
+            Err(error) => {
+                let is_truncated = matches!(error, Error::Truncated);
+                assert!(!is_complete && is_truncated, "{name}: {error}");
+            }
+        }
+    }
+}
