Bound the cancellation of a call at an engine

A stopped call kept its slot at the agent for good, and an agent that was leaving never ended, if the engine did not answer the cancellation or answered without end.

Cause: the agent waited for the answer without a bound before it reported that the attempt had ended.

The connection of the call is closed in any case.

--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -1,5 +1,7 @@
 //! Client for the interface of model engines besides calls and orders.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::Method;
 use http::Request;
@@ -11,16 +13,21 @@
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 use snafu::ResultExt;
+use tokio::time::timeout;
 
 use crate::Error;
 use crate::Server;
 use crate::error::JsonSnafu;
 use crate::error::RequestSnafu;
+use crate::error::TimeoutSnafu;
 
 /// The maximum size of an answer, except for an exported prefix.
 const ANSWER_MAX_BYTES: usize = 1 << 20;
 /// The maximum size of the KV cache of an exported prefix.
 const KV_MAX_BYTES: usize = 64 << 20;
+/// The maximum time of a cancellation, during which the cancelled call keeps
+/// its slot. A sound engine may be silent for a second or two.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A client for a model engine.
 #[derive(Clone, Debug)]
@@ -105,10 +112,12 @@
     /// Any [`Error`]; the request may continue to run.
     pub async fn cancel(&self, request_id: &str) -> Result<Cancellation, Error> {
         let path = format!("/cancel/{request_id}");
-        let bytes = self
-            .exchange(Method::POST, &path, Bytes::new(), ANSWER_MAX_BYTES)
-            .await?;
-        let response: CancelResponse = parse(&bytes)?;
+        let exchange = self.exchange(Method::POST, &path, Bytes::new(), ANSWER_MAX_BYTES);
+        let Ok(bytes) = timeout(CANCEL_TIMEOUT, exchange).await else {
+            let limit_ms = CANCEL_TIMEOUT.as_millis() as u64;
+            return TimeoutSnafu { limit_ms }.fail();
+        };
+        let response: CancelResponse = parse(&bytes?)?;
         Ok(response.state)
     }
 
--- a/crates/backend/src/error.rs
+++ b/crates/backend/src/error.rs
@@ -53,6 +53,14 @@
         /// The maximum size of an event, in bytes.
         max_bytes: usize,
     },
+    /// The answer was not complete in time; the request may have been executed.
+    #[snafu(display(
+        "the backend server gave no complete answer within {limit_ms} ms: check its log if it lasts"
+    ))]
+    Timeout {
+        /// The maximum time, in milliseconds.
+        limit_ms: u64,
+    },
     /// The request is not valid HTTP.
     #[snafu(display("the request is not valid HTTP: correct its path and headers ({source})"))]
     Request {
@@ -83,7 +91,9 @@
     pub fn executed(&self) -> Executed {
         match self {
             Error::Connect { .. } | Error::Json { .. } | Error::Request { .. } => Executed::No,
-            Error::Exchange { .. } | Error::Status { .. } => Executed::Unknown,
+            Error::Exchange { .. } | Error::Status { .. } | Error::Timeout { .. } => {
+                Executed::Unknown
+            }
             Error::Body { .. } | Error::Truncated | Error::EventTooLong { .. } => Executed::Yes,
         }
     }
@@ -98,7 +108,8 @@
             | Error::Connect { .. }
             | Error::Truncated
             | Error::Exchange { .. }
-            | Error::Request { .. } => Fault::Broken,
+            | Error::Request { .. }
+            | Error::Timeout { .. } => Fault::Broken,
         }
     }
 }
