Report a state that did not come in time as a timeout

E3105 told operators that the engine's answer was unusable with status 504 when the engine had sent no answer at all.

Cause: a timeout of the agent was presented as a status of the engine.

The client returns Error::Timeout instead, which leaves open whether the request was executed.

Before the change a_state_that_does_not_come_in_time_is_no_answer_of_the_engine failed: Err(Status { status: 504 }).

--- a/crates/backend/src/error.rs
+++ b/crates/backend/src/error.rs
@@ -77,8 +77,8 @@
         source: serde_json::Error,
     },
     /// The backend server answered with an unexpected status, gave no stream
-    /// of events although one was requested, took too long (504), or sent an
-    /// answer that could not be read (502).
+    /// of events although one was requested, or sent an answer that could not
+    /// be read (502).
     #[snafu(display("the backend server's answer is unusable (status {status}): check its log"))]
     Status {
         /// The status.
--- a/crates/backend/src/order.rs
+++ b/crates/backend/src/order.rs
@@ -23,6 +23,7 @@
 use crate::Server;
 use crate::error::JsonSnafu;
 use crate::error::RequestSnafu;
+use crate::error::TimeoutSnafu;
 
 /// The maximum size of an answer.
 const ANSWER_MAX_BYTES: usize = 1 << 20;
@@ -123,18 +124,14 @@
     ///
     /// # Errors
     ///
-    /// Any [`Error`]; [`Error::Status`] with 504 if the engine does not answer
-    /// in time.
+    /// Any [`Error`]; [`Error::Timeout`] if the engine does not answer in time.
     pub async fn state(&self) -> Result<State, Error> {
         let exchange = self.exchange(Method::GET, "/state", Bytes::new());
-        let (status, body) = match timeout(STATE_TIMEOUT, exchange).await {
-            Ok(answer) => answer?,
-            Err(_) => {
-                return Err(Error::Status {
-                    status: StatusCode::GATEWAY_TIMEOUT,
-                });
-            }
+        let Ok(answer) = timeout(STATE_TIMEOUT, exchange).await else {
+            let limit_ms = STATE_TIMEOUT.as_millis() as u64;
+            return TimeoutSnafu { limit_ms }.fail();
         };
+        let (status, body) = answer?;
         if status != StatusCode::OK {
             return Err(Error::Status { status });
         }
--- a/crates/backend/tests/order.rs
+++ b/crates/backend/tests/order.rs
@@ -1,6 +1,7 @@
 //! The client for orders, against scripted answers of an engine over real
 //! sockets.
 
+use backend::Error;
 use backend::Server;
 use backend::order::Order;
 use backend::order::OrderClient;
@@ -138,3 +139,11 @@
         assert!(text.contains(expected), "{text}");
     }
 }
+
+#[tokio::test]
+async fn a_state_that_does_not_come_in_time_is_no_answer_of_the_engine() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let state = OrderClient::open(Server::open(&address)).state().await;
+    assert!(matches!(state, Err(Error::Timeout { .. })), "{state:?}");
+}
