Scan the staged chunks again after a silence of the engine

An agent that had just started fetched all chunks of a version from the origin and from other agents although they were staged at its engine, if the engine had left one read of a staged chunk unanswered for a second.

Cause: the scan counted as done before it began, so a silence in it counted as the absence of the chunks until the engine restarted.

The scan now counts as done once the engine has answered; else it is repeated with the loader's next step.

Before the change staged_chunks_of_an_engine_that_was_silent_are_found found none within 5 s: "assertion failed: started.elapsed() < Duration::from_secs(5)".

--- a/crates/node/src/agent/chunks.rs
+++ b/crates/node/src/agent/chunks.rs
@@ -261,7 +261,7 @@
     }
 
     /// Adds the manifest built from a digest list of the origin.
-    fn add_list(&self, agent: &Agent, target: Target, list: &DigestList) {
+    pub(super) fn add_list(&self, agent: &Agent, target: Target, list: &DigestList) {
         match build_manifest(list) {
             Ok(manifest) => self.add_manifest(agent, target, manifest),
             Err(why) => log::error!(
--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -11,6 +11,7 @@
 use std::time::SystemTime;
 
 use bytes::Bytes;
+use platform::engine;
 use platform::engine::Outcome;
 use platform::engine::Report;
 use snipewinch::weights::rollout;
@@ -107,9 +108,9 @@
             return;
         };
         let version = newest.target.version;
-        if self.scanned != Some((version, report.started_ms)) {
-            self.scanned = Some((version, report.started_ms));
-            self.scan_staged(&newest).await;
+        let scan = Some((version, report.started_ms));
+        if self.scanned != scan && self.scan_staged(&newest).await {
+            self.scanned = scan;
         }
         let Some((known, all)) = self.chunks.newest_complete() else {
             return;
@@ -141,8 +142,9 @@
         }
     }
 
-    /// Passes chunks that are already staged to the exchange.
-    async fn scan_staged(&self, known: &KnownVersion) {
+    /// Passes chunks that are already staged to the exchange; false if the
+    /// engine did not answer.
+    async fn scan_staged(&self, known: &KnownVersion) -> bool {
         for (chunk, digest) in known.manifest.chunks.iter().enumerate() {
             let chunk = chunk as u32;
             match self
@@ -156,14 +158,15 @@
                 }
                 // The first chunk is missing, corrupt or of another version:
                 // the others are not read.
-                Ok(Some(_)) | Ok(None) if chunk == 0 => return,
+                Ok(Some(_)) | Ok(None) if chunk == 0 => return true,
                 Ok(_) => {}
                 Err(error) => {
                     log::warn!("E7230 reading staged chunks failed: {error}");
-                    return;
+                    return !matches!(error, engine::Error::NoResponse { .. });
                 }
             }
         }
+        true
     }
 
     /// When this engine may reload: at once if it serves no version, else after
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -10,12 +10,15 @@
 use peer::FleetKey;
 use platform::boot::Bounds;
 use platform::boot::Settings;
+use platform::chunk_origin::DigestList;
 use platform::engine::Engine;
 use platform::engine::Report;
 use platform::follow::Urgency;
 use platform::http::Transport;
+use snipewinch::digest::Hash;
 use snipewinch::host::Identity;
 use snipewinch::host::Role;
+use snipewinch::route;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -24,11 +27,14 @@
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 
 use super::DRAIN_TIMEOUT;
 use super::Loader;
+use super::POLL_INTERVAL;
 use crate::agent::Agent;
+use crate::agent::Target;
 use crate::agent::chunks;
 use crate::agent::open_links;
 use crate::agent::slot_pool;
@@ -187,3 +193,44 @@
     });
     run.await;
 }
+
+/// Makes a version of one chunk known, which an engine that answers `bytes` has
+/// staged.
+fn add_version(loader: &Loader, version: u64, bytes: &str) {
+    let target = Target {
+        model: "m".into(),
+        version,
+        learned_at: Duration::ZERO,
+        origin: route::Origin {
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: None,
+            link_mbit: 1.0,
+        },
+    };
+    let list = DigestList {
+        model: "m".into(),
+        version,
+        chunk_bytes: bytes.len() as u32,
+        digests: vec![Hash::Sha256.digest(bytes.as_bytes()).to_string().into()],
+    };
+    loader.chunks.add_list(&loader.agent, target, &list);
+}
+
+#[tokio::test]
+async fn staged_chunks_of_an_engine_that_was_silent_are_found() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let mut loader = loader(engine(IDLE, Duration::from_millis(1_500)).await).await;
+        let now = loader.agent.clock.now();
+        let last = Some(report(IDLE));
+        loader.agent.slot_pool.apply_report(now, last, 4);
+        add_version(&loader, 2, IDLE);
+        let started = Instant::now();
+        while loader.chunks.newest_complete().is_none() {
+            assert!(started.elapsed() < Duration::from_secs(5));
+            loader.step().await;
+            sleep(POLL_INTERVAL).await;
+        }
+    });
+    run.await;
+}
