Bound the work and memory of an event without end

Callers of one entry waited for seconds while a backend server sent an event without end, and the caller of that stream got 504 at its deadline or an answer without its end.

Cause: each read searched the whole event received so far, up to 1 MiB, for its end. With chunks of one byte that is quadratic, and nothing else runs meanwhile.

Only new bytes are searched now, with the one before them, and an event may have 64 KiB. Complete events that arrive together with the start of a longer one are still relayed.

--- a/crates/node/src/entry/events.rs
+++ b/crates/node/src/entry/events.rs
@@ -8,7 +8,7 @@
 use super::pool::Error;
 
 /// The longest event that is buffered until it is complete.
-const EVENT_MAX_BYTES: usize = 1 << 20;
+const EVENT_MAX_BYTES: usize = 64 << 10;
 
 /// Buffers a stream of events, so that only complete ones are relayed.
 #[derive(Debug, Default)]
@@ -19,9 +19,12 @@
 impl EventBuffer {
     /// Adds bytes and returns the events that are complete now, concatenated.
     pub(crate) fn push(&mut self, data: &[u8]) -> Result<Bytes, Error> {
+        // The end of an event may be split between two reads.
+        let searched = self.pending.len().saturating_sub(1);
         self.pending.extend_from_slice(data);
-        let complete = memmem::rfind(&self.pending, b"\n\n").map_or(0, |at| at + 2);
-        if self.pending.len() - complete > EVENT_MAX_BYTES {
+        let end = memmem::rfind(&self.pending[searched..], b"\n\n");
+        let complete = end.map_or(0, |at| searched + at + 2);
+        if complete == 0 && self.pending.len() > EVENT_MAX_BYTES {
             return Err(Error::TooLong {
                 limit: EVENT_MAX_BYTES,
             });
--- a/crates/node/tests/hostile.rs
+++ b/crates/node/tests/hostile.rs
@@ -32,6 +32,8 @@
 const LONG_BODY_BYTES: usize = 400 << 10;
 /// More than the entry buffers of an event.
 const LONG_EVENT_BYTES: usize = 1200 << 10;
+/// Little less than the entry buffers of an event.
+const LONG_COMPLETE_EVENT_BYTES: usize = 63 << 10;
 
 /// The head of an answer that ends with its connection.
 fn unframed_head() -> String {
@@ -475,6 +477,32 @@
     assert_resumed(&first, 1).await;
 }
 
+#[tokio::test]
+async fn an_event_whose_end_is_split_between_two_reads_is_not_lost() {
+    let last = event(3);
+    let (start, newline) = last.split_at(last.len() - 1);
+    let first = Server::spawn(vec![Action::Steps(vec![
+        Part::Send(stream_head() + &events(1..=2) + &chunk(start)),
+        Part::Pause(Duration::from_millis(50)),
+        Part::Send(chunk(newline)),
+        Part::Pause(Duration::from_millis(50)),
+        Part::Send(LAST_CHUNK.to_owned()),
+    ])])
+    .await;
+    let harness = Harness::start(&[&first]).await;
+    assert_complete(&ask_for_stream(&harness).await, &plain_events(1..=3));
+}
+
+#[tokio::test]
+async fn a_long_event_that_the_entry_may_buffer_is_not_lost() {
+    let long = format!("id: 1\ndata: {}\n\n", "x".repeat(LONG_COMPLETE_EVENT_BYTES));
+    let text = stream_head() + &chunk(&long) + &events(2..=3) + LAST_CHUNK;
+    let first = Server::spawn(vec![Action::Send(text)]).await;
+    let harness = Harness::start(&[&first]).await;
+    let expected = long + &plain_events(2..=3);
+    assert_complete(&ask_for_stream(&harness).await, &expected);
+}
+
 #[tokio::test]
 async fn a_stream_survives_an_event_in_tiny_chunks_without_end() {
     let start = stream_head() + &events(1..=1) + &chunk("id: 2\ndata: ");
