Bound the trailers of a chunked body

An answer that may not run again got 504 at its deadline when its backend server sent trailers without end, and the connection and the slot were held until then. A caller could hold the receiving of its request's body in the same way.

Cause: each trailer had a limit, their sum had none. The decoder now rejects trailers of more than 32 KiB together, so such a call ends with 502 at once.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -10,6 +10,8 @@
 /// The longest line of a chunked body without its CRLF: a chunk size with its
 /// extensions, or a trailer field.
 const LINE_MAX_BYTES: usize = 4096;
+/// The longest trailer section without its CRLFs.
+const TRAILERS_MAX_BYTES: usize = 32 << 10;
 /// The most hexadecimal digits of a chunk size; 8 digits fit 32 bits.
 const CHUNK_SIZE_DIGITS_MAX: usize = 8;
 
@@ -31,7 +33,8 @@
     ChunkSize,
     Chunk(u64),
     ChunkEnd,
-    Trailers,
+    /// The trailers, of which that many bytes have been read.
+    Trailers(usize),
     UntilClose,
 }
 
@@ -68,7 +71,8 @@
     ///
     /// # Errors
     ///
-    /// [`ParseError::Malformed`] if a chunk violates the grammar.
+    /// [`ParseError::Malformed`] if a chunk violates the grammar, or if a line
+    /// or the trailers are too long.
     pub fn step(&mut self, buffer: &mut BytesMut) -> Result<Step, ParseError> {
         loop {
             match self.state {
@@ -106,14 +110,17 @@
                         return Ok(Step::Incomplete);
                     };
                     self.state = match parse_chunk_size(&line)? {
-                        0 => State::Trailers,
+                        0 => State::Trailers(0),
                         size => State::Chunk(size),
                     };
                 }
-                State::Trailers => match read_line(buffer)? {
+                State::Trailers(length) => match read_line(buffer)? {
                     None => return Ok(Step::Incomplete),
                     Some(line) if line.is_empty() => self.state = State::Done,
-                    Some(_) => {}
+                    Some(line) if length + line.len() > TRAILERS_MAX_BYTES => {
+                        return Err(ParseError::Malformed);
+                    }
+                    Some(line) => self.state = State::Trailers(length + line.len()),
                 },
             }
         }
--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -11,6 +11,8 @@
 use quickcheck::quickcheck;
 
 const HEAD_MAX_BYTES: usize = 16_384;
+/// More trailers than a body may have.
+const TRAILERS_COUNT: usize = 10_000;
 
 fn parse_request(text: &str) -> Result<Option<Request>, ParseError> {
     Request::decode(&mut BytesMut::from(text), HEAD_MAX_BYTES)
@@ -133,6 +135,25 @@
     assert_eq!((body.as_slice(), is_done), (&b"ab"[..], true));
 }
 
+#[test]
+fn trailers_without_end_are_rejected() {
+    let mut decoder = Decoder::new(Framing::Chunked);
+    let mut buffer = BytesMut::from("0\r\n");
+    let rejected = (0..TRAILERS_COUNT).any(|_| {
+        buffer.extend_from_slice(b"X-Many: 1\r\n");
+        decoder.step(&mut buffer).is_err()
+    });
+    assert!(rejected);
+}
+
+#[test]
+fn trailers_as_long_as_a_head_are_ignored() {
+    let trailers = format!("A: {}\r\n", "b".repeat(4_000)).repeat(4);
+    let text = format!("2\r\nab\r\n0\r\n{trailers}\r\n");
+    let (body, is_done) = decode(Framing::Chunked, text.as_bytes(), 1_000).expect("valid");
+    assert_eq!((body.as_slice(), is_done), (&b"ab"[..], true));
+}
+
 #[test]
 fn a_response_without_a_length_ends_when_the_connection_closes() {
     let mut buffer = BytesMut::from("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nabc");
--- a/crates/node/tests/hostile.rs
+++ b/crates/node/tests/hostile.rs
@@ -432,6 +432,24 @@
     assert_granted_nowhere(&(chunked_head() + "2\r\nno\r\n0\r\n"), "X-Many: 1\r\n").await;
 }
 
+/// Asks for what may run once and gets the refusal long before the deadline.
+async fn assert_refused_early(start: &str, endless: &str) {
+    let first = flooding(start.to_owned(), endless).await;
+    let second = answering("ok").await;
+    let asked = Instant::now();
+    let seen = ask_beside_flood("POST", "/grant/", &first, &second).await;
+    let took = asked.elapsed();
+    assert_eq!(status(&seen.answer), 502, "{:?}", start_of(&seen.answer));
+    assert!(took < Duration::from_millis(DEADLINE_MS / 2), "{took:?}");
+    assert_eq!(second.requests().len(), 0);
+    seen.assert_bounded();
+}
+
+#[tokio::test]
+async fn trailers_without_end_are_not_read_until_the_deadline() {
+    assert_refused_early(&(chunked_head() + "2\r\nno\r\n0\r\n"), "X-Many: 1\r\n").await;
+}
+
 #[tokio::test]
 async fn a_stream_survives_a_field_without_end() {
     assert_streamed_elsewhere(FIELD_START, "x", 0).await;
