Close a kept connection on which a backend server sends unasked

A backend server that sent without end after its answer kept the connection to the entry open, with full buffers, until the entry's idle limit of 3 s.

Cause: an idle connection was checked for unasked bytes only before its reuse. All of them are now checked by the timer, at most once in 100 ms.

--- a/crates/node/src/entry/pool.rs
+++ b/crates/node/src/entry/pool.rs
@@ -1,5 +1,6 @@
 //! Connections to backend servers, and the pool of idle ones.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -31,10 +32,13 @@
 const IDLE_MAX: Duration = Duration::from_secs(3);
 /// How long before the server would close an idle connection it is discarded.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// How often idle connections are checked for bytes that no request asked for.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The most idle connections that are kept to one server.
 const IDLE_PER_SERVER_MAX: usize = 8;
 /// The minimum free space of the buffer for a read.
 const READ_SPACE_MIN_BYTES: usize = 4 << 10;
+
 /// Why an exchange of a request and its answer failed.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -141,6 +145,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     idle: RefCell<HashMap<Key, Vec<Idle>>>,
+    /// When all idle connections were last checked.
+    checked: Cell<Option<Instant>>,
 }
 
 impl Pool {
@@ -177,12 +183,18 @@
         kept.push(Idle { connection, until });
     }
 
-    /// Closes connections that have been idle for too long.
+    /// Closes connections that have been idle for too long, and at most once
+    /// per [`IDLE_CHECK_INTERVAL`] those that cannot be reused.
     pub(crate) fn sweep(&self) {
         let now = Instant::now();
+        let checked = self.checked.get();
+        let is_check_due = checked.is_none_or(|checked| checked + IDLE_CHECK_INTERVAL <= now);
+        if is_check_due {
+            self.checked.set(Some(now));
+        }
         let mut idle = self.idle.borrow_mut();
         for kept in idle.values_mut() {
-            kept.retain(|one| now < one.until);
+            kept.retain(|one| now < one.until && (!is_check_due || one.connection.is_quiescent()));
         }
         idle.retain(|_, kept| !kept.is_empty());
     }
