Bound the interim heads before an answer

A request that may not run again got 504 at its deadline when its backend server sent interim heads without end, and held its slot and connection until then.

Cause: interim heads are skipped when they are parsed, and nothing counted them. An attempt now ends after 32 KiB of them, so such a call ends with 502 at once.

--- a/crates/node/src/entry/exchange.rs
+++ b/crates/node/src/entry/exchange.rs
@@ -17,6 +17,8 @@
 
 /// The largest head of an answer.
 const HEAD_MAX_BYTES: usize = 32 << 10;
+/// The most bytes of interim (1xx) heads that are skipped before an answer.
+const INTERIM_MAX_BYTES: usize = 32 << 10;
 /// The minimum free space of the buffer for a read.
 const READ_SPACE_MIN_BYTES: usize = 4 << 10;
 /// The most answers to other requests that are skipped before the expected one.
@@ -32,6 +34,8 @@
     sent: usize,
     method: SmolStr,
     attempt: SmolStr,
+    /// The length of the interim heads that were skipped, in bytes.
+    interim: usize,
     /// How many answers to other requests have arrived.
     mismatched: usize,
     /// The answer to another request that is being skipped, with the length of
@@ -53,6 +57,7 @@
             sent: 0,
             method,
             attempt,
+            interim: 0,
             mismatched: 0,
             skipped: None,
         }
@@ -97,7 +102,18 @@
                 return Err(Error::Mismatched);
             }
         }
-        Response::decode(buffer, &self.method, HEAD_MAX_BYTES).context(MalformedSnafu)
+        let received = buffer.len();
+        let head =
+            Response::decode(buffer, &self.method, HEAD_MAX_BYTES).context(MalformedSnafu)?;
+        if head.is_none() {
+            self.interim += received - buffer.len();
+        }
+        match self.interim > INTERIM_MAX_BYTES {
+            true => Err(Error::Interim {
+                limit: INTERIM_MAX_BYTES,
+            }),
+            false => Ok(head),
+        }
     }
 
     /// Writes some bytes of the request or reads some of the answer.
--- a/crates/node/src/entry/pool.rs
+++ b/crates/node/src/entry/pool.rs
@@ -64,6 +64,12 @@
         /// What is malformed.
         source: ParseError,
     },
+    /// Only interim heads arrived.
+    #[snafu(display("received more than {limit} bytes of interim heads"))]
+    Interim {
+        /// The largest length, in bytes.
+        limit: usize,
+    },
     /// Only answers to other requests arrived.
     #[snafu(display("received only answers to other requests"))]
     Mismatched,
--- a/crates/node/tests/hostile.rs
+++ b/crates/node/tests/hostile.rs
@@ -450,6 +450,20 @@
     assert_refused_early(&(chunked_head() + "2\r\nno\r\n0\r\n"), "X-Many: 1\r\n").await;
 }
 
+#[tokio::test]
+async fn interim_heads_without_end_are_not_read_until_the_deadline() {
+    assert_refused_early("", INTERIM_HEAD).await;
+}
+
+#[tokio::test]
+async fn an_answer_after_a_few_interim_heads_is_not_lost() {
+    let text = INTERIM_HEAD.repeat(8) + &complete_answer(200, "", "ok");
+    let first = Server::spawn(vec![Action::Send(text)]).await;
+    let harness = Harness::start(&[&first]).await;
+    let answer = harness.ask(&request("POST", "/grant/", "", "")).await;
+    assert_complete(&answer, "ok");
+}
+
 #[tokio::test]
 async fn a_stream_survives_a_field_without_end() {
     assert_streamed_elsewhere(FIELD_START, "x", 0).await;
