Close an idle connection only after the limit in force

Callers saw a kept or unused connection close although the idle limit of the configuration in force had not passed, and their request on it got nothing.

Cause: receive_head took the limit when it began to wait, so a limit that was raised meanwhile did not apply.

Now the limit in force is read again when the first one has passed, and the connection waits on if it is longer. A limit that was lowered still applies only to the next wait, as callers may go by the older one.

--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -127,8 +127,9 @@
     let limits = entry.limits();
     let head_max = limits.map_or(HEAD_MAX_BYTES_DEFAULT, |limits| limits.head_bytes_max);
     let head_limit = limits.map_or(HEAD_TIMEOUT_DEFAULT, |limits| limits.head_timeout);
-    let idle = idle_timeout(limits);
-    let mut until = Instant::now() + if buffer.is_empty() { idle } else { head_limit };
+    let mut idle = idle_timeout(limits);
+    let begin = Instant::now();
+    let mut until = begin + if buffer.is_empty() { idle } else { head_limit };
     loop {
         match Request::decode(buffer, head_max) {
             Ok(Some(head)) => return Received::Request(head),
@@ -148,7 +149,11 @@
             Ok(Ok(1..)) if is_idle => until = Instant::now() + head_limit,
             Ok(Ok(1..)) => {}
             Ok(Ok(0)) | Ok(Err(_)) => return Received::Closed,
-            Err(_) if buffer.is_empty() => {
+            Err(_) if is_idle && idle < idle_timeout(entry.limits()) => {
+                idle = idle_timeout(entry.limits());
+                until = begin + idle;
+            }
+            Err(_) if is_idle => {
                 record_idle_close(entry, idle);
                 return Received::Closed;
             }
@@ -157,8 +162,8 @@
     }
 }
 
-/// Records that a connection is closed at its idle limit, the one in force when
-/// the wait began.
+/// Records that a connection is closed at its idle limit, the longest that was
+/// in force when the wait began or a limit passed.
 fn record_idle_close(entry: &Entry, limit: Duration) {
     entry.metrics.idle_connections_closed.inc();
     let in_force = idle_timeout(entry.limits());
