Write nothing into an answer that is half sent

A caller that read slowly got a complete 200 of a backend server in part, then the head and text of a 504 in the middle of its body, as if they were its bytes.

Cause: an answer sent whole, or a refusal, did not count as begun. At the deadline the write was dropped where it stood and the request was refused.

Now both count as begun before the first byte is written, and the deadline cuts them as it cuts streams (E7101, E7118). The new test of tests/entry.rs, a caller that takes less than 250 KiB by its deadline, failed before and passes.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -282,7 +282,9 @@
             }
             Wakeup::Output(index, Ok(Output::Complete(body))) => {
                 match complete(entry, progress, index, body) {
-                    Ok((head, body)) => return send_answer(entry, call, &head, body, out).await,
+                    Ok((head, body)) => {
+                        return send_answer(entry, call, progress, &head, body, out).await;
+                    }
                     Err(step) => step,
                 }
             }
@@ -800,12 +802,12 @@
     let may_have_run = progress.attempts.runs() > 0;
     match progress.failure.take() {
         _ if progress.head_sent => cut::end(entry, call, progress.cut_cause, progress.last_event),
-        Some(answer) => send_answer(entry, call, &answer.0, answer.1, out).await,
-        None if may_have_run => refuse(entry, call, out, unknown).await,
+        Some(answer) => send_answer(entry, call, progress, &answer.0, answer.1, out).await,
+        None if may_have_run => refuse(entry, call, progress, out, unknown).await,
         None if unknown == Reason::AnswerTimeout => {
-            refuse(entry, call, out, Reason::DeadlinePassed).await
+            refuse(entry, call, progress, out, Reason::DeadlinePassed).await
         }
-        None => refuse(entry, call, out, progress.shortage).await,
+        None => refuse(entry, call, progress, out, progress.shortage).await,
     }
 }
 
@@ -813,10 +815,13 @@
 async fn send_answer(
     entry: &Entry,
     call: &Call,
+    progress: &mut Progress,
     head: &Response,
     body: Bytes,
     out: &mut WriteHalf<'_>,
 ) -> End {
+    progress.head_sent = true;
+    progress.last_event = entry.clock.now();
     entry.record_answer(call, head.status);
     let bytes = answer::buffered(head, &body, call.closes);
     match out.write_all(&bytes).await {
@@ -826,8 +831,16 @@
 }
 
 /// Answers the request with an error of the entry itself.
-async fn refuse(entry: &Entry, call: &Call, out: &mut WriteHalf<'_>, reason: Reason) -> End {
+async fn refuse(
+    entry: &Entry,
+    call: &Call,
+    progress: &mut Progress,
+    out: &mut WriteHalf<'_>,
+    reason: Reason,
+) -> End {
     let now = entry.clock.now();
+    progress.head_sent = true;
+    progress.last_event = now;
     let elapsed = now.saturating_sub(call.arrived);
     log::info!(
         "E7106 request {} on route {} refused after {} ms: {}",
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -3,8 +3,10 @@
 
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -422,6 +424,33 @@
     harness.wait_ended().await;
 }
 
+/// A caller's connection of which the entry can fill the buffers with little.
+async fn connect_slowly(harness: &Harness) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4 << 10).expect("set");
+    SockRef::from(&socket).set_tcp_mss(536).expect("set");
+    let connecting = socket.connect(harness.callers);
+    connecting.await.expect("the entry listens")
+}
+
+#[tokio::test]
+async fn nothing_follows_an_answer_that_is_half_sent_at_its_deadline() {
+    let whole = "w".repeat(250 << 10);
+    let server = Server::spawn(answering(&whole)).await;
+    let harness = Harness::start(&[&server]).await;
+    let mut caller = connect_slowly(&harness).await;
+    let asking = request("GET", "/read/", "", "").replace("3000", "500");
+    caller.write_all(asking.as_bytes()).await.expect("sent");
+    sleep(Duration::from_secs(1)).await;
+    let mut answer = Vec::new();
+    let _ = timeout(Duration::from_secs(10), caller.read_to_end(&mut answer)).await;
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    let (_, received) = answer.split_once("\r\n\r\n").expect("a head");
+    assert!(received.len() < whole.len(), "all of it was sent at once");
+    let other = received.trim_start_matches('w');
+    assert_eq!((status(&answer), other), (200, ""));
+}
+
 /// Guards against the default action of SIGHUP, which ends the process: twenty
 /// processes ended that way when they were signalled to reload their settings
 /// (ptcr fresh-7870).
