Cancel a silent attempt once a long answer is relayed

While an entry relayed a long answer in chunks, a backend server that had been silent before kept its slot and went on with the request, for nothing.

Cause: the attempt that answers keeps silent ones as a reserve, which only a stream of events can use. Nothing reads them beside a relayed long answer.

Now they are dropped when the relay begins.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -752,6 +752,8 @@
     out: &mut WriteHalf<'_>,
 ) -> End {
     select_attempt(entry, call, progress, index);
+    // No other attempt can go on inside this answer.
+    progress.open.truncate(1);
     progress.head_sent = true;
     let attempt = &mut progress.open[0];
     let Some(head) = attempt.head() else {
--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -318,6 +318,36 @@
     assert_complete(&ask_for_stream(&harness).await, &three_events());
 }
 
+#[tokio::test]
+async fn a_silent_attempt_is_cancelled_once_a_long_answer_is_relayed() {
+    let first = Server::spawn(vec![Action::Hang]).await;
+    let (begin, end) = ("b".repeat(300 << 10), "e".repeat(1 << 10));
+    let length = begin.len() + end.len();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {{id}}\r\nX-Server-Signature: sig\r\nContent-Length: {length}\r\n\r\n"
+    );
+    let second = Server::spawn(vec![Action::Steps(vec![
+        Part::Send(head + &begin),
+        Part::Pause(SILENCE),
+        Part::Send(end),
+    ])])
+    .await;
+    let harness = Harness::start(&[&first, &second]).await;
+    let cancelled = async {
+        while *first.closed.lock().expect("not poisoned") == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        Instant::now()
+    };
+    let asking = async {
+        let answer = harness.ask(&request("GET", "/read/", "", "")).await;
+        (answer, Instant::now())
+    };
+    let ((answer, ended), cancelled) = tokio::join!(asking, cancelled);
+    assert_eq!(body(&answer).map(|body| body.len()), Some(length));
+    assert!(cancelled + SILENCE / 2 < ended);
+}
+
 /// The idle limit that a newer configuration replaces.
 const OLD_IDLE_LIMIT: Duration = Duration::from_millis(1_500);
 
