Repeat no events of a stream without ids

Callers of a resumable route whose stream has no event ids got events twice, and an answer ended as if complete after its first event, when its backend server broke off or was silent.

Cause: an entry that has sent events without an id knows no place to go on from. It asked another backend server without one, which sent the stream from its begin, and it took an attempt that had sent nothing for one that had sent all.

Now, as long as no event sent had an id, only the attempt that sent them can complete the answer (Attempts::commit): others end, none follows, and if it breaks off the answer is cut.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -696,6 +696,11 @@
         Some(_) | None => {}
     }
     progress.last_event_id = attempt.position().cloned();
+    if progress.last_event_id.is_none() {
+        // Without ids, another attempt would repeat events.
+        progress.attempts.commit(attempt.key);
+        progress.open.truncate(1);
+    }
     progress.event_gap_max = progress
         .event_gap_max
         .max(now.saturating_sub(progress.last_event));
--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -348,6 +348,58 @@
     assert!(cancelled + SILENCE / 2 < ended);
 }
 
+fn unnumbered(numbers: std::ops::RangeInclusive<usize>) -> String {
+    numbers
+        .map(|number| harness::chunk(&format!("data: {number}\n\n")))
+        .collect()
+}
+
+#[tokio::test]
+async fn a_begun_stream_without_ids_is_not_repeated_by_another_server() {
+    let first = Server::spawn(vec![Action::Steps(vec![
+        Part::Send(stream_head() + &unnumbered(1..=1)),
+        Part::Pause(SILENCE),
+        Part::Send(unnumbered(2..=3) + LAST_CHUNK),
+    ])])
+    .await;
+    let whole = stream_head() + &unnumbered(1..=3) + LAST_CHUNK;
+    let second = Server::spawn(vec![Action::Send(whole)]).await;
+    let harness = Harness::start(&[&first, &second]).await;
+    let answer = ask_for_stream(&harness).await;
+    assert_complete(&answer, "data: 1\n\ndata: 2\n\ndata: 3\n\n");
+    assert_eq!(second.requests().len(), 0);
+}
+
+#[tokio::test]
+async fn a_stream_without_ids_is_not_repeated_by_a_server_that_was_silent() {
+    let whole = unnumbered(1..=3) + LAST_CHUNK;
+    let first = Server::spawn(vec![Action::Steps(vec![
+        Part::Pause(SILENCE),
+        Part::Send(stream_head() + &whole),
+    ])])
+    .await;
+    let cut = stream_head() + &unnumbered(1..=1);
+    let second = Server::spawn(vec![Action::SendAndClose(cut)]).await;
+    let harness = Harness::start(&[&first, &second]).await;
+    let answer = ask_for_stream(&harness).await;
+    assert_eq!((status(&answer), body(&answer)), (200, None), "{answer:?}");
+    assert_eq!(answer.matches("data: 1\n").count(), 1, "{answer:?}");
+}
+
+#[tokio::test]
+async fn a_stream_without_ids_is_not_ended_by_a_server_that_sent_no_event() {
+    let first = Server::spawn(vec![Action::Steps(vec![
+        Part::Pause(SILENCE),
+        Part::Send(stream_head() + LAST_CHUNK),
+    ])])
+    .await;
+    let cut = stream_head() + &unnumbered(1..=1);
+    let second = Server::spawn(vec![Action::SendAndClose(cut)]).await;
+    let harness = Harness::start(&[&first, &second]).await;
+    let answer = ask_for_stream(&harness).await;
+    assert_eq!((status(&answer), body(&answer)), (200, None), "{answer:?}");
+}
+
 /// The idle limit that a newer configuration replaces.
 const OLD_IDLE_LIMIT: Duration = Duration::from_millis(1_500);
 
--- a/crates/snipewinch/src/attempt.rs
+++ b/crates/snipewinch/src/attempt.rs
@@ -68,6 +68,8 @@
     runs: u32,
     open: Vec<Open>,
     is_starting: bool,
+    /// Whether only the open attempt can complete the answer.
+    is_committed: bool,
 }
 
 impl Attempts {
@@ -81,6 +83,7 @@
             runs: 0,
             open: Vec::with_capacity(OPEN_MAX),
             is_starting: true,
+            is_committed: false,
         }
     }
 
@@ -114,6 +117,7 @@
             Event::Progressed(key) => {
                 self.open.retain(|one| one.key == key || one.is_silent);
                 self.is_starting = false;
+                self.is_committed = false;
                 self.set_silent(key, false);
             }
             Event::Dropped(key) => self.close(key),
@@ -130,6 +134,13 @@
         }
     }
 
+    /// Records that no other attempt can go on after what the caller has from
+    /// this one, until it progresses. The embedder ends all others.
+    pub fn commit(&mut self, key: Key) {
+        self.open.retain(|one| one.key == key);
+        self.is_committed = true;
+    }
+
     /// How many backend servers may have executed the request.
     pub fn runs(&self) -> u32 {
         self.runs
@@ -141,7 +152,8 @@
     }
 
     fn may_start_after(&self, event: Event) -> bool {
-        let may_run = self.runs == 0 || self.repeat.may_rerun() && self.runs < self.runs_max;
+        let may_rerun = self.repeat.may_rerun() && !self.is_committed;
+        let may_run = self.runs == 0 || may_rerun && self.runs < self.runs_max;
         match event {
             Event::Dropped(_) | Event::Progressed(_) | Event::Refused => false,
             Event::Unreached | Event::NotRun(_) => may_run && self.sends <= self.runs_max,
--- a/crates/snipewinch/tests/attempt.rs
+++ b/crates/snipewinch/tests/attempt.rs
@@ -87,6 +87,19 @@
     assert_eq!(attempts.handle(Event::Refused), Step::End);
 }
 
+#[test]
+fn an_answer_that_only_one_attempt_can_complete_is_not_retried() {
+    let (mut attempts, first) = begun(RESUMABLE, 3);
+    assert_eq!(attempts.handle(Event::Silent(first)), Step::Retry);
+    let second = attempts.begin();
+    assert_eq!(attempts.handle(Event::Progressed(second)), Step::Wait);
+    attempts.commit(second);
+    assert_eq!(attempts.handle(Event::Silent(second)), Step::Wait);
+    assert_eq!(attempts.clone().handle(Event::Broken(second)), Step::End);
+    assert_eq!(attempts.handle(Event::Progressed(second)), Step::Wait);
+    assert_eq!(attempts.handle(Event::Broken(second)), Step::Retry);
+}
+
 #[test]
 fn what_may_run_once_goes_elsewhere_only_after_a_refusal() {
     let (mut attempts, first) = begun(Repeat::Never, 2);
