Receive a head by the limits in force when it begins

A caller with an idle connection got 431 for a head that the configuration in force permits, after a change that had raised maxHeaderBytes.

Cause: receive_head took the limits of heads when it began to wait, which may be long before the head begins.

Now it takes them when the first bytes arrive. The new test of tests/entry.rs got 431 before and gets 200.

--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -124,14 +124,15 @@
 
 /// Receives the head of a request.
 async fn receive_head(entry: &Entry, reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> Received {
-    let limits = entry.limits();
-    let head_max = limits.map_or(HEAD_MAX_BYTES_DEFAULT, |limits| limits.head_bytes_max);
-    let head_limit = limits.map_or(HEAD_TIMEOUT_DEFAULT, |limits| limits.head_timeout);
+    let mut limits = entry.limits();
     let mut idle = idle_timeout(limits);
     let begin = Instant::now();
-    let mut until = begin + if buffer.is_empty() { idle } else { head_limit };
+    let mut until = match buffer.is_empty() {
+        true => begin + idle,
+        false => begin + head_timeout(limits),
+    };
     loop {
-        match Request::decode(buffer, head_max) {
+        match Request::decode(buffer, head_bytes_max(limits)) {
             Ok(Some(head)) => return Received::Request(head),
             Ok(None) => {}
             Err(fault) => return Received::Refused(Reason::Malformed(fault.status())),
@@ -146,7 +147,10 @@
             () = entry.wait_for_phase(Phase::Closing), if is_idle => return Received::Closed,
         };
         match read {
-            Ok(Ok(1..)) if is_idle => until = Instant::now() + head_limit,
+            Ok(Ok(1..)) if is_idle => {
+                limits = entry.limits();
+                until = Instant::now() + head_timeout(limits);
+            }
             Ok(Ok(1..)) => {}
             Ok(Ok(0)) | Ok(Err(_)) => return Received::Closed,
             Err(_) if is_idle && idle < idle_timeout(entry.limits()) => {
@@ -179,6 +183,14 @@
     );
 }
 
+fn head_bytes_max(limits: Option<Limits>) -> usize {
+    limits.map_or(HEAD_MAX_BYTES_DEFAULT, |limits| limits.head_bytes_max)
+}
+
+fn head_timeout(limits: Option<Limits>) -> Duration {
+    limits.map_or(HEAD_TIMEOUT_DEFAULT, |limits| limits.head_timeout)
+}
+
 fn idle_timeout(limits: Option<Limits>) -> Duration {
     limits.map_or(IDLE_TIMEOUT_DEFAULT, |limits| limits.idle_timeout)
 }
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -451,6 +451,38 @@
     assert_eq!((status(&answer), other), (200, ""));
 }
 
+#[tokio::test]
+async fn a_kept_connection_takes_a_head_by_the_limit_that_was_raised() {
+    let server = Server::spawn(answering("ok")).await;
+    let harness = Harness::start(&[&server]).await;
+    let mut kept = TcpStream::connect(harness.callers)
+        .await
+        .expect("the entry listens");
+    // The entry has begun to wait for a head on it.
+    sleep(Duration::from_millis(100)).await;
+    let mut newer = configuration(2);
+    newer["limits"]["maxHeaderBytes"] = 8_192.into();
+    harness.store.put("op", "config", &newer);
+    let long = request(
+        "GET",
+        "/read/",
+        &format!("X-Long: {}\r\n", "l".repeat(5_000)),
+        "",
+    );
+    let applied = async {
+        while status(&harness.ask(&long).await) != 200 {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(Duration::from_secs(10), applied)
+        .await
+        .expect("the configuration is in force");
+    kept.write_all(long.as_bytes()).await.expect("sent");
+    let mut answer = Vec::new();
+    kept.read_to_end(&mut answer).await.expect("it answers");
+    assert_eq!(status(&String::from_utf8_lossy(&answer)), 200);
+}
+
 /// Guards against the default action of SIGHUP, which ends the process: twenty
 /// processes ended that way when they were signalled to reload their settings
 /// (ptcr fresh-7870).
