Refuse requests that arrive while an entry closes

Callers of an entry that was closing saw their connection end without an answer, most often a new one, although the entry would have refused the request with a 503 that they may retry.

Cause: an idle connection ended as soon as the phase was seen, before a first read, or by chance beside a read that was ready.

--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -19,6 +19,7 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use super::Entry;
@@ -38,6 +39,9 @@
 /// How long a connection is still read after a refusal that closes it, so that
 /// the caller gets the refusal and not a reset.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long an idle connection is still read before it is closed in
+/// [`Phase::Closing`].
+const LAST_READ_TIMEOUT: Duration = Duration::from_millis(30);
 /// The time to the deadline assumed for a refused request if its deadline
 /// was not read.
 const TIME_LEFT_DEFAULT: Duration = Duration::from_secs(3);
@@ -143,8 +147,15 @@
         }
         buffer.reserve(READ_SPACE_MIN_BYTES);
         let read = tokio::select! {
+            biased;
             read = timeout_at(until, reader.read_buf(buffer)) => read,
-            () = entry.wait_for_phase(Phase::Closing), if is_idle => return Received::Closed,
+            () = entry.wait_for_phase(Phase::Closing), if is_idle => {
+                // A request may have arrived that is not seen yet.
+                match timeout(LAST_READ_TIMEOUT, reader.read_buf(buffer)).await {
+                    Err(_) => return Received::Closed,
+                    read => read,
+                }
+            }
         };
         match read {
             Ok(Ok(1..)) if is_idle => {
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -483,6 +483,30 @@
     assert_eq!(status(&String::from_utf8_lossy(&answer)), 200);
 }
 
+#[tokio::test]
+async fn a_request_on_a_new_connection_to_a_closing_entry_is_refused() {
+    const CONNECTIONS: usize = 20;
+    let server = Server::spawn(vec![Action::Hang]).await;
+    let harness = Harness::start(&[&server]).await;
+    harness.terminate();
+    harness.wait_ready(false).await;
+    sleep(Duration::from_millis(1_500)).await;
+    let open = request("POST", "/grant/", "", "x");
+    let (callers, refused) = (harness.callers, request("GET", "/read/", "", ""));
+    let opened = tokio::spawn(async move { harness::exchange(callers, &open).await });
+    sleep(Duration::from_millis(1_800)).await;
+    let mut statuses = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut caller = TcpStream::connect(callers).await.expect("it listens");
+        let _ = caller.write_all(refused.as_bytes()).await;
+        let mut answer = Vec::new();
+        let _ = caller.read_to_end(&mut answer).await;
+        statuses.push(status(&String::from_utf8_lossy(&answer)));
+    }
+    assert_eq!(statuses, [503; CONNECTIONS]);
+    assert!(!opened.is_finished(), "the entry was not closing");
+}
+
 /// Guards against the default action of SIGHUP, which ends the process: twenty
 /// processes ended that way when they were signalled to reload their settings
 /// (ptcr fresh-7870).
