Count the silence of a request once against its server

An entry ejected a sound backend server for one request that took three times as long as the limit of silence, and sent other requests to a farther one.

Cause: a silent attempt stays open, and each further check of its silence was recorded as another failure of the server. Three in a row eject it.

Now only the check that finds it newly silent counts, as it did when a silent attempt was given up. The new test sent the later request to the farther server before and sends it to the near one now.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -499,14 +499,16 @@
             continue;
         }
         attempt.silence_check = now + limit;
-        attempt.is_silent = true;
+        let was_silent = std::mem::replace(&mut attempt.is_silent, true);
         let next = progress.attempts.handle(Event::Silent(attempt.key));
         if next != Step::Wait {
             step = next;
         }
-        entry
-            .dispatcher
-            .record_outcome(attempt.slot.key, Outcome::Failed, None);
+        if !was_silent {
+            entry
+                .dispatcher
+                .record_outcome(attempt.slot.key, Outcome::Failed, None);
+        }
         log::info!(
             "E7116 backend server {} has sent nothing of request {} for {} ms; possibly executed {} times, retry {}",
             attempt.slot.id,
--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -348,6 +348,28 @@
     assert!(cancelled + SILENCE / 2 < ended);
 }
 
+#[tokio::test]
+async fn a_server_is_not_ejected_for_the_silence_of_one_request() {
+    let ok = Action::Send(complete_answer(200, "", "ok"));
+    let near = Server::spawn(vec![Action::Hang, ok.clone()]).await;
+    let far = Server::spawn(vec![ok]).await;
+    let options = Options {
+        retry_ratio: 0.0,
+        retry_burst: 0,
+        ..Options::default()
+    };
+    let harness = Harness::start_with(&[&near, &far], &options, &configuration(1)).await;
+    let silent = request("GET", "/read/", "", "").replace("3000", "3900");
+    let later = async {
+        // Three times as long as the entry takes to call a server silent.
+        sleep(Duration::from_millis(3_000)).await;
+        harness.ask(&request("GET", "/read/", "", "")).await
+    };
+    let (_, answer) = tokio::join!(harness.ask(&silent), later);
+    assert_complete(&answer, "ok");
+    assert_eq!((near.requests().len(), far.requests().len()), (2, 0));
+}
+
 fn unnumbered(numbers: std::ops::RangeInclusive<usize>) -> String {
     numbers
         .map(|number| harness::chunk(&format!("data: {number}\n\n")))
