Send streams that cannot resume over new connections

A stream of a route that is not resumable went over a kept connection. If its backend server had closed that unnoticed, the caller got a 502, as the request may have run and must not run again.

Cause: only requests that are never repeated got a new connection, but a stream that cannot resume may not be run again either.

Now every request that may not be run again gets a new connection. The new test saw 1 connection for two streams before and sees 2.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -367,9 +367,9 @@
         // A pooled connection may have been closed without notice. That would
         // leave the outcome unknown of a request that must not be executed
         // twice.
-        let pooled = match call.route.repeat {
-            Repeat::Never => None,
-            Repeat::Idempotent | Repeat::Stream { .. } => entry.pool.take(slot.key),
+        let pooled = match call.route.repeat.may_rerun() {
+            true => entry.pool.take(slot.key),
+            false => None,
         };
         let opened = match pooled {
             Some(connection) => Ok(connection),
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -206,6 +206,18 @@
 /// A backend server that stops answering may have executed the request. A 503
 /// at the timeout of the route would wrongly say that it has not. Seen on
 /// bluebonnet-hollow, day `fresh-70ce` (rule REFUSED).
+#[tokio::test]
+async fn a_stream_that_cannot_resume_never_goes_over_a_kept_connection() {
+    let whole = stream_head() + &chunk("data: 1\n\n") + "0\r\n\r\n";
+    let server = Server::spawn(vec![Action::Send(whole)]).await;
+    let harness = Harness::start(&[&server]).await;
+    for _ in 0..2 {
+        let answer = harness.ask(&request("POST", "/reel/", "", "x")).await;
+        assert_eq!(body(&answer).as_deref(), Some("data: 1\n\n"));
+    }
+    assert_eq!(*server.opened.lock().expect("not poisoned"), 2);
+}
+
 #[tokio::test]
 async fn a_silent_server_is_no_proof_that_nothing_ran() {
     let server = Server::spawn(vec![Action::Hang]).await;
