Reproduce backend servers ended by one part of prompts

Sound requests beside them found no server.

The tests run up to three entries on one store, and servers that end under requests with the part, refuse connections for a while and return under another id.

--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -26,6 +26,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+pub(crate) mod crashing;
+
 /// The time limit of each step of a test.
 const TIMEOUT: Duration = Duration::from_secs(20);
 /// How many bytes a flood sends at once.
@@ -394,13 +396,36 @@
             row["slots"] = options.slots.into();
             store.put("servers", &format!("s{index}"), &row);
         }
+        Harness::spawn(store, address, "edge-1", options).await
+    }
+
+    /// Starts an entry on a store that has a configuration; several may share
+    /// the store.
+    pub(crate) async fn start_on(
+        store: &Store,
+        store_address: SocketAddr,
+        node_name: &str,
+        options: &Options,
+    ) -> Harness {
+        let harness = Harness::spawn(store.clone(), store_address, node_name, options).await;
+        harness.wait_ready(true).await;
+        harness
+    }
+
+    async fn spawn(
+        store: Store,
+        store_address: SocketAddr,
+        node_name: &str,
+        options: &Options,
+    ) -> Harness {
         let reserved = [(); 4].map(|()| reserve_port());
         let [callers, readiness, peers, metrics] = reserved
             .each_ref()
             .map(|socket| socket.local_addr().unwrap());
         let directory = tempfile::tempdir().unwrap();
         let path = directory.path().join("local.toml");
-        std::fs::write(&path, settings(callers, readiness, peers, address, options)).unwrap();
+        let addresses = [callers, readiness, peers, store_address];
+        std::fs::write(&path, settings(node_name, addresses, options)).unwrap();
         let (lines, level) = match options.logging {
             Logging::Captured => {
                 let file = File::create(directory.path().join(LOG_FILE)).unwrap();
@@ -528,17 +553,14 @@
     json!({"service": "desk", "address": address, "zone": zone, "state": state, "slots": 4, "seq": 1})
 }
 
-fn settings(
-    callers: SocketAddr,
-    readiness: SocketAddr,
-    peers: SocketAddr,
-    store: SocketAddr,
-    options: &Options,
-) -> String {
+/// The settings of an entry with the addresses for its callers, its readiness,
+/// its peers and the store.
+fn settings(node_name: &str, addresses: [SocketAddr; 4], options: &Options) -> String {
+    let [callers, readiness, peers, store] = addresses;
     let port = peers.port();
     let (ratio, burst) = (options.retry_ratio, options.retry_burst);
     format!(
-        r#"nodeName = "edge-1"
+        r#"nodeName = "{node_name}"
 serves = ["edge"]
 ip = "127.0.0.1"
 zone = "za"
