Name the prompt's parts of a request that got no valid answer

E7105 now names the parts of the prompt, and says whether the backend server had sent events of the request.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -556,9 +556,11 @@
     let attempt = progress.open.remove(index);
     let server = attempt.slot.key;
     log::info!(
-        "E7105 request {} got no valid answer from backend server {}: {error}",
+        "E7105 request {} got no valid answer from backend server {}: {error}; events sent {}, prompt parts {}",
         call.id,
-        attempt.slot.id
+        attempt.slot.id,
+        progress.answering == Some(attempt.key),
+        call.head.fields.get(header::PROMPT_PARTS).unwrap_or("unknown")
     );
     entry
         .dispatcher
