Block parts of prompts under which backend servers end

Each request with one part in its prompt ended two engines, at whichever entry it came in, and the sound requests on them were broken off.

Cause: an entry judged backend servers by their failures and never the requests under which they ended, and knew nothing of what other entries had seen. This is a query of death: retries and further callers carry one input from server to server.

snipewinch::quarantine finds the key that the ends have in common by group testing. When a server ends by itself (its connections close and new ones are refused, it is listed and not leaving), the shared parts of each request that it had just begun come under suspicion. Requests that go on for 300 ms after their first event clear theirs. After two ends a request is not sent to a further server; after three a part that nothing has cleared in the last minute, at any entry, is refused at once with 422. Ends of several servers at one moment do not count. Each entry publishes its evidence in a row of the store, which the others merge in any order; a verdict is revised when a part is cleared, and a blocked part is tried again after 10 to 20 minutes, at each entry at another time. A new version of the weights does not clear it: the fault may be the engine's, and a trial costs an engine.

--- a/crates/http1/src/write.rs
+++ b/crates/http1/src/write.rs
@@ -11,6 +11,7 @@
         408 => "Request Timeout",
         413 => "Content Too Large",
         421 => "Misdirected Request",
+        422 => "Unprocessable Content",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -60,11 +60,13 @@
 mod events;
 mod exchange;
 mod pool;
+mod quarantine;
 
 use answer::Reason;
 use call::Call;
 use dispatcher::Dispatcher;
 use pool::Pool;
+use quarantine::Quarantine;
 
 /// The interval between polls of the list of backend servers, as a fraction of
 /// the time within which a leaving backend server must get no more requests.
@@ -105,6 +107,7 @@
     pub(crate) dispatcher: Dispatcher,
     pub(crate) pool: Pool,
     pub(crate) metrics: EntryMetrics,
+    pub(crate) quarantine: Quarantine,
     bounds: Cell<Bounds>,
     operator: RefCell<OperatorState>,
     listing: RefCell<Listing>,
@@ -307,6 +310,7 @@
         dispatcher: Dispatcher::open(clock, settings),
         pool: Pool::default(),
         metrics: EntryMetrics::new(),
+        quarantine: Quarantine::open(),
         bounds: Cell::new(settings.bounds),
         operator: RefCell::default(),
         listing: RefCell::default(),
@@ -330,6 +334,11 @@
     let store = Store::open(Transport::open(), settings.store);
     spawn_local(follow_operators(entry.clone(), store.clone()));
     spawn_local(follow_listing(entry.clone(), store.clone()));
+    spawn_local(quarantine::run(
+        entry.clone(),
+        store.clone(),
+        settings.identity.host.as_str().into(),
+    ));
     spawn_local(receive_credits(
         entry.clone(),
         store,
@@ -475,5 +484,7 @@
         entry.update_versions();
         entry.dispatcher.tick();
         entry.pool.sweep();
+        let blocked = entry.quarantine.tick(entry.clock.now());
+        entry.metrics.blocked_parts.set(blocked as i64);
     }
 }
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -28,6 +28,8 @@
     NoRoute,
     /// Its key is missing or belongs to no customer.
     UnknownKey,
+    /// Backend servers ended under a part of its prompt.
+    Quarantined,
     /// Its head or body did not arrive in time.
     RequestTimeout,
     /// Its body is too long.
@@ -50,6 +52,7 @@
             Reason::Unknown => 502,
             Reason::NoRoute => 404,
             Reason::UnknownKey => 401,
+            Reason::Quarantined => 422,
             Reason::RequestTimeout => 408,
             Reason::BodyTooLarge => 413,
             Reason::Malformed(status) => status,
@@ -68,6 +71,7 @@
             Reason::Unknown => "unknown",
             Reason::NoRoute => "route",
             Reason::UnknownKey => "key",
+            Reason::Quarantined => "quarantine",
             Reason::RequestTimeout => "slow",
             Reason::BodyTooLarge => "too_long",
             Reason::Malformed(_) => "malformed",
@@ -86,6 +90,9 @@
             Reason::Unknown => "the backend server broke off; it may have run",
             Reason::NoRoute => "no route matches the host and path; check both",
             Reason::UnknownKey => "the key is missing or not known; send the customer's key",
+            Reason::Quarantined => {
+                "not run: backend servers ended under a part of its prompt; change the prompt"
+            }
             Reason::RequestTimeout => "the request's head did not arrive in time; send it faster",
             Reason::BodyTooLarge => "the request's body is too long; send a shorter one",
             Reason::Malformed(_) => "the request is not valid HTTP/1.1; send one head and one body",
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -63,6 +63,10 @@
     pub(crate) silence_check: Duration,
     /// Whether it was silent at the last check.
     pub(crate) is_silent: bool,
+    /// When its first event arrived.
+    pub(crate) first_event: Option<Duration>,
+    /// Whether it has gone on well after its first event.
+    pub(crate) has_come_through: bool,
     clock: Clock,
     exchange: Exchange,
     /// Whether a success is a stream of events.
@@ -90,6 +94,8 @@
             last_progress: now,
             silence_check: now,
             is_silent: false,
+            first_event: None,
+            has_come_through: false,
             clock,
             exchange,
             expects_stream,
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -19,6 +19,8 @@
 use snipewinch::dispatch::Waiter;
 use snipewinch::health::Outcome;
 use snipewinch::health::stall_timeout;
+use snipewinch::quarantine;
+use snipewinch::quarantine::Verdict;
 use snipewinch::route::Repeat;
 use snipewinch::route::Route;
 use tokio::io::AsyncWriteExt;
@@ -50,6 +52,9 @@
 /// The time that a request takes to the engine and an event back to the caller,
 /// a few network delays. A slot is needed that much before an event is due.
 const ROUND_TRIP: Duration = Duration::from_millis(12);
+/// How long after its first event a request has come through: a prompt that ends
+/// backend servers does so as they begin to write.
+const COME_THROUGH_TIME: Duration = Duration::from_millis(300);
 /// The longest wait for a slot, in multiples of the route's latency goal.
 /// Callers abandon a stream that has not begun a few multiples later.
 const QUEUE_WAIT_GOALS: f64 = 5.0;
@@ -72,6 +77,8 @@
     pub(crate) service: SmolStr,
     /// Whether the service runs model engines, whose agents grant slots.
     pub(crate) has_engine: bool,
+    /// The parts of its prompt that other requests may share.
+    pub(crate) keys: Vec<quarantine::Key>,
     /// When its last byte arrived, by the process's clock.
     pub(crate) arrived: Duration,
     /// The time by which the caller, or the route if it is stricter, needs the
@@ -296,12 +303,24 @@
                 return relay_chunked(entry, call, progress, index, begin, out).await;
             }
             Wakeup::Output(index, Err(error)) => {
+                let attempt = &progress.open[index];
+                if !attempt.has_come_through {
+                    let (key, address) = (attempt.slot.key, attempt.slot.address);
+                    let server = attempt.slot.id.clone();
+                    super::quarantine::record_broken(entry, call, key, &server, address, &error)
+                        .await;
+                }
                 record_broken(entry, call, progress, index, &error)
             }
             Wakeup::SilenceCheck => check_silence(entry, call, progress),
         };
         match step {
             Step::Wait => {}
+            Step::Retry if !may_retry(entry, call) => {
+                if progress.attempts.handle(Event::Refused) == Step::End {
+                    return end_unanswered(entry, call, progress, out, Reason::Unknown).await;
+                }
+            }
             Step::Retry if entry.try_retry(&call.service) => {
                 queued = entry.clock.now();
                 start = Some(start_attempt(entry, call, progress));
@@ -451,6 +470,10 @@
         }
     };
     let now = entry.clock.now();
+    if is_quarantined(entry, call, progress) {
+        progress.shortage = Reason::Quarantined;
+        return progress.attempts.handle(Event::Refused);
+    }
     let left = call.deadline.saturating_sub(now);
     let left = left
         .saturating_sub(DEADLINE_MARGIN)
@@ -474,6 +497,22 @@
     Step::Wait
 }
 
+/// Whether a request may be sent to a further backend server: none has ended
+/// under a part of its prompt that nothing clears.
+fn may_retry(entry: &Entry, call: &Call) -> bool {
+    entry.quarantine.verdict(entry.clock.now(), &call.keys) == Verdict::Clear
+}
+
+/// Whether a part of the prompt came under suspicion while the request waited
+/// for a slot.
+fn is_quarantined(entry: &Entry, call: &Call, progress: &Progress) -> bool {
+    match entry.quarantine.verdict(entry.clock.now(), &call.keys) {
+        Verdict::Blocked(_) => true,
+        Verdict::Suspect(_) => progress.attempts.sends() > 0,
+        Verdict::Clear => false,
+    }
+}
+
 /// How long a backend server may send nothing before the request also goes to
 /// another one.
 fn silence_limit(route: &Route) -> Duration {
@@ -560,7 +599,10 @@
         call.id,
         attempt.slot.id,
         progress.answering == Some(attempt.key),
-        call.head.fields.get(header::PROMPT_PARTS).unwrap_or("unknown")
+        call.head
+            .fields
+            .get(header::PROMPT_PARTS)
+            .unwrap_or("unknown")
     );
     entry
         .dispatcher
@@ -681,6 +723,11 @@
     select_attempt(entry, call, progress, index);
     let attempt = &mut progress.open[0];
     let now = entry.clock.now();
+    let first_event = *attempt.first_event.get_or_insert(now);
+    if !attempt.has_come_through && first_event + COME_THROUGH_TIME <= now {
+        attempt.has_come_through = true;
+        entry.quarantine.record_progress(now, &call.keys);
+    }
     let unsent = attempt.skip_sent(events, progress.last_event_id.as_ref());
     if unsent.is_empty() {
         return End::Complete;
@@ -728,6 +775,11 @@
     entry.metrics.attempts.with_label_values(&["success"]).inc();
     let attempt = progress.open.swap_remove(0);
     progress.open.clear();
+    if !attempt.has_come_through {
+        entry
+            .quarantine
+            .record_progress(entry.clock.now(), &call.keys);
+    }
     if let Some(head) = attempt.head() {
         entry.record_answer(call, head.status);
     }
--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -10,6 +10,7 @@
 use http1::head::Request;
 use log::Level;
 use platform::header;
+use snipewinch::quarantine::Verdict;
 use snipewinch::route::Limits;
 use snipewinch::route::Refusal;
 use tokio::io::AsyncReadExt;
@@ -28,6 +29,7 @@
 use super::call;
 use super::call::Call;
 use super::call::End;
+use super::quarantine;
 use crate::shutdown::Phase;
 
 /// The minimum free space of the buffer for a read.
@@ -315,6 +317,10 @@
         .service(service)
         .and_then(|service| service.engine.as_ref());
     let arrived = entry.clock.now();
+    let keys = quarantine::keys(service, head.fields.get(header::PROMPT_PARTS));
+    if let Verdict::Blocked(_) = entry.quarantine.verdict(arrived, &keys) {
+        return Err((Reason::Quarantined, attempt));
+    }
     Ok(Call {
         deadline: Call::deadline_of(&head, matched.route, arrived),
         route: matched.route.clone(),
@@ -322,6 +328,7 @@
         priority: matched.priority(),
         service: service.clone(),
         has_engine: engine.is_some(),
+        keys,
         configuration_version: table.configuration().version,
         id: id.into(),
         head,
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -340,6 +340,12 @@
             .for_each(|service| self.process_queue(service));
     }
 
+    /// Whether a backend server is listed and not leaving.
+    pub(crate) fn is_serving(&self, key: Key) -> bool {
+        let state = self.state.borrow();
+        state.backends.get(key).is_some_and(|one| !one.leaving)
+    }
+
     /// The id of a backend server, for logs.
     pub(crate) fn backend_name(&self, key: Key) -> SmolStr {
         let state = self.state.borrow();
--- /dev/null
+++ b/crates/node/src/entry/quarantine.rs
@@ -0,0 +1,271 @@
+//! Detects prompts that end the backend servers which run them, and refuses
+//! them. All entries share their evidence through the platform's store.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use platform::follow;
+use platform::follow::Change;
+use platform::follow::PollPolicy;
+use platform::header;
+use platform::prompt;
+use platform::rows::Row;
+use platform::rows::Store;
+use rand::RngExt;
+use smol_str::SmolStr;
+use snipewinch::quarantine::Evidence;
+use snipewinch::quarantine::Key;
+use snipewinch::quarantine::Ledger;
+use snipewinch::quarantine::Server;
+use snipewinch::quarantine::Verdict;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::Entry;
+use super::backends;
+use super::call::Call;
+use super::pool;
+
+/// The table of the store with a row of evidence for each entry.
+const TABLE: &str = "snipewinch-quarantine";
+/// The shortest interval between two writes of this entry's row.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(150);
+/// The delay after a write that failed.
+const PUBLISH_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// The jitter of these, so that entries that saw the same end do not write at
+/// the same time.
+const PUBLISH_JITTER: std::ops::Range<f64> = 0.6..1.4;
+/// The shortest interval between two polls of the table.
+const POLL_INTERVAL_MIN: Duration = Duration::from_millis(150);
+/// The maximum read rate of the table.
+const POLL_BYTES_PER_S_MAX: f64 = 60_000.0;
+/// The longest pause that this rate imposes before the next poll.
+const POLL_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// How long a connection may take to open that finds out whether a backend
+/// server has ended.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
+/// How long its result is used for other requests of the same backend server.
+const PROBE_AGE_MAX: Duration = Duration::from_millis(400);
+/// How long after the end of a backend server it is settled whether others
+/// ended at the same moment.
+const SETTLE_DELAY: Duration = Duration::from_millis(15);
+
+/// Whether a backend server had ended when it was probed.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    at: Duration,
+    has_ended: bool,
+}
+
+/// What this entry knows of prompts that end backend servers.
+#[derive(Debug)]
+pub(crate) struct Quarantine {
+    ledger: RefCell<Ledger>,
+    probes: RefCell<HashMap<SmolStr, Probe>>,
+    /// The keys that were blocked at the last check.
+    blocked: RefCell<Vec<Key>>,
+    /// Notified when there is evidence to publish.
+    changed: Notify,
+}
+
+impl Quarantine {
+    pub(crate) fn open() -> Quarantine {
+        Quarantine {
+            ledger: RefCell::new(Ledger::open(rand::rng().random())),
+            probes: RefCell::default(),
+            blocked: RefCell::default(),
+            changed: Notify::new(),
+        }
+    }
+
+    pub(crate) fn verdict(&self, now: Duration, keys: &[Key]) -> Verdict {
+        self.ledger.borrow().verdict(now, keys)
+    }
+
+    /// Records that a request with `keys` has come through.
+    pub(crate) fn record_progress(&self, now: Duration, keys: &[Key]) {
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.record_progress(now, keys);
+        if ledger.has_news() {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Settles recent ends of backend servers, and returns how many keys are
+    /// blocked.
+    pub(crate) fn tick(&self, now: Duration) -> usize {
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.settle(now);
+        if ledger.has_news() {
+            self.changed.notify_one();
+        }
+        let found = ledger.blocked(now);
+        let mut blocked = self.blocked.borrow_mut();
+        for one in found.iter().filter(|one| !blocked.contains(&one.key)) {
+            log::warn!(
+                "E7122 part {} of prompts is blocked: {} backend servers ended under it and no request with it came through",
+                one.key,
+                one.ends
+            );
+        }
+        for key in blocked.iter() {
+            if !found.iter().any(|one| one.key == *key) {
+                log::warn!("E7123 part {key} of prompts is no longer blocked");
+            }
+        }
+        *blocked = found.iter().map(|one| one.key).collect();
+        self.probes
+            .borrow_mut()
+            .retain(|_, probe| probe.at + PROBE_AGE_MAX > now);
+        blocked.len()
+    }
+
+    /// Applies rows of the table.
+    fn apply(&self, now: Duration, host: &str, change: Change) {
+        let (rows, is_snapshot) = match change {
+            Change::Disconnected => return,
+            Change::Rows(rows) => (rows, false),
+            Change::Snapshot(rows) => (rows, true),
+        };
+        let mut ledger = self.ledger.borrow_mut();
+        let mut own = None;
+        for row in rows {
+            match decode_row(&row) {
+                Some(evidence) if row.key == host => {
+                    ledger.restore(now, evidence.clone());
+                    own = Some(evidence);
+                }
+                Some(evidence) => ledger.merge(now, &row.key, evidence),
+                None => {}
+            }
+        }
+        if is_snapshot {
+            ledger.republish(own.as_ref());
+        }
+        if ledger.has_news() {
+            self.changed.notify_one();
+        }
+    }
+}
+
+fn decode_row(row: &Row) -> Option<Evidence> {
+    let decoded = serde_json::from_slice(row.value.as_deref()?);
+    if let Err(error) = &decoded {
+        log::warn!(
+            "E7124 row {:?} of table {TABLE:?} is not valid evidence: {error}",
+            row.key
+        );
+    }
+    decoded.ok()
+}
+
+/// The keys of a request: the parts of its prompt that others may share.
+pub(crate) fn keys(service: &str, prompt_parts: Option<&str>) -> Vec<Key> {
+    let parts = prompt::shared_parts(prompt_parts.unwrap_or_default());
+    parts.map(|part| Key::of(service, part)).collect()
+}
+
+/// Records that an attempt without progress was broken off, if that happened
+/// because its backend server has ended.
+pub(crate) async fn record_broken(
+    entry: &Rc<Entry>,
+    call: &Call,
+    backend: backends::Key,
+    server: &str,
+    address: SocketAddr,
+    error: &pool::Error,
+) {
+    let may_be_end = matches!(error, pool::Error::Closed | pool::Error::Io { .. });
+    if !may_be_end || call.keys.is_empty() || !entry.dispatcher.is_serving(backend) {
+        return;
+    }
+    if !has_ended(entry, server, address).await {
+        return;
+    }
+    let now = entry.clock.now();
+    log::warn!(
+        "E7121 backend server {server} ended under request {}, which had just begun; prompt parts {}",
+        call.id,
+        call.head
+            .fields
+            .get(header::PROMPT_PARTS)
+            .unwrap_or_default()
+    );
+    let quarantine = &entry.quarantine;
+    quarantine
+        .ledger
+        .borrow_mut()
+        .record_end(now, Server::of(server), &call.keys);
+    let entry = entry.clone();
+    spawn_local(async move {
+        sleep(SETTLE_DELAY).await;
+        entry.quarantine.tick(entry.clock.now());
+    });
+}
+
+/// Whether a backend server refuses connections: its process has ended, while
+/// its host runs and is reached. One that only breaks off requests does not.
+async fn has_ended(entry: &Entry, server: &str, address: SocketAddr) -> bool {
+    let now = entry.clock.now();
+    let probed = entry.quarantine.probes.borrow().get(server).copied();
+    if let Some(probe) = probed.filter(|probe| probe.at + PROBE_AGE_MAX > now) {
+        return probe.has_ended;
+    }
+    let opened = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    let has_ended = matches!(
+        opened,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused
+    );
+    let probe = Probe { at: now, has_ended };
+    let mut probes = entry.quarantine.probes.borrow_mut();
+    probes.insert(server.into(), probe);
+    has_ended
+}
+
+/// Follows the evidence of other entries and publishes that of this one.
+pub(crate) async fn run(entry: Rc<Entry>, store: Store, host: SmolStr) {
+    let policy = PollPolicy {
+        interval_min: POLL_INTERVAL_MIN,
+        bytes_per_s: POLL_BYTES_PER_S_MAX,
+        pause_max: POLL_PAUSE_MAX,
+        relaxed_interval: None,
+        settle_time: Duration::ZERO,
+    };
+    let (mut changes, _task) = follow::spawn(store.clone(), TABLE, policy);
+    spawn_local(publish(entry.clone(), store, host.clone()));
+    while let Some(change) = changes.recv().await {
+        let now = entry.clock.now();
+        entry.quarantine.apply(now, &host, change);
+        entry.quarantine.tick(now);
+    }
+}
+
+async fn publish(entry: Rc<Entry>, store: Store, host: SmolStr) {
+    loop {
+        entry.quarantine.changed.notified().await;
+        let evidence = entry.quarantine.ledger.borrow_mut().take_evidence();
+        let Some(evidence) = evidence else {
+            continue;
+        };
+        let value = serde_json::to_vec(&evidence).expect("evidence is serializable");
+        let delay = match store.put(TABLE, &host, &value).await {
+            Ok(()) => PUBLISH_INTERVAL,
+            Err(error) => {
+                log::warn!(
+                    "E7125 publishing evidence against parts of prompts failed, retrying: {error}"
+                );
+                entry.quarantine.ledger.borrow_mut().republish(None);
+                entry.quarantine.changed.notify_one();
+                PUBLISH_RETRY_DELAY
+            }
+        };
+        sleep(delay.mul_f64(rand::rng().random_range(PUBLISH_JITTER))).await;
+    }
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -73,6 +73,8 @@
     pub(crate) attempts: IntCounterVec,
     /// Streams that were resumed at another backend server.
     pub(crate) streams_resumed: IntCounter,
+    /// Parts of prompts that are blocked.
+    pub(crate) blocked_parts: IntGauge,
     /// Answers that this entry ended before they were complete, by cause.
     pub(crate) answers_cut: IntCounterVec,
     /// Callers that disconnected before their answer was complete.
@@ -113,6 +115,14 @@
                 .expect("each name is registered once");
             counter
         };
+        let blocked_parts = IntGauge::new(
+            "snipewinch_blocked_prompt_parts",
+            "Parts of prompts that are refused, as backend servers ended under them",
+        );
+        let blocked_parts = blocked_parts.expect("the name is valid");
+        registry
+            .register(Box::new(blocked_parts.clone()))
+            .expect("each name is registered once");
         EntryMetrics {
             answers: counters("snipewinch_answers_total", "Answers to callers", "status"),
             refusals: counters(
@@ -129,6 +139,7 @@
                 "snipewinch_streams_resumed_total",
                 "Streams that went on at another backend server",
             ),
+            blocked_parts,
             answers_cut: counters(
                 "snipewinch_answers_cut_total",
                 "Answers ended here before they were complete",
--- /dev/null
+++ b/crates/snipewinch/tests/outbreak/mod.rs
@@ -0,0 +1,290 @@
+//! A model of entries and servers with batches, in which one key ends each
+//! server that begins to write an answer on it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use snipewinch::quarantine::Evidence;
+use snipewinch::quarantine::Key;
+use snipewinch::quarantine::Ledger;
+use snipewinch::quarantine::Server;
+use snipewinch::quarantine::Verdict;
+
+const STEP: Duration = Duration::from_millis(5);
+/// When the first request with the bad key may come.
+const OUTBREAK_AT: Duration = Duration::from_secs(10);
+const LENGTH: Duration = Duration::from_secs(30);
+/// After the fifth end and this time, few requests with the bad key may reach a
+/// server.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+const RESTART: Duration = Duration::from_secs(3);
+const BATCH: usize = 16;
+const SHARED_KEYS: usize = 60;
+const ATTEMPTS_MAX: u32 = 2;
+const COME_THROUGH: Duration = Duration::from_millis(300);
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(150);
+
+/// What entries do against the outbreak.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Remedy {
+    Nothing,
+    /// Requests whose server ended are not sent again.
+    NoRetry,
+    /// Whole requests that ended a server are blocked.
+    WholeRequest,
+    Quarantine,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Setup {
+    pub(crate) seed: u64,
+    pub(crate) entries: usize,
+    pub(crate) servers: usize,
+    pub(crate) requests_per_s: f64,
+    /// The share of requests with the bad key.
+    pub(crate) bad_share: f64,
+    /// How many servers end for other causes in a second.
+    pub(crate) other_ends_per_s: f64,
+    pub(crate) remedy: Remedy,
+}
+
+/// What came of it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Outcome {
+    /// Servers that ended under the bad key.
+    pub(crate) ends: u32,
+    /// Requests with the bad key that reached a server after the fifth end and
+    /// [`STABLE_WINDOW`].
+    pub(crate) sent_late: u32,
+    pub(crate) sound: u32,
+    /// Sound requests that were refused because of their keys.
+    pub(crate) sound_refused: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    entry: usize,
+    keys: Vec<Key>,
+    is_bad: bool,
+    attempts: u32,
+    first_event: Duration,
+    end: Duration,
+    has_come_through: bool,
+}
+
+#[derive(Debug, Default)]
+struct Machine {
+    run: u32,
+    up_at: Duration,
+    requests: Vec<Request>,
+}
+
+struct Entry {
+    ledger: Ledger,
+    publish_at: Duration,
+}
+
+struct Model {
+    setup: Setup,
+    rng: ChaCha8Rng,
+    now: Duration,
+    entries: Vec<Entry>,
+    machines: Vec<Machine>,
+    /// Evidence on its way, by arrival: receiver, publisher and content.
+    mail: BTreeMap<(Duration, u64), (usize, usize, Evidence)>,
+    mail_number: u64,
+    fifth_end: Option<Duration>,
+    outcome: Outcome,
+}
+
+/// Plays the model.
+pub(crate) fn play(setup: Setup) -> Outcome {
+    let mut model = Model {
+        rng: ChaCha8Rng::seed_from_u64(setup.seed),
+        now: Duration::ZERO,
+        entries: (0..setup.entries)
+            .map(|number| Entry {
+                ledger: Ledger::open(number as u64),
+                publish_at: Duration::ZERO,
+            })
+            .collect(),
+        machines: (0..setup.servers).map(|_| Machine::default()).collect(),
+        mail: BTreeMap::new(),
+        mail_number: 0,
+        fifth_end: None,
+        outcome: Outcome::default(),
+        setup,
+    };
+    while model.now < LENGTH {
+        model.step();
+        model.now += STEP;
+    }
+    model.outcome
+}
+
+impl Model {
+    fn step(&mut self) {
+        let per_step = |rate: f64| rate * STEP.as_secs_f64();
+        let mut due = per_step(self.setup.requests_per_s);
+        while due > 0.0 {
+            if self.rng.random::<f64>() < due {
+                self.arrive();
+            }
+            due -= 1.0;
+        }
+        if self.rng.random::<f64>() < per_step(self.setup.other_ends_per_s) {
+            let machine = self.rng.random_range(0..self.machines.len());
+            self.end_machine(machine);
+        }
+        for machine in 0..self.machines.len() {
+            self.work(machine);
+        }
+        self.exchange();
+    }
+
+    fn arrive(&mut self) {
+        let rank: f64 = self.rng.random();
+        // Parts of rank r are asked for about as often as 1 / r.
+        let shared = (SHARED_KEYS as f64).powf(rank) as usize;
+        let mut keys = vec![Key::of("shared", &shared.to_string())];
+        let is_bad = self.now >= OUTBREAK_AT && self.rng.random::<f64>() < self.setup.bad_share;
+        if is_bad {
+            keys.push(Key::of("part", "bad"));
+        }
+        let request = Request {
+            entry: self.rng.random_range(0..self.entries.len()),
+            keys,
+            is_bad,
+            attempts: 0,
+            first_event: Duration::ZERO,
+            end: Duration::ZERO,
+            has_come_through: false,
+        };
+        self.outcome.sound += u32::from(!is_bad);
+        let verdict = self.verdict(&request);
+        match verdict {
+            Verdict::Blocked(_) => self.outcome.sound_refused += u32::from(!is_bad),
+            Verdict::Clear | Verdict::Suspect(_) => self.send(request),
+        }
+    }
+
+    fn verdict(&self, request: &Request) -> Verdict {
+        match self.setup.remedy {
+            Remedy::Quarantine => self.entries[request.entry]
+                .ledger
+                .verdict(self.now, &request.keys),
+            Remedy::Nothing | Remedy::NoRetry | Remedy::WholeRequest => Verdict::Clear,
+        }
+    }
+
+    fn send(&mut self, mut request: Request) {
+        let now = self.now;
+        let free: Vec<usize> = (0..self.machines.len())
+            .filter(|index| {
+                let machine = &self.machines[*index];
+                machine.up_at <= now && machine.requests.len() < BATCH
+            })
+            .collect();
+        if free.is_empty() {
+            return;
+        }
+        let machine = free[self.rng.random_range(0..free.len())];
+        request.attempts += 1;
+        request.first_event = now + Duration::from_millis(self.rng.random_range(100..350));
+        request.end =
+            request.first_event + Duration::from_millis(self.rng.random_range(200..2_000));
+        request.has_come_through = false;
+        if request.is_bad {
+            let late = self.fifth_end.is_some_and(|at| now > at + STABLE_WINDOW);
+            self.outcome.sent_late += u32::from(late);
+        }
+        self.machines[machine].requests.push(request);
+    }
+
+    /// Lets the requests of a server go on.
+    fn work(&mut self, machine: usize) {
+        let now = self.now;
+        let requests = &mut self.machines[machine].requests;
+        if requests
+            .iter()
+            .any(|one| one.is_bad && one.first_event <= now)
+        {
+            self.outcome.ends += 1;
+            if self.outcome.ends == 5 {
+                self.fifth_end = Some(now);
+            }
+            return self.end_machine(machine);
+        }
+        for request in requests.iter_mut() {
+            let goes_on = now >= request.first_event + COME_THROUGH || now >= request.end;
+            if goes_on && !request.has_come_through {
+                request.has_come_through = true;
+                let ledger = &mut self.entries[request.entry].ledger;
+                ledger.record_progress(now, &request.keys);
+            }
+        }
+        requests.retain(|one| one.end > now);
+    }
+
+    fn end_machine(&mut self, index: usize) {
+        let machine = &mut self.machines[index];
+        if machine.up_at > self.now {
+            return;
+        }
+        let server = Server::of(&format!("{index}-{}", machine.run));
+        machine.run += 1;
+        machine.up_at = self.now + RESTART;
+        let broken = std::mem::take(&mut machine.requests);
+        for request in broken.iter().filter(|one| !one.has_come_through) {
+            let ledger = &mut self.entries[request.entry].ledger;
+            ledger.record_end(self.now, server, &request.keys);
+        }
+        for request in broken {
+            let may_retry = match self.setup.remedy {
+                Remedy::Nothing => true,
+                Remedy::NoRetry => false,
+                Remedy::WholeRequest => request.has_come_through,
+                Remedy::Quarantine => self.verdict(&request) == Verdict::Clear,
+            };
+            if may_retry && request.attempts < ATTEMPTS_MAX {
+                self.send(request);
+            }
+        }
+    }
+
+    /// Publishes and delivers evidence; one message in twenty is very late.
+    fn exchange(&mut self) {
+        let now = self.now;
+        for publisher in 0..self.entries.len() {
+            let entry = &mut self.entries[publisher];
+            entry.ledger.settle(now);
+            if entry.publish_at > now {
+                continue;
+            }
+            let Some(evidence) = entry.ledger.take_evidence() else {
+                continue;
+            };
+            entry.publish_at = now + PUBLISH_INTERVAL;
+            for receiver in (0..self.setup.entries).filter(|one| *one != publisher) {
+                let delay = match self.rng.random_range(0..20) {
+                    0 => self.rng.random_range(1_000..2_000),
+                    _ => self.rng.random_range(20..250),
+                };
+                let at = now + Duration::from_millis(delay);
+                self.mail_number += 1;
+                let letter = (receiver, publisher, evidence.clone());
+                self.mail.insert((at, self.mail_number), letter);
+            }
+        }
+        while let Some(first) = self.mail.first_entry()
+            && first.key().0 <= now
+        {
+            let (receiver, publisher, evidence) = first.remove();
+            let ledger = &mut self.entries[receiver].ledger;
+            ledger.merge(now, &publisher.to_string(), evidence);
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipewinch/tests/quarantine.rs
@@ -0,0 +1,290 @@
+//! Which keys are blocked because servers end under work that has them.
+
+use std::time::Duration;
+
+use snipewinch::quarantine::End;
+use snipewinch::quarantine::Evidence;
+use snipewinch::quarantine::Key;
+use snipewinch::quarantine::Ledger;
+use snipewinch::quarantine::Server;
+use snipewinch::quarantine::Verdict;
+
+mod outbreak;
+
+use outbreak::Outcome;
+use outbreak::Remedy;
+use outbreak::Setup;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn key(id: &str) -> Key {
+    Key::of("service", id)
+}
+
+/// Ends servers one after the other, `gap` apart, under work with `keys`.
+fn end_servers(ledger: &mut Ledger, from: Duration, gap: Duration, count: u32, keys: &[Key]) {
+    for number in 0..count {
+        let now = from + gap * number;
+        let server = Server::of(&format!("server-{number}"));
+        ledger.record_end(now, server, keys);
+        ledger.settle(now + ms(15));
+    }
+}
+
+#[test]
+fn a_key_under_which_three_servers_ended_is_blocked() {
+    let mut ledger = Ledger::open(1);
+    let keys = [key("bad")];
+    for (count, expected) in [
+        (0, Verdict::Clear),
+        (1, Verdict::Clear),
+        (2, Verdict::Suspect(keys[0])),
+        (3, Verdict::Blocked(keys[0])),
+    ] {
+        end_servers(&mut ledger, ms(100), ms(200), count, &keys);
+        assert_eq!(ledger.verdict(ms(1_000), &keys), expected, "{count} ends");
+    }
+    assert_eq!(ledger.verdict(ms(1_000), &[key("other")]), Verdict::Clear);
+    assert_eq!(ledger.blocked(ms(1_000))[0].ends, 3);
+}
+
+#[test]
+fn a_shared_key_is_cleared_by_work_that_came_through_before_or_after() {
+    let (shared, bad) = (key("shared"), key("bad"));
+    for progress_at in [ms(50), ms(900)] {
+        let mut ledger = Ledger::open(1);
+        if progress_at < ms(100) {
+            ledger.record_progress(progress_at, &[shared]);
+        }
+        end_servers(&mut ledger, ms(100), ms(200), 4, &[shared, bad]);
+        ledger.record_progress(progress_at.max(ms(900)), &[shared]);
+        assert_eq!(ledger.verdict(ms(1_000), &[shared]), Verdict::Clear);
+        assert_eq!(
+            ledger.verdict(ms(1_000), &[shared, bad]),
+            Verdict::Blocked(bad)
+        );
+    }
+}
+
+#[test]
+fn an_entry_that_knows_better_clears_a_key_for_all() {
+    let (mut first, mut second) = (Ledger::open(1), Ledger::open(2));
+    let shared = key("shared");
+    second.record_progress(ms(10), &[shared]);
+    end_servers(&mut first, ms(100), ms(200), 3, &[shared]);
+    assert_eq!(
+        first.verdict(ms(1_000), &[shared]),
+        Verdict::Blocked(shared)
+    );
+    second.merge(ms(1_000), "first", first.take_evidence().expect("news"));
+    assert_eq!(second.verdict(ms(1_000), &[shared]), Verdict::Clear);
+    first.merge(ms(1_100), "second", second.take_evidence().expect("news"));
+    assert_eq!(first.verdict(ms(1_100), &[shared]), Verdict::Clear);
+}
+
+#[test]
+fn one_end_counts_once_whoever_reports_it_and_however_often() {
+    let mut ledger = Ledger::open(1);
+    let bad = key("bad");
+    let evidence = Evidence {
+        ends: vec![End {
+            server: Server::of("server-0"),
+            keys: vec![bad],
+        }],
+        cleared: vec![],
+    };
+    for publisher in ["a", "b", "c", "a"] {
+        ledger.merge(ms(100), publisher, evidence.clone());
+    }
+    end_servers(&mut ledger, ms(200), ms(200), 1, &[bad]);
+    assert_eq!(ledger.verdict(ms(1_000), &[bad]), Verdict::Clear);
+}
+
+#[test]
+fn servers_that_end_at_the_same_moment_block_no_key() {
+    let mut ledger = Ledger::open(1);
+    let new = key("new");
+    for number in 0..8_u32 {
+        let server = Server::of(&format!("server-{number}"));
+        ledger.record_end(ms(100) + ms(4) * number, server, &[new]);
+        ledger.settle(ms(101) + ms(4) * number);
+    }
+    ledger.settle(ms(500));
+    assert_eq!(ledger.verdict(ms(1_000), &[new]), Verdict::Clear);
+}
+
+#[test]
+fn a_restarted_entry_knows_what_it_published() {
+    let mut ledger = Ledger::open(1);
+    let bad = key("bad");
+    end_servers(&mut ledger, ms(100), ms(200), 3, &[bad]);
+    let evidence = ledger.take_evidence().expect("news");
+    let text = serde_json::to_string(&evidence).expect("it is serializable");
+    let read: Evidence = serde_json::from_str(&text).expect("it is valid");
+    let mut restarted = Ledger::open(2);
+    restarted.restore(ms(5), read);
+    assert_eq!(restarted.verdict(ms(10), &[bad]), Verdict::Blocked(bad));
+}
+
+#[test]
+fn evidence_that_the_store_lost_is_published_again() {
+    let mut ledger = Ledger::open(1);
+    end_servers(&mut ledger, ms(100), ms(200), 3, &[key("bad")]);
+    let evidence = ledger.take_evidence().expect("news");
+    assert_eq!(ledger.take_evidence(), None);
+    ledger.republish(Some(&evidence));
+    assert_eq!(ledger.take_evidence(), None);
+    ledger.republish(None);
+    assert_eq!(ledger.take_evidence(), Some(evidence));
+}
+
+#[test]
+fn a_blocked_key_is_tried_again_and_one_end_blocks_it_again() {
+    let mut ledger = Ledger::open(1);
+    let bad = [key("bad")];
+    end_servers(&mut ledger, ms(100), ms(200), 3, &bad);
+    let later = Duration::from_secs(21 * 60);
+    ledger.settle(Duration::from_secs(9 * 60));
+    assert_eq!(
+        ledger.verdict(Duration::from_secs(9 * 60), &bad),
+        Verdict::Blocked(bad[0])
+    );
+    ledger.settle(later);
+    assert_eq!(ledger.verdict(later, &bad), Verdict::Clear);
+    ledger.record_end(later, Server::of("another"), &bad);
+    ledger.settle(later + ms(20));
+    assert_eq!(
+        ledger.verdict(later + ms(20), &bad),
+        Verdict::Blocked(bad[0])
+    );
+}
+
+#[test]
+fn entries_try_a_blocked_key_again_at_different_times() {
+    let bad = [key("bad")];
+    let is_blocked_after = |seed: u64, time: Duration| {
+        let mut ledger = Ledger::open(seed);
+        end_servers(&mut ledger, ms(100), ms(200), 3, &bad);
+        ledger.verdict(time, &bad) != Verdict::Clear
+    };
+    let middle = Duration::from_secs(15 * 60);
+    let blocked = (0..100)
+        .filter(|seed| is_blocked_after(*seed, middle))
+        .count();
+    assert!((20..=80).contains(&blocked), "{blocked} of 100");
+}
+
+#[test]
+fn keys_that_change_each_time_fill_no_memory_and_displace_no_verdict() {
+    let mut ledger = Ledger::open(1);
+    let bad = [key("bad")];
+    end_servers(&mut ledger, ms(100), ms(200), 3, &bad);
+    for number in 0..20_000_u32 {
+        let now = Duration::from_secs(1) + ms(20) * number;
+        let keys: Vec<Key> = (0..100)
+            .map(|part| key(&format!("{number}-{part}")))
+            .collect();
+        ledger.record_progress(now, &keys[..10]);
+        if number % 10 == 0 {
+            ledger.record_end(now, Server::of(&format!("other-{number}")), &keys[10..]);
+            ledger.settle(now + ms(15));
+        }
+    }
+    let now = Duration::from_secs(420);
+    assert_eq!(ledger.verdict(now, &bad), Verdict::Blocked(bad[0]));
+    assert_eq!(ledger.blocked(now).len(), 1);
+    let evidence = ledger.take_evidence().expect("news");
+    let bytes = serde_json::to_vec(&evidence).expect("it is serializable");
+    assert!(bytes.len() < 8 << 10, "{} bytes", bytes.len());
+}
+
+#[test]
+fn a_verdict_goes_before_others_among_many_keys() {
+    let mut ledger = Ledger::open(1);
+    let bad = key("bad");
+    end_servers(&mut ledger, ms(100), ms(200), 3, &[bad]);
+    let mut keys: Vec<Key> = (0..5_000).map(|part| key(&part.to_string())).collect();
+    keys.push(bad);
+    assert_eq!(ledger.verdict(ms(1_000), &keys), Verdict::Blocked(bad));
+}
+
+/// The setups of a fleet with `entries` entries, for `seeds` seeds.
+fn setups(entries: usize, seeds: u64, remedy: Remedy) -> impl Iterator<Item = Setup> {
+    (0..seeds).map(move |seed| Setup {
+        seed,
+        entries,
+        servers: entries,
+        requests_per_s: 8.0 * entries as f64,
+        bad_share: [0.001, 0.01, 0.03, 0.1][seed as usize % 4],
+        other_ends_per_s: [0.0, 0.5][seed as usize / 4 % 2],
+        remedy,
+    })
+}
+
+/// Plays all setups of a fleet and returns the sum of what came of them, after
+/// it has checked the target for each.
+fn assert_contained(entries: usize, seeds: u64) {
+    for setup in setups(entries, seeds, Remedy::Quarantine) {
+        let outcome = outbreak::play(setup);
+        assert!(outcome.sent_late <= 3, "{setup:?} {outcome:?}");
+        let refused = f64::from(outcome.sound_refused) / f64::from(outcome.sound.max(1));
+        assert!(refused < 0.01, "{setup:?} {outcome:?}");
+    }
+}
+
+/// How many seeds to play, as a multiple of the few that are played by default.
+fn seeds(default: u64) -> u64 {
+    let factor = std::env::var("OUTBREAK_FACTOR").ok();
+    default * factor.map_or(1, |text| text.parse().expect("a number"))
+}
+
+#[test]
+fn a_key_that_ends_servers_is_contained_by_18_entries() {
+    assert_contained(18, seeds(40));
+}
+
+#[test]
+fn a_key_that_ends_servers_is_contained_by_55_entries() {
+    assert_contained(55, seeds(8));
+}
+
+#[test]
+fn a_key_that_ends_servers_is_contained_by_360_entries() {
+    assert_contained(360, seeds(2));
+}
+
+/// Prints the table of docs/design/quarantine.md.
+#[test]
+fn other_remedies_do_not_contain_a_key_that_ends_servers() {
+    for (entries, seeds) in [(18, seeds(16)), (55, seeds(4))] {
+        let means = [
+            Remedy::Nothing,
+            Remedy::NoRetry,
+            Remedy::WholeRequest,
+            Remedy::Quarantine,
+        ]
+        .map(|remedy| {
+            let played: Vec<_> = setups(entries, seeds, remedy).map(outbreak::play).collect();
+            let mean = |of: fn(&Outcome) -> u32| {
+                played.iter().map(of).map(f64::from).sum::<f64>() / played.len() as f64
+            };
+            println!(
+                "{entries} entries, {remedy:?}: ends {:.1}, sent late {:.2} (most {}), sound refused {:.3} of {:.0}",
+                mean(|one| one.ends),
+                mean(|one| one.sent_late),
+                played.iter().map(|one| one.sent_late).max().unwrap_or(0),
+                mean(|one| one.sound_refused),
+                mean(|one| one.sound),
+            );
+            mean(|one| one.sent_late)
+        });
+        let [others @ .., quarantine] = means;
+        assert!(
+            others
+                .iter()
+                .all(|sent_late| *sent_late > 3.0 && *sent_late > quarantine)
+        );
+    }
+}
