Hold no key against work elsewhere that has come through here

A test that ends servers under one part of prompts was refused a first part that other requests had come through with. An end is settled 15 ms after it was seen; a key that was cleared in between was published with it, and as it was not yet under suspicion when it was cleared, that was published only half a minute later. Now an end is published without the keys that are cleared by then, and a suspected key is published as cleared whenever work with it comes through. The new test of tests/quarantine.rs failed before (the key was blocked elsewhere) and passes.

--- a/crates/snipewinch/src/quarantine.rs
+++ b/crates/snipewinch/src/quarantine.rs
@@ -168,9 +168,8 @@
     /// Records that work with `keys` has come through.
     pub fn record_progress(&mut self, now: Duration, keys: &[Key]) {
         for key in keys {
-            let known = self.cleared.insert(*key, now);
-            let is_old = known.is_none_or(|at| at + CLEARED_TIME / 2 < now);
-            if is_old && self.suspects.contains_key(key) {
+            self.cleared.insert(*key, now);
+            if self.suspects.contains_key(key) && !self.is_cleared_by_others(*key) {
                 self.publish_cleared(now, *key);
             }
         }
@@ -326,6 +325,10 @@
 
     /// Counts an end that this entry saw, and publishes it.
     fn take_over(&mut self, now: Duration, mut end: End) {
+        end.keys.retain(|key| {
+            let cleared = self.cleared.get(key);
+            cleared.is_none_or(|at| now >= *at + CLEARED_TIME)
+        });
         end.keys.sort_unstable();
         end.keys.dedup();
         end.keys.truncate(KEYS_PER_END_MAX);
--- a/crates/snipewinch/tests/quarantine.rs
+++ b/crates/snipewinch/tests/quarantine.rs
@@ -84,6 +84,24 @@
     assert_eq!(first.verdict(ms(1_100), &[shared]), Verdict::Clear);
 }
 
+#[test]
+fn a_key_that_is_cleared_before_an_end_is_settled_is_not_held_against_it_elsewhere() {
+    let (shared, bad) = (key("shared"), key("bad"));
+    let mut second = Ledger::open(9);
+    for number in 0..3_u32 {
+        let mut first = Ledger::open(number.into());
+        let now = ms(100) + ms(200) * number;
+        let server = Server::of(&format!("server-{number}"));
+        first.record_end(now, server, &[shared, bad]);
+        first.record_progress(now + ms(5), &[shared]);
+        first.settle(now + ms(15));
+        let evidence = first.take_evidence().expect("news");
+        second.merge(now + ms(20), &format!("entry-{number}"), evidence);
+    }
+    assert_eq!(second.verdict(ms(1_000), &[shared]), Verdict::Clear);
+    assert_eq!(second.verdict(ms(1_000), &[bad]), Verdict::Blocked(bad));
+}
+
 #[test]
 fn one_end_counts_once_whoever_reports_it_and_however_often() {
     let mut ledger = Ledger::open(1);
