Count what reached no backend server neither as an attempt nor as a retry

A refused connection counted as an attempt and took a retry of the budget, and the server got further requests until three had failed. It never was an arrival anywhere.

Now a server that refuses a connection is ejected at once, and what reached no server uses up neither an attempt nor the retry budget; a request tries eight at the most.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -2,6 +2,7 @@
 //! caller.
 
 use std::future::pending;
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -256,6 +257,7 @@
     let mut queued = entry.clock.now();
     loop {
         let wakeup = wait(entry, progress, &mut start).await;
+        let is_unreached = matches!(&wakeup, Wakeup::Started(Err(StartError::Unreached(_))));
         let step = match wakeup {
             Wakeup::Started(started) => {
                 start = None;
@@ -321,7 +323,8 @@
                     return end_unanswered(entry, call, progress, out, Reason::Unknown).await;
                 }
             }
-            Step::Retry if entry.try_retry(&call.service) => {
+            // What has reached no backend server is no retry.
+            Step::Retry if is_unreached || entry.try_retry(&call.service) => {
                 queued = entry.clock.now();
                 start = Some(start_attempt(entry, call, progress));
             }
@@ -404,7 +407,7 @@
                 );
                 entry
                     .dispatcher
-                    .record_outcome(slot.key, Outcome::Failed, None);
+                    .record_outcome(slot.key, unreached_outcome(&error), None);
                 entry
                     .metrics
                     .attempts
@@ -416,6 +419,15 @@
     })
 }
 
+fn unreached_outcome(error: &pool::Error) -> Outcome {
+    match error {
+        pool::Error::Connect { source } if source.kind() == ErrorKind::ConnectionRefused => {
+            Outcome::Refused
+        }
+        _ => Outcome::Failed,
+    }
+}
+
 fn slot_request(entry: &Entry, call: &Call, progress: &Progress) -> SlotRequest {
     let now = entry.clock.now();
     let goal = call.route.latency_goal;
--- a/crates/node/src/entry/pool.rs
+++ b/crates/node/src/entry/pool.rs
@@ -44,10 +44,10 @@
 #[snafu(visibility(pub(crate)))]
 pub(crate) enum Error {
     /// The connection could not be opened; nothing was sent.
-    #[snafu(display("failed to connect: {detail}"))]
+    #[snafu(display("failed to connect: {source}"))]
     Connect {
-        /// The cause.
-        detail: String,
+        /// The error of the operating system, or a timeout.
+        source: io::Error,
     },
     /// Reading or writing failed, or setting an option of the socket.
     #[snafu(display("connection failed: {source}"))]
@@ -100,9 +100,7 @@
     pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, Error> {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let opened = connecting.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
-        let io = opened.map_err(|error| Error::Connect {
-            detail: error.to_string(),
-        })?;
+        let io = opened.context(ConnectSnafu)?;
         io.set_nodelay(true).context(IoSnafu)?;
         let socket = SockRef::from(&io);
         let limited = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
--- a/crates/snipewinch/src/attempt.rs
+++ b/crates/snipewinch/src/attempt.rs
@@ -13,6 +13,9 @@
 /// one, and the one that may replace it.
 const OPEN_MAX: usize = 2;
 
+/// The most backend servers of one request that could not be reached.
+const UNREACHED_MAX: u32 = 8;
+
 /// Identifies an attempt of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Key(u32);
@@ -20,7 +23,8 @@
 /// What happened to a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Event {
-    /// No connection to the backend server could be opened.
+    /// No connection to the backend server could be opened. Nothing reached it,
+    /// so this is no attempt.
     Unreached,
     /// No backend server has a free slot, or the retry budget is used up.
     Refused,
@@ -65,6 +69,7 @@
     repeat: Repeat,
     runs_max: u32,
     sends: u32,
+    unreached: u32,
     runs: u32,
     open: Vec<Open>,
     is_starting: bool,
@@ -80,6 +85,7 @@
             repeat,
             runs_max,
             sends: 0,
+            unreached: 0,
             runs: 0,
             open: Vec::with_capacity(OPEN_MAX),
             is_starting: true,
@@ -104,7 +110,7 @@
     pub fn handle(&mut self, event: Event) -> Step {
         match event {
             Event::Unreached => {
-                self.sends += 1;
+                self.unreached += 1;
                 self.is_starting = false;
             }
             Event::Refused => self.is_starting = false,
@@ -146,7 +152,7 @@
         self.runs
     }
 
-    /// How often the request was sent, or could not be sent.
+    /// How often the request was sent.
     pub fn sends(&self) -> u32 {
         self.sends
     }
@@ -156,7 +162,8 @@
         let may_run = self.runs == 0 || may_rerun && self.runs < self.runs_max;
         match event {
             Event::Dropped(_) | Event::Progressed(_) | Event::Refused => false,
-            Event::Unreached | Event::NotRun(_) => may_run && self.sends <= self.runs_max,
+            Event::Unreached => may_run && self.unreached < UNREACHED_MAX,
+            Event::NotRun(_) => may_run && self.sends <= self.runs_max,
             Event::Failed(_) => may_run && self.repeat == Repeat::Idempotent,
             Event::Broken(_) | Event::Silent(_) => may_run && self.open.len() < OPEN_MAX,
         }
--- a/crates/snipewinch/src/health.rs
+++ b/crates/snipewinch/src/health.rs
@@ -1,8 +1,8 @@
 //! Passive health checks of backend servers, from the outcomes of requests.
 //!
 //! An active health check can pass while requests fail, so only requests count.
-//! After several consecutive failures a backend server is ejected for a while;
-//! then single requests probe it, and one success readmits it.
+//! After several consecutive failures, or one refused connection, a backend
+//! server is ejected for a while; then single requests probe it, and one success readmits it.
 
 use std::time::Duration;
 
@@ -43,6 +43,8 @@
     Answered,
     /// Without a connection or an answer, or with one that was cut off.
     Failed,
+    /// The connection was refused: no process listens at the address.
+    Refused,
 }
 
 /// The health of one backend server.
@@ -82,8 +84,11 @@
                 *self = Health::default();
                 false
             }
-            Outcome::Failed => {
-                self.failures += 1;
+            Outcome::Failed | Outcome::Refused => {
+                self.failures += match outcome {
+                    Outcome::Refused => FAILURES_TO_EJECT,
+                    Outcome::Answered | Outcome::Failed => 1,
+                };
                 self.probe_sent = None;
                 let ejected = self.ejected_until.is_some() || self.failures >= FAILURES_TO_EJECT;
                 if ejected {
--- a/crates/snipewinch/tests/health.rs
+++ b/crates/snipewinch/tests/health.rs
@@ -70,3 +70,13 @@
     assert_eq!(stall_timeout(Duration::ZERO), Duration::from_millis(1_500));
     assert!(stall_timeout(Duration::from_millis(50)) >= Duration::from_millis(750));
 }
+
+#[test]
+fn a_server_that_refuses_connections_gets_no_further_requests_at_once() {
+    let mut health = Health::default();
+    assert!(health.record_outcome(Duration::from_secs(1), Outcome::Refused));
+    assert!(!health.admits(Duration::from_millis(1_500)));
+    assert!(health.admits(Duration::from_millis(2_100)));
+    health.record_outcome(Duration::from_millis(2_100), Outcome::Answered);
+    assert!(health.admits(Duration::from_millis(2_200)));
+}
