Move the relaying of answers out of the entry's call loop

What is sent to the caller, and how a request ends without an answer, is in relay.rs now; call.rs starts, watches and ends attempts. Nothing else changes.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -61,6 +61,7 @@
 mod exchange;
 mod pool;
 mod quarantine;
+mod relay;
 
 use answer::Reason;
 use call::Call;
