Clear the parts of prompts whose plain answers come through

Only streams cleared the parts of their prompts. A service that answers without events could have had a sound shared part blocked by three unrelated ends. The new test of tests/crash.rs failed before (422) and passes.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -290,7 +290,7 @@
                 record_broken(entry, call, progress, index, &pool::Error::PartialEvent)
             }
             Wakeup::Output(index, Ok(Output::Complete(body))) => {
-                match complete(entry, progress, index, body) {
+                match complete(entry, call, progress, index, body) {
                     Ok((head, body)) => {
                         return relay::send_answer(entry, call, progress, &head, body, out).await;
                     }
@@ -644,6 +644,7 @@
 /// is a success, and otherwise what to do next.
 fn complete(
     entry: &Entry,
+    call: &Call,
     progress: &mut Progress,
     index: usize,
     body: Bytes,
@@ -661,6 +662,9 @@
         true => {
             progress.open.clear();
             entry.metrics.attempts.with_label_values(&["success"]).inc();
+            entry
+                .quarantine
+                .record_progress(entry.clock.now(), &call.keys);
             Ok((head, body))
         }
         false => {
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -252,9 +252,13 @@
 
 /// Sends a request with a prompt to an entry.
 async fn ask(callers: SocketAddr, prompt: &str) -> Answer {
+    ask_path(callers, "POST", "/draft/", prompt).await
+}
+
+async fn ask_path(callers: SocketAddr, method: &str, path: &str, prompt: &str) -> Answer {
     let fields = format!("X-Prefix-Hash: {prompt}\r\n");
     let id = prompt.replace([',', ':'], "-");
-    let text = request("POST", "/draft/", &fields, "x");
+    let text = request(method, path, &fields, "x");
     let text = text.replacen(
         "X-Attempt-Id: a1\r\n",
         &format!("X-Attempt-Id: {id}\r\n"),
@@ -438,3 +442,20 @@
         }
     }
 }
+
+#[tokio::test]
+async fn a_first_part_whose_plain_answers_come_through_is_not_blocked() {
+    let fleet = Fleet::start(8, 1, Reaction::End, DOWNTIME).await;
+    let callers = fleet.callers()[0];
+    for index in 0..6 {
+        let sound = format!("f000:900,{}", last_part(2 * index + 1));
+        let plain = ask_path(callers, "GET", "/read/", &sound).await;
+        assert!(plain.is_complete_stream(), "{plain:?}");
+        let suspect = format!("f000:900,{PART}:120,{}", last_part(2 * index));
+        let _ = ask(callers, &suspect).await;
+        sleep(INTERVAL).await;
+    }
+    fleet.wait_up().await;
+    let answer = ask(callers, &format!("f000:900,{}", last_part(99))).await;
+    assert!(answer.is_complete_stream(), "{answer:?}");
+}
