--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -204,11 +204,13 @@
     fn assert_answered_after(&self, due: Instant, answers: &[Answer]) {
         let late = || answers.iter().filter(|answer| answer.sent > due);
         let complete = late().filter(|answer| answer.is_complete_stream()).count();
+        let missing = late().filter(|answer| !answer.is_complete_stream());
+        let statuses: Vec<u16> = missing.map(|answer| status(&answer.text)).collect();
         let (late, ends) = (late().count(), self.ends().len());
         assert!(late >= 40, "the traffic ended too early");
         assert!(
             complete * 10 >= late * 9,
-            "{complete} of {late} sound requests were answered, {ends} servers ended"
+            "{complete} of {late} sound requests were answered, {ends} servers ended, others got {statuses:?}"
         );
     }
 
