Count no end against a key from before it came through

Once a key was cleared, the ends that spoke against it counted again as soon as its clearance expired. Callers whose requests had a sound but rare part were refused with 422 after a quiet minute, for up to 20 minutes, and a key that was ever blocked was blocked again by one end of any server.

Ends that an entry learns of until the clearance of a key expires no longer count, and work that comes through also withdraws that the key was blocked.

--- a/crates/snipewinch/src/quarantine.rs
+++ b/crates/snipewinch/src/quarantine.rs
@@ -128,6 +128,16 @@
     ends: Vec<(Server, Duration)>,
     /// Whether it was blocked before; one more end then blocks it again.
     is_known: bool,
+    /// Until when ends do not count, as work with it came through.
+    cleared_until: Duration,
+}
+
+impl Suspect {
+    /// How many ends count that are younger than `age_max`.
+    fn ends(&self, now: Duration, age_max: Duration) -> usize {
+        let counting = self.ends.iter().filter(|(_, at)| *at >= self.cleared_until);
+        counting.filter(|(_, at)| now < *at + age_max).count()
+    }
 }
 
 /// An end that may still turn out to be one of several at the same moment.
@@ -168,7 +178,7 @@
     /// Records that work with `keys` has come through.
     pub fn record_progress(&mut self, now: Duration, keys: &[Key]) {
         for key in keys {
-            self.cleared.insert(*key, now);
+            self.clear(now, *key);
             if self.suspects.contains_key(key) && !self.is_cleared_by_others(*key) {
                 self.publish_cleared(now, *key);
             }
@@ -216,7 +226,7 @@
         }
         let news = evidence.cleared.iter();
         for key in news.filter(|key| !before.cleared.contains(key)) {
-            self.cleared.insert(*key, now);
+            self.clear(now, *key);
         }
         self.contradict(now, &evidence);
     }
@@ -292,6 +302,16 @@
         (last + COMMON_CAUSE_WINDOW < now).then_some(count)
     }
 
+    /// Has no end count against a key that was learned of until its clearance
+    /// expires.
+    fn clear(&mut self, now: Duration, key: Key) {
+        self.cleared.insert(key, now);
+        if let Some(suspect) = self.suspects.get_mut(&key) {
+            suspect.cleared_until = now + CLEARED_TIME;
+            suspect.is_known = false;
+        }
+    }
+
     fn is_cleared(&self, now: Duration, key: Key) -> bool {
         let at = self.cleared.get(&key);
         at.is_some_and(|at| now < *at + CLEARED_TIME)
@@ -301,10 +321,7 @@
     fn ends(&self, now: Duration, key: Key) -> usize {
         let suspect = self.suspects.get(&key);
         let expiry = self.expiry(key);
-        suspect.map_or(0, |suspect| {
-            let ends = suspect.ends.iter();
-            ends.filter(|(_, at)| now < *at + expiry).count()
-        })
+        suspect.map_or(0, |suspect| suspect.ends(now, expiry))
     }
 
     fn pending_ends(&self, key: Key) -> usize {
@@ -356,7 +373,11 @@
             if !self.suspects.contains_key(key) && self.suspects.len() >= SUSPECTS_MAX {
                 self.forget_weakest_suspect();
             }
-            let suspect = self.suspects.entry(*key).or_default();
+            let cleared_until = self.cleared.get(key).map(|at| *at + CLEARED_TIME);
+            let suspect = self.suspects.entry(*key).or_insert_with(|| Suspect {
+                cleared_until: cleared_until.unwrap_or_default(),
+                ..Suspect::default()
+            });
             let is_counted = suspect.ends.iter().any(|(server, _)| *server == end.server);
             if is_counted {
                 continue;
@@ -365,7 +386,7 @@
                 suspect.ends.remove(0);
             }
             suspect.ends.push((end.server, now));
-            suspect.is_known |= suspect.ends.len() >= ENDS_TO_BLOCK;
+            suspect.is_known |= suspect.ends(now, END_AGE_MAX * 2) >= ENDS_TO_BLOCK;
         }
     }
 
--- a/crates/snipewinch/tests/quarantine.rs
+++ b/crates/snipewinch/tests/quarantine.rs
@@ -68,6 +68,35 @@
     }
 }
 
+#[test]
+fn ends_before_a_key_came_through_do_not_block_it_after_a_quiet_minute() {
+    let shared = [key("shared")];
+    let mut ledger = Ledger::open(1);
+    end_servers(&mut ledger, ms(100), ms(200), 3, &shared);
+    ledger.record_progress(ms(900), &shared);
+    let quiet = Duration::from_secs(62);
+    ledger.settle(quiet);
+    assert_eq!(ledger.verdict(quiet, &shared), Verdict::Clear);
+    ledger.record_end(quiet, Server::of("another"), &shared);
+    ledger.settle(quiet + ms(15));
+    assert_eq!(ledger.verdict(quiet + ms(15), &shared), Verdict::Clear);
+}
+
+#[test]
+fn ends_elsewhere_while_a_key_comes_through_do_not_block_it_after_a_quiet_minute() {
+    let shared = [key("shared")];
+    let (mut first, mut second) = (Ledger::open(1), Ledger::open(2));
+    second.record_progress(ms(50), &shared);
+    end_servers(&mut first, ms(100), ms(200), 3, &shared);
+    second.merge(ms(900), "first", first.take_evidence().expect("news"));
+    first.merge(ms(950), "second", second.take_evidence().expect("news"));
+    let quiet = Duration::from_secs(62);
+    for ledger in [&mut first, &mut second] {
+        ledger.settle(quiet);
+        assert_eq!(ledger.verdict(quiet, &shared), Verdict::Clear);
+    }
+}
+
 #[test]
 fn an_entry_that_knows_better_clears_a_key_for_all() {
     let (mut first, mut second) = (Ledger::open(1), Ledger::open(2));
