Publish the keys of a late report of an end

Requests of one server notice its end some milliseconds apart. Once the first report was settled, the keys of later ones stayed with the entry that saw them, so that the others took more ends than needed to block a part.

Later keys now join the published end, up to the same bound.

--- a/crates/snipewinch/src/quarantine.rs
+++ b/crates/snipewinch/src/quarantine.rs
@@ -356,7 +356,16 @@
     }
 
     fn publish_end(&mut self, now: Duration, end: End) {
-        if self.own.ends.iter().any(|one| one.server == end.server) {
+        let mut published = self.own.ends.iter_mut();
+        if let Some(one) = published.find(|one| one.server == end.server) {
+            let before = one.keys.len();
+            let news = end.keys.iter().filter(|key| !one.keys.contains(key));
+            let news: Vec<Key> = news
+                .take(KEYS_PER_END_MAX.saturating_sub(before))
+                .copied()
+                .collect();
+            one.keys.extend(news);
+            self.is_changed |= one.keys.len() > before;
             return;
         }
         if self.own.ends.len() >= PUBLISHED_ENDS_MAX {
--- a/crates/snipewinch/tests/quarantine.rs
+++ b/crates/snipewinch/tests/quarantine.rs
@@ -131,6 +131,22 @@
     assert_eq!(second.verdict(ms(1_000), &[bad]), Verdict::Blocked(bad));
 }
 
+#[test]
+fn a_late_report_of_an_end_reaches_the_others_with_its_keys() {
+    let (first_key, bad) = (key("first"), key("bad"));
+    let (mut first, mut second) = (Ledger::open(1), Ledger::open(2));
+    for number in 0..3_u32 {
+        let now = ms(100) + ms(200) * number;
+        let server = Server::of(&format!("server-{number}"));
+        for (delay, key) in [(ms(0), first_key), (ms(20), bad)] {
+            first.record_end(now + delay, server, &[key]);
+            first.settle(now + delay + ms(15));
+        }
+    }
+    second.merge(ms(900), "first", first.take_evidence().expect("news"));
+    assert_eq!(second.verdict(ms(1_000), &[bad]), Verdict::Blocked(bad));
+}
+
 #[test]
 fn one_end_counts_once_whoever_reports_it_and_however_often() {
     let mut ledger = Ledger::open(1);
