Ignore rows of evidence that no running entry keeps

The row of a host that is gone for good stays in the store. Each entry that started, or read the whole table again, counted the ends in it as new ones, and refused requests with the part for 10 to 20 minutes more each time.

Rows carry the time at which they were written, and count for 20 minutes: a running entry replaces its row before. A row without a time counts.

--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use platform::follow;
 use platform::follow::Change;
@@ -16,6 +18,8 @@
 use platform::rows::Row;
 use platform::rows::Store;
 use rand::RngExt;
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 use snipewinch::quarantine::Evidence;
 use snipewinch::quarantine::Key;
@@ -57,6 +61,20 @@
 /// ended at the same moment.
 const SETTLE_DELAY: Duration = Duration::from_millis(15);
 
+/// The age at which a row no longer counts. A running entry replaces its row
+/// before, so an older one is of a host that is gone or was away.
+const ROW_AGE_MAX: Duration = Duration::from_secs(1_200);
+
+/// A row of the table.
+#[derive(Debug, Deserialize, Serialize)]
+struct Publication {
+    /// When it was written.
+    #[serde(rename = "t", default = "seconds_since_epoch")]
+    written_s: u64,
+    #[serde(flatten)]
+    evidence: Evidence,
+}
+
 /// Whether a backend server had ended when it was probed.
 #[derive(Clone, Copy, Debug)]
 struct Probe {
@@ -156,14 +174,24 @@
 }
 
 fn decode_row(row: &Row) -> Option<Evidence> {
-    let decoded = serde_json::from_slice(row.value.as_deref()?);
+    let decoded = serde_json::from_slice::<Publication>(row.value.as_deref()?);
     if let Err(error) = &decoded {
         log::warn!(
             "E7124 row {:?} of table {TABLE:?} is not valid evidence: {error}",
             row.key
         );
     }
-    decoded.ok()
+    let publication = decoded.ok()?;
+    let age_s = seconds_since_epoch().saturating_sub(publication.written_s);
+    match age_s < ROW_AGE_MAX.as_secs() {
+        true => Some(publication.evidence),
+        false => Some(Evidence::default()),
+    }
+}
+
+fn seconds_since_epoch() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.unwrap_or_default().as_secs()
 }
 
 /// The keys of a request: the parts of its prompt that others may share.
@@ -254,7 +282,11 @@
         let Some(evidence) = evidence else {
             continue;
         };
-        let value = serde_json::to_vec(&evidence).expect("evidence is serializable");
+        let publication = Publication {
+            written_s: seconds_since_epoch(),
+            evidence,
+        };
+        let value = serde_json::to_vec(&publication).expect("evidence is serializable");
         let delay = match store.put(TABLE, &host, &value).await {
             Ok(()) => PUBLISH_INTERVAL,
             Err(error) => {
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -4,8 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use serde_json::Value;
+use serde_json::json;
+use snipewinch::quarantine::Key;
 use standin::store::Store;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -461,3 +465,19 @@
     let answer = ask(callers, &format!("f000:900,{}", last_part(99))).await;
     assert!(answer.is_complete_stream(), "{answer:?}");
 }
+
+#[tokio::test]
+async fn a_part_is_not_blocked_by_the_old_row_of_a_host_that_is_gone() {
+    let mut fleet = Fleet::start(3, 0, Reaction::Answer, DOWNTIME).await;
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    for (age, expected) in [(Duration::ZERO, 422), (Duration::from_secs(86_400), 200)] {
+        let key = Key::of("desk", PART);
+        let ends = [1, 2, 3].map(|server| json!({"s": server, "k": [key]}));
+        let row = json!({"t": (since_epoch - age).as_secs(), "e": ends, "c": []});
+        fleet.store.put("snipewinch-quarantine", "gone", &row);
+        let callers = fleet.add_entry().await;
+        sleep(STABLE_WINDOW).await;
+        let answer = ask(callers, &suspect_prompt(0)).await;
+        assert_eq!(status(&answer.text), expected, "{age:?}: {answer:?}");
+    }
+}
