Do not block a part of prompts whose ends another part explains

Now a key whose ends all count against another key too is not held against work without that one. Such work is sent, and clears the key if it comes through; if a server ends under it, that end is not explained and the key is blocked.

--- a/crates/snipewinch/src/quarantine.rs
+++ b/crates/snipewinch/src/quarantine.rs
@@ -8,7 +8,7 @@
 //! 1943): when a server ends, each key of the work that it had just begun is
 //! under suspicion, and work that comes through clears its keys. A key is
 //! blocked once several servers have ended under it while none of its work has
-//! come through anywhere.
+//! come through anywhere, unless another key explains all of these ends.
 //!
 //! Every entry keeps a [`Ledger`] and publishes its [`Evidence`], which the
 //! others merge. Merging is idempotent and needs no order, and a verdict is
@@ -38,7 +38,7 @@
 /// a power failure, which says nothing about keys.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(10);
 /// The most ends that are kept for a key.
-const ENDS_PER_KEY_MAX: usize = 8;
+const ENDS_PER_KEY_MAX: usize = 32;
 /// The most keys under suspicion.
 const SUSPECTS_MAX: usize = 1_024;
 /// The most cleared keys that are remembered.
@@ -133,10 +133,21 @@
 }
 
 impl Suspect {
+    /// The ends that count and are younger than `age_max`.
+    fn counting(&self, now: Duration, age_max: Duration) -> impl Iterator<Item = Server> {
+        let counting = self.ends.iter().filter(|(_, at)| *at >= self.cleared_until);
+        counting
+            .filter(move |(_, at)| now < *at + age_max)
+            .map(|(server, _)| *server)
+    }
+
     /// How many ends count that are younger than `age_max`.
     fn ends(&self, now: Duration, age_max: Duration) -> usize {
-        let counting = self.ends.iter().filter(|(_, at)| *at >= self.cleared_until);
-        counting.filter(|(_, at)| now < *at + age_max).count()
+        self.counting(now, age_max).count()
+    }
+
+    fn has_end(&self, server: Server) -> bool {
+        self.ends.iter().any(|(found, _)| *found == server)
     }
 }
 
@@ -248,6 +259,8 @@
         }
         for key in keys.iter().filter(|key| !self.is_cleared(now, **key)) {
             match self.ends(now, *key) {
+                0 if self.pending.is_empty() => {}
+                _ if self.is_explained(now, *key, keys) => {}
                 ends if self.blocks(*key, ends) => return Verdict::Blocked(*key),
                 ends if ends + self.pending_ends(*key) >= ENDS_TO_SUSPECT => {
                     suspect = Verdict::Suspect(*key);
@@ -267,6 +280,7 @@
         });
         counted
             .filter(|one| self.blocks(one.key, one.ends) && !self.is_cleared(now, one.key))
+            .filter(|one| !self.is_explained(now, one.key, &[one.key]))
             .collect()
     }
 
@@ -324,6 +338,23 @@
         suspect.map_or(0, |suspect| suspect.ends(now, expiry))
     }
 
+    /// Whether all ends under a key are also ends under one key that is not
+    /// among `keys`. Work without that one may then be sound: it is sent, and
+    /// clears the key if it comes through.
+    fn is_explained(&self, now: Duration, key: Key, keys: &[Key]) -> bool {
+        let Some(suspect) = self.suspects.get(&key) else {
+            return false;
+        };
+        let expiry = self.expiry(key);
+        let ends: Vec<Server> = suspect.counting(now, expiry).collect();
+        let mut others = self.suspects.iter();
+        !ends.is_empty()
+            && others.any(|(other, one)| {
+                let covers = ends.iter().all(|end| one.has_end(*end));
+                covers && !keys.contains(other) && !self.is_cleared(now, *other)
+            })
+    }
+
     fn pending_ends(&self, key: Key) -> usize {
         let pending = self.pending.iter();
         pending.filter(|one| one.end.keys.contains(&key)).count()
