Find a key that hides among many which change each time

An end was recorded with the 16 keys that sort first. A caller whose requests carried hundreds of fresh parts beside one that ends servers could end servers without limit: the part was never recorded if others sorted before it.

An entry now suspects up to 256 keys of an end that it saw, and publishes the 16 under which most servers ended. What others publish stays bound to 16.

--- a/crates/snipewinch/src/quarantine.rs
+++ b/crates/snipewinch/src/quarantine.rs
@@ -14,6 +14,7 @@
 //! others merge. Merging is idempotent and needs no order, and a verdict is
 //! revised as soon as a key is cleared.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::fmt;
@@ -45,6 +46,8 @@
 const CLEARED_MAX: usize = 4_096;
 /// The most keys of one end that are published.
 const KEYS_PER_END_MAX: usize = 16;
+/// The most keys of one end that the entry which saw it suspects.
+const KEYS_PER_OWN_END_MAX: usize = 256;
 /// The most ends that one entry publishes.
 const PUBLISHED_ENDS_MAX: usize = 16;
 /// The most cleared keys that one entry publishes.
@@ -233,7 +236,7 @@
             .insert(publisher.into(), evidence.clone())
             .unwrap_or_default();
         for end in &evidence.ends {
-            self.suspect(now, end);
+            self.suspect(now, end.server, published_keys(end));
         }
         let news = evidence.cleared.iter();
         for key in news.filter(|key| !before.cleared.contains(key)) {
@@ -246,7 +249,7 @@
     /// restarted, or before the store lost it.
     pub fn restore(&mut self, now: Duration, evidence: Evidence) {
         for end in evidence.ends {
-            self.suspect(now, &end);
+            self.suspect(now, end.server, published_keys(&end));
             self.publish_end(now, end);
         }
     }
@@ -371,7 +374,8 @@
         END_AGE_MAX.mul_f64(1.0 + draw)
     }
 
-    /// Counts an end that this entry saw, and publishes it.
+    /// Counts an end that this entry saw, and publishes it with the keys under
+    /// which most servers ended.
     fn take_over(&mut self, now: Duration, mut end: End) {
         end.keys.retain(|key| {
             let cleared = self.cleared.get(key);
@@ -379,9 +383,11 @@
         });
         end.keys.sort_unstable();
         end.keys.dedup();
-        end.keys.truncate(KEYS_PER_END_MAX);
+        end.keys.sort_by_key(|key| Reverse(self.ends(now, *key)));
+        end.keys.truncate(KEYS_PER_OWN_END_MAX);
         if !end.keys.is_empty() {
-            self.suspect(now, &end);
+            self.suspect(now, end.server, &end.keys);
+            end.keys.truncate(KEYS_PER_END_MAX);
             self.publish_end(now, end);
         }
     }
@@ -408,8 +414,8 @@
         self.is_changed = true;
     }
 
-    fn suspect(&mut self, now: Duration, end: &End) {
-        for key in end.keys.iter().take(KEYS_PER_END_MAX) {
+    fn suspect(&mut self, now: Duration, ended: Server, keys: &[Key]) {
+        for key in keys {
             if !self.suspects.contains_key(key) && self.suspects.len() >= SUSPECTS_MAX {
                 self.forget_weakest_suspect();
             }
@@ -418,14 +424,14 @@
                 cleared_until: cleared_until.unwrap_or_default(),
                 ..Suspect::default()
             });
-            let is_counted = suspect.ends.iter().any(|(server, _)| *server == end.server);
+            let is_counted = suspect.ends.iter().any(|(server, _)| *server == ended);
             if is_counted {
                 continue;
             }
             if suspect.ends.len() >= ENDS_PER_KEY_MAX {
                 suspect.ends.remove(0);
             }
-            suspect.ends.push((end.server, now));
+            suspect.ends.push((ended, now));
             suspect.is_known |= suspect.ends(now, END_AGE_MAX * 2) >= ENDS_TO_BLOCK;
         }
     }
@@ -506,3 +512,8 @@
         self.cleared.retain(|_, at| *at > limit);
     }
 }
+
+/// The keys of an end that another process published, within their bound.
+fn published_keys(end: &End) -> &[Key] {
+    &end.keys[..end.keys.len().min(KEYS_PER_END_MAX)]
+}
--- a/crates/snipewinch/tests/quarantine.rs
+++ b/crates/snipewinch/tests/quarantine.rs
@@ -288,6 +288,27 @@
     assert!(bytes.len() < 8 << 10, "{} bytes", bytes.len());
 }
 
+#[test]
+fn a_key_does_not_hide_among_many_that_change_each_time() {
+    for id in 0..20_u32 {
+        let bad = key(&format!("bad-{id}"));
+        let mut ledger = Ledger::open(1);
+        for number in 0..4_u32 {
+            let mut keys: Vec<Key> = (0..200)
+                .map(|part| key(&format!("{id}-{number}-{part}")))
+                .collect();
+            keys.push(bad);
+            let now = ms(100) + ms(200) * number;
+            ledger.record_end(now, Server::of(&format!("server-{number}")), &keys);
+            ledger.settle(now + ms(15));
+        }
+        assert_eq!(ledger.verdict(ms(1_000), &[bad]), Verdict::Blocked(bad));
+        let evidence = ledger.take_evidence().expect("news");
+        let published = evidence.ends.iter().filter(|end| end.keys.contains(&bad));
+        assert!(published.count() >= 2, "{id}");
+    }
+}
+
 #[test]
 fn a_verdict_goes_before_others_among_many_keys() {
     let mut ledger = Ledger::open(1);
