Tell a shared part from a bad one though reports of ends are late

Sound requests of one entry got 422: a server had ended under one of them and, by another entry's report that was still on its way or dropped, under the bad part, so that not all ends were explained. And a request that had ended two servers went to a third: the server's listening socket closed a moment after its connections, and the probe found it open.

--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -55,6 +55,8 @@
 /// How long a connection may take to open that finds out whether a backend
 /// server has ended.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
+/// The pause before a backend server that accepts a connection is probed again.
+const PROBE_INTERVAL: Duration = Duration::from_millis(10);
 /// How long its result is used for other requests of the same backend server.
 const PROBE_AGE_MAX: Duration = Duration::from_millis(400);
 /// How long after the end of a backend server it is settled whether others
@@ -246,17 +248,26 @@
     if let Some(probe) = probed.filter(|probe| probe.at + PROBE_AGE_MAX > now) {
         return probe.has_ended;
     }
-    let opened = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-    let has_ended = matches!(
-        opened,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused
-    );
+    let mut has_ended = is_refused(address).await;
+    if !has_ended {
+        // The connections of a process may be closed before its listening socket.
+        sleep(PROBE_INTERVAL).await;
+        has_ended = is_refused(address).await;
+    }
     let probe = Probe { at: now, has_ended };
     let mut probes = entry.quarantine.probes.borrow_mut();
     probes.insert(server.into(), probe);
     has_ended
 }
 
+async fn is_refused(address: SocketAddr) -> bool {
+    let opened = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(
+        opened,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused
+    )
+}
+
 /// Follows the evidence of other entries and publishes that of this one.
 pub(crate) async fn run(entry: Rc<Entry>, store: Store, host: SmolStr) {
     let policy = PollPolicy {
--- a/crates/snipewinch/src/quarantine.rs
+++ b/crates/snipewinch/src/quarantine.rs
@@ -8,7 +8,7 @@
 //! 1943): when a server ends, each key of the work that it had just begun is
 //! under suspicion, and work that comes through clears its keys. A key is
 //! blocked once several servers have ended under it while none of its work has
-//! come through anywhere, unless another key explains all of these ends.
+//! come through anywhere, unless another key explains these ends.
 //!
 //! Every entry keeps a [`Ledger`] and publishes its [`Evidence`], which the
 //! others merge. Merging is idempotent and needs no order, and a verdict is
@@ -30,6 +30,9 @@
 const ENDS_TO_BLOCK: usize = 3;
 /// The ends of servers after which work is not sent to a further server.
 const ENDS_TO_SUSPECT: usize = 2;
+/// The fraction of the ends under a key that another key must share to explain
+/// them. The other key lacks ends whose report is late or was dropped.
+const EXPLAINED_FRACTION: f64 = 2.0 / 3.0;
 /// How long work that came through clears its keys.
 const CLEARED_TIME: Duration = Duration::from_secs(60);
 /// How long the end of a server counts against a key. A blocked key is then
@@ -341,8 +344,8 @@
         suspect.map_or(0, |suspect| suspect.ends(now, expiry))
     }
 
-    /// Whether all ends under a key are also ends under one key that is not
-    /// among `keys`. Work without that one may then be sound: it is sent, and
+    /// Whether most ends under a key are also ends under one key that is not
+    /// among `keys` and has as many. Work without that one may then be sound: it is sent, and
     /// clears the key if it comes through.
     fn is_explained(&self, now: Duration, key: Key, keys: &[Key]) -> bool {
         let Some(suspect) = self.suspects.get(&key) else {
@@ -353,8 +356,10 @@
         let mut others = self.suspects.iter();
         !ends.is_empty()
             && others.any(|(other, one)| {
-                let covers = ends.iter().all(|end| one.has_end(*end));
-                covers && !keys.contains(other) && !self.is_cleared(now, *other)
+                let covered = ends.iter().filter(|end| one.has_end(**end)).count();
+                let covers = covered as f64 >= ends.len() as f64 * EXPLAINED_FRACTION;
+                let is_stronger = one.ends(now, self.expiry(*other)) >= ends.len();
+                covers && is_stronger && !keys.contains(other) && !self.is_cleared(now, *other)
             })
     }
 
