Record how old what an entry knows of the store's tables is

A request was sent by a list that was 12 s old, and no line and no metric told so: a poll that is never answered looks like one that has nothing to tell. The metric snipewinch_table_age_seconds and the events E7013 and E7014 tell the age, which sets a silent poll apart from a change that is dropped, and a slow read from a late one. What an entry does is unchanged.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -17,6 +17,7 @@
 use platform::engine::Engine;
 use platform::follow;
 use platform::follow::Change;
+use platform::follow::Control;
 use platform::follow::PollPolicy;
 use platform::follow::Urgency;
 use platform::http::Transport;
@@ -427,9 +428,12 @@
 }
 
 async fn follow_listing(agent: Rc<Agent>, store: Store) {
-    let urgency = agent.urgency.clone();
+    let control = Control {
+        urgency: agent.urgency.clone(),
+        ..Control::default()
+    };
     let (mut changes, _task) =
-        follow::spawn_with_urgency(store, listing::TABLE, LISTING_POLL_POLICY, urgency);
+        follow::spawn_with(store, listing::TABLE, LISTING_POLL_POLICY, control);
     while let Some(change) = changes.recv().await {
         let now = agent.clock.now();
         let mut updates = agent.listing.borrow_mut().apply(now, change);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -12,6 +12,8 @@
 use peer::datagram::Socket;
 use platform::boot::Bounds;
 use platform::follow;
+use platform::follow::Control;
+use platform::follow::Freshness;
 use platform::follow::PollPolicy;
 use platform::http::Transport;
 use platform::listing;
@@ -99,6 +101,9 @@
 /// The retry delay for a caller whose request arrived before the first
 /// configuration.
 const RETRY_AFTER_STARTING: Duration = Duration::from_millis(300);
+/// The age of a table from which on it counts as outdated, in multiples of the
+/// time within which its changes must take effect.
+const OUTDATED_BOUNDS: u32 = 2;
 /// The pause after an error of the listening socket or the agents' socket.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(20);
 
@@ -117,6 +122,16 @@
     /// Whether a configuration and the list of backend servers are known.
     started: watch::Sender<bool>,
     in_flight: Rc<Cell<usize>>,
+    tables: Tables,
+}
+
+/// How old what an entry knows of the store's tables is.
+#[derive(Default)]
+struct Tables {
+    operator: Freshness,
+    listing: Freshness,
+    /// Whether the age of each was over its bound at the last check.
+    outdated: Cell<[bool; 2]>,
 }
 
 /// Counts a request as in flight until it is dropped.
@@ -288,6 +303,40 @@
         }
     }
 
+    /// Records how old the configuration and the list are, and says so when one
+    /// is older than its bound allows.
+    fn check_tables(&self) {
+        let bounds = self.bounds.get();
+        let tables = [
+            (
+                platform::operator::TABLE,
+                &self.tables.operator,
+                bounds.configuration_apply,
+            ),
+            (listing::TABLE, &self.tables.listing, bounds.drain),
+        ];
+        let before = self.tables.outdated.get();
+        let mut outdated = [false; 2];
+        for (index, (table, freshness, bound)) in tables.into_iter().enumerate() {
+            let age = freshness.age();
+            self.metrics
+                .table_age
+                .with_label_values(&[table])
+                .set(age.as_secs_f64());
+            outdated[index] = age > bound * OUTDATED_BOUNDS;
+            if outdated[index] && !before[index] {
+                log::warn!(
+                    "E7013 table {table} was last confirmed {} ms ago; requests are handled by what was known then",
+                    age.as_millis()
+                );
+            }
+            if before[index] && !outdated[index] {
+                log::info!("E7014 table {table} is confirmed again");
+            }
+        }
+        self.tables.outdated.set(outdated);
+    }
+
     fn is_ready(&self) -> bool {
         *self.started.borrow() && self.phase() == Phase::Running
     }
@@ -319,6 +368,7 @@
         phase: watch::Sender::new(Phase::Running),
         started: watch::Sender::new(false),
         in_flight: Rc::default(),
+        tables: Tables::default(),
     });
     let shared = entry.clone();
     let page = move |path: &str| match path {
@@ -408,7 +458,12 @@
         relaxed_interval: None,
         settle_time: Duration::ZERO,
     };
-    let (mut changes, _task) = follow::spawn(store, platform::operator::TABLE, policy);
+    let control = Control {
+        freshness: entry.tables.operator.clone(),
+        ..Control::default()
+    };
+    let (mut changes, _task) =
+        follow::spawn_with(store, platform::operator::TABLE, policy, control);
     while let Some(change) = changes.recv().await {
         let now = entry.clock.now();
         if entry.operator.borrow_mut().apply(now, change) {
@@ -427,7 +482,11 @@
         relaxed_interval: None,
         settle_time: Duration::ZERO,
     };
-    let (mut changes, _task) = follow::spawn(store, listing::TABLE, policy);
+    let control = Control {
+        freshness: entry.tables.listing.clone(),
+        ..Control::default()
+    };
+    let (mut changes, _task) = follow::spawn_with(store, listing::TABLE, policy, control);
     while let Some(change) = changes.recv().await {
         let now = entry.clock.now();
         let updates = entry.listing.borrow_mut().apply(now, change);
@@ -483,6 +542,7 @@
             entry.dispatcher.apply_updates(updates);
         }
         entry.update_versions();
+        entry.check_tables();
         entry.dispatcher.tick();
         entry.pool.sweep();
         let blocked = entry.quarantine.tick(entry.clock.now());
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the process, for Prometheus.
 
 use prometheus::Encoder;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::IntCounter;
@@ -75,6 +76,8 @@
     pub(crate) streams_resumed: IntCounter,
     /// Parts of prompts that are blocked.
     pub(crate) blocked_parts: IntGauge,
+    /// How old what is known of each followed table is, in seconds.
+    pub(crate) table_age: GaugeVec,
     /// Answers that this entry ended before they were complete, by cause.
     pub(crate) answers_cut: IntCounterVec,
     /// Callers that disconnected before their answer was complete.
@@ -123,7 +126,19 @@
         registry
             .register(Box::new(blocked_parts.clone()))
             .expect("each name is registered once");
+        let table_age = GaugeVec::new(
+            Opts::new(
+                "snipewinch_table_age_seconds",
+                "How long ago the store confirmed what is known of a table",
+            ),
+            &["table"],
+        );
+        let table_age = table_age.expect("the name is valid");
+        registry
+            .register(Box::new(table_age.clone()))
+            .expect("each name is registered once");
         EntryMetrics {
+            table_age,
             answers: counters("snipewinch_answers_total", "Answers to callers", "status"),
             refusals: counters(
                 "snipewinch_refusals_total",
