--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -13,8 +13,13 @@
 
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use futures_util::stream;
 use http::Method;
 use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::Value;
@@ -22,6 +27,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
 use crate::http::Handler;
@@ -29,6 +35,7 @@
 use crate::http::Reply;
 use crate::http::Request;
 use crate::http::Response;
+use crate::http::bytes;
 use crate::http::error;
 use crate::http::json;
 use crate::http::query_parameter;
@@ -39,6 +46,8 @@
 const WAIT_MAX_MS: u64 = 30_000;
 /// Largest number of rows in a page, and the default.
 const PAGE_MAX: usize = 500;
+/// The part of a response that occupies the link at a time.
+const SEGMENT_BYTES: usize = 1_460;
 
 type RowId = (String, String);
 
@@ -58,6 +67,13 @@
     down: bool,
     feed_stalled: bool,
     read_delay: Duration,
+    /// The rate of the link over which all responses with rows go, in bytes per
+    /// second; `None` if it has no limit.
+    link_bytes_per_s: Option<f64>,
+    /// When the link has sent what was given to it.
+    link_free: Option<Instant>,
+    /// The bytes of all responses with rows.
+    bytes_sent: usize,
 }
 
 /// A table store; clones share its rows.
@@ -152,6 +168,52 @@
         self.state.lock().read_delay = delay;
     }
 
+    /// Sends all responses with rows over one link of a rate, one segment after
+    /// the other.
+    pub fn set_link(&self, bytes_per_s: Option<f64>) {
+        self.state.lock().link_bytes_per_s = bytes_per_s;
+    }
+
+    /// The bytes of all responses with rows so far, also of those whose
+    /// connection was closed before their end.
+    pub fn bytes_sent(&self) -> usize {
+        self.state.lock().bytes_sent
+    }
+
+    /// Counts the bytes of a response with rows, and sends it over the link.
+    fn send_rows(&self, body: &Value) -> Response {
+        let body = Bytes::from(body.to_string());
+        let mut state = self.state.lock();
+        state.bytes_sent += body.len();
+        if state.link_bytes_per_s.is_none() {
+            return bytes(StatusCode::OK, body);
+        }
+        drop(state);
+        let store = self.clone();
+        let segments = stream::unfold(body, move |mut rest| {
+            let store = store.clone();
+            async move {
+                if rest.is_empty() {
+                    return None;
+                }
+                let segment = rest.split_to(rest.len().min(SEGMENT_BYTES));
+                sleep_until(store.reserve_link(segment.len())).await;
+                Some((Ok::<_, io::Error>(Frame::data(segment)), rest))
+            }
+        });
+        http::Response::new(StreamBody::new(segments).boxed_unsync())
+    }
+
+    /// Reserves the link for a segment, and returns when it has arrived.
+    fn reserve_link(&self, length: usize) -> Instant {
+        let mut state = self.state.lock();
+        let rate = state.link_bytes_per_s.unwrap_or(f64::INFINITY);
+        let free = state.link_free.unwrap_or_else(Instant::now);
+        let sent = free.max(Instant::now()) + Duration::from_secs_f64(length as f64 / rate);
+        state.link_free = Some(sent);
+        sent
+    }
+
     async fn dispatch(&self, request: Request) -> Result<Response, Refusal> {
         if self.state.lock().down {
             return Ok(error(StatusCode::SERVICE_UNAVAILABLE, "out of service"));
@@ -193,7 +255,8 @@
             false => state.read_delay,
         };
         let body = json!({"rows": rows, "hasMore": more, "ver": state.version, "nowMs": 0});
-        (json(StatusCode::OK, &body), delay)
+        drop(state);
+        (self.send_rows(&body), delay)
     }
 
     async fn feed(&self, request: &Request) -> Result<Response, Refusal> {
@@ -238,7 +301,8 @@
             .map(|(id, row)| row_json(id, row))
             .collect();
         let body = json!({"rows": rows, "ver": state.version, "nowMs": 0});
-        (timed_out || !rows.is_empty()).then(|| json(StatusCode::OK, &body))
+        drop(state);
+        (timed_out || !rows.is_empty()).then(|| self.send_rows(&body))
     }
 
     fn transact(&self, transaction: Transaction) -> Result<Response, Refusal> {
