Notice a poll of the store that is never answered within seconds

Requests reached a server 2.2 s and 2.4 s after it had said that it leaves. The polls of the list of all 15 entries had been lost 12 s before, and nothing told them: a poll was trusted for 21.5 s unless a request for another table failed.

The class of fault is silence taken for "nothing changed".

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -68,6 +68,7 @@
 /// How often the list of backend servers is read. An agent needs it only to
 /// find the other agents.
 const LISTING_POLL_POLICY: PollPolicy = PollPolicy {
+    wait_max: Duration::from_secs(4),
     interval_min: Duration::from_millis(2_000),
     bytes_per_s: 100_000.0,
     pause_max: Duration::from_secs(4),
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -76,6 +76,10 @@
 /// Heartbeats change the list all the time, so polls without a pause would
 /// return at once, and each costs a call to the store.
 const LISTING_INTERVAL_FRACTION: f64 = 0.45;
+/// How long the store may hold back the response to a poll, in multiples of the
+/// time within which a change of the table must take effect. A poll that is
+/// lost is missed for about that long.
+const POLL_WAIT_BOUNDS: f64 = 1.25;
 /// The maximum read rate of the list.
 const LISTING_BYTES_PER_S_MAX: f64 = 200_000.0;
 /// The minimum interval between two reads of the operators' table.
@@ -448,6 +452,11 @@
 
 async fn follow_operators(entry: Rc<Entry>, store: Store) {
     let policy = PollPolicy {
+        wait_max: entry
+            .bounds
+            .get()
+            .configuration_apply
+            .mul_f64(POLL_WAIT_BOUNDS),
         interval_min: OPERATOR_INTERVAL_MIN,
         bytes_per_s: OPERATOR_BYTES_PER_S_MAX,
         pause_max: entry
@@ -476,6 +485,7 @@
 async fn follow_listing(entry: Rc<Entry>, store: Store) {
     let interval_min = entry.bounds.get().drain.mul_f64(LISTING_INTERVAL_FRACTION);
     let policy = PollPolicy {
+        wait_max: entry.bounds.get().drain.mul_f64(POLL_WAIT_BOUNDS),
         interval_min,
         bytes_per_s: LISTING_BYTES_PER_S_MAX,
         pause_max: interval_min,
--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -48,6 +48,9 @@
 const PUBLISH_JITTER: std::ops::Range<f64> = 0.6..1.4;
 /// The shortest interval between two polls of the table.
 const POLL_INTERVAL_MIN: Duration = Duration::from_millis(150);
+/// How long the store may hold back the response to a poll. Evidence is needed
+/// soon only while backend servers end, which this entry then sees as well.
+const POLL_WAIT_MAX: Duration = Duration::from_secs(5);
 /// The maximum read rate of the table.
 const POLL_BYTES_PER_S_MAX: f64 = 60_000.0;
 /// The longest pause that this rate imposes before the next poll.
@@ -271,6 +274,7 @@
 /// Follows the evidence of other entries and publishes that of this one.
 pub(crate) async fn run(entry: Rc<Entry>, store: Store, host: SmolStr) {
     let policy = PollPolicy {
+        wait_max: POLL_WAIT_MAX,
         interval_min: POLL_INTERVAL_MIN,
         bytes_per_s: POLL_BYTES_PER_S_MAX,
         pause_max: POLL_PAUSE_MAX,
