Reproduce a long configuration that many hosts read over one thin link

A stand-in's store with a link of 24 Mbit/s and 16 hosts: a row of 4,449 routes takes 5.7 s to reach the last of them, the newest of a storm 6.4 s, and 10.6 s after the history was compacted; the bound is 3 s.

--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -39,6 +39,7 @@
 use crate::http::error;
 use crate::http::json;
 use crate::http::query_parameter;
+use crate::http::read_body;
 use crate::http::read_json;
 use crate::http::spawn;
 
@@ -47,7 +48,7 @@
 /// Largest number of rows in a page, and the default.
 const PAGE_MAX: usize = 500;
 /// The part of a response that occupies the link at a time.
-const SEGMENT_BYTES: usize = 1_460;
+const SEGMENT_BYTES: usize = 16 << 10;
 
 type RowId = (String, String);
 
@@ -67,12 +68,13 @@
     down: bool,
     feed_stalled: bool,
     read_delay: Duration,
-    /// The rate of the link over which all responses with rows go, in bytes per
+    /// The rate of the link over which all responses with rows and objects go, in bytes per
     /// second; `None` if it has no limit.
     link_bytes_per_s: Option<f64>,
+    objects: BTreeMap<String, Bytes>,
     /// When the link has sent what was given to it.
     link_free: Option<Instant>,
-    /// The bytes of all responses with rows.
+    /// The bytes of all responses with rows and objects.
     bytes_sent: usize,
 }
 
@@ -168,21 +170,25 @@
         self.state.lock().read_delay = delay;
     }
 
-    /// Sends all responses with rows over one link of a rate, one segment after
+    /// Sends all responses with rows and objects over one link of a rate, one segment after
     /// the other.
     pub fn set_link(&self, bytes_per_s: Option<f64>) {
         self.state.lock().link_bytes_per_s = bytes_per_s;
     }
 
-    /// The bytes of all responses with rows so far, also of those whose
+    /// The bytes of all responses with rows and objects so far, also of those whose
     /// connection was closed before their end.
     pub fn bytes_sent(&self) -> usize {
         self.state.lock().bytes_sent
     }
 
-    /// Counts the bytes of a response with rows, and sends it over the link.
-    fn send_rows(&self, body: &Value) -> Response {
-        let body = Bytes::from(body.to_string());
+    /// Deletes all objects.
+    pub fn drop_objects(&self) {
+        self.state.lock().objects.clear();
+    }
+
+    /// Counts the bytes of a response, and sends it over the link.
+    fn send(&self, body: Bytes) -> Response {
         let mut state = self.state.lock();
         state.bytes_sent += body.len();
         if state.link_bytes_per_s.is_none() {
@@ -222,10 +228,41 @@
             (&Method::GET, "/rows-get") => self.get(&request).await,
             (&Method::GET, "/rows-feed") => self.feed(&request).await,
             (&Method::POST, "/rows-tx") => self.transact(read_json(request).await?),
+            (method, path) if path.starts_with("/blob-") => {
+                let (method, path) = (method.clone(), path.to_owned());
+                let body = read_body(request).await?;
+                Ok(self.object(&method, &path, body))
+            }
             _ => Ok(error(StatusCode::NOT_FOUND, "no such call")),
         }
     }
 
+    fn object(&self, method: &Method, path: &str, body: Bytes) -> Response {
+        let mut state = self.state.lock();
+        let id = path.split('/').next_back().unwrap_or_default().to_owned();
+        match (method, path.split('/').nth(1)) {
+            (&Method::PUT, Some("blob-put")) if state.objects.contains_key(&id) => {
+                error(StatusCode::PRECONDITION_FAILED, "the object exists")
+            }
+            (&Method::PUT, Some("blob-put")) => {
+                state.objects.insert(id, body);
+                json(StatusCode::OK, &json!({}))
+            }
+            (&Method::GET, Some("blob-get")) => match state.objects.get(&id).cloned() {
+                Some(object) => {
+                    drop(state);
+                    self.send(object)
+                }
+                None => error(StatusCode::NOT_FOUND, "no such object"),
+            },
+            (&Method::DELETE, Some("blob-drop")) => {
+                state.objects.remove(&id);
+                json(StatusCode::OK, &json!({}))
+            }
+            _ => error(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
     async fn get(&self, request: &Request) -> Result<Response, Refusal> {
         let (response, delay) = self.page(request);
         sleep(delay).await;
@@ -256,7 +293,7 @@
         };
         let body = json!({"rows": rows, "hasMore": more, "ver": state.version, "nowMs": 0});
         drop(state);
-        (self.send_rows(&body), delay)
+        (self.send(body.to_string().into()), delay)
     }
 
     async fn feed(&self, request: &Request) -> Result<Response, Refusal> {
@@ -302,7 +339,7 @@
             .collect();
         let body = json!({"rows": rows, "ver": state.version, "nowMs": 0});
         drop(state);
-        (timed_out || !rows.is_empty()).then(|| self.send_rows(&body))
+        (timed_out || !rows.is_empty()).then(|| self.send(body.to_string().into()))
     }
 
     fn transact(&self, transaction: Transaction) -> Result<Response, Refusal> {
