Share compressed copies of a long table between hosts

A change of a configuration with 4,449 routes was in force 5 s and more after it was accepted in the regions without the store: each of their 16 entries read the row, 1.1 MB in base64, over one link of 24 Mbit/s, which takes 4.8 s at least.

One host, the publisher, now polls a table that is longer than 64 KiB, stores its rows compressed as an object (55 KB for 4,449 routes in the test) and names it in a row of snipewinch-copies; the others wait for that row. Any host may publish: whoever has read a change that no copy has does, and a conditional write keeps one of them. The publisher confirms the copy at half the longest wait of a poll. A host that hears nothing for 1.4 to 2.4 times that polls the table itself, so that a publisher that is lost delays a change and loses none, and a copy that cannot be read is replaced by the table.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -89,6 +89,9 @@
 /// The longest pause that this rate imposes before the next read, as a fraction
 /// of the time within which a configuration must be in force.
 const OPERATOR_PAUSE_FRACTION: f64 = 0.35;
+/// The length of the operators' rows from which on entries share compressed
+/// copies of them.
+const OPERATOR_COPIED_BYTES: usize = 64 << 10;
 /// The interval of the dispatcher's timer while requests wait for slots.
 const QUEUED_TICK_INTERVAL: Duration = Duration::from_millis(7);
 /// The interval of that timer otherwise.
@@ -466,6 +469,7 @@
             .mul_f64(OPERATOR_PAUSE_FRACTION),
         relaxed_interval: None,
         settle_time: Duration::ZERO,
+        copied_above: Some(OPERATOR_COPIED_BYTES),
     };
     let control = Control {
         freshness: entry.tables.operator.clone(),
@@ -491,6 +495,7 @@
         pause_max: interval_min,
         relaxed_interval: None,
         settle_time: Duration::ZERO,
+        copied_above: None,
     };
     let control = Control {
         freshness: entry.tables.listing.clone(),
--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -280,6 +280,7 @@
         pause_max: POLL_PAUSE_MAX,
         relaxed_interval: None,
         settle_time: Duration::ZERO,
+        copied_above: None,
     };
     let (mut changes, _task) = follow::spawn(store.clone(), TABLE, policy);
     spawn_local(publish(entry.clone(), store, host.clone()));
