Ask for evidence at once when a backend server is seen to end

An entry that sees an end itself now asks for the evidence of others without a wait; its polls stay long otherwise, since each is a priced call.

A lost poll is noticed within 2.2 times the bound then.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -74,7 +74,7 @@
     pause_max: Duration::from_secs(4),
     relaxed_interval: Some(Duration::from_secs(8)),
     settle_time: Duration::from_secs(15),
-    copied_above: None,
+    copied: None,
 };
 /// How often published versions of weights are read from the store. Entries
 /// announce them sooner.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,6 +13,7 @@
 use platform::boot::Bounds;
 use platform::follow;
 use platform::follow::Control;
+use platform::follow::CopyPolicy;
 use platform::follow::Freshness;
 use platform::follow::PollPolicy;
 use platform::http::Transport;
@@ -79,7 +80,7 @@
 /// How long the store may hold back the response to a poll, in multiples of the
 /// time within which a change of the table must take effect. A poll that is
 /// lost is missed for about that long.
-const POLL_WAIT_BOUNDS: f64 = 1.25;
+const POLL_WAIT_BOUNDS: f64 = 1.8;
 /// The maximum read rate of the list.
 const LISTING_BYTES_PER_S_MAX: f64 = 200_000.0;
 /// The minimum interval between two reads of the operators' table.
@@ -110,7 +111,7 @@
 const RETRY_AFTER_STARTING: Duration = Duration::from_millis(300);
 /// The age of a table from which on it counts as outdated, in multiples of the
 /// time within which its changes must take effect.
-const OUTDATED_BOUNDS: u32 = 2;
+const OUTDATED_BOUNDS: f64 = 2.2;
 /// The pause after an error of the listening socket or the agents' socket.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(20);
 
@@ -330,7 +331,7 @@
                 .table_age
                 .with_label_values(&[table])
                 .set(age.as_secs_f64());
-            outdated[index] = age > bound * OUTDATED_BOUNDS;
+            outdated[index] = age > bound.mul_f64(OUTDATED_BOUNDS);
             if outdated[index] && !before[index] {
                 log::warn!(
                     "E7013 table {table} was last confirmed {} ms ago; requests are handled by what was known then",
@@ -469,7 +470,10 @@
             .mul_f64(OPERATOR_PAUSE_FRACTION),
         relaxed_interval: None,
         settle_time: Duration::ZERO,
-        copied_above: Some(OPERATOR_COPIED_BYTES),
+        copied: Some(CopyPolicy {
+            bytes_min: OPERATOR_COPIED_BYTES,
+            bound: entry.bounds.get().configuration_apply,
+        }),
     };
     let control = Control {
         freshness: entry.tables.operator.clone(),
@@ -495,7 +499,7 @@
         pause_max: interval_min,
         relaxed_interval: None,
         settle_time: Duration::ZERO,
-        copied_above: None,
+        copied: None,
     };
     let control = Control {
         freshness: entry.tables.listing.clone(),
--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -12,7 +12,9 @@
 
 use platform::follow;
 use platform::follow::Change;
+use platform::follow::Control;
 use platform::follow::PollPolicy;
+use platform::follow::Refresh;
 use platform::header;
 use platform::prompt;
 use platform::rows::Row;
@@ -50,7 +52,7 @@
 const POLL_INTERVAL_MIN: Duration = Duration::from_millis(150);
 /// How long the store may hold back the response to a poll. Evidence is needed
 /// soon only while backend servers end, which this entry then sees as well.
-const POLL_WAIT_MAX: Duration = Duration::from_secs(5);
+const POLL_WAIT_MAX: Duration = Duration::from_secs(20);
 /// The maximum read rate of the table.
 const POLL_BYTES_PER_S_MAX: f64 = 60_000.0;
 /// The longest pause that this rate imposes before the next poll.
@@ -96,6 +98,8 @@
     blocked: RefCell<Vec<Key>>,
     /// Notified when there is evidence to publish.
     changed: Notify,
+    /// Requested when this entry sees the end of a backend server.
+    refresh: Refresh,
 }
 
 impl Quarantine {
@@ -105,6 +109,7 @@
             probes: RefCell::default(),
             blocked: RefCell::default(),
             changed: Notify::new(),
+            refresh: Refresh::default(),
         }
     }
 
@@ -236,6 +241,7 @@
         .ledger
         .borrow_mut()
         .record_end(now, Server::of(server), &call.keys);
+    quarantine.refresh.request();
     let entry = entry.clone();
     spawn_local(async move {
         sleep(SETTLE_DELAY).await;
@@ -280,9 +286,13 @@
         pause_max: POLL_PAUSE_MAX,
         relaxed_interval: None,
         settle_time: Duration::ZERO,
-        copied_above: None,
+        copied: None,
     };
-    let (mut changes, _task) = follow::spawn(store.clone(), TABLE, policy);
+    let control = Control {
+        refresh: entry.quarantine.refresh.clone(),
+        ..Control::default()
+    };
+    let (mut changes, _task) = follow::spawn_with(store.clone(), TABLE, policy, control);
     spawn_local(publish(entry.clone(), store, host.clone()));
     while let Some(change) = changes.recv().await {
         let now = entry.clock.now();
