Log and count the limits that backend servers name

A server that had named a limit got more, and no line or metric told whether any entry had seen the field. It is decoded in platform::notice, in one place for what a server says of itself; E7055 tells each change and snipewinch_limited_servers how many servers name a limit. What is sent is unchanged.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -566,5 +566,7 @@
         entry.pool.sweep();
         let blocked = entry.quarantine.tick(entry.clock.now());
         entry.metrics.blocked_parts.set(blocked as i64);
+        let limited = entry.dispatcher.limited_servers();
+        entry.metrics.limited_servers.set(limited as i64);
     }
 }
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -7,6 +7,7 @@
 use http1::body::Step;
 use http1::head::Response;
 use platform::header;
+use platform::notice::Notice;
 use smol_str::SmolStr;
 use snipewinch::attempt;
 use tokio::time::timeout;
@@ -67,6 +68,8 @@
     pub(crate) first_event: Option<Duration>,
     /// Whether it has gone on well after its first event.
     pub(crate) has_come_through: bool,
+    /// When the request was sent, until the answer's notice is taken.
+    notice_due: Option<Duration>,
     clock: Clock,
     exchange: Exchange,
     /// Whether a success is a stream of events.
@@ -96,6 +99,7 @@
             is_silent: false,
             first_event: None,
             has_come_through: false,
+            notice_due: Some(now),
             clock,
             exchange,
             expects_stream,
@@ -139,6 +143,14 @@
         Some((numbers.next()??, numbers.next()??))
     }
 
+    /// What the backend server says of itself, and when the request was sent;
+    /// none before the head of its answer or if that was asked before.
+    pub(crate) fn take_notice(&mut self) -> Option<(Notice, Duration)> {
+        let head = &self.answer.as_ref()?.head;
+        let sent = self.notice_due.take()?;
+        Some((Notice::decode(|name| head.fields.get(name)), sent))
+    }
+
     /// Waits for the next output. Cancelling it loses nothing.
     pub(crate) async fn next(&mut self) -> Result<Output, Error> {
         loop {
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -60,6 +60,8 @@
     /// Requests of this entry in flight there.
     pub(crate) running: u32,
     pub(crate) load: Option<Load>,
+    /// The requests per second that it says it takes from all entries.
+    pub(crate) limit_per_s: Option<f64>,
     pub(crate) health: Health,
     /// The address of the agent on its host.
     pub(crate) agent: SocketAddr,
@@ -212,6 +214,7 @@
                     listed_version: version,
                     running: 0,
                     load: None,
+                    limit_per_s: None,
                     health: Health::default(),
                     holder: Holder::new(self.holder_id),
                     bypass_agent_until: None,
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -253,6 +253,14 @@
     let mut queued = entry.clock.now();
     loop {
         let wakeup = wait(entry, progress, &mut start).await;
+        if let Wakeup::Output(index, _) = &wakeup {
+            let attempt = &mut progress.open[*index];
+            if let Some((notice, sent)) = attempt.take_notice() {
+                entry
+                    .dispatcher
+                    .record_notice(attempt.slot.key, sent, notice);
+            }
+        }
         let is_unreached = matches!(&wakeup, Wakeup::Started(Err(StartError::Unreached(_))));
         let step = match wakeup {
             Wakeup::Started(started) => {
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -8,6 +8,7 @@
 use peer::FleetKey;
 use peer::datagram::Socket;
 use platform::boot::Settings;
+use platform::notice::Notice;
 use rand::RngExt;
 use smol_str::SmolStr;
 use snipewinch::dispatch;
@@ -328,6 +329,33 @@
         }
     }
 
+    /// Records what the answer to a request that was sent at `sent` says of its
+    /// backend server.
+    pub(crate) fn record_notice(&self, key: Key, sent: Duration, notice: Notice) {
+        let mut state = self.state.borrow_mut();
+        let Some(backend) = state.backends.get_mut(key) else {
+            return;
+        };
+        let before = std::mem::replace(&mut backend.limit_per_s, notice.limit_per_s);
+        if before != notice.limit_per_s {
+            log::info!(
+                "E7055 backend server {} takes {} requests a second from all entries, before {}; its answer came {} ms after the request",
+                backend.id,
+                format_limit(notice.limit_per_s),
+                format_limit(before),
+                self.clock.now().saturating_sub(sent).as_millis()
+            );
+        }
+    }
+
+    /// How many backend servers name a limit.
+    pub(crate) fn limited_servers(&self) -> usize {
+        let mut state = self.state.borrow_mut();
+        let all = state.backends.iter_mut();
+        all.filter(|(_, backend)| backend.limit_per_s.is_some())
+            .count()
+    }
+
     /// Processes the queues of all services, as waiting times and demands
     /// depend on the time.
     pub(crate) fn tick(&self) {
@@ -587,6 +615,10 @@
     }
 }
 
+fn format_limit(per_s: Option<f64>) -> String {
+    per_s.map_or("any number of".into(), |per_s| per_s.to_string())
+}
+
 /// Removes a request from the queue when its caller no longer waits.
 struct QueueGuard<'a> {
     dispatcher: &'a Dispatcher,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -76,6 +76,8 @@
     pub(crate) streams_resumed: IntCounter,
     /// Parts of prompts that are blocked.
     pub(crate) blocked_parts: IntGauge,
+    /// Backend servers that name a limit of requests.
+    pub(crate) limited_servers: IntGauge,
     /// How old what is known of each followed table is, in seconds.
     pub(crate) table_age: GaugeVec,
     /// Answers that this entry ended before they were complete, by cause.
@@ -126,6 +128,14 @@
         registry
             .register(Box::new(blocked_parts.clone()))
             .expect("each name is registered once");
+        let limited_servers = IntGauge::new(
+            "snipewinch_limited_servers",
+            "Backend servers that name a limit of requests",
+        );
+        let limited_servers = limited_servers.expect("the name is valid");
+        registry
+            .register(Box::new(limited_servers.clone()))
+            .expect("each name is registered once");
         let table_age = GaugeVec::new(
             Opts::new(
                 "snipewinch_table_age_seconds",
@@ -138,6 +148,7 @@
             .register(Box::new(table_age.clone()))
             .expect("each name is registered once");
         EntryMetrics {
+            limited_servers,
             table_age,
             answers: counters("snipewinch_answers_total", "Answers to callers", "status"),
             refusals: counters(
