--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -72,6 +72,9 @@
     /// second; `None` if it has no limit.
     link_bytes_per_s: Option<f64>,
     objects: BTreeMap<String, Bytes>,
+    /// How many reads of rows, and of objects, are not answered from now on.
+    lost_reads: usize,
+    lost_objects: usize,
     /// When the link has sent what was given to it.
     link_free: Option<Instant>,
     /// The bytes of all responses with rows and objects.
@@ -182,6 +185,16 @@
         self.state.lock().bytes_sent
     }
 
+    /// Never answers the next reads of pages that hold rows.
+    pub fn lose_reads(&self, count: usize) {
+        self.state.lock().lost_reads = count;
+    }
+
+    /// Never answers the next reads of objects.
+    pub fn lose_objects(&self, count: usize) {
+        self.state.lock().lost_objects = count;
+    }
+
     /// Deletes all objects.
     pub fn drop_objects(&self) {
         self.state.lock().objects.clear();
@@ -231,6 +244,10 @@
             (method, path) if path.starts_with("/blob-") => {
                 let (method, path) = (method.clone(), path.to_owned());
                 let body = read_body(request).await?;
+                let is_read = method == Method::GET;
+                if is_read && take_one(&mut self.state.lock().lost_objects) {
+                    return std::future::pending().await;
+                }
                 Ok(self.object(&method, &path, body))
             }
             _ => Ok(error(StatusCode::NOT_FOUND, "no such call")),
@@ -266,6 +283,9 @@
     async fn get(&self, request: &Request) -> Result<Response, Refusal> {
         let (response, delay) = self.page(request);
         sleep(delay).await;
+        if !is_probe(request) && take_one(&mut self.state.lock().lost_reads) {
+            return std::future::pending().await;
+        }
         Ok(response)
     }
 
@@ -389,6 +409,17 @@
     }
 }
 
+/// Whether a read is one that clients send to see whether the store answers.
+fn is_probe(request: &Request) -> bool {
+    query_parameter(request, "limit").as_deref() == Some("1")
+}
+
+fn take_one(count: &mut usize) -> bool {
+    let any = *count > 0;
+    *count = count.saturating_sub(1);
+    any
+}
+
 fn row_json((table, key): &RowId, row: &Row) -> Value {
     let head = json!({"table": table, "part": "", "key": key, "ver": row.version});
     let mut object = head;
