Reproduce a limit that is taken for that of another server

Found by reading the postmortem of second1 alone: a server that answers 421 is not the one that was meant, and what it says of itself was kept for that one.

--- a/crates/node/tests/limit.rs
+++ b/crates/node/tests/limit.rs
@@ -11,8 +11,11 @@
 
 mod harness;
 
+use harness::Action;
 use harness::Harness;
 use harness::Options;
+use harness::Server;
+use harness::complete_answer;
 use harness::configuration;
 use harness::exchange;
 use harness::field;
@@ -130,6 +133,22 @@
     }
 }
 
+/// Guards against taking what another server says at a reused address for news of
+/// the listed one.
+#[tokio::test]
+async fn a_limit_in_the_answer_of_another_server_is_ignored() {
+    let fields = "Server-Limit: 1\r\n";
+    let server = Server::spawn(vec![
+        Action::Send(complete_answer(421, fields, "")),
+        Action::Send(complete_answer(200, "", "done")),
+    ])
+    .await;
+    let harness = Harness::start(&[&server]).await;
+    harness.ask(&request("GET", "/read/1", "", "")).await;
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(harness.metric("snipewinch_limited_servers").await, 0);
+}
+
 /// Guards against a limit that outlives the need of its server.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_entries_learn_that_a_limit_is_over() {
