Keep no limit that another server has named

A server that answers 421 has got the address of the one that was meant. Its limit was kept for that one, which then got almost nothing.

a_limit_in_the_answer_of_another_server_is_ignored failed before and passes.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -144,8 +144,12 @@
     }
 
     /// What the backend server says of itself, and when the request was sent;
-    /// none before the head of its answer or if that was asked before.
+    /// none before the head of its answer, if that was asked before, or if
+    /// another server has answered.
     pub(crate) fn take_notice(&mut self) -> Option<(Notice, Duration)> {
+        if self.is_misdirected() {
+            return None;
+        }
         let head = &self.answer.as_ref()?.head;
         let sent = self.notice_due.take()?;
         Some((Notice::decode(|name| head.fields.get(name)), sent))
