--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -535,3 +535,36 @@
         );
     }
 }
+
+/// Guards against requests to a server that left just after its entry of the list
+/// could not be followed: it was taken for one that is about to reappear.
+#[tokio::test]
+async fn a_server_missing_after_an_outage_gets_nothing_while_others_are_listed() {
+    let missing = Server::spawn(answering("missing")).await;
+    let listed = Server::spawn(answering("listed")).await;
+    let harness = Harness::start(&[&missing, &listed]).await;
+    harness.store.set_down(true);
+    sleep(Duration::from_millis(1_500)).await;
+    harness.store.remove("servers", "s0");
+    harness.store.set_down(false);
+    sleep(Duration::from_millis(900)).await;
+    for _ in 0..5 {
+        let answer = harness.ask(&request("GET", "/read/1", "", "")).await;
+        assert_eq!(body(&answer).as_deref(), Some("listed"));
+    }
+}
+
+/// Guards against a service without servers after an outage in which all entries of
+/// the list expired.
+#[tokio::test]
+async fn servers_that_are_all_missing_after_an_outage_are_used() {
+    let server = Server::spawn(answering("missing")).await;
+    let harness = Harness::start(&[&server]).await;
+    harness.store.set_down(true);
+    sleep(Duration::from_millis(1_500)).await;
+    harness.store.remove("servers", "s0");
+    harness.store.set_down(false);
+    sleep(Duration::from_millis(900)).await;
+    let answer = harness.ask(&request("GET", "/read/1", "", "")).await;
+    assert_eq!(body(&answer).as_deref(), Some("missing"));
+}
