Use servers that are missing after an outage only if none is listed

An entry of the list that is missing in the first rows after an outage has 2.2 s to reappear, as it may have expired meanwhile. Its server may as well have left, and got requests for all of that time. It now gets them only if no server of its service is listed, which is so when all entries expired.

The update of the list that says so is new, so a test of the list that expected no update there now expects exactly this one. It is as strict.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -32,6 +32,8 @@
 pub(crate) enum Update {
     /// It was added, or its entry changed.
     Listed(SmolStr, BackendServer),
+    /// Its entry is missing just after an outage, and may reappear.
+    Missing(SmolStr),
     /// It was removed.
     Removed(SmolStr),
 }
@@ -109,9 +111,9 @@
         };
         match listing::decode(value) {
             Ok(entry) => {
-                self.missing.remove(&row.key);
+                let was_missing = self.missing.remove(&row.key).is_some();
                 let before = self.entries.insert(row.key.clone(), entry.clone());
-                if before.as_ref() == Some(&entry) {
+                if before.as_ref() == Some(&entry) && !was_missing {
                     return;
                 }
                 if entry.state == State::Draining
@@ -130,7 +132,8 @@
 
     /// Handles a missing entry. Just after the store could not be reached, the
     /// entry may have expired meanwhile or its server may have left, so it is
-    /// kept for [`RECONNECT_GRACE`]. At any other time its server has left.
+    /// kept for [`RECONNECT_GRACE`], for the case that none of its service is
+    /// listed. At any other time its server has left.
     fn entry_missing(
         &mut self,
         now: Duration,
@@ -140,7 +143,8 @@
     ) {
         match reconnected && self.entries.contains_key(&id) {
             true => {
-                self.missing.insert(id, now + RECONNECT_GRACE);
+                self.missing.insert(id.clone(), now + RECONNECT_GRACE);
+                updates.push(Update::Missing(id));
             }
             false => {
                 self.missing.remove(&id);
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -46,11 +46,8 @@
 fn an_entry_missing_after_an_outage_may_reappear_within_the_grace_period() {
     let mut listing = listing();
     listing.apply(NOW, Change::Disconnected);
-    assert!(
-        listing
-            .apply(NOW, Change::Snapshot(vec![row("b", "ready")]))
-            .is_empty()
-    );
+    let updates = listing.apply(NOW, Change::Snapshot(vec![row("b", "ready")]));
+    assert_eq!(updates, [Update::Missing("a".into())]);
     assert!(listing.tick(NOW + RECONNECT_GRACE / 2).is_empty());
     listing.apply(NOW, Change::Rows(vec![row("a", "ready")]));
     assert!(
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -57,6 +57,9 @@
     pub(crate) slots: u32,
     /// Whether it gets no new requests.
     pub(crate) leaving: bool,
+    /// Whether its entry is missing just after an outage. It gets requests only
+    /// if none of its service is listed.
+    pub(crate) is_missing: bool,
     /// The newest version of the weights that its row in the list shows as
     /// loaded.
     pub(crate) listed_version: u64,
@@ -167,8 +170,13 @@
         &'a mut self,
         service: &'a str,
     ) -> impl Iterator<Item = (Key, &'a mut Backend)> {
+        let may_serve = move |backend: &Backend| !backend.leaving && backend.service == service;
+        let any_listed = self
+            .arena
+            .values()
+            .any(|backend| may_serve(backend) && !backend.is_missing);
         let all = self.arena.iter_mut();
-        all.filter(move |(_, backend)| !backend.leaving && backend.service == service)
+        all.filter(move |(_, backend)| may_serve(backend) && !(any_listed && backend.is_missing))
     }
 
     /// The backend server whose agent has an address.
@@ -183,6 +191,12 @@
         for update in updates {
             match update {
                 Update::Listed(id, entry) => self.upsert(id, entry),
+                Update::Missing(id) => {
+                    let key = self.ids.get(&id).copied();
+                    if let Some(backend) = key.and_then(|key| self.arena.get_mut(key)) {
+                        backend.is_missing = true;
+                    }
+                }
                 Update::Removed(id) => {
                     if let Some(key) = self.ids.remove(&id) {
                         self.arena.remove(key);
@@ -200,6 +214,7 @@
         match known {
             Some(backend) if backend.address == entry.address => {
                 backend.leaving = leaving;
+                backend.is_missing = false;
                 backend.server = Server::of(&id, entry.started_ms);
                 backend.slots = entry.slots;
                 backend.service = entry.service;
@@ -213,6 +228,7 @@
                     service: entry.service,
                     slots: entry.slots,
                     leaving,
+                    is_missing: false,
                     listed_version: version,
                     running: 0,
                     load: None,
