Split the dispatcher, and bound the reads of limits

Picking servers of services without agents and what servers say of themselves have files of their own. A read of the table of limits ends after 2 s, the table is looked at four times a second, and a stream that resumes does not count those that wait before it.

--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -8,7 +8,6 @@
 use peer::FleetKey;
 use peer::datagram::Socket;
 use platform::boot::Settings;
-use platform::notice::Notice;
 use rand::RngExt;
 use smol_str::SmolStr;
 use snipewinch::dispatch;
@@ -25,11 +24,8 @@
 use snipewinch::health::Outcome;
 use snipewinch::server_limit::Admission;
 use snipewinch::server_limit::Board;
-use snipewinch::server_limit::Published;
-use snipewinch::server_limit::Row;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
-use tokio::time::sleep;
 
 use super::backends::Backend;
 use super::backends::Backends;
@@ -39,6 +35,9 @@
 use crate::discovery::Update;
 use crate::operator::Publication;
 
+mod direct;
+mod limited;
+
 /// Requests that an entry may have in flight at an engine whose agent does not
 /// answer: all entries together then stay near the slots of an engine.
 const BYPASS_REQUESTS_MAX: u32 = 1;
@@ -53,27 +52,6 @@
 /// soon.
 const LIMIT_WAIT_MAX: Duration = Duration::from_millis(250);
 
-/// What the limits of backend servers need from the platform's store.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct LimitNeeds {
-    /// Whether this entry's row is to be written.
-    pub(crate) write: bool,
-    /// Whether the rows of all entries are to be read at once.
-    pub(crate) view: bool,
-    /// Whether any limit is in force.
-    pub(crate) is_limited: bool,
-}
-
-/// The backend server for a request of a service without agents.
-enum Pick {
-    /// The request may be sent.
-    Slot(Slot),
-    /// It may be sent after a wait, for which the limit of the server is
-    /// reserved.
-    Reserved(Slot, Duration),
-    None(Refusal),
-}
-
 /// A request for a slot.
 #[derive(Clone, Debug)]
 pub(crate) struct SlotRequest {
@@ -200,24 +178,7 @@
     pub(crate) async fn acquire_slot(&self, request: SlotRequest) -> Result<Slot, Refusal> {
         match request.has_engine {
             true => self.wait_for_slot(request).await,
-            false => self.wait_for_limit(&request).await,
-        }
-    }
-
-    /// Picks a backend server of a service without agents. If all are limited,
-    /// waits for one that takes this request soon.
-    async fn wait_for_limit(&self, request: &SlotRequest) -> Result<Slot, Refusal> {
-        loop {
-            match self.pick_least_loaded(request) {
-                Pick::Slot(slot) => return Ok(slot),
-                Pick::Reserved(slot, wait) => {
-                    sleep(wait).await;
-                    if self.is_serving(slot.key) {
-                        return Ok(slot);
-                    }
-                }
-                Pick::None(refusal) => return Err(refusal),
-            }
+            false => self.acquire_direct(&request).await,
         }
     }
 
@@ -246,52 +207,6 @@
         Ok((ticket, receiver))
     }
 
-    /// Picks the nearest and least loaded backend server of a service without
-    /// agents. Ejected ones come last.
-    fn pick_least_loaded(&self, request: &SlotRequest) -> Pick {
-        let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        let State {
-            backends, limits, ..
-        } = &mut *state;
-        let mut rng = rand::rng();
-        let mut ranked = Vec::new();
-        let mut soonest: Option<(Duration, Key)> = None;
-        let mut refusal = Refusal::NoServer;
-        let untried = backends
-            .of_service(&request.service)
-            .filter(|(key, _)| !request.tried.contains(key));
-        for (key, backend) in untried {
-            match limits.admission(now, backend.server) {
-                Admission::Unlimited | Admission::Granted => {}
-                Admission::Later(wait) => {
-                    let is_sooner = soonest.is_none_or(|(known, _)| wait < known);
-                    if wait <= LIMIT_WAIT_MAX && is_sooner {
-                        soonest = Some((wait, key));
-                    }
-                    refusal = Refusal::Busy;
-                    continue;
-                }
-                Admission::Elsewhere => {
-                    refusal = Refusal::Busy;
-                    continue;
-                }
-            }
-            let load_ratio = backend.load_ratio(now);
-            // A server of another availability zone is preferred only if it has
-            // a whole queue less.
-            let remote_penalty = if backend.distance > 0 { 1.0 } else { 0.0 };
-            let score = load_ratio + remote_penalty + rng.random_range(0.0..0.1);
-            ranked.push((!backend.health.admits(now), score, key));
-        }
-        ranked.sort_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
-        match (ranked.first(), soonest) {
-            (Some((_, _, key)), _) => Pick::Slot(self.occupy(&mut state, *key, false)),
-            (None, Some((wait, key))) => Pick::Reserved(self.occupy(&mut state, key, false), wait),
-            (None, None) => Pick::None(refusal),
-        }
-    }
-
     /// Counts a request as in flight at a backend server.
     fn occupy(&self, state: &mut State, key: Key, granted: bool) -> Slot {
         let now = self.clock.now();
@@ -399,62 +314,6 @@
         }
     }
 
-    /// Records what the answer to a request that was sent at `sent` says of its
-    /// backend server.
-    pub(crate) fn record_notice(&self, key: Key, sent: Duration, notice: Notice) {
-        let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        let State {
-            backends, limits, ..
-        } = &mut *state;
-        let Some(backend) = backends.get(key) else {
-            return;
-        };
-        let server = backend.server;
-        let before = limits.limit(server);
-        if limits.record_answer(now, sent, server, notice.limit_per_s) {
-            log::info!(
-                "E7055 backend server {} takes {} requests a second from all entries, before {}; its answer came {} ms after the request",
-                backend.id,
-                format_limit(limits.limit(server)),
-                format_limit(before),
-                now.saturating_sub(sent).as_millis()
-            );
-        }
-    }
-
-    /// What the limits of backend servers need from the platform's store.
-    pub(crate) fn limit_needs(&self, now: Duration) -> LimitNeeds {
-        let mut state = self.state.borrow_mut();
-        state.limits.expire(now);
-        LimitNeeds {
-            write: state.limits.has_news(),
-            view: state.limits.wants_view(now),
-            is_limited: state.limits.is_limited(),
-        }
-    }
-
-    /// The row of this entry, to be published now.
-    pub(crate) fn take_limit_row(&self, now: Duration) -> Row {
-        self.state.borrow_mut().limits.row(now)
-    }
-
-    /// Applies the rows of all entries.
-    pub(crate) fn apply_limit_view(&self, now: Duration, view: &[Published]) {
-        self.state.borrow_mut().limits.apply_view(now, view);
-    }
-
-    /// How many backend servers name a limit.
-    pub(crate) fn limited_servers(&self) -> usize {
-        let mut state = self.state.borrow_mut();
-        let State {
-            backends, limits, ..
-        } = &mut *state;
-        let all = backends.iter_mut();
-        all.filter(|(_, backend)| limits.limit(backend.server).is_some())
-            .count()
-    }
-
     /// Processes the queues of all services, as waiting times and demands
     /// depend on the time.
     pub(crate) fn tick(&self) {
@@ -581,10 +440,14 @@
             .services
             .get(&request.service)
             .map_or(0, |service_state| service_state.min_version);
-        let queued = self
-            .services
-            .get(&request.service)
-            .map_or(0, |service_state| service_state.queue.len());
+        let queued = match request.waiter.resumes {
+            // It goes before those that wait.
+            true => 0,
+            false => self
+                .services
+                .get(&request.service)
+                .map_or(0, |service_state| service_state.queue.len()),
+        };
         let span = request.waiter.expires.saturating_sub(now);
         let mut permits = 0.0;
         let mut refusal = Refusal::NoServer;
@@ -739,10 +602,6 @@
     }
 }
 
-fn format_limit(per_s: Option<f64>) -> String {
-    per_s.map_or("any number of".into(), |per_s| per_s.to_string())
-}
-
 /// Removes a request from the queue when its caller no longer waits.
 struct QueueGuard<'a> {
     dispatcher: &'a Dispatcher,
--- /dev/null
+++ b/crates/node/src/entry/dispatcher/direct.rs
@@ -0,0 +1,90 @@
+//! Picks backend servers of services without agents.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use snipewinch::server_limit::Admission;
+use tokio::time::sleep;
+
+use super::Dispatcher;
+use super::Key;
+use super::LIMIT_WAIT_MAX;
+use super::Refusal;
+use super::Slot;
+use super::SlotRequest;
+use super::State;
+
+/// The backend server for a request of a service without agents.
+enum Pick {
+    /// The request may be sent.
+    Slot(Slot),
+    /// It may be sent after a wait, for which the limit of the server is
+    /// reserved.
+    Reserved(Slot, Duration),
+    None(Refusal),
+}
+
+impl Dispatcher {
+    /// Picks a backend server of a service without agents. If all are limited,
+    /// waits for one that takes this request soon.
+    pub(super) async fn acquire_direct(&self, request: &SlotRequest) -> Result<Slot, Refusal> {
+        loop {
+            match self.pick_least_loaded(request) {
+                Pick::Slot(slot) => return Ok(slot),
+                Pick::Reserved(slot, wait) => {
+                    sleep(wait).await;
+                    if self.is_serving(slot.key) {
+                        return Ok(slot);
+                    }
+                }
+                Pick::None(refusal) => return Err(refusal),
+            }
+        }
+    }
+
+    /// Picks the nearest and least loaded backend server of a service without
+    /// agents. Ejected ones come last.
+    fn pick_least_loaded(&self, request: &SlotRequest) -> Pick {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let State {
+            backends, limits, ..
+        } = &mut *state;
+        let mut rng = rand::rng();
+        let mut ranked = Vec::new();
+        let mut soonest: Option<(Duration, Key)> = None;
+        let mut refusal = Refusal::NoServer;
+        let untried = backends
+            .of_service(&request.service)
+            .filter(|(key, _)| !request.tried.contains(key));
+        for (key, backend) in untried {
+            match limits.admission(now, backend.server) {
+                Admission::Unlimited | Admission::Granted => {}
+                Admission::Later(wait) => {
+                    let is_sooner = soonest.is_none_or(|(known, _)| wait < known);
+                    if wait <= LIMIT_WAIT_MAX && is_sooner {
+                        soonest = Some((wait, key));
+                    }
+                    refusal = Refusal::Busy;
+                    continue;
+                }
+                Admission::Elsewhere => {
+                    refusal = Refusal::Busy;
+                    continue;
+                }
+            }
+            let load_ratio = backend.load_ratio(now);
+            // A server of another availability zone is preferred only if it has
+            // a whole queue less.
+            let remote_penalty = if backend.distance > 0 { 1.0 } else { 0.0 };
+            let score = load_ratio + remote_penalty + rng.random_range(0.0..0.1);
+            ranked.push((!backend.health.admits(now), score, key));
+        }
+        ranked.sort_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
+        match (ranked.first(), soonest) {
+            (Some((_, _, key)), _) => Pick::Slot(self.occupy(&mut state, *key, false)),
+            (None, Some((wait, key))) => Pick::Reserved(self.occupy(&mut state, key, false), wait),
+            (None, None) => Pick::None(refusal),
+        }
+    }
+}
--- a/crates/node/src/entry/limits.rs
+++ b/crates/node/src/entry/limits.rs
@@ -18,13 +18,14 @@
 use snipewinch::server_limit::Row;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::Entry;
 
 /// The table with a row for each entry.
 const TABLE: &str = "snipewinch-limits";
 /// How often it is checked whether there is something to publish or to read.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// The shortest interval between two requests for the table.
 const REQUEST_INTERVAL_MIN: Duration = Duration::from_millis(400);
 /// How often this entry's row is written though it has no news.
@@ -35,6 +36,8 @@
 const LIMITED_VIEW_INTERVAL: Duration = Duration::from_secs(4);
 /// How often it is read otherwise.
 const VIEW_INTERVAL: Duration = Duration::from_secs(30);
+/// The time limit of a read.
+const VIEW_TIMEOUT: Duration = Duration::from_secs(2);
 /// The interval between the start and the first read; all entries may have
 /// started at the same moment.
 const START_VIEW_DELAY: Duration = Duration::from_secs(2);
@@ -147,13 +150,14 @@
             false => first_interval.unwrap_or(VIEW_INTERVAL),
         };
         if needs.view || now >= viewed + interval.mul_f64(jitter) {
-            match view.update(&store).await {
-                Ok(()) => entry
+            match timeout(VIEW_TIMEOUT, view.update(&store)).await {
+                Ok(Ok(())) => entry
                     .dispatcher
                     .apply_limit_view(entry.clock.now(), &view.published()),
-                Err(error) => {
+                Ok(Err(error)) => {
                     log::debug!("E7058 reading limits of backend servers failed: {error}");
                 }
+                Err(_) => log::debug!("E7058 reading limits of backend servers took too long"),
             }
             first_interval = None;
             viewed = Instant::now();
