Play the model of limits long enough for all servers to be limited

Plays are 100 s now, and a limit holds 18 s at least, 70 s and 12 s before; the bounds are the same.

--- a/crates/snipewinch/tests/server_limit.rs
+++ b/crates/snipewinch/tests/server_limit.rs
@@ -19,7 +19,7 @@
 use snipewinch::server_limit::Server;
 
 const STEP: Duration = Duration::from_millis(25);
-const LENGTH: Duration = Duration::from_secs(70);
+const LENGTH: Duration = Duration::from_secs(100);
 /// The time from which on a limit that was first named must be kept.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 /// The window in which requests are counted.
@@ -167,7 +167,7 @@
     fn change_limits(&mut self) {
         for index in 0..SERVERS {
             let since = self.now.saturating_sub(self.changed[index]);
-            let is_due = self.now >= Duration::from_secs(8) && since > Duration::from_secs(12);
+            let is_due = self.now >= Duration::from_secs(8) && since > Duration::from_secs(18);
             if !is_due || !self.rng.random_bool(0.01) {
                 continue;
             }
