Log and count the end of a server under any request

On-call saw callers of a plain service get 502 while its servers ended, and no line of any entry said under which request: a request without shared parts of a prompt was left out before its server was probed. Each such request now has an E7121 line with its path and customer, and snipewinch_requests_at_server_end_total counts them.

--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -221,7 +221,7 @@
     error: &pool::Error,
 ) {
     let may_be_end = matches!(error, pool::Error::Closed | pool::Error::Io { .. });
-    if !may_be_end || call.keys.is_empty() || !entry.dispatcher.is_serving(backend) {
+    if !may_be_end || !entry.dispatcher.is_serving(backend) {
         return;
     }
     if !has_ended(entry, server, address).await {
@@ -229,13 +229,13 @@
     }
     let now = entry.clock.now();
     log::warn!(
-        "E7121 backend server {server} ended under request {}, which had just begun; prompt parts {}",
+        "E7121 backend server {server} ended under request {}, which had just begun; path {}, customer {}, prompt parts {}",
         call.id,
-        call.head
-            .fields
-            .get(header::PROMPT_PARTS)
-            .unwrap_or_default()
+        call.head.path(),
+        call.customer.as_deref().unwrap_or("none"),
+        call.head.fields.get(header::PROMPT_PARTS).unwrap_or("none")
     );
+    entry.metrics.server_ends.inc();
     let quarantine = &entry.quarantine;
     quarantine
         .ledger
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -74,6 +74,8 @@
     pub(crate) attempts: IntCounterVec,
     /// Streams that were resumed at another backend server.
     pub(crate) streams_resumed: IntCounter,
+    /// Requests that had just begun when their backend server ended.
+    pub(crate) server_ends: IntCounter,
     /// Parts of prompts that are blocked.
     pub(crate) blocked_parts: IntGauge,
     /// Backend servers that name a limit of requests.
@@ -165,6 +167,10 @@
                 "snipewinch_streams_resumed_total",
                 "Streams that went on at another backend server",
             ),
+            server_ends: counter(
+                "snipewinch_requests_at_server_end_total",
+                "Requests that had just begun when their backend server ended",
+            ),
             blocked_parts,
             answers_cut: counters(
                 "snipewinch_answers_cut_total",
