--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -7,24 +7,22 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use serde_json::Value;
 use serde_json::json;
 use snipewinch::quarantine::Key;
-use standin::store::Store;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 mod harness;
 
-use harness::Harness;
-use harness::Options;
 use harness::body;
 use harness::configuration;
 use harness::crashing::CrashingServer;
 use harness::crashing::Reaction;
+use harness::crashing::Trigger;
 use harness::event;
 use harness::exchange;
+use harness::fleet::Fleet;
 use harness::request;
 use harness::status;
 
@@ -46,19 +44,9 @@
 const LATE_REQUESTS_MAX: usize = 3;
 /// The longest time to the refusal of a blocked part.
 const REFUSAL_TIME_MAX: Duration = Duration::from_millis(100);
-/// The time in which entries learn of a change of the list.
-const LIST_DELAY: Duration = Duration::from_millis(300);
 /// The time limit of each wait.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Entries and servers on one store.
-struct Fleet {
-    store: Store,
-    store_address: SocketAddr,
-    servers: Vec<CrashingServer>,
-    entries: Vec<Harness>,
-}
-
 /// An answer to a caller.
 #[derive(Clone, Debug)]
 struct Answer {
@@ -92,63 +80,7 @@
         downtime: Duration,
     ) -> Fleet {
         let reactions = vec![reaction; servers];
-        Fleet::start_with(&reactions, entries, downtime, &configuration(1)).await
-    }
-
-    async fn start_with(
-        reactions: &[Reaction],
-        entries: usize,
-        downtime: Duration,
-        configuration: &Value,
-    ) -> Fleet {
-        let (store, store_address) = Store::spawn(([127, 0, 0, 1], 0).into()).await.unwrap();
-        store.put("op", "config", configuration);
-        let servers = reactions
-            .iter()
-            .enumerate()
-            .map(|(index, reaction)| {
-                CrashingServer::spawn(&store, format!("s{index}"), PART, *reaction, downtime)
-            })
-            .collect();
-        let mut fleet = Fleet {
-            store,
-            store_address,
-            servers,
-            entries: Vec::new(),
-        };
-        for _ in 0..entries {
-            fleet.add_entry().await;
-        }
-        fleet
-    }
-
-    /// Starts a further entry and returns its address for callers.
-    async fn add_entry(&mut self) -> SocketAddr {
-        let name = format!("edge-{}", self.entries.len() + 1);
-        let options = Options::default();
-        let entry = Harness::start_on(&self.store, self.store_address, &name, &options).await;
-        let callers = entry.callers;
-        self.entries.push(entry);
-        callers
-    }
-
-    /// The addresses for callers of all entries.
-    fn callers(&self) -> Vec<SocketAddr> {
-        self.entries.iter().map(|entry| entry.callers).collect()
-    }
-
-    /// When requests with the part arrived at any server.
-    fn suspects(&self) -> Vec<Instant> {
-        let all = self.servers.iter();
-        all.flat_map(|server| server.record().suspects).collect()
-    }
-
-    /// When servers ended, in order.
-    fn ends(&self) -> Vec<Instant> {
-        let all = self.servers.iter();
-        let mut ends: Vec<Instant> = all.flat_map(|server| server.record().ends).collect();
-        ends.sort();
-        ends
+        Fleet::start_with(&trigger(), &reactions, entries, downtime, &configuration(1)).await
     }
 
     /// The end by which the part must be known; none if fewer servers ended.
@@ -156,17 +88,6 @@
         self.ends().get(ENDS_MAX - 1).copied()
     }
 
-    /// Waits until all servers are up and known to the entries.
-    async fn wait_up(&self) {
-        let waiting = async {
-            while !self.servers.iter().all(|server| server.record().is_up) {
-                sleep(Duration::from_millis(10)).await;
-            }
-        };
-        timeout(TIMEOUT, waiting).await.expect("all servers return");
-        sleep(LIST_DELAY).await;
-    }
-
     /// Sends requests with the part to the entries in turn, and a sound one
     /// after each.
     async fn send_traffic(&self, count: usize, suspect_prompt: fn(usize) -> String) -> Answers {
@@ -228,6 +149,10 @@
     }
 }
 
+fn trigger() -> Trigger {
+    Trigger::PromptPart(PART.to_owned())
+}
+
 /// The first part of a prompt, which requests of both kinds share.
 fn first_part(index: usize) -> String {
     format!("f00{}:900", index % 3)
@@ -346,7 +271,7 @@
             route["maxAttempts"] = attempts_max.into();
         }
         let reactions = [Reaction::End; 5];
-        let fleet = Fleet::start_with(&reactions, 1, DOWNTIME, &configuration).await;
+        let fleet = Fleet::start_with(&trigger(), &reactions, 1, DOWNTIME, &configuration).await;
         let answer = ask(fleet.callers()[0], &suspect_prompt(0)).await;
         let reached = fleet.suspects().len();
         assert!(
@@ -359,7 +284,7 @@
 #[tokio::test]
 async fn a_part_is_not_blocked_by_a_server_that_resets_single_streams() {
     let reactions = [Reaction::Reset, Reaction::Answer, Reaction::Answer];
-    let fleet = Fleet::start_with(&reactions, 3, DOWNTIME, &configuration(1)).await;
+    let fleet = Fleet::start_with(&trigger(), &reactions, 3, DOWNTIME, &configuration(1)).await;
     let answers = fleet.send_traffic(60, suspect_prompt).await;
     let resets = fleet.servers[0].record().suspects.len();
     assert!(resets > ENDS_MAX, "{resets} streams were reset");
--- a/crates/node/tests/harness/crashing.rs
+++ b/crates/node/tests/harness/crashing.rs
@@ -1,4 +1,4 @@
-//! Backend servers that end under requests with a given part in their prompts.
+//! Backend servers that end under certain requests.
 
 use std::future::pending;
 use std::net::SocketAddr;
@@ -34,7 +34,30 @@
 /// How many connections may wait to be accepted.
 const BACKLOG: u32 = 128;
 
-/// What a server does with requests that have the part, after the head of the
+/// The requests under which a server ends.
+#[derive(Clone, Debug)]
+pub(crate) enum Trigger {
+    /// Those with a part in their prompt before the last one.
+    PromptPart(String),
+    /// Those with a path and a body.
+    Request { path: String, body: String },
+}
+
+impl Trigger {
+    fn matches(&self, request: &str) -> bool {
+        match self {
+            Trigger::PromptPart(part) => has_part(request, part),
+            Trigger::Request { path, body } => {
+                let target = request.split(' ').nth(1).unwrap_or_default();
+                let found = target.split('?').next().unwrap_or_default();
+                let (_, content) = request.split_once("\r\n\r\n").unwrap_or_default();
+                found == path && content == body
+            }
+        }
+    }
+}
+
+/// What a server does with requests that are the trigger, after the head of the
 /// answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Reaction {
@@ -42,6 +65,8 @@
     Answer,
     /// It ends.
     End,
+    /// It answers with a failure and ends.
+    FailAndEnd,
     /// It sends nothing more.
     Hold,
     /// It resets the connection.
@@ -51,7 +76,7 @@
 /// What a server has seen.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Record {
-    /// When requests with the part arrived.
+    /// When requests that are the trigger arrived.
     pub(crate) suspects: Vec<Instant>,
     /// How many other requests arrived.
     pub(crate) sound: usize,
@@ -70,7 +95,7 @@
 
 struct State {
     name: String,
-    part: String,
+    trigger: Trigger,
     /// How long it refuses connections after its end.
     downtime: Duration,
     address: SocketAddr,
@@ -90,7 +115,7 @@
     pub(crate) fn spawn(
         store: &Store,
         name: String,
-        part: &str,
+        trigger: Trigger,
         reaction: Reaction,
         downtime: Duration,
     ) -> CrashingServer {
@@ -98,7 +123,7 @@
         let address = reserved.local_addr().unwrap();
         let state = Arc::new(State {
             name,
-            part: part.to_owned(),
+            trigger,
             downtime,
             address,
             store: store.clone(),
@@ -185,9 +210,12 @@
             let reaction = self.record_request(&request);
             let attempt = field(&request, "x-attempt-id").unwrap_or_default();
             let is_expected = field(&request, "x-expect-instance").as_ref() == Some(&id);
-            let head = match is_expected {
-                true => stream_head(),
-                false => complete_answer(421, "X-Not-Executed: 1\r\n", ""),
+            let head = match (is_expected, reaction) {
+                (false, _) => complete_answer(421, "X-Not-Executed: 1\r\n", ""),
+                (true, Reaction::FailAndEnd) => {
+                    complete_answer(502, "Connection: close\r\n", "failed")
+                }
+                (true, _) => stream_head(),
             };
             let head = head.replace("{id}", &attempt);
             if stream.write_all(head.as_bytes()).await.is_err() {
@@ -203,6 +231,7 @@
                     sleep(END_DELAY).await;
                     return Fate::ServerEnded;
                 }
+                Reaction::FailAndEnd => return Fate::ServerEnded,
                 Reaction::Hold => pending().await,
                 Reaction::Reset => {
                     sleep(END_DELAY).await;
@@ -218,7 +247,7 @@
     /// Counts a request and returns what to do with it.
     fn record_request(&self, request: &str) -> Reaction {
         let mut record = self.record.lock().unwrap();
-        match has_part(request, &self.part) {
+        match self.trigger.matches(request) {
             true => {
                 record.suspects.push(Instant::now());
                 *self.reaction.lock().unwrap()
--- a/crates/snipewinch/tests/outbreak/mod.rs
+++ b/crates/snipewinch/tests/outbreak/mod.rs
@@ -1,7 +1,8 @@
-//! A model of entries and servers with batches, in which one key ends each
-//! server that begins to write an answer on it.
+//! A model of entries and servers, in which one part of prompts, or one request
+//! that comes again, ends each server that begins to write an answer on it.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -17,16 +18,57 @@
 /// When the first request with the bad key may come.
 const OUTBREAK_AT: Duration = Duration::from_secs(10);
 const LENGTH: Duration = Duration::from_secs(30);
-/// After the fifth end and this time, few requests with the bad key may reach a
-/// server.
+/// After the last allowed end and this time, few bad requests may reach a server.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 const RESTART: Duration = Duration::from_secs(3);
-const BATCH: usize = 16;
 const SHARED_KEYS: usize = 60;
 const ATTEMPTS_MAX: u32 = 2;
 const COME_THROUGH: Duration = Duration::from_millis(300);
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(150);
 
+/// What ends servers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Outbreak {
+    /// A part that a share of the requests has in their prompts.
+    Part { share: f64 },
+    /// One request, copies of which arrive at a rate per second.
+    Request { copies_per_s: f64 },
+}
+
+/// What servers run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Work {
+    /// Prompts with shared parts, in batches of 16.
+    Prompts,
+    /// Plain requests, 6 at a time.
+    Plain,
+}
+
+impl Work {
+    fn slots(self) -> usize {
+        match self {
+            Work::Prompts => 16,
+            Work::Plain => 6,
+        }
+    }
+
+    /// The time to the first event of an answer, in milliseconds.
+    fn first_event_ms(self) -> Range<u64> {
+        match self {
+            Work::Prompts => 100..350,
+            Work::Plain => 15..105,
+        }
+    }
+
+    /// The time from there to its end, in milliseconds.
+    fn rest_ms(self) -> Range<u64> {
+        match self {
+            Work::Prompts => 200..2_000,
+            Work::Plain => 1..20,
+        }
+    }
+}
+
 /// What entries do against the outbreak.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Remedy {
@@ -44,8 +86,8 @@
     pub(crate) entries: usize,
     pub(crate) servers: usize,
     pub(crate) requests_per_s: f64,
-    /// The share of requests with the bad key.
-    pub(crate) bad_share: f64,
+    pub(crate) work: Work,
+    pub(crate) outbreak: Outbreak,
     /// How many servers end for other causes in a second.
     pub(crate) other_ends_per_s: f64,
     pub(crate) remedy: Remedy,
@@ -54,10 +96,11 @@
 /// What came of it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Outcome {
-    /// Servers that ended under the bad key.
+    /// Servers that ended under the bad part or request.
     pub(crate) ends: u32,
-    /// Requests with the bad key that reached a server after the fifth end and
-    /// [`STABLE_WINDOW`].
+    /// Bad requests that reached a server after the last allowed end.
+    pub(crate) sent_after: u32,
+    /// Those of them that did so later than [`STABLE_WINDOW`] after it.
     pub(crate) sent_late: u32,
     pub(crate) sound: u32,
     /// Sound requests that were refused because of their keys.
@@ -96,7 +139,8 @@
     /// Evidence on its way, by arrival: receiver, publisher and content.
     mail: BTreeMap<(Duration, u64), (usize, usize, Evidence)>,
     mail_number: u64,
-    fifth_end: Option<Duration>,
+    /// The last end that may come before the verdict.
+    last_allowed_end: Option<Duration>,
     outcome: Outcome,
 }
 
@@ -114,7 +158,7 @@
         machines: (0..setup.servers).map(|_| Machine::default()).collect(),
         mail: BTreeMap::new(),
         mail_number: 0,
-        fifth_end: None,
+        last_allowed_end: None,
         outcome: Outcome::default(),
         setup,
     };
@@ -128,12 +172,18 @@
 impl Model {
     fn step(&mut self) {
         let per_step = |rate: f64| rate * STEP.as_secs_f64();
-        let mut due = per_step(self.setup.requests_per_s);
-        while due > 0.0 {
-            if self.rng.random::<f64>() < due {
-                self.arrive();
+        let bad_per_s = match self.setup.outbreak {
+            Outbreak::Request { copies_per_s } if self.now >= OUTBREAK_AT => copies_per_s,
+            Outbreak::Request { .. } | Outbreak::Part { .. } => 0.0,
+        };
+        for (rate, is_copy) in [(self.setup.requests_per_s, false), (bad_per_s, true)] {
+            let mut due = per_step(rate);
+            while due > 0.0 {
+                if self.rng.random::<f64>() < due {
+                    self.arrive(is_copy);
+                }
+                due -= 1.0;
             }
-            due -= 1.0;
         }
         if self.rng.random::<f64>() < per_step(self.setup.other_ends_per_s) {
             let machine = self.rng.random_range(0..self.machines.len());
@@ -145,15 +195,15 @@
         self.exchange();
     }
 
-    fn arrive(&mut self) {
-        let rank: f64 = self.rng.random();
-        // Parts of rank r are asked for about as often as 1 / r.
-        let shared = (SHARED_KEYS as f64).powf(rank) as usize;
-        let mut keys = vec![Key::of("shared", &shared.to_string())];
-        let is_bad = self.now >= OUTBREAK_AT && self.rng.random::<f64>() < self.setup.bad_share;
-        if is_bad {
-            keys.push(Key::of("part", "bad"));
-        }
+    /// Lets a request arrive: a copy of the bad one, or any.
+    fn arrive(&mut self, is_copy: bool) {
+        let shared = self.shared_part(is_copy);
+        let has_bad_part = match self.setup.outbreak {
+            Outbreak::Part { share } => self.now >= OUTBREAK_AT && self.rng.random::<f64>() < share,
+            Outbreak::Request { .. } => false,
+        };
+        let is_bad = is_copy || has_bad_part;
+        let keys = self.keys(shared, has_bad_part);
         let request = Request {
             entry: self.rng.random_range(0..self.entries.len()),
             keys,
@@ -171,6 +221,26 @@
         }
     }
 
+    /// The shared part of a prompt; that of the request which comes again is
+    /// always the same.
+    fn shared_part(&mut self, is_copy: bool) -> Option<usize> {
+        match self.setup.work {
+            Work::Plain => None,
+            Work::Prompts if is_copy => Some(1),
+            Work::Prompts => {
+                let rank: f64 = self.rng.random();
+                // Parts of rank r are asked for about as often as 1 / r.
+                Some((SHARED_KEYS as f64).powf(rank) as usize)
+            }
+        }
+    }
+
+    fn keys(&self, shared: Option<usize>, has_bad_part: bool) -> Vec<Key> {
+        let shared = shared.map(|part| Key::of("shared", &part.to_string()));
+        let bad = has_bad_part.then(|| Key::of("part", "bad"));
+        shared.into_iter().chain(bad).collect()
+    }
+
     fn verdict(&self, request: &Request) -> Verdict {
         match self.setup.remedy {
             Remedy::Quarantine => self.entries[request.entry]
@@ -182,10 +252,11 @@
 
     fn send(&mut self, mut request: Request) {
         let now = self.now;
+        let slots = self.setup.work.slots();
         let free: Vec<usize> = (0..self.machines.len())
             .filter(|index| {
                 let machine = &self.machines[*index];
-                machine.up_at <= now && machine.requests.len() < BATCH
+                machine.up_at <= now && machine.requests.len() < slots
             })
             .collect();
         if free.is_empty() {
@@ -193,12 +264,16 @@
         }
         let machine = free[self.rng.random_range(0..free.len())];
         request.attempts += 1;
-        request.first_event = now + Duration::from_millis(self.rng.random_range(100..350));
-        request.end =
-            request.first_event + Duration::from_millis(self.rng.random_range(200..2_000));
+        let work = self.setup.work;
+        let first_event_ms = self.rng.random_range(work.first_event_ms());
+        request.first_event = now + Duration::from_millis(first_event_ms);
+        let rest_ms = self.rng.random_range(work.rest_ms());
+        request.end = request.first_event + Duration::from_millis(rest_ms);
         request.has_come_through = false;
         if request.is_bad {
-            let late = self.fifth_end.is_some_and(|at| now > at + STABLE_WINDOW);
+            let last_allowed = self.last_allowed_end;
+            let late = last_allowed.is_some_and(|at| now > at + STABLE_WINDOW);
+            self.outcome.sent_after += u32::from(last_allowed.is_some());
             self.outcome.sent_late += u32::from(late);
         }
         self.machines[machine].requests.push(request);
@@ -213,8 +288,12 @@
             .any(|one| one.is_bad && one.first_event <= now)
         {
             self.outcome.ends += 1;
-            if self.outcome.ends == 5 {
-                self.fifth_end = Some(now);
+            let allowed = match self.setup.outbreak {
+                Outbreak::Part { .. } => 5,
+                Outbreak::Request { .. } => 3,
+            };
+            if self.outcome.ends == allowed {
+                self.last_allowed_end = Some(now);
             }
             return self.end_machine(machine);
         }
--- a/crates/snipewinch/tests/quarantine.rs
+++ b/crates/snipewinch/tests/quarantine.rs
@@ -11,9 +11,11 @@
 
 mod outbreak;
 
+use outbreak::Outbreak;
 use outbreak::Outcome;
 use outbreak::Remedy;
 use outbreak::Setup;
+use outbreak::Work;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -323,23 +325,50 @@
     assert_eq!(ledger.verdict(ms(1_000), &keys), Verdict::Blocked(bad));
 }
 
-/// The setups of a fleet with `entries` entries, for `seeds` seeds.
-fn setups(entries: usize, seeds: u64, remedy: Remedy) -> impl Iterator<Item = Setup> {
+/// The setups of an outbreak of a part with `entries` entries, for `seeds` seeds.
+fn part_setups(entries: usize, seeds: u64, remedy: Remedy) -> impl Iterator<Item = Setup> {
     (0..seeds).map(move |seed| Setup {
         seed,
         entries,
         servers: entries,
         requests_per_s: 8.0 * entries as f64,
-        bad_share: [0.001, 0.01, 0.03, 0.1][seed as usize % 4],
+        work: Work::Prompts,
+        outbreak: Outbreak::Part {
+            share: [0.001, 0.01, 0.03, 0.1][seed as usize % 4],
+        },
         other_ends_per_s: [0.0, 0.5][seed as usize / 4 % 2],
         remedy,
     })
 }
 
-/// Plays all setups of a fleet and returns the sum of what came of them, after
-/// it has checked the target for each.
-fn assert_contained(entries: usize, seeds: u64) {
-    for setup in setups(entries, seeds, Remedy::Quarantine) {
+/// The setups of a request that comes again, at plain services and engines.
+fn request_setups(entries: usize, seeds: u64, remedy: Remedy) -> impl Iterator<Item = Setup> {
+    (0..seeds).map(move |seed| {
+        let work = [Work::Plain, Work::Prompts][seed as usize % 2];
+        Setup {
+            seed,
+            entries,
+            servers: match work {
+                Work::Plain => entries / 6,
+                Work::Prompts => entries,
+            },
+            requests_per_s: match work {
+                Work::Plain => 1.5 * entries as f64,
+                Work::Prompts => 8.0 * entries as f64,
+            },
+            work,
+            outbreak: Outbreak::Request {
+                copies_per_s: [0.5, 4.0, 30.0, 200.0][seed as usize / 2 % 4],
+            },
+            other_ends_per_s: [0.0, 0.5][seed as usize / 8 % 2],
+            remedy,
+        }
+    })
+}
+
+/// Plays setups and checks the target for each.
+fn assert_contained(setups: impl Iterator<Item = Setup>) {
+    for setup in setups {
         let outcome = outbreak::play(setup);
         assert!(outcome.sent_late <= 3, "{setup:?} {outcome:?}");
         let refused = f64::from(outcome.sound_refused) / f64::from(outcome.sound.max(1));
@@ -347,6 +376,20 @@
     }
 }
 
+/// Plays setups of a request that comes again: none may be sent late, and no
+/// sound one in a thousand refused.
+fn assert_request_contained(entries: usize, seeds: u64) {
+    let mut sound = 0;
+    let mut refused = 0;
+    for setup in request_setups(entries, seeds, Remedy::Quarantine) {
+        let outcome = outbreak::play(setup);
+        assert_eq!(outcome.sent_late, 0, "{setup:?} {outcome:?}");
+        sound += outcome.sound;
+        refused += outcome.sound_refused;
+    }
+    assert!(refused * 1_000 < sound, "{refused} of {sound} refused");
+}
+
 /// How many seeds to play, as a multiple of the few that are played by default.
 fn seeds(default: u64) -> u64 {
     let factor = std::env::var("OUTBREAK_FACTOR").ok();
@@ -355,17 +398,32 @@
 
 #[test]
 fn a_key_that_ends_servers_is_contained_by_18_entries() {
-    assert_contained(18, seeds(40));
+    assert_contained(part_setups(18, seeds(40), Remedy::Quarantine));
 }
 
 #[test]
 fn a_key_that_ends_servers_is_contained_by_55_entries() {
-    assert_contained(55, seeds(8));
+    assert_contained(part_setups(55, seeds(8), Remedy::Quarantine));
 }
 
 #[test]
 fn a_key_that_ends_servers_is_contained_by_360_entries() {
-    assert_contained(360, seeds(2));
+    assert_contained(part_setups(360, seeds(2), Remedy::Quarantine));
+}
+
+#[test]
+fn a_request_that_comes_again_is_contained_by_18_entries() {
+    assert_request_contained(18, seeds(40));
+}
+
+#[test]
+fn a_request_that_comes_again_is_contained_by_55_entries() {
+    assert_request_contained(55, seeds(8));
+}
+
+#[test]
+fn a_request_that_comes_again_is_contained_by_360_entries() {
+    assert_request_contained(360, seeds(2));
 }
 
 /// Prints the table of docs/design/quarantine.md.
@@ -379,7 +437,7 @@
             Remedy::Quarantine,
         ]
         .map(|remedy| {
-            let played: Vec<_> = setups(entries, seeds, remedy).map(outbreak::play).collect();
+            let played: Vec<_> = part_setups(entries, seeds, remedy).map(outbreak::play).collect();
             let mean = |of: fn(&Outcome) -> u32| {
                 played.iter().map(of).map(f64::from).sum::<f64>() / played.len() as f64
             };
