--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -160,6 +160,11 @@
         target.split_once('?').map_or(target, |(path, _)| path)
     }
 
+    /// Returns the query string of the target; empty if it has none.
+    pub fn query(&self) -> &str {
+        self.target.split_once('?').map_or("", |(_, query)| query)
+    }
+
     /// Returns whether the client may send further requests on the connection.
     pub fn keeps_alive(&self) -> bool {
         self.is_1_1 && !self.fields.has_token("connection", "close")
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -28,8 +28,10 @@
     NoRoute,
     /// Its key is missing or belongs to no customer.
     UnknownKey,
-    /// Backend servers ended under a part of its prompt.
+    /// Backend servers ended under it, or under a part of its prompt.
     Quarantined,
+    /// A backend server has ended under it, and it would be refused from now on.
+    EndedServer,
     /// Its head or body did not arrive in time.
     RequestTimeout,
     /// Its body is too long.
@@ -52,7 +54,7 @@
             Reason::Unknown => 502,
             Reason::NoRoute => 404,
             Reason::UnknownKey => 401,
-            Reason::Quarantined => 422,
+            Reason::EndedServer | Reason::Quarantined => 422,
             Reason::RequestTimeout => 408,
             Reason::BodyTooLarge => 413,
             Reason::Malformed(status) => status,
@@ -71,6 +73,7 @@
             Reason::Unknown => "unknown",
             Reason::NoRoute => "route",
             Reason::UnknownKey => "key",
+            Reason::EndedServer => "ended_server",
             Reason::Quarantined => "quarantine",
             Reason::RequestTimeout => "slow",
             Reason::BodyTooLarge => "too_long",
@@ -90,8 +93,11 @@
             Reason::Unknown => "the backend server broke off; it may have run",
             Reason::NoRoute => "no route matches the host and path; check both",
             Reason::UnknownKey => "the key is missing or not known; send the customer's key",
+            Reason::EndedServer => {
+                "backend servers ended while they ran it; it may have run; change it before it is sent again"
+            }
             Reason::Quarantined => {
-                "not run: backend servers ended under a part of its prompt; change the prompt"
+                "not run: backend servers ended under it or a part of its prompt; change it before it is sent again"
             }
             Reason::RequestTimeout => "the request's head did not arrive in time; send it faster",
             Reason::BodyTooLarge => "the request's body is too long; send a shorter one",
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -58,6 +58,8 @@
 pub(crate) struct Attempt {
     pub(crate) key: attempt::Key,
     pub(crate) slot: Slot,
+    /// When the request was sent.
+    pub(crate) sent: Duration,
     /// When the request was sent or the last bytes of the answer arrived.
     pub(crate) last_progress: Duration,
     /// When it is next checked whether the backend server is silent.
@@ -68,8 +70,8 @@
     pub(crate) first_event: Option<Duration>,
     /// Whether it has gone on well after its first event.
     pub(crate) has_come_through: bool,
-    /// When the request was sent, until the answer's notice is taken.
-    notice_due: Option<Duration>,
+    /// Whether the notice of its answer is still to be taken.
+    is_notice_due: bool,
     clock: Clock,
     exchange: Exchange,
     /// Whether a success is a stream of events.
@@ -94,12 +96,13 @@
         Attempt {
             key,
             slot,
+            sent: now,
             last_progress: now,
             silence_check: now,
             is_silent: false,
             first_event: None,
             has_come_through: false,
-            notice_due: Some(now),
+            is_notice_due: true,
             clock,
             exchange,
             expects_stream,
@@ -151,8 +154,8 @@
             return None;
         }
         let head = &self.answer.as_ref()?.head;
-        let sent = self.notice_due.take()?;
-        Some((Notice::decode(|name| head.fields.get(name)), sent))
+        let is_due = std::mem::take(&mut self.is_notice_due);
+        is_due.then(|| (Notice::decode(|name| head.fields.get(name)), self.sent))
     }
 
     /// Waits for the next output. Cancelling it loses nothing.
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -65,6 +65,8 @@
     pub(crate) listed_version: u64,
     /// Requests of this entry in flight there.
     pub(crate) running: u32,
+    /// Those of them under which another backend server has ended.
+    pub(crate) suspected: u32,
     pub(crate) load: Option<Load>,
     pub(crate) health: Health,
     /// The address of the agent on its host.
@@ -231,6 +233,7 @@
                     is_missing: false,
                     listed_version: version,
                     running: 0,
+                    suspected: 0,
                     load: None,
                     server: Server::of(&id, entry.started_ms),
                     health: Health::default(),
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -20,7 +20,7 @@
 use snipewinch::dispatch::Waiter;
 use snipewinch::health::Outcome;
 use snipewinch::health::stall_timeout;
-use snipewinch::quarantine;
+use snipewinch::quarantine::Key as QuarantineKey;
 use snipewinch::quarantine::Verdict;
 use snipewinch::route::Repeat;
 use snipewinch::route::Route;
@@ -40,6 +40,7 @@
 use super::exchange::Exchange;
 use super::pool;
 use super::pool::Connection;
+use super::quarantine;
 use super::relay;
 
 /// The time to the deadline of a request whose caller gives none.
@@ -74,8 +75,8 @@
     pub(crate) service: SmolStr,
     /// Whether the service runs model engines, whose agents grant slots.
     pub(crate) has_engine: bool,
-    /// The parts of its prompt that other requests may share.
-    pub(crate) keys: Vec<quarantine::Key>,
+    /// What it has in common with other requests, which may end servers.
+    pub(crate) keys: Vec<QuarantineKey>,
     /// When its last byte arrived, by the process's clock.
     pub(crate) arrived: Duration,
     /// The time by which the caller, or the route if it is stricter, needs the
@@ -315,10 +316,7 @@
             Wakeup::Output(index, Err(error)) => {
                 let attempt = &progress.open[index];
                 if !attempt.has_come_through {
-                    let (key, address) = (attempt.slot.key, attempt.slot.address);
-                    let server = attempt.slot.id.clone();
-                    super::quarantine::record_broken(entry, call, key, &server, address, &error)
-                        .await;
+                    quarantine::record_broken(entry, call, attempt, &error).await;
                 }
                 record_broken(entry, call, progress, index, &error)
             }
@@ -451,6 +449,7 @@
     SlotRequest {
         service: call.service.clone(),
         has_engine: call.has_engine,
+        is_suspected: entry.quarantine.is_suspected(now, &call.keys),
         tried: progress.tried.clone(),
         waiter: Waiter {
             arrived: call.arrived,
@@ -521,14 +520,14 @@
     Step::Wait
 }
 
-/// Whether a request may be sent to a further backend server: none has ended
-/// under a part of its prompt that nothing clears.
+/// Whether a request may be sent to a further backend server: no more than one
+/// has ended under it, or under a part of its prompt that nothing clears.
 fn may_retry(entry: &Entry, call: &Call) -> bool {
     entry.quarantine.verdict(entry.clock.now(), &call.keys) == Verdict::Clear
 }
 
-/// Whether a part of the prompt came under suspicion while the request waited
-/// for a slot.
+/// Whether the request or a part of its prompt came under suspicion while it
+/// waited for a slot.
 fn is_quarantined(entry: &Entry, call: &Call, progress: &Progress) -> bool {
     match entry.quarantine.verdict(entry.clock.now(), &call.keys) {
         Verdict::Blocked(_) => true,
@@ -666,13 +665,15 @@
         .dispatcher
         .record_outcome(attempt.slot.key, Outcome::Answered, attempt.load());
     attempt.finish(entry);
+    if head.status < 500 {
+        entry
+            .quarantine
+            .record_progress(entry.clock.now(), &call.keys);
+    }
     match (200..300).contains(&head.status) {
         true => {
             progress.open.clear();
             entry.metrics.attempts.with_label_values(&["success"]).inc();
-            entry
-                .quarantine
-                .record_progress(entry.clock.now(), &call.keys);
             Ok((head, body))
         }
         false => {
--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -317,8 +317,10 @@
         .service(service)
         .and_then(|service| service.engine.as_ref());
     let arrived = entry.clock.now();
-    let keys = quarantine::keys(service, head.fields.get(header::PROMPT_PARTS));
-    if let Verdict::Blocked(_) = entry.quarantine.verdict(arrived, &keys) {
+    let customer = matched.customer.map(|customer| customer.name.as_str());
+    let keys = quarantine::keys(service, &head, customer, &body);
+    if let Verdict::Blocked(key) = entry.quarantine.verdict(arrived, &keys) {
+        entry.quarantine.record_refusal(arrived, key);
         return Err((Reason::Quarantined, attempt));
     }
     Ok(Call {
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -58,11 +58,22 @@
     pub(crate) service: SmolStr,
     /// Whether the service runs model engines, whose agents grant slots.
     pub(crate) has_engine: bool,
+    /// Whether a backend server has ended under it. Two such requests do not
+    /// share a server, so that its next end tells which of them is the cause.
+    pub(crate) is_suspected: bool,
     /// Backend servers to which the request was sent before.
     pub(crate) tried: Vec<Key>,
     pub(crate) waiter: Waiter,
 }
 
+impl SlotRequest {
+    /// Whether it may be sent to a backend server.
+    fn admits(&self, key: Key, backend: &Backend) -> bool {
+        let is_apart = !self.is_suspected || backend.suspected == 0;
+        is_apart && !self.tried.contains(&key)
+    }
+}
+
 /// Why a request gets no slot.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Refusal {
@@ -119,6 +130,7 @@
     dispatcher: Dispatcher,
     /// Whether an agent granted it.
     granted: bool,
+    is_suspected: bool,
     pub(crate) key: Key,
     pub(crate) id: SmolStr,
     pub(crate) address: std::net::SocketAddr,
@@ -129,6 +141,7 @@
         let mut state = self.dispatcher.state.borrow_mut();
         let service = state.backends.get_mut(self.key).map(|backend| {
             backend.running -= 1;
+            backend.suspected -= u32::from(self.is_suspected);
             if self.granted {
                 backend.holder.release();
             }
@@ -208,18 +221,20 @@
     }
 
     /// Counts a request as in flight at a backend server.
-    fn occupy(&self, state: &mut State, key: Key, granted: bool) -> Slot {
+    fn occupy(&self, state: &mut State, key: Key, request: &SlotRequest, granted: bool) -> Slot {
         let now = self.clock.now();
         let backend = state
             .backends
             .get_mut(key)
             .expect("the caller has just found the backend server");
         backend.running += 1;
+        backend.suspected += u32::from(request.is_suspected);
         backend.health.record_sent(now);
         state.limits.record_sent(now, backend.server);
         Slot {
             dispatcher: self.clone(),
             granted,
+            is_suspected: request.is_suspected,
             key,
             id: backend.id.clone(),
             address: backend.address,
@@ -413,8 +428,10 @@
                 if let Some(service_state) = state.services.get_mut(service) {
                     service_state.queue.record_start(now);
                 }
-                let slot = self.occupy(state, key, granted);
-                results.extend(waiting.map(|waiting| (waiting, Ok(slot))));
+                results.extend(waiting.map(|waiting| {
+                    let slot = self.occupy(state, key, &waiting.request, granted);
+                    (waiting, Ok(slot))
+                }));
             }
             if let Some(backend) = state.backends.get_mut(key) {
                 backend.holder.release_unused();
@@ -505,7 +522,7 @@
         }
         service_state.queue.best(now, |ticket| {
             let waiting = service_state.waiting.get(&ticket);
-            waiting.is_some_and(|waiting| !waiting.request.tried.contains(&key))
+            waiting.is_some_and(|waiting| waiting.request.admits(key, backend))
         })
     }
 
--- a/crates/node/src/entry/dispatcher/direct.rs
+++ b/crates/node/src/entry/dispatcher/direct.rs
@@ -56,7 +56,7 @@
         let mut refusal = Refusal::NoServer;
         let untried = backends
             .of_service(&request.service)
-            .filter(|(key, _)| !request.tried.contains(key));
+            .filter(|(key, backend)| request.admits(*key, backend));
         for (key, backend) in untried {
             match limits.admission(now, backend.server) {
                 Admission::Unlimited | Admission::Granted => {}
@@ -78,12 +78,16 @@
             // a whole queue less.
             let remote_penalty = if backend.distance > 0 { 1.0 } else { 0.0 };
             let score = load_ratio + remote_penalty + rng.random_range(0.0..0.1);
-            ranked.push((!backend.health.admits(now), score, key));
+            // A server that may end under a suspected request is the last resort.
+            let rank = (!backend.health.admits(now), backend.suspected > 0);
+            ranked.push((rank, score, key));
         }
         ranked.sort_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
         match (ranked.first(), soonest) {
-            (Some((_, _, key)), _) => Pick::Slot(self.occupy(&mut state, *key, false)),
-            (None, Some((wait, key))) => Pick::Reserved(self.occupy(&mut state, key, false), wait),
+            (Some((_, _, key)), _) => Pick::Slot(self.occupy(&mut state, *key, request, false)),
+            (None, Some((wait, key))) => {
+                Pick::Reserved(self.occupy(&mut state, key, request, false), wait)
+            }
             (None, None) => Pick::None(refusal),
         }
     }
--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -1,5 +1,5 @@
-//! Detects prompts that end the backend servers which run them, and refuses
-//! them. All entries share their evidence through the platform's store.
+//! Detects requests, and parts of prompts, that end the backend servers which
+//! run them, and refuses them. All entries share their evidence through the platform's store.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -10,6 +10,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use http1::head::Request;
 use platform::follow;
 use platform::follow::Change;
 use platform::follow::Control;
@@ -23,6 +24,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
+use snipewinch::quarantine;
 use snipewinch::quarantine::Evidence;
 use snipewinch::quarantine::Key;
 use snipewinch::quarantine::Ledger;
@@ -35,7 +37,7 @@
 use tokio::time::timeout;
 
 use super::Entry;
-use super::backends;
+use super::attempt::Attempt;
 use super::call::Call;
 use super::pool;
 
@@ -89,7 +91,7 @@
     has_ended: bool,
 }
 
-/// What this entry knows of prompts that end backend servers.
+/// What this entry knows of requests that end backend servers.
 #[derive(Debug)]
 pub(crate) struct Quarantine {
     ledger: RefCell<Ledger>,
@@ -117,6 +119,21 @@
         self.ledger.borrow().verdict(now, keys)
     }
 
+    /// Whether a server has ended under a request with `keys`, and nothing
+    /// clears it.
+    pub(crate) fn is_suspected(&self, now: Duration, keys: &[Key]) -> bool {
+        self.ledger.borrow().is_suspected(now, keys)
+    }
+
+    /// Records that a request is refused because a key is blocked.
+    pub(crate) fn record_refusal(&self, now: Duration, key: Key) {
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.record_refusal(now, key);
+        if ledger.has_news() {
+            self.changed.notify_one();
+        }
+    }
+
     /// Records that a request with `keys` has come through.
     pub(crate) fn record_progress(&self, now: Duration, keys: &[Key]) {
         let mut ledger = self.ledger.borrow_mut();
@@ -138,14 +155,15 @@
         let mut blocked = self.blocked.borrow_mut();
         for one in found.iter().filter(|one| !blocked.contains(&one.key)) {
             log::warn!(
-                "E7122 part {} of prompts is blocked: {} backend servers ended under it and no request with it came through",
+                "E7122 {} {} is blocked: {} backend servers ended under it and no request with it came through",
+                kind(one.key),
                 one.key,
                 one.ends
             );
         }
         for key in blocked.iter() {
             if !found.iter().any(|one| one.key == *key) {
-                log::warn!("E7123 part {key} of prompts is no longer blocked");
+                log::warn!("E7123 {} {key} is no longer blocked", kind(*key));
             }
         }
         *blocked = found.iter().map(|one| one.key).collect();
@@ -204,10 +222,28 @@
     now.unwrap_or_default().as_secs()
 }
 
-/// The keys of a request: the parts of its prompt that others may share.
-pub(crate) fn keys(service: &str, prompt_parts: Option<&str>) -> Vec<Key> {
-    let parts = prompt::shared_parts(prompt_parts.unwrap_or_default());
-    parts.map(|part| Key::of(service, part)).collect()
+/// What a key identifies, for logs.
+fn kind(key: Key) -> &'static str {
+    match key.is_request() {
+        true => "request",
+        false => "part of prompts",
+    }
+}
+
+/// The keys of a request: the parts of its prompt that others may share, and the
+/// whole of it.
+pub(crate) fn keys(service: &str, head: &Request, customer: Option<&str>, body: &[u8]) -> Vec<Key> {
+    let prompt_parts = head.fields.get(header::PROMPT_PARTS).unwrap_or_default();
+    let parts = prompt::shared_parts(prompt_parts).map(|part| Key::of(service, part));
+    let request = quarantine::Request {
+        host: head.fields.get("host").unwrap_or_default(),
+        method: &head.method,
+        path: head.path(),
+        query: head.query(),
+        customer,
+        body,
+    };
+    parts.chain(request.keys()).collect()
 }
 
 /// Records that an attempt without progress was broken off, if that happened
@@ -215,16 +251,19 @@
 pub(crate) async fn record_broken(
     entry: &Rc<Entry>,
     call: &Call,
-    backend: backends::Key,
-    server: &str,
-    address: SocketAddr,
+    attempt: &Attempt,
     error: &pool::Error,
 ) {
-    let may_be_end = matches!(error, pool::Error::Closed | pool::Error::Io { .. });
-    if !may_be_end || !entry.dispatcher.is_serving(backend) {
-        return;
+    if matches!(error, pool::Error::Closed | pool::Error::Io { .. }) {
+        record_end(entry, call, attempt).await;
     }
-    if !has_ended(entry, server, address).await {
+}
+
+/// Records that the backend server of an attempt has ended under it, if it has.
+pub(crate) async fn record_end(entry: &Rc<Entry>, call: &Call, attempt: &Attempt) {
+    let slot = &attempt.slot;
+    let server = slot.id.as_str();
+    if !entry.dispatcher.is_serving(slot.key) || !has_ended(entry, server, slot.address).await {
         return;
     }
     let now = entry.clock.now();
@@ -240,7 +279,7 @@
     quarantine
         .ledger
         .borrow_mut()
-        .record_end(now, Server::of(server), &call.keys);
+        .record_end(now, attempt.sent, Server::of(server), &call.keys);
     quarantine.refresh.request();
     let entry = entry.clone();
     spawn_local(async move {
@@ -317,7 +356,7 @@
             Ok(()) => PUBLISH_INTERVAL,
             Err(error) => {
                 log::warn!(
-                    "E7125 publishing evidence against parts of prompts failed, retrying: {error}"
+                    "E7125 publishing evidence against requests and parts of prompts failed, retrying: {error}"
                 );
                 entry.quarantine.ledger.borrow_mut().republish(None);
                 entry.quarantine.changed.notify_one();
--- a/crates/node/tests/repeat.rs
+++ b/crates/node/tests/repeat.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use snipewinch::quarantine;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -202,3 +203,25 @@
         .collect();
     assert!(refused.is_empty(), "{refused:?}");
 }
+
+/// Guards against a body whose fingerprint delays other requests.
+#[test]
+fn the_keys_of_a_request_with_a_body_of_1_mib_cost_little() {
+    let content = vec![7; 1 << 20];
+    let request = quarantine::Request {
+        host: "songs.example",
+        method: "POST",
+        path: "/read/1",
+        query: "",
+        customer: Some("archive"),
+        body: &content,
+    };
+    let least = (0..10).map(|_| {
+        let start = Instant::now();
+        assert!(request.keys().iter().all(|key| key.is_request()));
+        start.elapsed()
+    });
+    let least = least.min().expect("there are ten");
+    println!("keys of 1 MiB in {least:?}");
+    assert!(least < Duration::from_millis(20), "{least:?}");
+}
--- a/crates/snipewinch/src/quarantine.rs
+++ b/crates/snipewinch/src/quarantine.rs
@@ -3,8 +3,8 @@
 //! One input may end each server that works on it, and retries and further
 //! callers carry it from server to server ("query of death": Beyer et al.,
 //! "Site Reliability Engineering", 2016, chapter 22). Work carries several
-//! keys, such as the shared parts of a prompt, and no two pieces of work are
-//! alike, so one of the keys has to be found. This is a group test (Dorfman
+//! keys: the shared parts of a prompt, and the whole request, which may come
+//! again. Which of them ends servers has to be found. This is a group test (Dorfman
 //! 1943): when a server ends, each key of the work that it had just begun is
 //! under suspicion, and work that comes through clears its keys. A key is
 //! blocked once several servers have ended under it while none of its work has
@@ -17,7 +17,6 @@
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::fmt;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -26,10 +25,21 @@
 
 use crate::mix;
 
+mod key;
+
+pub use key::Key;
+pub use key::Request;
+
 /// The ends of servers after which a key that nothing clears is blocked.
 const ENDS_TO_BLOCK: usize = 3;
 /// The ends of servers after which work is not sent to a further server.
 const ENDS_TO_SUSPECT: usize = 2;
+/// The ends after which a request is blocked for a while that has no part with
+/// other requests in common: nothing else about it can be the cause.
+const ENDS_TO_BLOCK_REQUEST: usize = 2;
+/// How long it is blocked by these, at the least; at each entry for another time
+/// up to twice as long. It is then tried once.
+const TRIAL_DELAY: Duration = Duration::from_secs(30);
 /// The fraction of the ends under a key that another key must share to explain
 /// them. The other key lacks ends whose report is late or was dropped.
 const EXPLAINED_FRACTION: f64 = 2.0 / 3.0;
@@ -45,8 +55,16 @@
 const ENDS_PER_KEY_MAX: usize = 32;
 /// The most keys under suspicion.
 const SUSPECTS_MAX: usize = 1_024;
-/// The most cleared keys that are remembered.
-const CLEARED_MAX: usize = 4_096;
+/// The most cleared parts that are remembered.
+const CLEARED_PARTS_MAX: usize = 4_096;
+/// The most cleared requests that are remembered. Few come again, but all that
+/// come through are among them for a while.
+const CLEARED_REQUESTS_MAX: usize = 2_048;
+/// How often the ends under a request that is blocked and still comes are
+/// renewed, so that they do not expire.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(300);
+/// The most renewals of an end: a day.
+const RENEWALS_MAX: u16 = 288;
 /// The most keys of one end that are published.
 const KEYS_PER_END_MAX: usize = 16;
 /// The most keys of one end that the entry which saw it suspects.
@@ -56,24 +74,6 @@
 /// The most cleared keys that one entry publishes.
 const PUBLISHED_CLEARED_MAX: usize = 64;
 
-/// Identifies something that work has in common with other work.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(transparent)]
-pub struct Key(u64);
-
-impl Key {
-    /// The key of `id` within a scope, such as a service.
-    pub fn of(scope: &str, id: &str) -> Key {
-        Key(mix::combine(mix::hash(scope), mix::hash(id)))
-    }
-}
-
-impl fmt::Display for Key {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
-
 /// Identifies one run of a server, from its start to its end.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
@@ -95,6 +95,13 @@
     /// Keys of the work that the server had just begun and that nothing clears.
     #[serde(rename = "k")]
     pub keys: Vec<Key>,
+    /// How often it was renewed, as requests with the keys still come.
+    #[serde(rename = "r", default, skip_serializing_if = "is_zero")]
+    pub renewals: u16,
+}
+
+fn is_zero(number: &u16) -> bool {
+    *number == 0
 }
 
 /// What one entry knows at first hand.
@@ -128,10 +135,18 @@
     pub ends: usize,
 }
 
+/// The end of a server under one key.
+#[derive(Clone, Copy, Debug)]
+struct Counted {
+    server: Server,
+    /// When this entry learned of it or it was last renewed.
+    at: Duration,
+    renewals: u16,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    /// The servers that ended, and when this entry learned of it.
-    ends: Vec<(Server, Duration)>,
+    ends: Vec<Counted>,
     /// Whether it was blocked before; one more end then blocks it again.
     is_known: bool,
     /// Until when ends do not count, as work with it came through.
@@ -141,10 +156,10 @@
 impl Suspect {
     /// The ends that count and are younger than `age_max`.
     fn counting(&self, now: Duration, age_max: Duration) -> impl Iterator<Item = Server> {
-        let counting = self.ends.iter().filter(|(_, at)| *at >= self.cleared_until);
+        let counting = self.ends.iter().filter(|one| one.at >= self.cleared_until);
         counting
-            .filter(move |(_, at)| now < *at + age_max)
-            .map(|(server, _)| *server)
+            .filter(move |one| now < one.at + age_max)
+            .map(|one| one.server)
     }
 
     /// How many ends count that are younger than `age_max`.
@@ -153,28 +168,116 @@
     }
 
     fn has_end(&self, server: Server) -> bool {
-        self.ends.iter().any(|(found, _)| *found == server)
+        self.ends.iter().any(|one| one.server == server)
+    }
+
+    /// Renews ends that count.
+    fn renew(&mut self, now: Duration) {
+        let cleared_until = self.cleared_until;
+        let due = |one: &&mut Counted| one.at >= cleared_until && is_renewal_due(now, one.at);
+        for one in self.ends.iter_mut().filter(due) {
+            if one.renewals < RENEWALS_MAX {
+                one.renewals += 1;
+                one.at = now;
+            }
+        }
+    }
+
+    /// Takes over that another entry has renewed an end.
+    fn take_renewal(&mut self, now: Duration, server: Server, renewals: u16) {
+        let cleared_until = self.cleared_until;
+        let mut ends = self.ends.iter_mut();
+        if let Some(one) = ends.find(|one| one.server == server)
+            && one.renewals < renewals
+            && one.at >= cleared_until
+        {
+            one.renewals = renewals;
+            one.at = now;
+        }
+    }
+}
+
+fn is_renewal_due(now: Duration, at: Duration) -> bool {
+    now >= at + RENEWAL_INTERVAL
+}
+
+/// When work with keys last came through.
+#[derive(Clone, Debug)]
+struct Cleared {
+    times: HashMap<Key, Duration>,
+    len_max: usize,
+}
+
+impl Cleared {
+    fn with_max(len_max: usize) -> Cleared {
+        Cleared {
+            times: HashMap::new(),
+            len_max,
+        }
+    }
+
+    fn insert(&mut self, now: Duration, key: Key) {
+        self.times.insert(key, now);
+        if self.times.len() > self.len_max {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let mut times: Vec<Duration> = self.times.values().copied().collect();
+        times.sort_unstable();
+        let limit = times[times.len() / 4];
+        self.times.retain(|_, at| *at > limit);
     }
 }
 
+/// Work that a server had just begun when it ended.
+#[derive(Clone, Debug)]
+struct Work {
+    /// When it was sent to the server.
+    sent: Duration,
+    keys: Vec<Key>,
+}
+
 /// An end that may still turn out to be one of several at the same moment.
 #[derive(Clone, Debug)]
 struct Pending {
     at: Duration,
-    end: End,
+    server: Server,
+    works: Vec<Work>,
+}
+
+impl Pending {
+    /// The end with the keys of the work that was sent later than `since`, if
+    /// that is given.
+    fn into_end(self, since: Option<Duration>) -> End {
+        let works = self.works.into_iter();
+        let counted = works.filter(|work| since.is_none_or(|since| work.sent > since));
+        End {
+            server: self.server,
+            keys: counted.flat_map(|work| work.keys).collect(),
+            renewals: 0,
+        }
+    }
+
+    fn has(&self, key: Key) -> bool {
+        self.works.iter().any(|work| work.keys.contains(&key))
+    }
 }
 
 /// What an entry knows of the keys that end servers.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Ledger {
     seed: u64,
     suspects: HashMap<Key, Suspect>,
-    /// When work with a key last came through, here or elsewhere.
-    cleared: HashMap<Key, Duration>,
+    /// When work with parts and requests came through, here or elsewhere.
+    cleared_parts: Cleared,
+    cleared_requests: Cleared,
     pending: VecDeque<Pending>,
     own: Evidence,
-    /// When this entry learned of each end of `own.ends`, in that order.
-    own_ends_at: VecDeque<Duration>,
+    /// When this entry learned of each end of `own.ends`, in that order, or last
+    /// renewed it.
+    own_ends_at: Vec<Duration>,
     /// When this entry last cleared each key of `own.cleared`, in that order.
     own_cleared_at: VecDeque<Duration>,
     /// The evidence of the others, as last merged.
@@ -188,7 +291,15 @@
     pub fn open(seed: u64) -> Ledger {
         Ledger {
             seed,
-            ..Ledger::default()
+            suspects: HashMap::new(),
+            cleared_parts: Cleared::with_max(CLEARED_PARTS_MAX),
+            cleared_requests: Cleared::with_max(CLEARED_REQUESTS_MAX),
+            pending: VecDeque::new(),
+            own: Evidence::default(),
+            own_ends_at: Vec::new(),
+            own_cleared_at: VecDeque::new(),
+            others: HashMap::new(),
+            is_changed: false,
         }
     }
 
@@ -200,32 +311,54 @@
                 self.publish_cleared(now, *key);
             }
         }
-        if self.cleared.len() > CLEARED_MAX {
-            self.forget_oldest_cleared();
+    }
+
+    /// Records that work was refused because a key is blocked. What is known of
+    /// a request lasts as long as it comes again.
+    pub fn record_refusal(&mut self, now: Duration, key: Key) {
+        let suspect = self.suspects.get_mut(&key).filter(|_| key.is_request());
+        let Some(suspect) = suspect else {
+            return;
+        };
+        suspect.renew(now);
+        let own = self.own.ends.iter_mut().zip(&mut self.own_ends_at);
+        let renewed = own.filter(|(end, at)| end.keys.contains(&key) && is_renewal_due(now, **at));
+        for (end, at) in renewed {
+            if end.renewals < RENEWALS_MAX {
+                end.renewals += 1;
+                *at = now;
+                self.is_changed = true;
+            }
         }
     }
 
-    /// Records that a server ended by itself under work that it had just begun.
-    pub fn record_end(&mut self, now: Duration, server: Server, keys: &[Key]) {
+    /// Records that a server ended by itself under work that it had just begun,
+    /// which was sent to it at `sent`.
+    pub fn record_end(&mut self, now: Duration, sent: Duration, server: Server, keys: &[Key]) {
         let cleared = |key: &Key| self.is_cleared(now, *key);
-        let mut keys: Vec<Key> = keys.iter().copied().filter(|key| !cleared(key)).collect();
-        let pending = self.pending.iter_mut().find(|one| one.end.server == server);
+        let keys: Vec<Key> = keys.iter().copied().filter(|key| !cleared(key)).collect();
+        let work = Work { sent, keys };
+        let pending = self.pending.iter_mut().find(|one| one.server == server);
         match pending {
-            Some(pending) => pending.end.keys.append(&mut keys),
-            None => {
-                let end = End { server, keys };
-                self.pending.push_back(Pending { at: now, end });
-            }
+            Some(pending) => pending.works.push(work),
+            None => self.pending.push_back(Pending {
+                at: now,
+                server,
+                works: vec![work],
+            }),
         }
     }
 
-    /// Takes over ends that stand alone. To be called some times a second, and
-    /// soon after each end.
+    /// Takes over ends that stand alone, and of those at the same moment what was
+    /// sent after the first of them. To be called some times a second, and soon
+    /// after each end.
     pub fn settle(&mut self, now: Duration) {
         while let Some(count) = self.settled_group(now) {
             let group: Vec<Pending> = self.pending.drain(..count).collect();
-            if let [alone] = &group[..] {
-                self.take_over(alone.at, alone.end.clone());
+            let first = group.first().map(|one| one.at).filter(|_| count > 1);
+            for pending in group {
+                let at = pending.at;
+                self.take_over(at, pending.into_end(first));
             }
         }
         self.forget_expired(now);
@@ -239,7 +372,7 @@
             .insert(publisher.into(), evidence.clone())
             .unwrap_or_default();
         for end in &evidence.ends {
-            self.suspect(now, end.server, published_keys(end));
+            self.suspect(now, end, published_keys(end));
         }
         let news = evidence.cleared.iter();
         for key in news.filter(|key| !before.cleared.contains(key)) {
@@ -252,7 +385,7 @@
     /// restarted, or before the store lost it.
     pub fn restore(&mut self, now: Duration, evidence: Evidence) {
         for end in evidence.ends {
-            self.suspect(now, end.server, published_keys(&end));
+            self.suspect(now, &end, published_keys(&end));
             self.publish_end(now, end);
         }
     }
@@ -263,11 +396,15 @@
         if self.suspects.is_empty() && self.pending.is_empty() {
             return suspect;
         }
+        let has_parts = keys.iter().any(|key| !key.is_request());
         for key in keys.iter().filter(|key| !self.is_cleared(now, **key)) {
             match self.ends(now, *key) {
                 0 if self.pending.is_empty() => {}
                 _ if self.is_explained(now, *key, keys) => {}
                 ends if self.blocks(*key, ends) => return Verdict::Blocked(*key),
+                ends if !has_parts && self.blocks_request(now, *key, ends) => {
+                    return Verdict::Blocked(*key);
+                }
                 ends if ends + self.pending_ends(*key) >= ENDS_TO_SUSPECT => {
                     suspect = Verdict::Suspect(*key);
                 }
@@ -277,7 +414,20 @@
         suspect
     }
 
-    /// All blocked keys.
+    /// Whether a server has ended under work with one of `keys`, and nothing
+    /// clears or explains it.
+    pub fn is_suspected(&self, now: Duration, keys: &[Key]) -> bool {
+        if self.suspects.is_empty() && self.pending.is_empty() {
+            return false;
+        }
+        let mut uncleared = keys.iter().filter(|key| !self.is_cleared(now, **key));
+        uncleared.any(|key| {
+            self.ends(now, *key) + self.pending_ends(*key) > 0
+                && !self.is_explained(now, *key, keys)
+        })
+    }
+
+    /// All blocked keys; of those under which the same servers ended, one.
     pub fn blocked(&self, now: Duration) -> Vec<Blocked> {
         let keys = self.suspects.keys().copied();
         let counted = keys.map(|key| Blocked {
@@ -286,7 +436,7 @@
         });
         counted
             .filter(|one| self.blocks(one.key, one.ends) && !self.is_cleared(now, one.key))
-            .filter(|one| !self.is_explained(now, one.key, &[one.key]))
+            .filter(|one| !self.is_listed_elsewhere(now, one.key))
             .collect()
     }
 
@@ -325,16 +475,27 @@
     /// Has no end count against a key that was learned of until its clearance
     /// expires.
     fn clear(&mut self, now: Duration, key: Key) {
-        self.cleared.insert(key, now);
+        match key.is_request() {
+            true => self.cleared_requests.insert(now, key),
+            false => self.cleared_parts.insert(now, key),
+        }
         if let Some(suspect) = self.suspects.get_mut(&key) {
             suspect.cleared_until = now + CLEARED_TIME;
             suspect.is_known = false;
         }
     }
 
+    /// Until when ends under a key do not count.
+    fn cleared_until(&self, key: Key) -> Option<Duration> {
+        let cleared = match key.is_request() {
+            true => &self.cleared_requests,
+            false => &self.cleared_parts,
+        };
+        cleared.times.get(&key).map(|at| *at + CLEARED_TIME)
+    }
+
     fn is_cleared(&self, now: Duration, key: Key) -> bool {
-        let at = self.cleared.get(&key);
-        at.is_some_and(|at| now < *at + CLEARED_TIME)
+        self.cleared_until(key).is_some_and(|until| now < until)
     }
 
     /// How many servers have ended under a key.
@@ -344,28 +505,53 @@
         suspect.map_or(0, |suspect| suspect.ends(now, expiry))
     }
 
-    /// Whether most ends under a key are also ends under one key that is not
-    /// among `keys` and has as many. Work without that one may then be sound: it is sent, and
-    /// clears the key if it comes through.
+    /// Whether a key that is not among `keys` explains the ends under `key`. Work
+    /// without that one may then be sound: it is sent, and clears the key if it
+    /// comes through.
     fn is_explained(&self, now: Duration, key: Key, keys: &[Key]) -> bool {
-        let Some(suspect) = self.suspects.get(&key) else {
+        let is_suspect = self.suspects.contains_key(&key);
+        is_suspect
+            && self
+                .strong_keys()
+                .any(|other| !keys.contains(&other) && self.explains(now, other, key))
+    }
+
+    /// The keys that may be blocked, and some others.
+    fn strong_keys(&self) -> impl Iterator<Item = Key> {
+        let all = self.suspects.iter();
+        all.filter(|(_, one)| one.is_known || one.ends.len() >= ENDS_TO_BLOCK)
+            .map(|(key, _)| *key)
+    }
+
+    /// Whether a key is blocked and most ends under another one, which has no
+    /// more, are also ends under it.
+    fn explains(&self, now: Duration, key: Key, other: Key) -> bool {
+        let (Some(suspect), Some(explained)) = (self.suspects.get(&key), self.suspects.get(&other))
+        else {
             return false;
         };
-        let expiry = self.expiry(key);
-        let ends: Vec<Server> = suspect.counting(now, expiry).collect();
-        let mut others = self.suspects.iter();
+        let strength = suspect.ends(now, self.expiry(key));
+        if !self.blocks(key, strength) || self.is_cleared(now, key) {
+            return false;
+        }
+        let ends: Vec<Server> = explained.counting(now, self.expiry(other)).collect();
+        let covered = ends.iter().filter(|end| suspect.has_end(**end)).count();
         !ends.is_empty()
-            && others.any(|(other, one)| {
-                let covered = ends.iter().filter(|end| one.has_end(**end)).count();
-                let covers = covered as f64 >= ends.len() as f64 * EXPLAINED_FRACTION;
-                let is_stronger = one.ends(now, self.expiry(*other)) >= ends.len();
-                covers && is_stronger && !keys.contains(other) && !self.is_cleared(now, *other)
-            })
+            && covered as f64 >= ends.len() as f64 * EXPLAINED_FRACTION
+            && strength >= ends.len()
+    }
+
+    /// Whether a blocked key is not listed beside one that explains it.
+    fn is_listed_elsewhere(&self, now: Duration, key: Key) -> bool {
+        let mut others = self.strong_keys().filter(|other| *other != key);
+        others.any(|other| {
+            self.explains(now, other, key) && (other < key || !self.explains(now, key, other))
+        })
     }
 
     fn pending_ends(&self, key: Key) -> usize {
         let pending = self.pending.iter();
-        pending.filter(|one| one.end.keys.contains(&key)).count()
+        pending.filter(|one| one.has(key)).count()
     }
 
     fn blocks(&self, key: Key, ends: usize) -> bool {
@@ -373,25 +559,29 @@
         ends >= ENDS_TO_BLOCK || (is_known && ends > 0)
     }
 
+    /// Whether a request without parts is blocked until it is tried again.
+    fn blocks_request(&self, now: Duration, key: Key, ends: usize) -> bool {
+        let last = self.suspects.get(&key).and_then(|one| one.ends.last());
+        let delay = TRIAL_DELAY.mul_f64(1.0 + key.draw(self.seed));
+        let is_trial_due = last.is_none_or(|end| now >= end.at + delay);
+        key.is_request() && ends >= ENDS_TO_BLOCK_REQUEST && !is_trial_due
+    }
+
     /// How long an end counts against a key at this entry.
     fn expiry(&self, key: Key) -> Duration {
-        let draw = mix::combine(self.seed, key.0) as f64 / u64::MAX as f64;
-        END_AGE_MAX.mul_f64(1.0 + draw)
+        END_AGE_MAX.mul_f64(1.0 + key.draw(self.seed))
     }
 
     /// Counts an end that this entry saw, and publishes it with the keys under
     /// which most servers ended.
     fn take_over(&mut self, now: Duration, mut end: End) {
-        end.keys.retain(|key| {
-            let cleared = self.cleared.get(key);
-            cleared.is_none_or(|at| now >= *at + CLEARED_TIME)
-        });
+        end.keys.retain(|key| !self.is_cleared(now, *key));
         end.keys.sort_unstable();
         end.keys.dedup();
         end.keys.sort_by_key(|key| Reverse(self.ends(now, *key)));
         end.keys.truncate(KEYS_PER_OWN_END_MAX);
         if !end.keys.is_empty() {
-            self.suspect(now, end.server, &end.keys);
+            self.suspect(now, &end, &end.keys);
             end.keys.truncate(KEYS_PER_END_MAX);
             self.publish_end(now, end);
         }
@@ -412,31 +602,35 @@
         }
         if self.own.ends.len() >= PUBLISHED_ENDS_MAX {
             self.own.ends.remove(0);
-            self.own_ends_at.pop_front();
+            self.own_ends_at.remove(0);
         }
         self.own.ends.push(end);
-        self.own_ends_at.push_back(now);
+        self.own_ends_at.push(now);
         self.is_changed = true;
     }
 
-    fn suspect(&mut self, now: Duration, ended: Server, keys: &[Key]) {
+    fn suspect(&mut self, now: Duration, end: &End, keys: &[Key]) {
         for key in keys {
             if !self.suspects.contains_key(key) && self.suspects.len() >= SUSPECTS_MAX {
-                self.forget_weakest_suspect();
+                self.forget_weakest_suspects();
             }
-            let cleared_until = self.cleared.get(key).map(|at| *at + CLEARED_TIME);
+            let cleared_until = self.cleared_until(*key);
             let suspect = self.suspects.entry(*key).or_insert_with(|| Suspect {
                 cleared_until: cleared_until.unwrap_or_default(),
                 ..Suspect::default()
             });
-            let is_counted = suspect.ends.iter().any(|(server, _)| *server == ended);
-            if is_counted {
+            if suspect.has_end(end.server) {
+                suspect.take_renewal(now, end.server, end.renewals);
                 continue;
             }
             if suspect.ends.len() >= ENDS_PER_KEY_MAX {
                 suspect.ends.remove(0);
             }
-            suspect.ends.push((ended, now));
+            suspect.ends.push(Counted {
+                server: end.server,
+                at: now,
+                renewals: end.renewals,
+            });
             suspect.is_known |= suspect.ends(now, END_AGE_MAX * 2) >= ENDS_TO_BLOCK;
         }
     }
@@ -482,40 +676,33 @@
             self.own.cleared.remove(0);
             self.is_changed = true;
         }
-        while let Some(at) = self.own_ends_at.front()
-            && *at + END_AGE_MAX < now
-        {
-            self.own_ends_at.pop_front();
-            self.own.ends.remove(0);
+        let is_expired = |at: &Duration| *at + END_AGE_MAX < now;
+        while let Some(index) = self.own_ends_at.iter().position(is_expired) {
+            self.own_ends_at.remove(index);
+            self.own.ends.remove(index);
             self.is_changed = true;
         }
         let expiry_max = END_AGE_MAX * 2;
         for suspect in self.suspects.values_mut() {
-            suspect.ends.retain(|(_, at)| now < *at + expiry_max);
+            suspect.ends.retain(|one| now < one.at + expiry_max);
         }
         self.suspects
             .retain(|_, suspect| suspect.is_known || !suspect.ends.is_empty());
     }
 
-    fn forget_weakest_suspect(&mut self) {
-        let weakest = self.suspects.iter().min_by_key(|(key, suspect)| {
-            (
-                suspect.ends.len(),
-                suspect.ends.last().map(|one| one.1),
-                **key,
-            )
-        });
-        if let Some(key) = weakest.map(|(key, _)| *key) {
-            self.suspects.remove(&key);
+    /// Drops a quarter of the keys under suspicion: those with the fewest ends,
+    /// the longest ago.
+    fn forget_weakest_suspects(&mut self) {
+        let mut ranked: Vec<(usize, Option<Duration>, Key)> = self
+            .suspects
+            .iter()
+            .map(|(key, one)| (one.ends.len(), one.ends.last().map(|end| end.at), *key))
+            .collect();
+        ranked.sort_unstable();
+        for (_, _, key) in &ranked[..ranked.len().div_ceil(4)] {
+            self.suspects.remove(key);
         }
     }
-
-    fn forget_oldest_cleared(&mut self) {
-        let mut times: Vec<Duration> = self.cleared.values().copied().collect();
-        times.sort_unstable();
-        let limit = times[times.len() / 4];
-        self.cleared.retain(|_, at| *at > limit);
-    }
 }
 
 /// The keys of an end that another process published, within their bound.
--- a/crates/snipewinch/tests/outbreak/mod.rs
+++ b/crates/snipewinch/tests/outbreak/mod.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use snipewinch::quarantine;
 use snipewinch::quarantine::Evidence;
 use snipewinch::quarantine::Key;
 use snipewinch::quarantine::Ledger;
@@ -20,8 +21,14 @@
 const LENGTH: Duration = Duration::from_secs(30);
 /// After the last allowed end and this time, few bad requests may reach a server.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// How long a silent store answers nobody.
+const SILENCE: Duration = Duration::from_secs(5);
 const RESTART: Duration = Duration::from_secs(3);
 const SHARED_KEYS: usize = 60;
+/// How many sound requests come again and again, and the share of all requests
+/// that they are.
+const POLLED_REQUESTS: u32 = 50;
+const POLLED_SHARE: f64 = 0.3;
 const ATTEMPTS_MAX: u32 = 2;
 const COME_THROUGH: Duration = Duration::from_millis(300);
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(150);
@@ -69,6 +76,32 @@
     }
 }
 
+/// How evidence reaches other entries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Store {
+    Well,
+    Slow,
+    /// It answers nobody for a while from the outbreak on.
+    Silent,
+}
+
+impl Store {
+    /// The time at which evidence of `now` arrives.
+    fn arrival(self, now: Duration, rng: &mut ChaCha8Rng) -> Duration {
+        let delay = match rng.random_range(0..20) {
+            0 => rng.random_range(1_000..2_000),
+            _ => rng.random_range(20..250),
+        };
+        let delay = Duration::from_millis(delay);
+        match self {
+            Store::Well => now + delay,
+            Store::Slow => now + delay * 4,
+            Store::Silent if now >= OUTBREAK_AT => now.max(OUTBREAK_AT + SILENCE) + delay,
+            Store::Silent => now + delay,
+        }
+    }
+}
+
 /// What entries do against the outbreak.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Remedy {
@@ -77,6 +110,12 @@
     NoRetry,
     /// Whole requests that ended a server are blocked.
     WholeRequest,
+    /// The quarantine, with no word from other entries.
+    Alone,
+    /// The quarantine of parts alone.
+    Parts,
+    /// The quarantine, and requests whose server ended are not sent again.
+    QuarantineNoRetry,
     Quarantine,
 }
 
@@ -88,13 +127,14 @@
     pub(crate) requests_per_s: f64,
     pub(crate) work: Work,
     pub(crate) outbreak: Outbreak,
+    pub(crate) store: Store,
     /// How many servers end for other causes in a second.
     pub(crate) other_ends_per_s: f64,
     pub(crate) remedy: Remedy,
 }
 
 /// What came of it.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Outcome {
     /// Servers that ended under the bad part or request.
     pub(crate) ends: u32,
@@ -105,6 +145,10 @@
     pub(crate) sound: u32,
     /// Sound requests that were refused because of their keys.
     pub(crate) sound_refused: u32,
+    /// Sound requests that were not sent again after their server ended.
+    pub(crate) sound_given_up: u32,
+    /// How long after the last allowed end each entry refused bad requests.
+    pub(crate) news_ms: Vec<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -112,6 +156,9 @@
     entry: usize,
     keys: Vec<Key>,
     is_bad: bool,
+    /// Whether it was suspected when it was sent.
+    is_suspected: bool,
+    sent: Duration,
     attempts: u32,
     first_event: Duration,
     end: Duration,
@@ -128,6 +175,8 @@
 struct Entry {
     ledger: Ledger,
     publish_at: Duration,
+    /// Whether it refuses the request that comes again.
+    is_told: bool,
 }
 
 struct Model {
@@ -141,6 +190,8 @@
     mail_number: u64,
     /// The last end that may come before the verdict.
     last_allowed_end: Option<Duration>,
+    /// How many requests have come that do not come again.
+    requests: u32,
     outcome: Outcome,
 }
 
@@ -153,12 +204,14 @@
             .map(|number| Entry {
                 ledger: Ledger::open(number as u64),
                 publish_at: Duration::ZERO,
+                is_told: false,
             })
             .collect(),
         machines: (0..setup.servers).map(|_| Machine::default()).collect(),
         mail: BTreeMap::new(),
         mail_number: 0,
         last_allowed_end: None,
+        requests: 0,
         outcome: Outcome::default(),
         setup,
     };
@@ -193,6 +246,28 @@
             self.work(machine);
         }
         self.exchange();
+        self.record_news();
+    }
+
+    /// Records which entries have begun to refuse the request that comes again.
+    fn record_news(&mut self) {
+        let Outbreak::Request { .. } = self.setup.outbreak else {
+            return;
+        };
+        let Some(end) = self.last_allowed_end else {
+            return;
+        };
+        if self.entries.iter().all(|entry| entry.is_told) {
+            return;
+        }
+        let keys = self.keys(None, false, 0);
+        for entry in self.entries.iter_mut().filter(|one| !one.is_told) {
+            if let Verdict::Blocked(_) = entry.ledger.verdict(self.now, &keys) {
+                entry.is_told = true;
+                let news = self.now.saturating_sub(end);
+                self.outcome.news_ms.push(news.as_millis() as u64);
+            }
+        }
     }
 
     /// Lets a request arrive: a copy of the bad one, or any.
@@ -203,11 +278,14 @@
             Outbreak::Request { .. } => false,
         };
         let is_bad = is_copy || has_bad_part;
-        let keys = self.keys(shared, has_bad_part);
+        let number = self.request_number(is_copy);
+        let keys = self.keys(shared, has_bad_part, number);
         let request = Request {
             entry: self.rng.random_range(0..self.entries.len()),
             keys,
             is_bad,
+            is_suspected: false,
+            sent: Duration::ZERO,
             attempts: 0,
             first_event: Duration::ZERO,
             end: Duration::ZERO,
@@ -235,15 +313,53 @@
         }
     }
 
-    fn keys(&self, shared: Option<usize>, has_bad_part: bool) -> Vec<Key> {
+    /// Tells requests from each other; copies and polled ones come again.
+    fn request_number(&mut self, is_copy: bool) -> u32 {
+        match self.setup.outbreak {
+            Outbreak::Request { .. } if is_copy => 0,
+            Outbreak::Request { .. } if self.rng.random::<f64>() < POLLED_SHARE => {
+                self.rng.random_range(1..=POLLED_REQUESTS)
+            }
+            Outbreak::Request { .. } | Outbreak::Part { .. } => {
+                self.requests += 1;
+                POLLED_REQUESTS + self.requests
+            }
+        }
+    }
+
+    fn keys(&self, shared: Option<usize>, has_bad_part: bool, number: u32) -> Vec<Key> {
         let shared = shared.map(|part| Key::of("shared", &part.to_string()));
         let bad = has_bad_part.then(|| Key::of("part", "bad"));
-        shared.into_iter().chain(bad).collect()
+        let mut keys: Vec<Key> = shared.into_iter().chain(bad).collect();
+        if self.setup.remedy != Remedy::Parts {
+            let request = quarantine::Request {
+                host: "songs.example",
+                method: "GET",
+                path: "/read/1",
+                query: "",
+                customer: Some("archive"),
+                body: &number.to_le_bytes(),
+            };
+            keys.extend(request.keys());
+        }
+        keys
+    }
+
+    /// Whether a request must not share a server with other suspected ones.
+    fn is_suspected(&self, request: &Request) -> bool {
+        match self.setup.remedy {
+            Remedy::Quarantine | Remedy::QuarantineNoRetry | Remedy::Alone => self.entries
+                [request.entry]
+                .ledger
+                .is_suspected(self.now, &request.keys),
+            Remedy::Nothing | Remedy::NoRetry | Remedy::Parts | Remedy::WholeRequest => false,
+        }
     }
 
     fn verdict(&self, request: &Request) -> Verdict {
         match self.setup.remedy {
-            Remedy::Quarantine => self.entries[request.entry]
+            Remedy::Quarantine | Remedy::QuarantineNoRetry | Remedy::Alone | Remedy::Parts => self
+                .entries[request.entry]
                 .ledger
                 .verdict(self.now, &request.keys),
             Remedy::Nothing | Remedy::NoRetry | Remedy::WholeRequest => Verdict::Clear,
@@ -253,10 +369,18 @@
     fn send(&mut self, mut request: Request) {
         let now = self.now;
         let slots = self.setup.work.slots();
+        let entry = request.entry;
+        request.is_suspected = self.is_suspected(&request);
+        let is_shared = |machine: &Machine| {
+            let mut others = machine.requests.iter();
+            others.any(|one| one.is_suspected && one.entry == entry)
+        };
         let free: Vec<usize> = (0..self.machines.len())
             .filter(|index| {
                 let machine = &self.machines[*index];
-                machine.up_at <= now && machine.requests.len() < slots
+                machine.up_at <= now
+                    && machine.requests.len() < slots
+                    && !(request.is_suspected && is_shared(machine))
             })
             .collect();
         if free.is_empty() {
@@ -264,6 +388,7 @@
         }
         let machine = free[self.rng.random_range(0..free.len())];
         request.attempts += 1;
+        request.sent = now;
         let work = self.setup.work;
         let first_event_ms = self.rng.random_range(work.first_event_ms());
         request.first_event = now + Duration::from_millis(first_event_ms);
@@ -319,17 +444,21 @@
         let broken = std::mem::take(&mut machine.requests);
         for request in broken.iter().filter(|one| !one.has_come_through) {
             let ledger = &mut self.entries[request.entry].ledger;
-            ledger.record_end(self.now, server, &request.keys);
+            ledger.record_end(self.now, request.sent, server, &request.keys);
         }
         for request in broken {
             let may_retry = match self.setup.remedy {
                 Remedy::Nothing => true,
-                Remedy::NoRetry => false,
+                Remedy::NoRetry | Remedy::QuarantineNoRetry => false,
                 Remedy::WholeRequest => request.has_come_through,
-                Remedy::Quarantine => self.verdict(&request) == Verdict::Clear,
+                Remedy::Quarantine | Remedy::Alone | Remedy::Parts => {
+                    self.verdict(&request) == Verdict::Clear
+                }
             };
-            if may_retry && request.attempts < ATTEMPTS_MAX {
-                self.send(request);
+            let is_sound = !request.is_bad;
+            match may_retry && request.attempts < ATTEMPTS_MAX {
+                true => self.send(request),
+                false => self.outcome.sound_given_up += u32::from(is_sound),
             }
         }
     }
@@ -347,12 +476,11 @@
                 continue;
             };
             entry.publish_at = now + PUBLISH_INTERVAL;
+            if self.setup.remedy == Remedy::Alone {
+                continue;
+            }
             for receiver in (0..self.setup.entries).filter(|one| *one != publisher) {
-                let delay = match self.rng.random_range(0..20) {
-                    0 => self.rng.random_range(1_000..2_000),
-                    _ => self.rng.random_range(20..250),
-                };
-                let at = now + Duration::from_millis(delay);
+                let at = self.setup.store.arrival(now, &mut self.rng);
                 self.mail_number += 1;
                 let letter = (receiver, publisher, evidence.clone());
                 self.mail.insert((at, self.mail_number), letter);
--- a/crates/snipewinch/tests/quarantine.rs
+++ b/crates/snipewinch/tests/quarantine.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use snipewinch::quarantine;
 use snipewinch::quarantine::End;
 use snipewinch::quarantine::Evidence;
 use snipewinch::quarantine::Key;
@@ -15,6 +16,7 @@
 use outbreak::Outcome;
 use outbreak::Remedy;
 use outbreak::Setup;
+use outbreak::Store;
 use outbreak::Work;
 
 fn ms(ms: u64) -> Duration {
@@ -30,7 +32,7 @@
     for number in 0..count {
         let now = from + gap * number;
         let server = Server::of(&format!("server-{number}"));
-        ledger.record_end(now, server, keys);
+        ledger.record_end(now, ms(0), server, keys);
         ledger.settle(now + ms(15));
     }
 }
@@ -79,7 +81,7 @@
     let quiet = Duration::from_secs(62);
     ledger.settle(quiet);
     assert_eq!(ledger.verdict(quiet, &shared), Verdict::Clear);
-    ledger.record_end(quiet, Server::of("another"), &shared);
+    ledger.record_end(quiet, ms(0), Server::of("another"), &shared);
     ledger.settle(quiet + ms(15));
     assert_eq!(ledger.verdict(quiet + ms(15), &shared), Verdict::Clear);
 }
@@ -123,7 +125,7 @@
         let mut first = Ledger::open(number.into());
         let now = ms(100) + ms(200) * number;
         let server = Server::of(&format!("server-{number}"));
-        first.record_end(now, server, &[shared, bad]);
+        first.record_end(now, ms(0), server, &[shared, bad]);
         first.record_progress(now + ms(5), &[shared]);
         first.settle(now + ms(15));
         let evidence = first.take_evidence().expect("news");
@@ -141,7 +143,7 @@
         let now = ms(100) + ms(200) * number;
         let server = Server::of(&format!("server-{number}"));
         for (delay, key) in [(ms(0), first_key), (ms(20), bad)] {
-            first.record_end(now + delay, server, &[key]);
+            first.record_end(now + delay, ms(0), server, &[key]);
             first.settle(now + delay + ms(15));
         }
     }
@@ -162,7 +164,7 @@
     let now = ms(1_000);
     assert_eq!(ledger.verdict(now, &[shared]), Verdict::Clear);
     assert_ne!(ledger.verdict(now, &[shared, bad]), Verdict::Clear);
-    ledger.record_end(now, Server::of("another"), &[other, bad]);
+    ledger.record_end(now, ms(0), Server::of("another"), &[other, bad]);
     ledger.settle(now + ms(15));
     let now = ms(1_100);
     assert_eq!(ledger.verdict(now, &[shared]), Verdict::Clear);
@@ -172,7 +174,7 @@
         ("fifth", 1_200, Verdict::Clear),
         ("sixth", 1_400, Verdict::Blocked(shared)),
     ] {
-        ledger.record_end(ms(at), Server::of(server), &[shared]);
+        ledger.record_end(ms(at), ms(0), Server::of(server), &[shared]);
         ledger.settle(ms(at + 15));
         assert_eq!(ledger.verdict(ms(at + 20), &[shared]), verdict);
     }
@@ -186,6 +188,7 @@
         ends: vec![End {
             server: Server::of("server-0"),
             keys: vec![bad],
+            renewals: 0,
         }],
         cleared: vec![],
     };
@@ -202,13 +205,32 @@
     let new = key("new");
     for number in 0..8_u32 {
         let server = Server::of(&format!("server-{number}"));
-        ledger.record_end(ms(100) + ms(4) * number, server, &[new]);
+        ledger.record_end(ms(100) + ms(4) * number, ms(0), server, &[new]);
         ledger.settle(ms(101) + ms(4) * number);
     }
     ledger.settle(ms(500));
     assert_eq!(ledger.verdict(ms(1_000), &[new]), Verdict::Clear);
 }
 
+#[test]
+fn a_request_that_ends_two_servers_at_once_one_after_the_other_is_known() {
+    let keys = request_keys(b"bad");
+    let mut ledger = Ledger::open(1);
+    for copy in 0..2_u32 {
+        let sent = ms(100) + ms(200) * copy;
+        for attempt in 0..2_u32 {
+            let sent = sent + ms(2) * attempt;
+            let server = Server::of(&format!("server-{copy}-{attempt}"));
+            ledger.record_end(sent + ms(1), sent, server, &keys);
+        }
+        ledger.settle(sent + ms(30));
+    }
+    assert!(matches!(
+        ledger.verdict(ms(1_000), &keys),
+        Verdict::Blocked(_)
+    ));
+}
+
 #[test]
 fn a_restarted_entry_knows_what_it_published() {
     let mut ledger = Ledger::open(1);
@@ -247,7 +269,7 @@
     );
     ledger.settle(later);
     assert_eq!(ledger.verdict(later, &bad), Verdict::Clear);
-    ledger.record_end(later, Server::of("another"), &bad);
+    ledger.record_end(later, ms(0), Server::of("another"), &bad);
     ledger.settle(later + ms(20));
     assert_eq!(
         ledger.verdict(later + ms(20), &bad),
@@ -255,6 +277,122 @@
     );
 }
 
+#[test]
+fn a_request_that_has_ended_two_servers_is_tried_once_after_a_while() {
+    let keys = request_keys(b"");
+    let mut ledger = Ledger::open(1);
+    end_servers(&mut ledger, ms(100), ms(200), 2, &keys);
+    assert!(matches!(
+        ledger.verdict(ms(29_000), &keys),
+        Verdict::Blocked(_)
+    ));
+    let trial = ms(61_000);
+    assert!(matches!(ledger.verdict(trial, &keys), Verdict::Suspect(_)));
+    let mut other = ledger.clone();
+    ledger.record_end(trial, ms(0), Server::of("another"), &keys);
+    ledger.settle(trial + ms(15));
+    let later = Duration::from_secs(600);
+    assert!(matches!(ledger.verdict(later, &keys), Verdict::Blocked(_)));
+    other.record_progress(trial, &keys);
+    assert_eq!(other.verdict(trial + ms(1), &keys), Verdict::Clear);
+}
+
+#[test]
+fn a_blocked_request_is_not_tried_again_while_it_comes() {
+    let keys = request_keys(b"");
+    let (mut first, mut second) = (Ledger::open(1), Ledger::open(2));
+    end_servers(&mut first, ms(100), ms(200), 3, &keys);
+    second.merge(ms(900), "first", first.take_evidence().expect("news"));
+    for minute in 1..180 {
+        let now = Duration::from_secs(60 * minute);
+        let Verdict::Blocked(key) = first.verdict(now, &keys) else {
+            panic!("not blocked after {minute} minutes");
+        };
+        first.record_refusal(now, key);
+        first.settle(now);
+        if let Some(evidence) = first.take_evidence() {
+            second.merge(now, "first", evidence);
+        }
+        second.settle(now);
+        assert!(matches!(second.verdict(now, &keys), Verdict::Blocked(_)));
+    }
+    let forgotten = Duration::from_secs(60 * 215);
+    first.settle(forgotten);
+    assert_eq!(first.verdict(forgotten, &keys), Verdict::Clear);
+}
+
+#[test]
+fn a_request_is_recognized_whatever_its_query_method_and_host_name() {
+    let request = quarantine::Request {
+        host: "songs.example",
+        method: "GET",
+        path: "/read/1",
+        query: "page=1",
+        customer: Some("archive"),
+        body: b"title=1",
+    };
+    let [key, specific] = request.keys();
+    let same = quarantine::Request {
+        host: "Songs.Example:8080",
+        ..request
+    };
+    assert_eq!(same.keys(), [key, specific]);
+    let other_query = quarantine::Request {
+        query: "page=2",
+        ..request
+    };
+    assert_eq!(other_query.keys()[0], key);
+    assert_ne!(other_query.keys()[1], specific);
+    let others = [
+        quarantine::Request {
+            path: "/read/1/",
+            ..request
+        },
+        quarantine::Request {
+            customer: None,
+            ..request
+        },
+        quarantine::Request {
+            customer: Some("archivetitle=1"),
+            body: b"",
+            ..request
+        },
+        quarantine::Request {
+            body: b"title=2",
+            ..request
+        },
+    ];
+    for other in others {
+        assert_ne!(other.keys()[0], key, "{other:?}");
+    }
+    assert!(key.is_request() && !Key::of("service", "part").is_request());
+}
+
+#[test]
+fn a_request_that_shares_all_ends_with_a_bad_one_is_sent_and_clears_itself() {
+    let (sound, bad) = (request_keys(b"sound"), request_keys(b"bad"));
+    let mut ledger = Ledger::open(1);
+    let both: Vec<Key> = sound.iter().chain(&bad).copied().collect();
+    end_servers(&mut ledger, ms(100), ms(200), 3, &both);
+    let now = ms(1_000);
+    assert_eq!(ledger.verdict(now, &sound), Verdict::Clear);
+    ledger.record_progress(now, &sound);
+    assert!(matches!(ledger.verdict(now, &bad), Verdict::Blocked(_)));
+    assert_eq!(ledger.blocked(now).len(), 1);
+}
+
+fn request_keys(content: &[u8]) -> [Key; 2] {
+    let request = quarantine::Request {
+        host: "songs.example",
+        method: "GET",
+        path: "/read/1",
+        query: "",
+        customer: None,
+        body: content,
+    };
+    request.keys()
+}
+
 #[test]
 fn entries_try_a_blocked_key_again_at_different_times() {
     let bad = [key("bad")];
@@ -282,7 +420,12 @@
             .collect();
         ledger.record_progress(now, &keys[..10]);
         if number % 10 == 0 {
-            ledger.record_end(now, Server::of(&format!("other-{number}")), &keys[10..]);
+            ledger.record_end(
+                now,
+                ms(0),
+                Server::of(&format!("other-{number}")),
+                &keys[10..],
+            );
             ledger.settle(now + ms(15));
         }
     }
@@ -305,7 +448,7 @@
                 .collect();
             keys.push(bad);
             let now = ms(100) + ms(200) * number;
-            ledger.record_end(now, Server::of(&format!("server-{number}")), &keys);
+            ledger.record_end(now, ms(0), Server::of(&format!("server-{number}")), &keys);
             ledger.settle(now + ms(15));
         }
         assert_eq!(ledger.verdict(ms(1_000), &[bad]), Verdict::Blocked(bad));
@@ -336,6 +479,7 @@
         outbreak: Outbreak::Part {
             share: [0.001, 0.01, 0.03, 0.1][seed as usize % 4],
         },
+        store: Store::Well,
         other_ends_per_s: [0.0, 0.5][seed as usize / 4 % 2],
         remedy,
     })
@@ -360,6 +504,7 @@
             outbreak: Outbreak::Request {
                 copies_per_s: [0.5, 4.0, 30.0, 200.0][seed as usize / 2 % 4],
             },
+            store: Store::Well,
             other_ends_per_s: [0.0, 0.5][seed as usize / 8 % 2],
             remedy,
         }
@@ -426,6 +571,76 @@
     assert_request_contained(360, seeds(2));
 }
 
+/// Prints figures of a request that comes again, of docs/design/quarantine.md.
+#[test]
+fn other_remedies_do_not_contain_a_request_that_comes_again() {
+    let mut fleets = vec![(18, seeds(8)), (55, seeds(2))];
+    if seeds(1) > 1 {
+        fleets.push((360, seeds(2)));
+    }
+    for (entries, seeds) in fleets {
+        let late = [
+            Remedy::Nothing,
+            Remedy::NoRetry,
+            Remedy::Parts,
+            Remedy::Alone,
+            Remedy::QuarantineNoRetry,
+            Remedy::Quarantine,
+        ]
+        .map(|remedy| {
+            let played: Vec<Outcome> = request_setups(entries, seeds, remedy)
+                .map(outbreak::play)
+                .collect();
+            print_figures(&format!("{entries} entries, {remedy:?}"), &played);
+            played.iter().map(|one| one.sent_late).max()
+        });
+        let [nothing, no_retry, parts, alone, _, quarantine] = late;
+        let others = [nothing, no_retry, parts, alone];
+        assert!(others.iter().all(|sent_late| *sent_late > quarantine));
+    }
+}
+
+/// Prints the same for a store that is slow, or silent at first.
+#[test]
+fn a_request_that_comes_again_is_contained_while_the_store_is_slow_or_silent() {
+    for store in [Store::Slow, Store::Silent] {
+        let setups = request_setups(18, seeds(8), Remedy::Quarantine);
+        let played: Vec<Outcome> = setups
+            .map(|setup| outbreak::play(Setup { store, ..setup }))
+            .collect();
+        print_figures(&format!("18 entries, {store:?}"), &played);
+        let latest = played.iter().flat_map(|one| &one.news_ms).max();
+        let bound = match store {
+            Store::Well | Store::Slow => 10_000,
+            Store::Silent => 15_000,
+        };
+        assert!(latest.is_some_and(|news| *news < bound), "{latest:?} ms");
+    }
+}
+
+fn print_figures(name: &str, played: &[Outcome]) {
+    let mean = |of: fn(&Outcome) -> u32| {
+        played.iter().map(of).map(f64::from).sum::<f64>() / played.len() as f64
+    };
+    let most = |of: fn(&Outcome) -> u32| played.iter().map(of).max().unwrap_or(0);
+    let mut news: Vec<u64> = played.iter().flat_map(|one| one.news_ms.clone()).collect();
+    news.sort_unstable();
+    println!(
+        "{name}: ends {:.1}, {}; sent after the third {:.1}, {}, late {:.2}, {}; sound {:.0}, refused {:.2}, given up {:.1}; news p50 {:?} ms, p100 {:?} ms",
+        mean(|one| one.ends),
+        most(|one| one.ends),
+        mean(|one| one.sent_after),
+        most(|one| one.sent_after),
+        mean(|one| one.sent_late),
+        most(|one| one.sent_late),
+        mean(|one| one.sound),
+        mean(|one| one.sound_refused),
+        mean(|one| one.sound_given_up),
+        news.get(news.len() / 2),
+        news.last()
+    );
+}
+
 /// Prints the table of docs/design/quarantine.md.
 #[test]
 fn other_remedies_do_not_contain_a_key_that_ends_servers() {
