Look for the end of a server that fails a request and closes the connection

What callers saw: a request that ends servers was sent on and on where servers answer 502 before they end (in a test; not seen in the record).

Cause: only attempts without a complete answer had their server probed.

Change: an answer 502 after which the server closes the connection has it probed as well.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -25,6 +25,8 @@
 /// The status of a server that is not the one named in
 /// [`header::EXPECTED_SERVER`]; it has not executed the request.
 const MISDIRECTED: u16 = 421;
+/// The status of a server that could not complete the request.
+const BAD_GATEWAY: u16 = 502;
 /// How long the rest of a refusal is read, so that its connection can be used
 /// again.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(20);
@@ -139,6 +141,13 @@
         self.head().is_some_and(|head| head.status == MISDIRECTED)
     }
 
+    /// Whether the answer may be the last that its server gave: a failure of a
+    /// gateway, after which the server closes the connection.
+    pub(crate) fn may_have_ended_server(&self) -> bool {
+        self.head()
+            .is_some_and(|head| head.status == BAD_GATEWAY && !head.keeps_alive)
+    }
+
     /// The running and waiting requests that the backend server reported.
     pub(crate) fn load(&self) -> Option<(u32, u32)> {
         let value = self.head()?.fields.get(header::LOAD)?;
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -299,6 +299,10 @@
                 record_broken(entry, call, progress, index, &pool::Error::PartialEvent)
             }
             Wakeup::Output(index, Ok(Output::Complete(body))) => {
+                let attempt = &progress.open[index];
+                if attempt.may_have_ended_server() {
+                    quarantine::record_end(entry, call, attempt).await;
+                }
                 match complete(entry, call, progress, index, body) {
                     Ok((head, body)) => {
                         return relay::send_answer(entry, call, progress, &head, body, out).await;
