Decode and log that a backend server asks for rest or leaves

On-call could not tell from any line whether an entry had been asked for rest: nothing read Retry-After or Server-Leaving of a backend server. platform::notice decodes both beside the server's limit, and E7059 to E7061 tell of each. What is sent where does not change.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -164,7 +164,10 @@
         }
         let head = &self.answer.as_ref()?.head;
         let is_due = std::mem::take(&mut self.is_notice_due);
-        is_due.then(|| (Notice::decode(|name| head.fields.get(name)), self.sent))
+        is_due.then(|| {
+            let notice = Notice::decode(head.status, |name| head.fields.get(name));
+            (notice, self.sent)
+        })
     }
 
     /// Waits for the next output. Cancelling it loses nothing.
--- a/crates/node/src/entry/dispatcher/limited.rs
+++ b/crates/node/src/entry/dispatcher/limited.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use platform::notice::Notice;
+use platform::notice::Rest;
 use snipewinch::server_limit::Published;
 use snipewinch::server_limit::Row;
 
@@ -33,6 +34,7 @@
         let Some(backend) = backends.get(key) else {
             return;
         };
+        Self::log_notice(&backend.id, notice);
         let server = backend.server;
         let before = limits.limit(server);
         if limits.record_answer(now, sent, server, notice.limit_per_s) {
@@ -46,6 +48,23 @@
         }
     }
 
+    /// Logs that a backend server asks for rest, leaves, or can't be understood.
+    fn log_notice(id: &str, notice: Notice) {
+        match notice.rest {
+            Rest::None => {}
+            Rest::For(rest) => log::info!(
+                "E7059 backend server {id} wants no requests from this host for {} ms",
+                rest.as_millis()
+            ),
+            Rest::Invalid => log::warn!(
+                "E7061 backend server {id} turned a request away with a Retry-After that is not a number of seconds from 0 up; it is ignored"
+            ),
+        }
+        if notice.is_leaving {
+            log::info!("E7060 backend server {id} says in an answer that it leaves");
+        }
+    }
+
     /// What the limits of backend servers need from the platform's store.
     pub(crate) fn limit_needs(&self, now: Duration) -> LimitNeeds {
         let mut state = self.state.borrow_mut();
