Reproduce requests to servers that ask for rest or say that they leave

One real entry sends 52 requests in the last 2.5 s of a rest of 3 s, and 86 to a server that had said it leaves; callers are told to come back within a second while all servers rest.

--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -29,6 +29,7 @@
 pub(crate) mod crashing;
 pub(crate) mod fleet;
 pub(crate) mod limited;
+pub(crate) mod resting;
 
 /// The time limit of each step of a test.
 const TIMEOUT: Duration = Duration::from_secs(20);
