Leave backend servers alone that ask for rest or say that they leave

Cause: nothing read Retry-After or Server-Leaving of a backend server. A 503 counted as an answer like any other, and the server stayed as good as before.

Change: the board that keeps the limits of servers also keeps their rest and that they leave, for one entry and one start of a server. All that sends to a server asks it, and asks again once the connection is open; a request that finds the server at rest by then is placed anew.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -278,6 +278,7 @@
             Reason::Starting => RETRY_AFTER_STARTING,
             Reason::Leaving => Duration::ZERO,
             Reason::Nobody => dispatch::retry_after(Shortage::NoServer, left, jitter),
+            Reason::Resting(rest) => dispatch::retry_after(Shortage::Rest(rest), left, jitter),
             _ => dispatch::retry_after(Shortage::Busy, left, jitter),
         }
     }
@@ -574,5 +575,7 @@
         entry.metrics.blocked_parts.set(blocked as i64);
         let limited = entry.dispatcher.limited_servers();
         entry.metrics.limited_servers.set(limited as i64);
+        let resting = entry.dispatcher.resting_servers();
+        entry.metrics.resting_servers.set(resting as i64);
     }
 }
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -13,6 +13,8 @@
     Busy,
     /// No known backend server of the service can take it.
     Nobody,
+    /// All backend servers that could take it rest, the first for this long.
+    Resting(Duration),
     /// Its deadline passed before it was executed anywhere.
     DeadlinePassed,
     /// No configuration is known yet.
@@ -49,6 +51,7 @@
             | Reason::DeadlinePassed
             | Reason::Leaving
             | Reason::Nobody
+            | Reason::Resting(_)
             | Reason::Starting => 503,
             Reason::AnswerTimeout => 504,
             Reason::Unknown => 502,
@@ -66,6 +69,7 @@
         match self {
             Reason::Busy => "busy",
             Reason::Nobody => "nobody",
+            Reason::Resting(_) => "resting",
             Reason::DeadlinePassed => "deadline",
             Reason::Starting => "starting",
             Reason::Leaving => "leaving",
@@ -86,6 +90,9 @@
         match self {
             Reason::Busy => "not run: all places are taken; come back after Retry-After",
             Reason::Nobody => "not run: no backend server can take it; come back after Retry-After",
+            Reason::Resting(_) => {
+                "not run: all backend servers ask for rest; come back after Retry-After"
+            }
             Reason::DeadlinePassed => "not run: its deadline passed while it waited",
             Reason::Starting => "not run: this host has no configuration yet; come back shortly",
             Reason::Leaving => "not run: this host stops; come back at once",
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -188,6 +188,12 @@
             .map(|(key, _)| key)
     }
 
+    /// Identifies the start of the backend server that is listed under an id.
+    pub(crate) fn server(&self, id: &str) -> Option<Server> {
+        let key = self.ids.get(id)?;
+        Some(self.arena.get(*key)?.server)
+    }
+
     /// Applies updates of the list.
     pub(crate) fn apply_updates(&mut self, updates: Vec<Update>) {
         for update in updates {
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -412,6 +412,15 @@
             None => Connection::connect(slot.address).await,
         };
         match opened {
+            // It may have asked for rest, or be about to leave, in the meantime.
+            Ok(_) if !entry.dispatcher.takes_requests(slot.key) => {
+                log::info!(
+                    "E7103 request {} was not sent to backend server {}: it rests or leaves",
+                    call.id,
+                    slot.id
+                );
+                Err(StartError::Unreached(slot.key))
+            }
             Ok(connection) => Ok((slot, connection)),
             Err(error) => {
                 log::info!(
@@ -485,6 +494,7 @@
             progress.shortage = match refusal {
                 Refusal::NoServer => Reason::Nobody,
                 Refusal::Busy => Reason::Busy,
+                Refusal::Resting(rest) => Reason::Resting(rest),
             };
             progress.cut_cause = Cause::NoSlot;
             return progress.attempts.handle(Event::Refused);
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -82,6 +82,8 @@
     /// No slot became free in the time that it may wait, or too many requests
     /// wait.
     Busy,
+    /// All backend servers that could take it rest, the first for this long.
+    Resting(Duration),
 }
 
 /// Receives the slot of a waiting request, or its refusal.
@@ -179,6 +181,13 @@
     /// Applies updates of the list of backend servers.
     pub(crate) fn apply_updates(&self, updates: Vec<Update>) {
         let mut state = self.state.borrow_mut();
+        for update in &updates {
+            if let Update::Removed(id) = update
+                && let Some(server) = state.backends.server(id)
+            {
+                state.limits.forget_wishes(server);
+            }
+        }
         state.backends.apply_updates(updates);
         let services: Vec<SmolStr> = state.services.keys().cloned().collect();
         drop(state);
@@ -343,8 +352,21 @@
 
     /// Whether a backend server is listed and not leaving.
     pub(crate) fn is_serving(&self, key: Key) -> bool {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        state.backends.get(key).is_some_and(|one| {
+            !one.leaving && state.limits.admission(now, one.server) != Admission::Leaving
+        })
+    }
+
+    /// Whether a backend server is serving and does not rest.
+    pub(crate) fn takes_requests(&self, key: Key) -> bool {
+        let now = self.clock.now();
         let state = self.state.borrow();
-        state.backends.get(key).is_some_and(|one| !one.leaving)
+        state.backends.get(key).is_some_and(|one| {
+            let admission = state.limits.admission(now, one.server);
+            !one.leaving && !matches!(admission, Admission::Resting(_) | Admission::Leaving)
+        })
     }
 
     /// The id of a backend server, for logs.
@@ -472,8 +494,15 @@
             if request.tried.contains(&key) || !backend.may_hold(min_version) {
                 continue;
             }
+            refusal = match (self.limits.admission(now, backend.server), refusal) {
+                (Admission::Leaving, refusal) => refusal,
+                (Admission::Resting(left), Refusal::NoServer) => Refusal::Resting(left),
+                (Admission::Resting(left), Refusal::Resting(known)) => {
+                    Refusal::Resting(left.min(known))
+                }
+                (_, _) => Refusal::Busy,
+            };
             permits += self.limits.permits_within(now, backend.server, span);
-            refusal = Refusal::Busy;
         }
         match permits >= queued as f64 + 1.0 {
             true => Ok(()),
@@ -481,6 +510,22 @@
         }
     }
 
+    /// How long all backend servers of a service rest that do not leave; none if
+    /// one of them takes requests.
+    fn rest_of_all(&mut self, service: &str, now: Duration) -> Option<Duration> {
+        let mut rest: Option<Duration> = None;
+        for (_, backend) in self.backends.of_service(service) {
+            match self.limits.admission(now, backend.server) {
+                Admission::Resting(left) => {
+                    rest = Some(rest.map_or(left, |known| known.min(left)));
+                }
+                Admission::Leaving => {}
+                _ => return None,
+            }
+        }
+        rest
+    }
+
     /// Sends an agent the configuration of its engine if its credit shows that
     /// it has another one.
     fn send_engine_config(&mut self, key: Key, now: Duration, credit: &Credit) {
@@ -533,22 +578,32 @@
         service_state.waiting.remove(&ticket)
     }
 
-    /// Refuses requests whose waiting time is over, and one late request if too
-    /// many wait.
+    /// Refuses requests whose waiting time is over, one late request if too many
+    /// wait, and all if all backend servers rest.
     fn refuse_expired(
         &mut self,
         service: &str,
         now: Duration,
         results: &mut Vec<(Waiting, Result<Slot, Refusal>)>,
     ) {
+        let rest = self.rest_of_all(service, now);
         let Some(service_state) = self.services.get(service) else {
             return;
         };
-        let mut expired = service_state.queue.expired(now);
-        expired.extend(service_state.queue.to_shed(now));
-        for ticket in expired {
+        let (refused, refusal) = match rest {
+            Some(left) => {
+                let all = service_state.waiting.keys().copied().collect();
+                (all, Refusal::Resting(left))
+            }
+            None => {
+                let mut expired = service_state.queue.expired(now);
+                expired.extend(service_state.queue.to_shed(now));
+                (expired, Refusal::Busy)
+            }
+        };
+        for ticket in refused {
             let waiting = self.dequeue(service, ticket);
-            results.extend(waiting.map(|waiting| (waiting, Err(Refusal::Busy))));
+            results.extend(waiting.map(|waiting| (waiting, Err(refusal))));
         }
     }
 
@@ -573,7 +628,7 @@
             let is_limited = match self.limits.admission(now, backend.server) {
                 Admission::Unlimited | Admission::Granted => false,
                 Admission::Later(wait) => wait > LIMIT_WAIT_MAX,
-                Admission::Elsewhere => true,
+                Admission::Elsewhere | Admission::Leaving | Admission::Resting(_) => true,
             };
             let usable = backend.agent_answers(now) && backend.health.admits(now) && !is_limited;
             if usable && backend.may_hold(min_version.max(1)) {
--- a/crates/node/src/entry/dispatcher/direct.rs
+++ b/crates/node/src/entry/dispatcher/direct.rs
@@ -33,7 +33,7 @@
                 Pick::Slot(slot) => return Ok(slot),
                 Pick::Reserved(slot, wait) => {
                     sleep(wait).await;
-                    if self.is_serving(slot.key) {
+                    if self.takes_requests(slot.key) {
                         return Ok(slot);
                     }
                 }
@@ -54,6 +54,7 @@
         let mut ranked = Vec::new();
         let mut soonest: Option<(Duration, Key)> = None;
         let mut refusal = Refusal::NoServer;
+        let mut rest: Option<Duration> = None;
         let untried = backends
             .of_service(&request.service)
             .filter(|(key, backend)| request.admits(*key, backend));
@@ -72,6 +73,11 @@
                     refusal = Refusal::Busy;
                     continue;
                 }
+                Admission::Resting(left) => {
+                    rest = Some(rest.map_or(left, |known| known.min(left)));
+                    continue;
+                }
+                Admission::Leaving => continue,
             }
             let load_ratio = backend.load_ratio(now);
             // A server of another availability zone is preferred only if it has
@@ -88,7 +94,10 @@
             (None, Some((wait, key))) => {
                 Pick::Reserved(self.occupy(&mut state, key, request, false), wait)
             }
-            (None, None) => Pick::None(refusal),
+            (None, None) => Pick::None(match rest {
+                Some(left) if refusal == Refusal::NoServer => Refusal::Resting(left),
+                Some(_) | None => refusal,
+            }),
         }
     }
 }
--- a/crates/node/src/entry/dispatcher/limited.rs
+++ b/crates/node/src/entry/dispatcher/limited.rs
@@ -4,9 +4,11 @@
 
 use platform::notice::Notice;
 use platform::notice::Rest;
+use snipewinch::server_limit::Admission;
 use snipewinch::server_limit::Published;
 use snipewinch::server_limit::Row;
 
+use super::Backend;
 use super::Dispatcher;
 use super::Key;
 use super::State;
@@ -34,8 +36,26 @@
         let Some(backend) = backends.get(key) else {
             return;
         };
-        Self::log_notice(&backend.id, notice);
         let server = backend.server;
+        match notice.rest {
+            Rest::None => {}
+            Rest::For(rest) if limits.record_rest(now, server, rest) => log::info!(
+                "E7059 backend server {} wants no requests from this host for {} ms",
+                backend.id,
+                rest.as_millis()
+            ),
+            Rest::For(_) => {}
+            Rest::Invalid => log::warn!(
+                "E7061 backend server {} turned a request away with a Retry-After that is not a number of seconds from 0 up; it is ignored",
+                backend.id
+            ),
+        }
+        if notice.is_leaving && limits.record_leaving(now, server) {
+            log::info!(
+                "E7060 backend server {} says in an answer that it leaves",
+                backend.id
+            );
+        }
         let before = limits.limit(server);
         if limits.record_answer(now, sent, server, notice.limit_per_s) {
             log::info!(
@@ -48,23 +68,6 @@
         }
     }
 
-    /// Logs that a backend server asks for rest, leaves, or can't be understood.
-    fn log_notice(id: &str, notice: Notice) {
-        match notice.rest {
-            Rest::None => {}
-            Rest::For(rest) => log::info!(
-                "E7059 backend server {id} wants no requests from this host for {} ms",
-                rest.as_millis()
-            ),
-            Rest::Invalid => log::warn!(
-                "E7061 backend server {id} turned a request away with a Retry-After that is not a number of seconds from 0 up; it is ignored"
-            ),
-        }
-        if notice.is_leaving {
-            log::info!("E7060 backend server {id} says in an answer that it leaves");
-        }
-    }
-
     /// What the limits of backend servers need from the platform's store.
     pub(crate) fn limit_needs(&self, now: Duration) -> LimitNeeds {
         let mut state = self.state.borrow_mut();
@@ -86,6 +89,21 @@
         self.state.borrow_mut().limits.apply_view(now, view);
     }
 
+    /// How many backend servers rest or say in their answers that they leave.
+    pub(crate) fn resting_servers(&self) -> usize {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let State {
+            backends, limits, ..
+        } = &mut *state;
+        let is_left_alone = |backend: &Backend| {
+            let admission = limits.admission(now, backend.server);
+            matches!(admission, Admission::Resting(_) | Admission::Leaving)
+        };
+        let all = backends.iter_mut();
+        all.filter(|(_, backend)| is_left_alone(backend)).count()
+    }
+
     /// How many backend servers name a limit.
     pub(crate) fn limited_servers(&self) -> usize {
         let mut state = self.state.borrow_mut();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -80,6 +80,8 @@
     pub(crate) blocked_parts: IntGauge,
     /// Backend servers that name a limit of requests.
     pub(crate) limited_servers: IntGauge,
+    /// Backend servers that rest or say in their answers that they leave.
+    pub(crate) resting_servers: IntGauge,
     /// How old what is known of each followed table is, in seconds.
     pub(crate) table_age: GaugeVec,
     /// Answers that this entry ended before they were complete, by cause.
@@ -122,22 +124,13 @@
                 .expect("each name is registered once");
             counter
         };
-        let blocked_parts = IntGauge::new(
-            "snipewinch_blocked_prompt_parts",
-            "Parts of prompts that are refused, as backend servers ended under them",
-        );
-        let blocked_parts = blocked_parts.expect("the name is valid");
-        registry
-            .register(Box::new(blocked_parts.clone()))
-            .expect("each name is registered once");
-        let limited_servers = IntGauge::new(
-            "snipewinch_limited_servers",
-            "Backend servers that name a limit of requests",
-        );
-        let limited_servers = limited_servers.expect("the name is valid");
-        registry
-            .register(Box::new(limited_servers.clone()))
-            .expect("each name is registered once");
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("the name is valid");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("each name is registered once");
+            gauge
+        };
         let table_age = GaugeVec::new(
             Opts::new(
                 "snipewinch_table_age_seconds",
@@ -150,7 +143,14 @@
             .register(Box::new(table_age.clone()))
             .expect("each name is registered once");
         EntryMetrics {
-            limited_servers,
+            limited_servers: gauge(
+                "snipewinch_limited_servers",
+                "Backend servers that name a limit of requests",
+            ),
+            resting_servers: gauge(
+                "snipewinch_resting_servers",
+                "Backend servers that rest or say in their answers that they leave",
+            ),
             table_age,
             answers: counters("snipewinch_answers_total", "Answers to callers", "status"),
             refusals: counters(
@@ -171,7 +171,10 @@
                 "snipewinch_requests_at_server_end_total",
                 "Requests that had just begun when their backend server ended",
             ),
-            blocked_parts,
+            blocked_parts: gauge(
+                "snipewinch_blocked_prompt_parts",
+                "Requests and parts of prompts that are refused, as backend servers ended under them",
+            ),
             answers_cut: counters(
                 "snipewinch_answers_cut_total",
                 "Answers ended here before they were complete",
--- a/crates/snipewinch/src/dispatch.rs
+++ b/crates/snipewinch/src/dispatch.rs
@@ -62,6 +62,9 @@
 /// to succeed.
 const RETRY_SPREAD_NO_SERVER: Range<f64> = 0.8..1.0;
 
+/// The longest delay after the end of a rest, as a fraction of the rest.
+const RETRY_SPREAD_REST: f64 = 0.25;
+
 /// Why a request is refused that may be retried.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Shortage {
@@ -69,6 +72,8 @@
     Busy,
     /// No backend server serves for now.
     NoServer,
+    /// All backend servers rest, the first for this long.
+    Rest(Duration),
 }
 
 /// The delay after which a refused caller with `remaining` time should retry.
@@ -78,6 +83,7 @@
     let range = match shortage {
         Shortage::Busy => RETRY_SPREAD_BUSY,
         Shortage::NoServer => RETRY_SPREAD_NO_SERVER,
+        Shortage::Rest(left) => return left.mul_f64(1.0 + RETRY_SPREAD_REST * jitter),
     };
     let fraction = range.start + (range.end - range.start) * jitter;
     remaining.mul_f64(RETRY_WINDOW_FRACTION * fraction)
--- a/crates/snipewinch/src/server_limit.rs
+++ b/crates/snipewinch/src/server_limit.rs
@@ -1,4 +1,5 @@
-//! Limits that backend servers name for all entries together.
+//! What backend servers want of entries: limits that they name for all entries
+//! together, rest that they ask one entry for, and that they leave.
 //!
 //! A server in need names the requests a second that it takes. Entries that
 //! each kept the limit for themselves would send a multiple of it, and a share
@@ -18,6 +19,11 @@
 
 use crate::mix;
 
+mod rest;
+
+use rest::Wish;
+use rest::Wishes;
+
 /// How many owners a limit has beyond one for each request per second. With a
 /// few more than that, each of which sends [`TOKENS_MAX`] at once, a server
 /// still gets no more in 4 s than one and a half times its limit and 5.
@@ -96,6 +102,10 @@
     Later(Duration),
     /// Other entries share the limit.
     Elsewhere,
+    /// The server wants no request of this entry for this long.
+    Resting(Duration),
+    /// The server leaves and wants no request any more.
+    Leaving,
 }
 
 impl Admission {
@@ -133,6 +143,7 @@
     /// When the view was read.
     viewed: Option<Duration>,
     limits: BTreeMap<Server, Limit>,
+    wishes: Wishes,
     has_news: bool,
 }
 
@@ -144,6 +155,7 @@
             view: BTreeMap::new(),
             viewed: None,
             limits: BTreeMap::new(),
+            wishes: Wishes::default(),
             has_news: false,
         }
     }
@@ -170,6 +182,23 @@
         }
     }
 
+    /// Records that a server has asked for rest, in an answer that arrives now.
+    /// Returns whether the rest is longer than what was known.
+    pub fn record_rest(&mut self, now: Duration, server: Server, rest: Duration) -> bool {
+        self.wishes.record_rest(now, server, rest)
+    }
+
+    /// Records that a server has said that it leaves. Returns whether that is
+    /// new.
+    pub fn record_leaving(&mut self, now: Duration, server: Server) -> bool {
+        self.wishes.record_leaving(now, server)
+    }
+
+    /// Forgets the rest and the leaving of a server that is no longer listed.
+    pub fn forget_wishes(&mut self, server: Server) {
+        self.wishes.forget(server);
+    }
+
     fn update(
         &mut self,
         now: Duration,
@@ -265,8 +294,9 @@
         }
     }
 
-    /// Forgets limits without news.
+    /// Forgets limits without news, and rests that are over.
     pub fn expire(&mut self, now: Duration) {
+        self.wishes.expire(now);
         self.limits
             .retain(|_, limit| now.saturating_sub(limit.heard) < NEWS_AGE_MAX);
     }
@@ -278,6 +308,20 @@
 
     /// Whether a request may go to a server now.
     pub fn admission(&self, now: Duration, server: Server) -> Admission {
+        let by_limit = self.limit_admission(now, server);
+        match (self.wishes.wish(now, server), by_limit) {
+            (Wish::Leave, _) => Admission::Leaving,
+            (Wish::Rest(left), _) => Admission::Resting(left),
+            (Wish::Slowly(wait), Admission::Unlimited | Admission::Granted) => {
+                Admission::Later(wait)
+            }
+            (Wish::Slowly(wait), Admission::Later(other)) => Admission::Later(wait.max(other)),
+            (Wish::None | Wish::Slowly(_), by_limit) => by_limit,
+        }
+    }
+
+    /// Whether a request may go to a server now, by its limit alone.
+    fn limit_admission(&self, now: Duration, server: Server) -> Admission {
         let limit = self.limits.get(&server);
         let Some(limit) = limit.filter(|limit| limit.per_s.is_some()) else {
             return Admission::Unlimited;
@@ -293,8 +337,12 @@
         }
     }
 
-    /// How many requests this entry may send to a server within `span`.
+    /// How many requests this entry may send to a server within `span`; none to
+    /// one that rests now or leaves.
     pub fn permits_within(&self, now: Duration, server: Server, span: Duration) -> f64 {
+        if let Wish::Leave | Wish::Rest(_) = self.wishes.wish(now, server) {
+            return 0.0;
+        }
         let limit = self.limits.get(&server);
         let Some(limit) = limit.filter(|limit| limit.per_s.is_some()) else {
             return f64::INFINITY;
@@ -321,6 +369,7 @@
 
     /// Records that a request is sent to a server.
     pub fn record_sent(&mut self, now: Duration, server: Server) {
+        self.wishes.record_sent(now, server);
         if let Some(limit) = self.limits.get_mut(&server) {
             // A request that must be sent all the same counts against later
             // ones.
--- a/crates/snipewinch/tests/server_rest.rs
+++ b/crates/snipewinch/tests/server_rest.rs
@@ -232,8 +232,16 @@
     /// Takes over what an answer says.
     fn hear(&mut self, entry: usize, index: usize, run: u64, state: State) {
         let board = &mut self.boards[entry];
-        board.record_answer(self.now, self.now, server(index, run), None);
-        let _ = state;
+        let server = server(index, run);
+        match state {
+            State::Serving => {}
+            State::Resting { rest, .. } => {
+                board.record_rest(self.now, server, rest);
+            }
+            State::Leaving { .. } => {
+                board.record_leaving(self.now, server);
+            }
+        }
     }
 }
 
