Count the end of a server within a long answer

Cause: a long answer is relayed by a path of its own, which neither counted the end of its server nor cleared a request that came through.

Change: that path records both.

Result: a_request_that_ends_servers_within_a_long_answer_is_not_sent_to_further_ones failed with 56 copies sent late and 24 ends, and passes.

--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -1,5 +1,6 @@
 //! Relays the answers of attempts to the caller, and ends requests without one.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +23,7 @@
 use super::call::record_broken;
 use super::cut;
 use super::cut::Cause;
+use super::quarantine;
 
 /// How long after its first event a request has come through: a prompt that ends
 /// backend servers does so as they begin to write.
@@ -173,7 +175,7 @@
 /// Relays an answer in chunks that is too long to be buffered, and begins with
 /// the bytes buffered so far.
 pub(super) async fn relay_chunked(
-    entry: &Entry,
+    entry: &Rc<Entry>,
     call: &Call,
     progress: &mut Progress,
     index: usize,
@@ -204,6 +206,7 @@
             }
             Ok(None) => break,
             Err(error) => {
+                quarantine::record_broken(entry, call, attempt, &error).await;
                 // Part of the answer is sent, so no other attempt can follow.
                 let _ = record_broken(entry, call, progress, 0, &error);
                 return cut::end(entry, call, Cause::BrokenOff, progress.last_event);
@@ -211,6 +214,9 @@
         }
     }
     write::last_chunk(&mut bytes);
+    entry
+        .quarantine
+        .record_progress(entry.clock.now(), &call.keys);
     entry.metrics.attempts.with_label_values(&["success"]).inc();
     entry.record_answer(call, status);
     match out.write_all(&bytes).await {
--- a/crates/node/tests/harness/crashing.rs
+++ b/crates/node/tests/harness/crashing.rs
@@ -67,6 +67,8 @@
     End,
     /// It answers with a failure and ends.
     FailAndEnd,
+    /// It ends within a long answer.
+    EndMidway,
     /// It sends nothing more.
     Hold,
     /// It resets the connection.
@@ -232,6 +234,11 @@
                     return Fate::ServerEnded;
                 }
                 Reaction::FailAndEnd => return Fate::ServerEnded,
+                Reaction::EndMidway => {
+                    let _ = stream.write_all(long_chunk().as_bytes()).await;
+                    sleep(END_DELAY).await;
+                    return Fate::ServerEnded;
+                }
                 Reaction::Hold => pending().await,
                 Reaction::Reset => {
                     sleep(END_DELAY).await;
@@ -270,6 +277,11 @@
     ids.any(|id| id.trim().eq_ignore_ascii_case(part))
 }
 
+/// A chunk that is too long to be buffered.
+fn long_chunk() -> String {
+    format!("{:x}\r\n{}\r\n", 300 << 10, "x".repeat(300 << 10))
+}
+
 /// Sends the events that the request lacks; none once the connection is closed.
 async fn send_events(stream: &mut TcpStream, request: &str) -> Option<()> {
     let last = field(request, "last-event-id").and_then(|text| text.parse().ok());
--- a/crates/node/tests/repeat.rs
+++ b/crates/node/tests/repeat.rs
@@ -142,6 +142,14 @@
     assert_contained(&fleet, &answers);
 }
 
+/// Guards against the end of a server within a long answer that counts against nothing.
+#[tokio::test]
+async fn a_request_that_ends_servers_within_a_long_answer_is_not_sent_to_further_ones() {
+    let fleet = start("/read/1", Reaction::EndMidway, 8, DOWNTIME).await;
+    let answers = send_traffic(&fleet, "/read/1", TRAFFIC).await;
+    assert_contained(&fleet, &answers);
+}
+
 /// Guards against an entry that learns of a blocked request only from its own ends.
 #[tokio::test]
 async fn an_entry_that_starts_after_the_verdict_does_not_send_the_request() {
