Do not invite a caller to try again what will be refused

What callers saw: the caller whose request had just ended its second server got 502, which invites the next try, and that one was refused with 422 (in a test).

Cause: the answer was chosen before the last end was settled, 15 ms after it was seen.

Change: the answer goes by the verdict to come if that end stands alone.

Result: the_caller_whose_request_ended_two_servers_is_not_invited_to_try_again failed with 502 and passes.

--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -119,6 +119,13 @@
         self.ledger.borrow().verdict(now, keys)
     }
 
+    /// Whether a request with `keys`, under which a server may just have ended,
+    /// would be refused if it came again.
+    pub(crate) fn will_refuse(&self, now: Duration, keys: &[Key]) -> bool {
+        let verdict = self.ledger.borrow().verdict_to_come(now, keys);
+        matches!(verdict, Verdict::Blocked(_))
+    }
+
     /// Whether a server has ended under a request with `keys`, and nothing
     /// clears it.
     pub(crate) fn is_suspected(&self, now: Duration, keys: &[Key]) -> bool {
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -10,7 +10,6 @@
 use snipewinch::attempt::Event;
 use snipewinch::attempt::Step;
 use snipewinch::health::Outcome;
-use snipewinch::quarantine::Verdict;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
 
@@ -240,10 +239,14 @@
     match progress.failure.take() {
         _ if progress.head_sent => cut::end(entry, call, progress.cut_cause, progress.last_event),
         Some(answer) => send_answer(entry, call, progress, &answer.0, answer.1, out).await,
-        None if may_have_run && is_blocked(entry, call) => {
-            refuse(entry, call, progress, out, Reason::EndedServer).await
+        None if may_have_run => {
+            let now = entry.clock.now();
+            let reason = match entry.quarantine.will_refuse(now, &call.keys) {
+                true => Reason::EndedServer,
+                false => unknown,
+            };
+            refuse(entry, call, progress, out, reason).await
         }
-        None if may_have_run => refuse(entry, call, progress, out, unknown).await,
         None if unknown == Reason::AnswerTimeout => {
             refuse(entry, call, progress, out, Reason::DeadlinePassed).await
         }
@@ -251,12 +254,6 @@
     }
 }
 
-/// Whether the request would be refused if it came again.
-fn is_blocked(entry: &Entry, call: &Call) -> bool {
-    let verdict = entry.quarantine.verdict(entry.clock.now(), &call.keys);
-    matches!(verdict, Verdict::Blocked(_))
-}
-
 /// Sends a complete answer of a backend server to the caller.
 pub(super) async fn send_answer(
     entry: &Entry,
--- a/crates/node/tests/repeat.rs
+++ b/crates/node/tests/repeat.rs
@@ -166,6 +166,17 @@
     assert_eq!(status(&sound.text), 200, "{sound:?}");
 }
 
+/// Guards against a caller that tries again what will be refused.
+#[tokio::test]
+async fn the_caller_whose_request_ended_two_servers_is_not_invited_to_try_again() {
+    let fleet = start("/read/1", Reaction::End, 8, DOWNTIME_LONG).await;
+    let answer = ask(fleet.callers()[0], "/read/1", 1, BAD_BODY).await;
+    assert_eq!(fleet.ends().len(), 2);
+    assert_eq!(status(&answer.text), 422, "{answer:?}");
+    let reason = body(&answer.text).unwrap_or_default();
+    assert!(reason.contains("may have run"), "{answer:?}");
+}
+
 /// Guards against a caller that is told to try again, or waits for its refusal.
 #[tokio::test]
 async fn the_refusal_of_a_blocked_request_is_final_and_not_late() {
--- a/crates/snipewinch/src/quarantine.rs
+++ b/crates/snipewinch/src/quarantine.rs
@@ -392,20 +392,31 @@
 
     /// Whether work with `keys` may be sent to a server.
     pub fn verdict(&self, now: Duration, keys: &[Key]) -> Verdict {
+        self.judge(now, keys, |key| self.ends(now, key))
+    }
+
+    /// The verdict if all ends that are not settled yet stand alone.
+    pub fn verdict_to_come(&self, now: Duration, keys: &[Key]) -> Verdict {
+        self.judge(now, keys, |key| {
+            self.ends(now, key) + self.pending_ends(key)
+        })
+    }
+
+    fn judge(&self, now: Duration, keys: &[Key], ends: impl Fn(Key) -> usize) -> Verdict {
         let mut suspect = Verdict::Clear;
         if self.suspects.is_empty() && self.pending.is_empty() {
             return suspect;
         }
         let has_parts = keys.iter().any(|key| !key.is_request());
         for key in keys.iter().filter(|key| !self.is_cleared(now, **key)) {
-            match self.ends(now, *key) {
+            match ends(*key) {
                 0 if self.pending.is_empty() => {}
                 _ if self.is_explained(now, *key, keys) => {}
                 ends if self.blocks(*key, ends) => return Verdict::Blocked(*key),
                 ends if !has_parts && self.blocks_request(now, *key, ends) => {
                     return Verdict::Blocked(*key);
                 }
-                ends if ends + self.pending_ends(*key) >= ENDS_TO_SUSPECT => {
+                _ if self.ends(now, *key) + self.pending_ends(*key) >= ENDS_TO_SUSPECT => {
                     suspect = Verdict::Suspect(*key);
                 }
                 _ => {}
