Split the ledger of ends, and look over its keys once a second

A newcomer had to read the ends of one key, cleared keys and ends under way in one file with the verdicts; each is a module now. Keys under suspicion were looked over at each settling, many times a second, and listing what is blocked went over all of them; whole requests make these many more. Verdicts do not change.

--- a/crates/snipewinch/src/quarantine.rs
+++ b/crates/snipewinch/src/quarantine.rs
@@ -25,10 +25,18 @@
 
 use crate::mix;
 
+mod cleared;
 mod key;
+mod pending;
+mod suspect;
 
+use cleared::Cleared;
 pub use key::Key;
 pub use key::Request;
+use pending::Pending;
+use pending::Work;
+use suspect::Counted;
+use suspect::Suspect;
 
 /// The ends of servers after which a key that nothing clears is blocked.
 const ENDS_TO_BLOCK: usize = 3;
@@ -53,6 +61,8 @@
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(10);
 /// The most ends that are kept for a key.
 const ENDS_PER_KEY_MAX: usize = 32;
+/// How often keys under suspicion are checked for ends that no longer count.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// The most keys under suspicion.
 const SUSPECTS_MAX: usize = 1_024;
 /// The most cleared parts that are remembered.
@@ -60,11 +70,6 @@
 /// The most cleared requests that are remembered. Few come again, but all that
 /// come through are among them for a while.
 const CLEARED_REQUESTS_MAX: usize = 2_048;
-/// How often the ends under a request that is blocked and still comes are
-/// renewed, so that they do not expire.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(300);
-/// The most renewals of an end: a day.
-const RENEWALS_MAX: u16 = 288;
 /// The most keys of one end that are published.
 const KEYS_PER_END_MAX: usize = 16;
 /// The most keys of one end that the entry which saw it suspects.
@@ -135,141 +140,13 @@
     pub ends: usize,
 }
 
-/// The end of a server under one key.
-#[derive(Clone, Copy, Debug)]
-struct Counted {
-    server: Server,
-    /// When this entry learned of it or it was last renewed.
-    at: Duration,
-    renewals: u16,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    ends: Vec<Counted>,
-    /// Whether it was blocked before; one more end then blocks it again.
-    is_known: bool,
-    /// Until when ends do not count, as work with it came through.
-    cleared_until: Duration,
-}
-
-impl Suspect {
-    /// The ends that count and are younger than `age_max`.
-    fn counting(&self, now: Duration, age_max: Duration) -> impl Iterator<Item = Server> {
-        let counting = self.ends.iter().filter(|one| one.at >= self.cleared_until);
-        counting
-            .filter(move |one| now < one.at + age_max)
-            .map(|one| one.server)
-    }
-
-    /// How many ends count that are younger than `age_max`.
-    fn ends(&self, now: Duration, age_max: Duration) -> usize {
-        self.counting(now, age_max).count()
-    }
-
-    fn has_end(&self, server: Server) -> bool {
-        self.ends.iter().any(|one| one.server == server)
-    }
-
-    /// Renews ends that count.
-    fn renew(&mut self, now: Duration) {
-        let cleared_until = self.cleared_until;
-        let due = |one: &&mut Counted| one.at >= cleared_until && is_renewal_due(now, one.at);
-        for one in self.ends.iter_mut().filter(due) {
-            if one.renewals < RENEWALS_MAX {
-                one.renewals += 1;
-                one.at = now;
-            }
-        }
-    }
-
-    /// Takes over that another entry has renewed an end.
-    fn take_renewal(&mut self, now: Duration, server: Server, renewals: u16) {
-        let cleared_until = self.cleared_until;
-        let mut ends = self.ends.iter_mut();
-        if let Some(one) = ends.find(|one| one.server == server)
-            && one.renewals < renewals
-            && one.at >= cleared_until
-        {
-            one.renewals = renewals;
-            one.at = now;
-        }
-    }
-}
-
-fn is_renewal_due(now: Duration, at: Duration) -> bool {
-    now >= at + RENEWAL_INTERVAL
-}
-
-/// When work with keys last came through.
-#[derive(Clone, Debug)]
-struct Cleared {
-    times: HashMap<Key, Duration>,
-    len_max: usize,
-}
-
-impl Cleared {
-    fn with_max(len_max: usize) -> Cleared {
-        Cleared {
-            times: HashMap::new(),
-            len_max,
-        }
-    }
-
-    fn insert(&mut self, now: Duration, key: Key) {
-        self.times.insert(key, now);
-        if self.times.len() > self.len_max {
-            self.forget_oldest();
-        }
-    }
-
-    fn forget_oldest(&mut self) {
-        let mut times: Vec<Duration> = self.times.values().copied().collect();
-        times.sort_unstable();
-        let limit = times[times.len() / 4];
-        self.times.retain(|_, at| *at > limit);
-    }
-}
-
-/// Work that a server had just begun when it ended.
-#[derive(Clone, Debug)]
-struct Work {
-    /// When it was sent to the server.
-    sent: Duration,
-    keys: Vec<Key>,
-}
-
-/// An end that may still turn out to be one of several at the same moment.
-#[derive(Clone, Debug)]
-struct Pending {
-    at: Duration,
-    server: Server,
-    works: Vec<Work>,
-}
-
-impl Pending {
-    /// The end with the keys of the work that was sent later than `since`, if
-    /// that is given.
-    fn into_end(self, since: Option<Duration>) -> End {
-        let works = self.works.into_iter();
-        let counted = works.filter(|work| since.is_none_or(|since| work.sent > since));
-        End {
-            server: self.server,
-            keys: counted.flat_map(|work| work.keys).collect(),
-            renewals: 0,
-        }
-    }
-
-    fn has(&self, key: Key) -> bool {
-        self.works.iter().any(|work| work.keys.contains(&key))
-    }
-}
-
 /// What an entry knows of the keys that end servers.
 #[derive(Clone, Debug)]
 pub struct Ledger {
     seed: u64,
     suspects: HashMap<Key, Suspect>,
+    /// When their ends were last checked.
+    swept_at: Duration,
     /// When work with parts and requests came through, here or elsewhere.
     cleared_parts: Cleared,
     cleared_requests: Cleared,
@@ -292,6 +169,7 @@
         Ledger {
             seed,
             suspects: HashMap::new(),
+            swept_at: Duration::ZERO,
             cleared_parts: Cleared::with_max(CLEARED_PARTS_MAX),
             cleared_requests: Cleared::with_max(CLEARED_REQUESTS_MAX),
             pending: VecDeque::new(),
@@ -316,19 +194,14 @@
     /// Records that work was refused because a key is blocked. What is known of
     /// a request lasts as long as it comes again.
     pub fn record_refusal(&mut self, now: Duration, key: Key) {
-        let suspect = self.suspects.get_mut(&key).filter(|_| key.is_request());
-        let Some(suspect) = suspect else {
+        let found = self.suspects.get_mut(&key).filter(|_| key.is_request());
+        let Some(found) = found else {
             return;
         };
-        suspect.renew(now);
+        found.renew(now);
         let own = self.own.ends.iter_mut().zip(&mut self.own_ends_at);
-        let renewed = own.filter(|(end, at)| end.keys.contains(&key) && is_renewal_due(now, **at));
-        for (end, at) in renewed {
-            if end.renewals < RENEWALS_MAX {
-                end.renewals += 1;
-                *at = now;
-                self.is_changed = true;
-            }
+        for (end, at) in own.filter(|(end, _)| end.keys.contains(&key)) {
+            self.is_changed |= suspect::renew(now, at, &mut end.renewals);
         }
     }
 
@@ -440,8 +313,7 @@
 
     /// All blocked keys; of those under which the same servers ended, one.
     pub fn blocked(&self, now: Duration) -> Vec<Blocked> {
-        let keys = self.suspects.keys().copied();
-        let counted = keys.map(|key| Blocked {
+        let counted = self.strong_keys().map(|key| Blocked {
             key,
             ends: self.ends(now, key),
         });
@@ -693,6 +565,10 @@
             self.own.ends.remove(index);
             self.is_changed = true;
         }
+        if now < self.swept_at + SWEEP_INTERVAL {
+            return;
+        }
+        self.swept_at = now;
         let expiry_max = END_AGE_MAX * 2;
         for suspect in self.suspects.values_mut() {
             suspect.ends.retain(|one| now < one.at + expiry_max);
