--- a/crates/node/tests/rest.rs
+++ b/crates/node/tests/rest.rs
@@ -141,6 +141,23 @@
     assert!(answers.iter().all(|answer| status(&answer.text) == 200));
 }
 
+/// Guards against an entry that goes by the list of a store which it can't reach.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_says_it_leaves_gets_no_further_request_while_the_store_is_down() {
+    let leaving = RestingServer::spawn(Mood::Answers(String::new())).await;
+    let other = RestingServer::spawn(Mood::Answers(String::new())).await;
+    let fleet = Fleet::start(&[&leaving, &other]).await;
+    fleet.send_for(Duration::from_millis(200)).await;
+    fleet.store.set_down(true);
+    sleep(Duration::from_secs(1)).await;
+    leaving.set_mood(Mood::Answers("Server-Leaving: 1\r\n".into()));
+    let start = Instant::now();
+    let answers = fleet.send_for(Duration::from_secs(3)).await;
+    let late = leaving.count_in(start, UNDER_WAY, Duration::from_secs(3));
+    assert_eq!(late, 0);
+    assert!(answers.iter().all(|answer| status(&answer.text) == 200));
+}
+
 /// Guards against a server that stays without requests after it has started anew.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_has_started_anew_is_not_leaving() {
