--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -30,6 +30,7 @@
 pub(crate) mod fleet;
 pub(crate) mod limited;
 pub(crate) mod resting;
+pub(crate) mod traffic;
 
 /// The time limit of each step of a test.
 const TIMEOUT: Duration = Duration::from_secs(20);
--- a/crates/node/tests/limit.rs
+++ b/crates/node/tests/limit.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use standin::store::Store;
-use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 mod harness;
@@ -17,12 +16,13 @@
 use harness::Server;
 use harness::complete_answer;
 use harness::configuration;
-use harness::exchange;
 use harness::field;
 use harness::limited::LimitedServer;
 use harness::listed;
 use harness::request;
 use harness::status;
+use harness::traffic;
+use harness::traffic::Answer;
 
 const ENTRIES: usize = 3;
 /// The time between two requests to an entry.
@@ -45,12 +45,6 @@
     entries: Vec<Harness>,
 }
 
-/// An answer to a caller.
-struct Answer {
-    text: String,
-    took: Duration,
-}
-
 impl Fleet {
     async fn start(servers: &[&LimitedServer]) -> Fleet {
         let localhost = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -71,23 +65,8 @@
 
     /// Sends requests to all entries for a while.
     async fn send_for(&self, length: Duration) -> Vec<Answer> {
-        let start = Instant::now();
-        let mut pending = JoinSet::new();
-        while start.elapsed() < length {
-            for entry in &self.entries {
-                let callers = entry.callers;
-                pending.spawn(async move {
-                    let sent = Instant::now();
-                    let text = exchange(callers, &request("GET", "/read/1", "", "")).await;
-                    Answer {
-                        text,
-                        took: sent.elapsed(),
-                    }
-                });
-            }
-            sleep(INTERVAL).await;
-        }
-        pending.join_all().await
+        let callers: Vec<SocketAddr> = self.entries.iter().map(|entry| entry.callers).collect();
+        traffic::send_for(&callers, INTERVAL, length).await
     }
 }
 
--- a/crates/node/tests/rest.rs
+++ b/crates/node/tests/rest.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use standin::store::Store;
-use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 mod harness;
@@ -14,13 +13,13 @@
 use harness::Harness;
 use harness::Options;
 use harness::configuration;
-use harness::exchange;
 use harness::field;
 use harness::listed;
-use harness::request;
 use harness::resting::Mood;
 use harness::resting::RestingServer;
 use harness::status;
+use harness::traffic;
+use harness::traffic::Answer;
 
 /// The time between two requests to the entry.
 const INTERVAL: Duration = Duration::from_millis(20);
@@ -37,13 +36,6 @@
     entry: Harness,
 }
 
-/// An answer to a caller.
-#[derive(Debug)]
-struct Answer {
-    text: String,
-    took: Duration,
-}
-
 impl Fleet {
     async fn start(servers: &[&RestingServer]) -> Fleet {
         let localhost = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -60,21 +52,7 @@
 
     /// Sends requests to the entry for a while.
     async fn send_for(&self, length: Duration) -> Vec<Answer> {
-        let start = Instant::now();
-        let mut pending = JoinSet::new();
-        while start.elapsed() < length {
-            let callers = self.entry.callers;
-            pending.spawn(async move {
-                let sent = Instant::now();
-                let text = exchange(callers, &request("GET", "/read/1", "", "")).await;
-                Answer {
-                    text,
-                    took: sent.elapsed(),
-                }
-            });
-            sleep(INTERVAL).await;
-        }
-        pending.join_all().await
+        traffic::send_for(&[self.entry.callers], INTERVAL, length).await
     }
 }
 
