Log and count on which weights a request is sent and begins

Whether requests began on old weights because they waited at the engine, because the entry heard late of the version, or because they were long on the way was in no log. E7126 now says with which version and age a request is sent, E7127 on which it begins and how long that took; two histograms count both for all requests.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -507,6 +507,7 @@
         }
     };
     let now = entry.clock.now();
+    log_old_weights(call, &slot, now);
     if is_quarantined(entry, call, progress) {
         progress.shortage = Reason::Quarantined;
         return progress.attempts.handle(Event::Refused);
@@ -534,6 +535,24 @@
     Step::Wait
 }
 
+/// Logs that a request goes to a backend server with older weights than the
+/// newest.
+fn log_old_weights(call: &Call, slot: &Slot, now: Duration) {
+    let Some(weights) = slot.weights else {
+        return;
+    };
+    if let Some(newest) = weights.replaced_by() {
+        log::info!(
+            "E7126 request {} is sent to backend server {} with version {} of the weights; version {} is known for {} ms",
+            call.id,
+            slot.id,
+            weights.held,
+            newest.version,
+            now.saturating_sub(newest.learned_at).as_millis()
+        );
+    }
+}
+
 /// Whether a request may be sent to a further backend server: no more than one
 /// has ended under it, or under a part of its prompt that nothing clears.
 fn may_retry(entry: &Entry, call: &Call) -> bool {
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -127,6 +127,23 @@
     queued: Rc<Notify>,
 }
 
+/// The weights of a backend server as a request is sent to it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Weights {
+    /// The version that it is believed to hold.
+    pub(crate) held: u64,
+    /// The newest published version, and when this process learned of it; none
+    /// before the first.
+    pub(crate) newest: Option<Publication>,
+}
+
+impl Weights {
+    /// The newest published version, if the backend server holds an older one.
+    pub(crate) fn replaced_by(&self) -> Option<Publication> {
+        self.newest.filter(|newest| newest.version > self.held)
+    }
+}
+
 /// A slot at a backend server, released on drop.
 pub(crate) struct Slot {
     dispatcher: Dispatcher,
@@ -136,6 +153,10 @@
     pub(crate) key: Key,
     pub(crate) id: SmolStr,
     pub(crate) address: std::net::SocketAddr,
+    /// The service of the backend server.
+    pub(crate) service: SmolStr,
+    /// None if the service runs no model engines.
+    pub(crate) weights: Option<Weights>,
 }
 
 impl Drop for Slot {
@@ -240,7 +261,17 @@
         backend.suspected += u32::from(request.is_suspected);
         backend.health.record_sent(now);
         state.limits.record_sent(now, backend.server);
+        let newest = state
+            .services
+            .get(&request.service)
+            .and_then(|service_state| service_state.newest);
+        let weights = request.has_engine.then(|| Weights {
+            held: backend.version(),
+            newest,
+        });
         Slot {
+            service: backend.service.clone(),
+            weights,
             dispatcher: self.clone(),
             granted,
             is_suspected: request.is_suspected,
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -16,6 +16,7 @@
 use super::Entry;
 use super::answer;
 use super::answer::Reason;
+use super::attempt::Attempt;
 use super::call::Call;
 use super::call::End;
 use super::call::Progress;
@@ -92,6 +93,9 @@
     select_attempt(entry, call, progress, index);
     let attempt = &mut progress.open[0];
     let now = entry.clock.now();
+    if attempt.first_event.is_none() {
+        record_begin(entry, call, attempt, now);
+    }
     let first_event = *attempt.first_event.get_or_insert(now);
     if !attempt.has_come_through && first_event + COME_THROUGH_TIME <= now {
         attempt.has_come_through = true;
@@ -132,6 +136,37 @@
     }
 }
 
+/// Records when, and on which weights, a backend server has begun a request.
+fn record_begin(entry: &Entry, call: &Call, attempt: &Attempt, now: Duration) {
+    let wait = now.saturating_sub(attempt.sent);
+    let service = attempt.slot.service.as_str();
+    entry
+        .metrics
+        .begin_wait
+        .with_label_values(&[service])
+        .observe(wait.as_secs_f64());
+    let Some(newest) = attempt.slot.weights.and_then(|one| one.replaced_by()) else {
+        return;
+    };
+    let age = now.saturating_sub(newest.learned_at);
+    entry
+        .metrics
+        .old_weights_age
+        .with_label_values(&[service])
+        .observe(age.as_secs_f64());
+    let head = attempt.head();
+    let version = head.and_then(|head| head.fields.get(header::WEIGHTS_VERSION));
+    log::info!(
+        "E7127 request {} has begun at backend server {} on version {} of the weights {} ms after it was sent; version {} is known for {} ms",
+        call.id,
+        attempt.slot.id,
+        version.unwrap_or("unknown"),
+        wait.as_millis(),
+        newest.version,
+        age.as_millis()
+    );
+}
+
 /// Ends a stream after its last event.
 pub(super) async fn end_stream(
     entry: &Entry,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
@@ -96,6 +97,12 @@
     /// The time for which a request waited for slots at backend servers, in
     /// seconds.
     pub(crate) slot_wait: Histogram,
+    /// The time from sending a request to its first event, in seconds, by
+    /// service.
+    pub(crate) begin_wait: HistogramVec,
+    /// For requests that began on an older version of the weights: how long the
+    /// newest one was known then, in seconds, by service.
+    pub(crate) old_weights_age: HistogramVec,
 }
 
 impl EntryMetrics {
@@ -117,6 +124,14 @@
                 .expect("each name is registered once");
             histogram
         };
+        let histograms = |name: &str, help: &str, label: &str| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_S.to_vec());
+            let histograms = HistogramVec::new(options, &[label]).expect("the name is valid");
+            registry
+                .register(Box::new(histograms.clone()))
+                .expect("each name is registered once");
+            histograms
+        };
         let counter = |name: &str, help: &str| {
             let counter = IntCounter::new(name, help).expect("the name is valid");
             registry
@@ -196,6 +211,16 @@
                 "snipewinch_place_wait_seconds",
                 "From a request's arrival to a place at a backend server",
             ),
+            begin_wait: histograms(
+                "snipewinch_begin_wait_seconds",
+                "From sending a request to a backend server to its first event",
+                "service",
+            ),
+            old_weights_age: histograms(
+                "snipewinch_old_weights_age_seconds",
+                "How long a newer version was known when a request began on older weights",
+                "service",
+            ),
             registry,
         }
     }
