--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -28,6 +28,7 @@
 use smol_str::SmolStr;
 use snafu::OptionExt;
 use snafu::ResultExt;
+use snipewinch::cutover;
 use snipewinch::engine_config::EngineConfig;
 use snipewinch::grant;
 use snipewinch::host::Identity;
@@ -53,7 +54,6 @@
 use crate::metrics::AgentMetrics;
 use crate::operator::OperatorState;
 use crate::operator::Publication;
-use crate::operator::VERSION_MARGIN;
 use crate::shutdown;
 use crate::shutdown::Phase;
 use crate::shutdown::wait_for_signal;
@@ -168,13 +168,9 @@
         let Some(model) = self.engine_spec().and_then(|spec| spec.model) else {
             return 0;
         };
-        let age = self
-            .bounds
-            .get()
-            .version_skew
-            .saturating_sub(VERSION_MARGIN);
-        let state = self.operator_state.borrow();
-        state.newest_older_than(&model, self.clock.now(), age)
+        let publications = self.operator_state.borrow().publications(&model);
+        let bound = self.bounds.get().version_skew;
+        cutover::min_version(self.clock.now(), &publications, bound)
     }
 
     /// Applies rows that operators have written.
--- a/crates/node/src/agent/chunks.rs
+++ b/crates/node/src/agent/chunks.rs
@@ -19,6 +19,7 @@
 use slotmap::Key;
 use slotmap::KeyData;
 use snipewinch::Digest;
+use snipewinch::cutover;
 use snipewinch::digest::Hash;
 use snipewinch::document::Objective;
 use snipewinch::host::Role;
@@ -46,7 +47,6 @@
 
 use super::Agent;
 use super::Target;
-use crate::operator::VERSION_MARGIN;
 
 /// How many versions of the weights are kept in memory, apart from a reserve of
 /// a quarter of a version: the previous version is still sent to other agents
@@ -402,7 +402,7 @@
             .bounds
             .get()
             .version_skew
-            .saturating_sub(VERSION_MARGIN);
+            .saturating_sub(cutover::SEND_MARGIN);
         let rate = newest.target.origin.link_mbit * BYTES_PER_MBIT;
         let newest_download = self.download(newest, bound);
         let finish_first = |known: &&KnownVersion| {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -23,6 +23,7 @@
 use smol_str::SmolStr;
 use snafu::OptionExt;
 use snafu::ResultExt;
+use snipewinch::cutover;
 use snipewinch::dispatch;
 use snipewinch::dispatch::Shortage;
 use snipewinch::engine_config::EngineConfig;
@@ -46,7 +47,6 @@
 use crate::fleet_key;
 use crate::metrics::EntryMetrics;
 use crate::operator::OperatorState;
-use crate::operator::VERSION_MARGIN;
 use crate::shutdown;
 use crate::shutdown::Phase;
 use crate::shutdown::Schedule;
@@ -193,13 +193,9 @@
     /// The oldest version of a model's weights on which a request may start, by
     /// the clock of this process.
     fn min_version(&self, model: &str) -> u64 {
-        let age = self
-            .bounds
-            .get()
-            .version_skew
-            .saturating_sub(VERSION_MARGIN);
-        let operator = self.operator.borrow();
-        operator.newest_older_than(model, self.clock.now(), age)
+        let publications = self.operator.borrow().publications(model);
+        let bound = self.bounds.get().version_skew;
+        cutover::min_version(self.clock.now(), &publications, bound)
     }
 
     /// Passes the oldest and newest versions of weights on to the dispatcher.
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -10,13 +10,10 @@
 use platform::operator::Directive;
 use platform::rows::Row;
 use smol_str::SmolStr;
+use snipewinch::cutover;
 use snipewinch::grant;
 use snipewinch::route::Table;
 
-/// How long before the limit for the use of old weights the last request is
-/// sent to a backend server that holds them: the request may wait there before
-/// it starts.
-pub(crate) const VERSION_MARGIN: Duration = Duration::from_millis(600);
 /// The most published versions of one model that are kept.
 const VERSIONS_PER_MODEL_MAX: usize = 16;
 
@@ -44,6 +41,17 @@
 }
 
 impl Publication {
+    fn to_cutover(self) -> cutover::Publication {
+        let known = cutover::Interval {
+            earliest: self.learned_at,
+            latest: self.learned_at,
+        };
+        cutover::Publication {
+            version: self.version,
+            published: Some(known),
+        }
+    }
+
     /// The form in which entries announce it to agents.
     pub(crate) fn announcement(&self, now: Duration) -> grant::Published {
         let age = now.saturating_sub(self.learned_at).as_millis();
@@ -148,12 +156,11 @@
         self.weights.get(model)?.last().copied()
     }
 
-    /// The newest version of a model that was published `age` ago or earlier; 0
-    /// if there is none.
-    pub(crate) fn newest_older_than(&self, model: &str, now: Duration, age: Duration) -> u64 {
+    /// The published versions of a model, as the decision on old weights needs
+    /// them.
+    pub(crate) fn publications(&self, model: &str) -> Vec<cutover::Publication> {
         let publications = self.weights.get(model).into_iter().flatten();
-        let due = publications.filter(|one| one.learned_at + age <= now);
-        due.map(|one| one.version).max().unwrap_or(0)
+        publications.copied().map(Publication::to_cutover).collect()
     }
 
     /// Whether it is known when the newest version of a model was published.
--- a/crates/node/src/operator/tests.rs
+++ b/crates/node/src/operator/tests.rs
@@ -2,12 +2,20 @@
 
 use platform::follow::Change;
 use platform::rows::Row;
+use snipewinch::cutover;
 use snipewinch::grant;
 
 use super::OperatorState;
 
 const VERSION_BOUND: Duration = Duration::from_secs(7);
 
+/// The oldest version to which requests are sent `VERSION_BOUND` after a newer
+/// one was published.
+fn min_version(state: &OperatorState, model: &str, now: Duration) -> u64 {
+    let bound = VERSION_BOUND + cutover::SEND_MARGIN;
+    cutover::min_version(now, &state.publications(model), bound)
+}
+
 fn published(version: u64) -> Change {
     let value = format!(r#"{{"model":"m","version":{version}}}"#);
     Change::Rows(vec![Row {
@@ -40,20 +48,17 @@
     state.apply(seconds(0), Change::Snapshot(Vec::new()));
     state.apply(seconds(18), published(2));
     state.apply(seconds(20), published(3));
-    let min_version = |now| state.newest_older_than("m", now, VERSION_BOUND);
+    let oldest = |now| min_version(&state, "m", now);
     assert_eq!(
         [
-            min_version(seconds(24)),
-            min_version(seconds(25)),
-            min_version(seconds(26)),
-            min_version(seconds(27))
+            oldest(seconds(24)),
+            oldest(seconds(25)),
+            oldest(seconds(26)),
+            oldest(seconds(27))
         ],
         [0, 2, 2, 3]
     );
-    assert_eq!(
-        state.newest_older_than("other", seconds(99), VERSION_BOUND),
-        0
-    );
+    assert_eq!(min_version(&state, "other", seconds(99)), 0);
 }
 
 #[test]
@@ -69,7 +74,7 @@
     let mut state = OperatorState::default();
     state.apply(seconds(1), published(4));
     state.apply(seconds(2), published(3));
-    assert_eq!(state.newest_older_than("m", seconds(99), VERSION_BOUND), 4);
+    assert_eq!(min_version(&state, "m", seconds(99)), 4);
     assert!(state.apply(seconds(3), configuration(7)));
     assert!(!state.apply(seconds(4), configuration(6)));
     assert_eq!(state.configuration_version(), 7);
@@ -85,8 +90,8 @@
     let announced = |version, age_ms| grant::Published { version, age_ms };
     assert!(state.record_published(seconds(20), "m".into(), announced(2, Some(2_000))));
     assert!(!state.record_published(seconds(21), "m".into(), announced(2, Some(3_000))));
-    assert_eq!(state.newest_older_than("m", seconds(24), VERSION_BOUND), 0);
-    assert_eq!(state.newest_older_than("m", seconds(25), VERSION_BOUND), 2);
+    assert_eq!(min_version(&state, "m", seconds(24)), 0);
+    assert_eq!(min_version(&state, "m", seconds(25)), 2);
     assert!(state.publish_time_known("m"));
     assert!(state.record_published(seconds(26), "m".into(), announced(3, None)));
     assert!(!state.publish_time_known("m"));
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`routing`] | [`routing::Table`] | which backend server answers a call |
 //! | [`route`] | [`route::Table::new`] | which service answers a host and path, for which customer |
 //! | [`dispatch`] | [`dispatch::Queue`] | which request gets a free slot, which agents to demand slots from, which requests to refuse |
+//! | [`cutover`] | [`cutover::admit`] | whether a request may still be sent to a server with older weights |
 //! | [`engine`] | [`engine::Predictor`] | when an engine's next answer begins |
 //! | [`grant`] | [`grant::Issuer`], [`grant::Holder`] | which entry may use a slot of a backend server |
 //! | [`attempt`] | [`attempt::Attempts`] | when a request goes to another backend server, and when it ends without an answer |
@@ -77,6 +78,7 @@
 pub mod claim;
 pub mod concurrency;
 pub mod configuration;
+pub mod cutover;
 pub mod deadline;
 pub mod digest;
 pub mod dispatch;
