Test with real processes when requests begin on old weights

No test ran an engine whose queue waits, or a host that is cut off and comes back, beside an entry and agents as processes.

The harness gets an engine with a set wait, which records for each attempt when it arrived, when it began and on which version; a relay that holds up what is sent to a host, drops it if the sender resets the connection and delivers it before a close; the agents of the engines; and a restart of the entry.

--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -27,8 +27,10 @@
 use tokio::time::timeout;
 
 pub(crate) mod crashing;
+pub(crate) mod engine;
 pub(crate) mod fleet;
 pub(crate) mod limited;
+pub(crate) mod proxy;
 pub(crate) mod resting;
 pub(crate) mod traffic;
 
@@ -37,6 +39,8 @@
 /// How many bytes a flood sends at once.
 const FLOOD_BLOCK_BYTES: usize = 64 << 10;
 
+/// The file in the test's directory that holds the entry's settings.
+const SETTINGS_FILE: &str = "local.toml";
 /// The file in the test's directory that holds captured log lines.
 const LOG_FILE: &str = "entry.log";
 
@@ -282,7 +286,10 @@
     pub(crate) store: Store,
     pub(crate) callers: SocketAddr,
     pub(crate) readiness: SocketAddr,
+    /// The address of its links to agents and other entries.
+    pub(crate) peers: SocketAddr,
     metrics: SocketAddr,
+    logging: Logging,
     entry: Child,
     directory: TempDir,
     _reserved: [TcpSocket; 4],
@@ -344,6 +351,8 @@
     pub(crate) retry_burst: u32,
     /// The slots of each server.
     pub(crate) slots: u32,
+    /// How long after a publication requests may begin on older weights.
+    pub(crate) version_ms: u32,
     pub(crate) logging: Logging,
 }
 
@@ -353,6 +362,7 @@
             retry_ratio: 0.2,
             retry_burst: 400,
             slots: 4,
+            version_ms: 8_000,
             logging: Logging::Discarded,
         }
     }
@@ -427,40 +437,42 @@
             .each_ref()
             .map(|socket| socket.local_addr().unwrap());
         let directory = tempfile::tempdir().unwrap();
-        let path = directory.path().join("local.toml");
+        let path = directory.path().join(SETTINGS_FILE);
         let addresses = [callers, readiness, peers, store_address];
         std::fs::write(&path, settings(node_name, addresses, options)).unwrap();
-        let (lines, level) = match options.logging {
-            Logging::Captured => {
-                let file = File::create(directory.path().join(LOG_FILE)).unwrap();
-                (file.into(), "debug")
-            }
-            Logging::Discarded => (Stdio::null(), "info"),
-        };
-        let entry = Command::new(env!("CARGO_BIN_EXE_snipewinch-node"))
-            .env(platform::boot::PATH_VARIABLE, &path)
-            .env("SNIPEWINCH_METRICS_PORT", metrics.port().to_string())
-            .env("SNIPEWINCH_LOG_LEVEL", level)
-            .stdout(lines)
-            .spawn()
-            .unwrap();
+        let entry = spawn_entry(&directory, metrics, options.logging);
         let harness = Harness {
             store,
             callers,
             readiness,
+            peers,
             metrics,
+            logging: options.logging,
             entry,
             directory,
             _reserved: reserved,
         };
+        harness.wait_listening().await;
+        harness
+    }
+
+    async fn wait_listening(&self) {
         timeout(TIMEOUT, async {
-            while TcpStream::connect(harness.callers).await.is_err() {
+            while TcpStream::connect(self.callers).await.is_err() {
                 sleep(Duration::from_millis(10)).await;
             }
         })
         .await
         .unwrap();
-        harness
+    }
+
+    /// Kills the entry and starts it again with the same settings.
+    pub(crate) async fn restart(&mut self) {
+        let _ = self.entry.kill();
+        let _ = self.entry.wait();
+        self.entry = spawn_entry(&self.directory, self.metrics, self.logging);
+        self.wait_listening().await;
+        self.wait_ready(true).await;
     }
 
     pub(crate) async fn is_ready(&self) -> bool {
@@ -553,6 +565,29 @@
     }
 }
 
+/// Starts the process of an entry whose settings are in a directory.
+fn spawn_entry(directory: &TempDir, metrics: SocketAddr, logging: Logging) -> Child {
+    let (lines, level) = match logging {
+        Logging::Captured => {
+            let mut options = File::options();
+            let file = options.create(true).append(true);
+            let file = file.open(directory.path().join(LOG_FILE)).unwrap();
+            (file.into(), "debug")
+        }
+        Logging::Discarded => (Stdio::null(), "info"),
+    };
+    Command::new(env!("CARGO_BIN_EXE_snipewinch-node"))
+        .env(
+            platform::boot::PATH_VARIABLE,
+            directory.path().join(SETTINGS_FILE),
+        )
+        .env("SNIPEWINCH_METRICS_PORT", metrics.port().to_string())
+        .env("SNIPEWINCH_LOG_LEVEL", level)
+        .stdout(lines)
+        .spawn()
+        .unwrap()
+}
+
 pub(crate) fn listed(address: SocketAddr, zone: &str, state: &str) -> Value {
     json!({"service": "desk", "address": address, "zone": zone, "state": state, "slots": 4, "seq": 1})
 }
@@ -563,6 +598,7 @@
     let [callers, readiness, peers, store] = addresses;
     let port = peers.port();
     let (ratio, burst) = (options.retry_ratio, options.retry_burst);
+    let version_ms = options.version_ms;
     format!(
         r#"nodeName = "{node_name}"
 serves = ["edge"]
@@ -582,7 +618,7 @@
 linkMbps = 700.0
 [bounds]
 graceS = 8
-version_ms = 8000
+version_ms = {version_ms}
 retryBudgetRatio = {ratio:?}
 retryBurst = {burst}
 [platform]
