Reset connections to backend servers whose exchange is not complete

Callers' requests began on weights that were 10 to 12 s too old: an attempt at a host that could not be reached was closed when another one had answered. Its bytes and the close arrived together once the host was back, and the engine began the request before it saw the close.

Cause: the entry closed such connections, so what was held up was still delivered in order. A reset is not: what has not arrived is dropped with it.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -246,12 +246,14 @@
 
     /// Releases the slot, and keeps the connection in the pool if the answer is
     /// complete and another request may follow it.
-    pub(crate) fn finish(self, entry: &Entry) {
+    pub(crate) fn finish(mut self, entry: &Entry) {
         let is_sent = self.exchange.is_sent();
         let Some(answer) = self.answer else {
             return;
         };
-        if answer.body.is_done() && is_sent && answer.head.keeps_alive {
+        let is_complete = answer.body.is_done() && is_sent;
+        self.exchange.connection.set_pending(!is_complete);
+        if is_complete && answer.head.keeps_alive {
             entry
                 .pool
                 .keep(self.slot.key, self.exchange.connection, &answer.head);
--- a/crates/node/src/entry/exchange.rs
+++ b/crates/node/src/entry/exchange.rs
@@ -46,11 +46,12 @@
 impl Exchange {
     /// Prepares to send `request`, which has `method`, as `attempt`.
     pub(crate) fn new(
-        connection: Connection,
+        mut connection: Connection,
         request: Vec<u8>,
         method: SmolStr,
         attempt: SmolStr,
     ) -> Exchange {
+        connection.set_pending(true);
         Exchange {
             connection,
             request,
--- a/crates/node/src/entry/pool.rs
+++ b/crates/node/src/entry/pool.rs
@@ -94,6 +94,20 @@
     pub(super) buffer: BytesMut,
     /// Whether it has carried an exchange before.
     pub(crate) used: bool,
+    /// Whether an exchange on it is not complete.
+    is_pending: bool,
+}
+
+/// Resets a connection with an exchange that is not complete. Bytes that are
+/// held up on the way then never arrive, where after a close they would arrive
+/// first and be executed.
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.is_pending {
+            // Without the option the connection is closed instead.
+            let _ = SockRef::from(&self.io).set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
 impl Connection {
@@ -109,9 +123,15 @@
             io,
             buffer: BytesMut::new(),
             used: false,
+            is_pending: false,
         })
     }
 
+    /// Records that an exchange begins, or that it is complete.
+    pub(crate) fn set_pending(&mut self, is_pending: bool) {
+        self.is_pending = is_pending;
+    }
+
     /// Reads the next bytes of a body, or its end. Cancelling it loses nothing.
     pub(crate) async fn read_step(&mut self, body: &mut Decoder) -> Result<Step, Error> {
         loop {
