Count the age of a version from when it may have been published

A version of the weights was taken for as young as its news. A poll may be paused for 0.7 s, and an agent reads versions each 10 s only, so requests began on old weights later than allowed by that; a process that restarted within the bound granted the whole bound anew.

The follower now says between which moments a change was made: after the last answer, or just before the answer of a poll that was held back. Ages count from the earliest of these. An age that is not known counts as old, until an agent or an entry tells it: credits carry it for a minute.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -64,6 +64,7 @@
 mod slot_pool;
 
 use slot_pool::SlotPool;
+use slot_pool::loaded_version;
 
 /// How often the list of backend servers is read. An agent needs it only to
 /// find the other agents.
@@ -113,7 +114,8 @@
     changed: Notify,
     phase: watch::Sender<Phase>,
     bounds: Cell<Bounds>,
-    /// The newest version of the weights that any entry has announced.
+    /// The newest version of the weights that any entry has announced with its
+    /// age.
     announced_version: Cell<u64>,
     /// Set while changes of the list of agents are needed without delay.
     urgency: Urgency,
@@ -173,10 +175,10 @@
         cutover::min_version(self.clock.now(), &publications, bound)
     }
 
-    /// Applies rows that operators have written.
-    fn apply_rows(&self, rows: Change) {
-        let now = self.clock.now();
-        let is_new = self.operator_state.borrow_mut().apply(now, rows);
+    /// Applies rows that operators have written after a moment.
+    fn apply_rows(&self, after: Duration, rows: Change) {
+        let made = cutover::Interval::of_news(after, self.clock.now());
+        let is_new = self.operator_state.borrow_mut().apply(made, rows);
         let table = self.operator_state.borrow().table.clone();
         let config = table.and_then(|table| EngineConfig::for_service(&table, &self.service));
         if let Some(config) = config.filter(|_| is_new) {
@@ -194,7 +196,9 @@
         let Some(model) = self.engine_spec().and_then(|spec| spec.model) else {
             return;
         };
-        self.announced_version.set(published.version);
+        if published.age_ms.is_some() {
+            self.announced_version.set(published.version);
+        }
         let now = self.clock.now();
         if self
             .operator_state
@@ -206,6 +210,32 @@
         }
     }
 
+    /// Passes on to the grants of slots until when the weights of the engine may
+    /// be used.
+    fn update_cutover(&self) {
+        let held = self.slot_pool.report().as_ref().map_or(0, loaded_version);
+        self.slot_pool
+            .set_min_version(self.min_version(), self.publish_time_known());
+        self.slot_pool
+            .set_cutover(self.newest_published(), self.begin_by(held));
+    }
+
+    /// The newest published version of the weights and the earliest time at which
+    /// it may have been published; none if that is unknown.
+    fn newest_published(&self) -> Option<(u64, Duration)> {
+        let model = self.engine_spec()?.model?;
+        let newest = self.operator_state.borrow().newest(&model)?;
+        Some((newest.version, newest.published?.earliest))
+    }
+
+    /// The latest time at which requests may begin on version `held` of the
+    /// weights; none if it is the newest.
+    fn begin_by(&self, held: u64) -> Option<Duration> {
+        let model = self.engine_spec()?.model?;
+        let publications = self.operator_state.borrow().publications(&model);
+        cutover::begin_by(&publications, held, self.bounds.get().version_skew)
+    }
+
     /// Whether it is known when the newest version of the weights was
     /// published.
     fn publish_time_known(&self) -> bool {
@@ -221,7 +251,7 @@
         let published = newest.unwrap_or(Publication {
             version: FIRST_VERSION,
             learned_at: Duration::ZERO,
-            found_at_start: true,
+            published: None,
         });
         Some(Target {
             model,
@@ -390,6 +420,7 @@
 /// if no entry has sent the part about the engine.
 async fn follow_operators(agent: Rc<Agent>, store: Store) {
     let mut failures = 0;
+    let mut read_at = Duration::ZERO;
     loop {
         let config_wait = CONFIG_WAIT.mul_f64(rand::rng().random_range(READ_JITTER));
         let read_config =
@@ -399,11 +430,13 @@
             false => platform::operator::VERSION_PREFIX,
         };
         let until = platform::operator::VERSION_END;
+        let sent = agent.clock.now();
         let read = store.read_range(platform::operator::TABLE, from, until);
         let delay = match read.await {
             Ok(rows) => {
                 failures = 0;
-                agent.apply_rows(Change::Rows(rows.rows));
+                agent.apply_rows(read_at, Change::Rows(rows.rows));
+                read_at = sent;
                 VERSION_READ_INTERVAL
             }
             Err(error) => {
@@ -432,9 +465,9 @@
     };
     let (mut changes, _task) =
         follow::spawn_with(store, listing::TABLE, LISTING_POLL_POLICY, control);
-    while let Some(change) = changes.recv().await {
+    while let Some(update) = changes.recv().await {
         let now = agent.clock.now();
-        let mut updates = agent.listing.borrow_mut().apply(now, change);
+        let mut updates = agent.listing.borrow_mut().apply(now, update.change);
         updates.extend(agent.listing.borrow_mut().tick(now));
         if !updates.is_empty() {
             agent.update_view();
--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -83,7 +83,7 @@
 
     /// Sets the oldest version of weights on which requests may start, and
     /// whether it is known when the newest was published.
-    fn set_min_version(&self, min_version: u64, publish_time_known: bool) {
+    pub(super) fn set_min_version(&self, min_version: u64, publish_time_known: bool) {
         let mut state = self.state.borrow_mut();
         state.min_version = min_version;
         state
@@ -91,6 +91,17 @@
             .set_min_version(min_version, publish_time_known);
     }
 
+    /// Sets what entries and the grants of slots need to know of the newest
+    /// version.
+    pub(super) fn set_cutover(
+        &self,
+        published: Option<(u64, Duration)>,
+        begin_by: Option<Duration>,
+    ) {
+        let mut state = self.state.borrow_mut();
+        state.issuer.set_cutover(published, begin_by);
+    }
+
     /// Sets the digest of the engine's configuration.
     pub(super) fn set_config_digest(&self, digest: u32) {
         self.state.borrow_mut().issuer.set_config_digest(digest);
@@ -121,6 +132,7 @@
         match report {
             Some(report) => {
                 state.missed_reports = 0;
+                state.issuer.set_slowness(report.pace);
                 state.report = Some(report);
             }
             None => {
@@ -197,9 +209,7 @@
                 None
             }
         };
-        agent
-            .slot_pool
-            .set_min_version(agent.min_version(), agent.publish_time_known());
+        agent.update_cutover();
         let spec = agent.engine_spec();
         let slots = spec.as_ref().map_or(0, |spec| spec.slots);
         if let Some(spec) = &spec {
@@ -261,6 +271,7 @@
         };
         if let Some(published) = demand.published {
             agent.record_published(published);
+            agent.update_cutover();
         }
         let now = agent.clock.now();
         let mut state = agent.slot_pool.state.borrow_mut();
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -23,6 +23,11 @@
         self.started.elapsed()
     }
 
+    /// What [`Clock::now`] returns at an instant; zero before the start.
+    pub(crate) fn time_of(&self, instant: Instant) -> Duration {
+        instant.saturating_duration_since(self.started)
+    }
+
     /// The instant at which [`Clock::now`] returns `time`.
     pub(crate) fn at(&self, time: Duration) -> Instant {
         self.started + time
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -70,6 +70,7 @@
 use answer::Reason;
 use call::Call;
 use dispatcher::Dispatcher;
+use dispatcher::Versions;
 use pool::Pool;
 use quarantine::Quarantine;
 
@@ -190,12 +191,28 @@
         }
     }
 
-    /// The oldest version of a model's weights on which a request may start, by
-    /// the clock of this process.
-    fn min_version(&self, model: &str) -> u64 {
-        let publications = self.operator.borrow().publications(model);
-        let bound = self.bounds.get().version_skew;
-        cutover::min_version(self.clock.now(), &publications, bound)
+    /// Records when the newest version of the weights of a service was published,
+    /// as an agent says it.
+    fn record_published(&self, service: Option<SmolStr>, credit: &Credit) {
+        let (Some(service), Some(published)) = (service, credit.published) else {
+            return;
+        };
+        let table = self.table();
+        let engine = table
+            .as_ref()
+            .and_then(|table| table.service(&service))
+            .and_then(|service| service.engine.as_ref());
+        let Some(model) = engine.and_then(|engine| engine.model.clone()) else {
+            return;
+        };
+        let now = self.clock.now();
+        let is_new = self
+            .operator
+            .borrow_mut()
+            .record_published(now, model, published);
+        if is_new {
+            self.update_versions();
+        }
     }
 
     /// Passes the oldest and newest versions of weights on to the dispatcher.
@@ -211,10 +228,13 @@
                 .and_then(|engine| engine.model.as_ref());
             if let Some(model) = model {
                 let operator = self.operator.borrow();
-                let (initial, newest) = (operator.initial_version(model), operator.newest(model));
-                let local = self.min_version(model);
-                self.dispatcher
-                    .set_versions(&service.name, local, initial, newest);
+                let versions = Versions {
+                    publications: operator.publications(model),
+                    bound: self.bounds.get().version_skew,
+                    of_unknown_age: operator.newest_of_unknown_age(model),
+                    newest: operator.newest(model),
+                };
+                self.dispatcher.set_versions(&service.name, versions);
             }
         }
     }
@@ -484,9 +504,12 @@
     };
     let (mut changes, _task) =
         follow::spawn_with(store, platform::operator::TABLE, policy, control);
-    while let Some(change) = changes.recv().await {
-        let now = entry.clock.now();
-        if entry.operator.borrow_mut().apply(now, change) {
+    while let Some(update) = changes.recv().await {
+        let made = cutover::Interval::of_news(
+            entry.clock.time_of(update.after),
+            entry.clock.time_of(update.before),
+        );
+        if entry.operator.borrow_mut().apply(made, update.change) {
             entry.update_engine_configs();
         }
         entry.update_started();
@@ -509,9 +532,9 @@
         ..Control::default()
     };
     let (mut changes, _task) = follow::spawn_with(store, listing::TABLE, policy, control);
-    while let Some(change) = changes.recv().await {
+    while let Some(update) = changes.recv().await {
         let now = entry.clock.now();
-        let updates = entry.listing.borrow_mut().apply(now, change);
+        let updates = entry.listing.borrow_mut().apply(now, update.change);
         entry.dispatcher.apply_updates(updates);
         entry.update_started();
     }
@@ -532,7 +555,10 @@
     entry.dispatcher.connect_agents(socket.clone(), key.clone());
     loop {
         match socket.receive::<Credit>(&key).await {
-            Ok((credit, from)) => entry.dispatcher.receive_credit(from, &credit),
+            Ok((credit, from)) => {
+                let service = entry.dispatcher.receive_credit(from, &credit);
+                entry.record_published(service, &credit);
+            }
             Err(error) => {
                 log::warn!("E7008 failed to receive from agents: {error}");
                 sleep(SOCKET_ERROR_DELAY).await;
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -541,7 +541,7 @@
     let Some(weights) = slot.weights else {
         return;
     };
-    if let Some(newest) = weights.replaced_by() {
+    if let Some(newest) = weights.replaced_by {
         log::info!(
             "E7126 request {} is sent to backend server {} with version {} of the weights; version {} is known for {} ms",
             call.id,
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -10,6 +10,7 @@
 use platform::boot::Settings;
 use rand::RngExt;
 use smol_str::SmolStr;
+use snipewinch::cutover;
 use snipewinch::dispatch;
 use snipewinch::dispatch::Candidate;
 use snipewinch::dispatch::Queue;
@@ -95,13 +96,33 @@
     sender: oneshot::Sender<Result<Slot, Refusal>>,
 }
 
+/// The published versions of the weights of a service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Versions {
+    pub(crate) publications: Vec<cutover::Publication>,
+    /// How long an older version may be used after a newer one was published.
+    pub(crate) bound: Duration,
+    /// The newest one of which it is not known when it was published; 0 if there
+    /// is none.
+    pub(crate) of_unknown_age: u64,
+    /// The newest one.
+    pub(crate) newest: Option<Publication>,
+}
+
+impl Versions {
+    /// Whether this process knows when a version was published.
+    fn knows_age_of(&self, version: u64) -> bool {
+        let mut publications = self.publications.iter();
+        publications.any(|one| one.version == version && one.published.is_some())
+    }
+}
+
 /// The state of one service.
 #[derive(Default)]
 struct Service {
     /// The oldest version of weights on which a request may start.
     min_version: u64,
-    /// The newest published version.
-    newest: Option<Publication>,
+    versions: Versions,
     /// The configuration that agents of the service must have, and its digest.
     engine_config: Option<(EngineConfig, u32)>,
     queue: Queue,
@@ -132,16 +153,16 @@
 pub(crate) struct Weights {
     /// The version that it is believed to hold.
     pub(crate) held: u64,
-    /// The newest published version, and when this process learned of it; none
-    /// before the first.
-    pub(crate) newest: Option<Publication>,
+    /// The newest published version, if it is another one.
+    pub(crate) replaced_by: Option<Replacement>,
 }
 
-impl Weights {
-    /// The newest published version, if the backend server holds an older one.
-    pub(crate) fn replaced_by(&self) -> Option<Publication> {
-        self.newest.filter(|newest| newest.version > self.held)
-    }
+/// A version that replaces the one that a backend server holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Replacement {
+    pub(crate) version: u64,
+    /// When this process learned of it.
+    pub(crate) learned_at: Duration,
 }
 
 /// A slot at a backend server, released on drop.
@@ -264,10 +285,15 @@
         let newest = state
             .services
             .get(&request.service)
-            .and_then(|service_state| service_state.newest);
-        let weights = request.has_engine.then(|| Weights {
-            held: backend.version(),
-            newest,
+            .and_then(|service_state| service_state.versions.newest);
+        let held = backend.version();
+        let replaced_by = newest.filter(|newest| newest.version > held);
+        let weights = request.has_engine.then_some(Weights {
+            held,
+            replaced_by: replaced_by.map(|newest| Replacement {
+                version: newest.version,
+                learned_at: newest.learned_at,
+            }),
         });
         Slot {
             service: backend.service.clone(),
@@ -281,13 +307,16 @@
         }
     }
 
-    /// Applies a credit that an agent has sent.
-    pub(crate) fn receive_credit(&self, from: std::net::SocketAddr, credit: &Credit) {
+    /// Applies a credit that an agent has sent. Returns the service of its
+    /// backend server, if that is listed.
+    pub(crate) fn receive_credit(
+        &self,
+        from: std::net::SocketAddr,
+        credit: &Credit,
+    ) -> Option<SmolStr> {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let Some(key) = state.backends.find_by_agent(from) else {
-            return;
-        };
+        let key = state.backends.find_by_agent(from)?;
         let backend = state.backends.get_mut(key).expect("it was just found");
         if backend.bypass_agent_until.take().is_some() {
             log::info!("E7051 agent of backend server {} answers again", backend.id);
@@ -297,6 +326,7 @@
         state.send_engine_config(key, now, credit);
         drop(state);
         self.process_queue(&service);
+        Some(service)
     }
 
     /// Records that another server answers at a backend server's address. The
@@ -321,27 +351,22 @@
         service_state.engine_config = Some((engine_config, digest));
     }
 
-    /// Sets the versions of the weights of a service. `local_min_version`
-    /// is the oldest on which requests may start by the clock of this process,
-    /// `initial_version` the one that was published when it started. The
-    /// `newest` published one is sent to agents.
-    pub(crate) fn set_versions(
-        &self,
-        service: &SmolStr,
-        local_min_version: u64,
-        initial_version: u64,
-        newest: Option<Publication>,
-    ) {
+    /// Sets the versions of the weights of a service. The newest published one is
+    /// sent to agents.
+    pub(crate) fn set_versions(&self, service: &SmolStr, versions: Versions) {
+        let now = self.clock.now();
+        let local = cutover::min_version(now, &versions.publications, versions.bound);
         let mut state = self.state.borrow_mut();
         let credits: Vec<Credit> = state
             .backends
             .of_service(service)
             .filter_map(|(_, backend)| backend.holder.last_credit().copied())
+            .filter(|credit| !versions.knows_age_of(credit.min_version))
             .collect();
         let service_state = state.services.entry(service.clone()).or_default();
         service_state.min_version =
-            grant::min_version(local_min_version, initial_version, credits.iter());
-        service_state.newest = newest;
+            grant::min_version(local, versions.of_unknown_age, credits.iter());
+        service_state.versions = versions;
     }
 
     /// Records the outcome of a request at a backend server and the load that
@@ -592,7 +617,9 @@
         let reported = backend
             .holder
             .last_credit()
-            .map_or(0, |credit| credit.min_version);
+            .map(|credit| credit.min_version)
+            .filter(|reported| !service_state.versions.knows_age_of(*reported))
+            .unwrap_or(0);
         if version < service_state.min_version.max(reported) {
             return None;
         }
@@ -652,7 +679,10 @@
             .oldest()
             .map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let min_version = service_state.min_version;
-        let published = service_state.newest.map(|newest| newest.announcement(now));
+        let published = service_state
+            .versions
+            .newest
+            .map(|newest| newest.announcement(now));
         let mut keys = Vec::new();
         let mut candidates = Vec::new();
         for (key, backend) in self.backends.of_service(service) {
--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -340,9 +340,9 @@
     };
     let (mut changes, _task) = follow::spawn_with(store.clone(), TABLE, policy, control);
     spawn_local(publish(entry.clone(), store, host.clone()));
-    while let Some(change) = changes.recv().await {
+    while let Some(update) = changes.recv().await {
         let now = entry.clock.now();
-        entry.quarantine.apply(now, &host, change);
+        entry.quarantine.apply(now, &host, update.change);
         entry.quarantine.tick(now);
     }
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -14,6 +14,12 @@
 use snipewinch::grant;
 use snipewinch::route::Table;
 
+/// How long the message of another process with the age of a version takes at
+/// most while the links are sound.
+const ANNOUNCEMENT_DELAY_MAX: Duration = Duration::from_millis(200);
+/// The uncertainty of the time of a publication from which on another process
+/// is believed that has followed the store more closely.
+const VAGUE_MIN: Duration = Duration::from_millis(500);
 /// The most published versions of one model that are kept.
 const VERSIONS_PER_MODEL_MAX: usize = 16;
 
@@ -21,12 +27,12 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Publication {
     pub(crate) version: u64,
-    /// When this process learned of the version, or when it was published if an
-    /// entry announced it with its age.
+    /// When this process learned of the version, or when it was published if
+    /// another process announced it with its age.
     pub(crate) learned_at: Duration,
-    /// Whether it was published before this process first read the store, or
-    /// before the entry that announced it did: its age is then unknown.
-    pub(crate) found_at_start: bool,
+    /// When it was published; none if that was before this process first read
+    /// the store, or before the one that announced it did.
+    pub(crate) published: Option<cutover::Interval>,
 }
 
 /// The configuration in force and the published versions of weights.
@@ -42,35 +48,34 @@
 
 impl Publication {
     fn to_cutover(self) -> cutover::Publication {
-        let known = cutover::Interval {
-            earliest: self.learned_at,
-            latest: self.learned_at,
-        };
         cutover::Publication {
             version: self.version,
-            published: Some(known),
+            published: self.published,
         }
     }
 
-    /// The form in which entries announce it to agents.
+    /// The form in which entries and agents announce it to each other.
     pub(crate) fn announcement(&self, now: Duration) -> grant::Published {
-        let age = now.saturating_sub(self.learned_at).as_millis();
+        let age = |published: cutover::Interval| now.saturating_sub(published.earliest);
         grant::Published {
             version: self.version,
-            age_ms: (!self.found_at_start).then(|| age.min(u128::from(u32::MAX)) as u32),
+            age_ms: self
+                .published
+                .map(|published| age(published).as_millis().min(u128::from(u32::MAX)) as u32),
         }
     }
 }
 
 impl OperatorState {
-    /// Applies a change of the store; true if a configuration came into force.
-    pub(crate) fn apply(&mut self, now: Duration, change: Change) -> bool {
+    /// Applies a change of the store that was made within an interval; true if a
+    /// configuration came into force.
+    pub(crate) fn apply(&mut self, made: cutover::Interval, change: Change) -> bool {
         match change {
             Change::Disconnected => false,
             Change::Rows(rows) | Change::Snapshot(rows) => {
                 let before = self.configuration_version();
                 for row in rows {
-                    self.apply_row(now, &row);
+                    self.apply_row(made, &row);
                 }
                 self.loaded = true;
                 self.configuration_version() != before
@@ -84,7 +89,7 @@
         table.map_or(0, |table| table.configuration().version)
     }
 
-    fn apply_row(&mut self, now: Duration, row: &Row) {
+    fn apply_row(&mut self, made: cutover::Interval, row: &Row) {
         let Some(value) = &row.value else {
             return;
         };
@@ -101,54 +106,83 @@
                     self.table = Some(Rc::new(Table::new(*configuration)));
                 }
             }
-            Ok(Some(Directive::Weights { model, version })) => self.record(now, model, version),
+            Ok(Some(Directive::Weights { model, version })) => self.record(made, model, version),
             Ok(None) => {}
             Err(error) => log::error!("E7021 {error}"),
         }
     }
 
-    fn record(&mut self, now: Duration, model: SmolStr, version: u64) {
+    fn record(&mut self, made: cutover::Interval, model: SmolStr, version: u64) {
         let publications = self.weights.entry(model).or_default();
         let known = publications.last().map_or(0, |one| one.version);
         if version > known {
-            log::info!("E7022 version {version} of the weights is published");
+            let published = self.loaded.then_some(made);
+            match published {
+                Some(made) => log::info!(
+                    "E7022 version {version} of the weights is published, {} ms ago at most",
+                    made.latest.saturating_sub(made.earliest).as_millis()
+                ),
+                None => log::info!(
+                    "E7022 version {version} of the weights was published before this process began to follow the store"
+                ),
+            }
             push(
                 publications,
                 Publication {
                     version,
-                    learned_at: now,
-                    found_at_start: !self.loaded,
+                    learned_at: made.latest,
+                    published,
                 },
             );
         }
     }
 
-    /// Records the newest published version of a model as an entry announced
-    /// it; true if it is new here.
+    /// Records the newest published version of a model as another process
+    /// announced it; true if the version or its age is new here.
     pub(crate) fn record_published(
         &mut self,
         now: Duration,
         model: SmolStr,
-        published: grant::Published,
+        announced: grant::Published,
     ) -> bool {
+        let age = announced.age_ms.map(|ms| Duration::from_millis(ms.into()));
+        let published = age.map(|age| cutover::Interval {
+            earliest: now.saturating_sub(age + ANNOUNCEMENT_DELAY_MAX),
+            latest: now.saturating_sub(age),
+        });
         let publications = self.weights.entry(model).or_default();
-        let is_new = published.version > publications.last().map_or(0, |one| one.version);
-        if is_new {
-            log::info!(
-                "E7022 version {} of the weights is published",
-                published.version
-            );
-            let age = published.age_ms.map(|ms| Duration::from_millis(ms.into()));
-            push(
-                publications,
-                Publication {
-                    version: published.version,
-                    learned_at: now.saturating_sub(age.unwrap_or_default()),
-                    found_at_start: age.is_none(),
-                },
-            );
+        let known = publications
+            .iter_mut()
+            .find(|one| one.version == announced.version);
+        if let Some(known) = known {
+            let is_vague = known
+                .published
+                .is_none_or(|known| known.latest.saturating_sub(known.earliest) > VAGUE_MIN);
+            if is_vague && published.is_some() {
+                known.published = published;
+                return true;
+            }
+            return false;
+        }
+        if publications
+            .last()
+            .is_some_and(|last| last.version > announced.version)
+        {
+            return false;
         }
-        is_new
+        log::info!(
+            "E7022 version {} of the weights is published",
+            announced.version
+        );
+        push(
+            publications,
+            Publication {
+                version: announced.version,
+                learned_at: published.map_or(now, |published| published.latest),
+                published,
+            },
+        );
+        true
     }
 
     /// The newest published version of a model.
@@ -163,18 +197,18 @@
         publications.copied().map(Publication::to_cutover).collect()
     }
 
-    /// Whether it is known when the newest version of a model was published.
-    pub(crate) fn publish_time_known(&self, model: &str) -> bool {
-        self.newest(model).is_some_and(|one| !one.found_at_start)
+    /// The newest version of a model of which it is not known when it was
+    /// published; 0 if there is none.
+    pub(crate) fn newest_of_unknown_age(&self, model: &str) -> u64 {
+        let publications = self.weights.get(model).into_iter().flatten();
+        let unknown = publications.filter(|one| one.published.is_none());
+        unknown.map(|one| one.version).max().unwrap_or(0)
     }
 
-    /// The version of a model that was already published at the start of this
-    /// process; 0 if there was none.
-    pub(crate) fn initial_version(&self, model: &str) -> u64 {
-        let mut publications = self.weights.get(model).into_iter().flatten();
-        publications
-            .find(|one| one.found_at_start)
-            .map_or(0, |one| one.version)
+    /// Whether it is known when the newest version of a model was published.
+    pub(crate) fn publish_time_known(&self, model: &str) -> bool {
+        self.newest(model)
+            .is_some_and(|one| one.published.is_some())
     }
 }
 
--- a/crates/node/src/operator/tests.rs
+++ b/crates/node/src/operator/tests.rs
@@ -9,6 +9,14 @@
 
 const VERSION_BOUND: Duration = Duration::from_secs(7);
 
+fn at(s: u64) -> cutover::Interval {
+    let at = seconds(s);
+    cutover::Interval {
+        earliest: at,
+        latest: at,
+    }
+}
+
 /// The oldest version to which requests are sent `VERSION_BOUND` after a newer
 /// one was published.
 fn min_version(state: &OperatorState, model: &str, now: Duration) -> u64 {
@@ -45,9 +53,9 @@
 #[test]
 fn each_version_ages_from_its_own_publication() {
     let mut state = OperatorState::default();
-    state.apply(seconds(0), Change::Snapshot(Vec::new()));
-    state.apply(seconds(18), published(2));
-    state.apply(seconds(20), published(3));
+    state.apply(at(0), Change::Snapshot(Vec::new()));
+    state.apply(at(18), published(2));
+    state.apply(at(20), published(3));
     let oldest = |now| min_version(&state, "m", now);
     assert_eq!(
         [
@@ -62,21 +70,21 @@
 }
 
 #[test]
-fn the_initial_version_is_the_one_found_at_the_start() {
+fn only_a_version_found_at_the_start_is_of_unknown_age() {
     let mut state = OperatorState::default();
-    state.apply(seconds(1), published(4));
-    state.apply(seconds(2), published(5));
-    assert_eq!(state.initial_version("m"), 4);
+    state.apply(at(1), published(4));
+    state.apply(at(2), published(5));
+    assert_eq!(state.newest_of_unknown_age("m"), 4);
 }
 
 #[test]
 fn versions_of_weights_and_configurations_never_decrease() {
     let mut state = OperatorState::default();
-    state.apply(seconds(1), published(4));
-    state.apply(seconds(2), published(3));
+    state.apply(at(1), published(4));
+    state.apply(at(2), published(3));
     assert_eq!(min_version(&state, "m", seconds(99)), 4);
-    assert!(state.apply(seconds(3), configuration(7)));
-    assert!(!state.apply(seconds(4), configuration(6)));
+    assert!(state.apply(at(3), configuration(7)));
+    assert!(!state.apply(at(4), configuration(6)));
     assert_eq!(state.configuration_version(), 7);
 }
 
@@ -86,7 +94,7 @@
 #[test]
 fn a_version_announced_by_an_entry_ages_from_its_publication() {
     let mut state = OperatorState::default();
-    state.apply(seconds(0), Change::Snapshot(Vec::new()));
+    state.apply(at(0), Change::Snapshot(Vec::new()));
     let announced = |version, age_ms| grant::Published { version, age_ms };
     assert!(state.record_published(seconds(20), "m".into(), announced(2, Some(2_000))));
     assert!(!state.record_published(seconds(21), "m".into(), announced(2, Some(3_000))));
@@ -95,9 +103,38 @@
     assert!(state.publish_time_known("m"));
     assert!(state.record_published(seconds(26), "m".into(), announced(3, None)));
     assert!(!state.publish_time_known("m"));
-    state.apply(seconds(27), published(3));
+    state.apply(at(27), published(3));
     assert_eq!(
         state.newest("m").map(|one| one.learned_at),
         Some(seconds(26))
     );
 }
+
+/// A process that restarted within the bound took the version for just published.
+#[test]
+fn a_version_found_at_the_start_is_old_until_another_process_tells_its_age() {
+    let mut state = OperatorState::default();
+    state.apply(at(20), published(2));
+    assert_eq!(min_version(&state, "m", seconds(20)), 2);
+    let announced = grant::Published {
+        version: 2,
+        age_ms: Some(1_000),
+    };
+    assert!(state.record_published(seconds(20), "m".into(), announced));
+    assert_eq!(min_version(&state, "m", seconds(20)), 0);
+    assert_eq!(min_version(&state, "m", seconds(26)), 2);
+}
+
+/// Requests began on old weights as a version was taken for as young as its news.
+#[test]
+fn a_version_ages_from_the_earliest_time_at_which_it_may_have_been_published() {
+    let mut state = OperatorState::default();
+    state.apply(at(0), Change::Snapshot(Vec::new()));
+    let made = cutover::Interval {
+        earliest: seconds(9),
+        latest: seconds(10),
+    };
+    state.apply(made, published(2));
+    assert_eq!(min_version(&state, "m", seconds(15)), 0);
+    assert_eq!(min_version(&state, "m", seconds(16)), 2);
+}
--- a/crates/snipewinch/src/cutover.rs
+++ b/crates/snipewinch/src/cutover.rs
@@ -7,6 +7,9 @@
 
 use std::time::Duration;
 
+/// How long a change in the store takes to reach a process while the store and
+/// the links are sound.
+const NEWS_DELAY_MAX: Duration = Duration::from_millis(1_500);
 /// How long before the bound the last request is sent to a backend server with
 /// an older version.
 pub const SEND_MARGIN: Duration = Duration::from_millis(600);
@@ -16,10 +19,21 @@
 pub struct Interval {
     /// The earliest moment.
     pub earliest: Duration,
-    /// The latest moment: when the process learned of the version.
+    /// The latest moment.
     pub latest: Duration,
 }
 
+impl Interval {
+    /// The interval of a change that was made after a moment and learned of at
+    /// another.
+    pub fn of_news(after: Duration, learned_at: Duration) -> Interval {
+        Interval {
+            earliest: after.max(learned_at.saturating_sub(NEWS_DELAY_MAX)),
+            latest: learned_at,
+        }
+    }
+}
+
 /// A published version of a model's weights.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Publication {
@@ -58,7 +72,7 @@
     newer
         .map(|one| {
             one.published
-                .map_or(Duration::ZERO, |published| published.latest + bound)
+                .map_or(Duration::ZERO, |published| published.earliest + bound)
         })
         .min()
 }
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -17,6 +17,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::cutover;
+use crate::cutover::Verdict;
 use crate::engine::Predictor;
 use crate::engine::Spec;
 use crate::engine_config::EngineConfig;
@@ -35,6 +37,13 @@
 /// down steps nor the requests that come without a slot.
 const PASS_FRACTION: f64 = 0.8;
 
+/// The time from granting a slot until the request reaches the engine and its
+/// first event the entry: a few network delays.
+const ENTRY_ROUND_TRIP: Duration = Duration::from_millis(20);
+/// How long agents tell entries when a version was published. Then it is old by
+/// any bound.
+const PUBLISHED_AGE_MAX_MS: u32 = 60_000;
+
 /// Identifies the process of an entry, from its start to its end.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
@@ -135,6 +144,11 @@
     /// The digest of the [`EngineConfig`] that the agent has; 0 if it has none.
     #[serde(rename = "c", default)]
     pub config_digest: u32,
+    /// The newest published version of the weights, if the agent knows when it
+    /// was published and that was not long ago: an entry that has just started
+    /// cannot know.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub published: Option<Published>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -165,8 +179,16 @@
     version: u64,
     min_version: u64,
     publish_time_known: bool,
+    /// The newest published version, and the earliest time at which it may have
+    /// been published.
+    published: Option<(u64, Duration)>,
+    /// The latest time at which requests may begin on the version that the
+    /// backend server holds; `None` if it is the newest.
+    begin_by: Option<Duration>,
     config_digest: u32,
     predictor: Predictor,
+    /// How much slower the engine works than by its parameters.
+    slowness: f64,
     typical_tokens: f64,
     max_gap: Duration,
 }
@@ -200,6 +222,19 @@
         self.publish_time_known = publish_time_known;
     }
 
+    /// Sets the newest published version with the earliest time at which it may
+    /// have been published, none if that is unknown, and the latest time at
+    /// which requests may begin on the version that the backend server holds.
+    pub fn set_cutover(&mut self, published: Option<(u64, Duration)>, begin_by: Option<Duration>) {
+        self.published = published;
+        self.begin_by = begin_by;
+    }
+
+    /// Sets how much slower the engine works than by its parameters.
+    pub fn set_slowness(&mut self, slowness: f64) {
+        self.slowness = slowness;
+    }
+
     /// Sets the digest of the [`EngineConfig`] in use.
     pub fn set_config_digest(&mut self, digest: u32) {
         self.config_digest = digest;
@@ -302,12 +337,26 @@
             }
         };
         let (holder, account) = waiting.min_by_key(|(_, one)| rank(one))?;
+        let delay = cutover::Delay {
+            transfer: ENTRY_ROUND_TRIP,
+            queue: self.first_event_delay(now, in_use, account.tokens),
+        };
+        if cutover::admit(now, self.begin_by, delay) == Verdict::Outdated {
+            return None;
+        }
         let pass = self.predictor.next_pass_time(in_use, account.tokens);
         let fits =
             self.predictor.has_no_pending_prompt() || pass <= self.max_pass_time(rank(account).0);
         fits.then_some(*holder)
     }
 
+    /// The time from `now` to the first event of a request with a prompt of
+    /// `tokens`.
+    fn first_event_delay(&self, now: Duration, in_use: u64, tokens: f64) -> Duration {
+        let delay = self.predictor.first_event_delay(now, in_use, tokens);
+        delay.mul_f64(self.slowness.max(1.0))
+    }
+
     /// How long a pass may take: what running streams allow, or half of it for
     /// requests that are late anyway.
     fn max_pass_time(&self, late: bool) -> Duration {
@@ -330,10 +379,13 @@
     pub fn credit(&self, now: Duration, holder: HolderId) -> Credit {
         let in_use = self.in_use();
         let free = self.capacity.saturating_sub(in_use + self.waiting());
-        let delay = self
-            .predictor
-            .first_event_delay(now, in_use, self.typical_tokens);
+        let delay = self.first_event_delay(now, in_use, self.typical_tokens);
+        let published = self.published.map(|(version, earliest)| Published {
+            version,
+            age_ms: Some(now.saturating_sub(earliest).as_millis() as u32),
+        });
         Credit {
+            published: published.filter(|one| one.age_ms <= Some(PUBLISHED_AGE_MAX_MS)),
             delay_ms: delay.as_millis().min(u128::from(u16::MAX)) as u16,
             holder,
             granted: self.accounts.get(&holder).map_or(0, |one| one.granted),
@@ -508,6 +560,13 @@
         self.demanded = 0;
     }
 
+    /// Forgets the agent's last credit, as the backend server has started anew.
+    /// Its slots stay.
+    pub fn forget_credit(&mut self) {
+        self.last_credit = None;
+        self.last_credit_at = None;
+    }
+
     /// When the agent last sent a credit.
     pub fn last_credit_at(&self) -> Option<Duration> {
         self.last_credit_at
