Give an agent no target before it knows the published versions

What callers saw: an engine that started empty beside a restarted agent could load version 1 while a newer version was published, and then load again, if the store was slow.

Cause: without a known publication the target was version 1, also before the store had been read once. An entry's message with the configuration of the engine was enough to fetch and order it.

Change: version 1 is the target only once the store has said that it has no version. Until then there is no target, unless an entry announces a version.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -53,7 +53,6 @@
 use crate::fleet_key;
 use crate::metrics::AgentMetrics;
 use crate::operator::OperatorState;
-use crate::operator::Publication;
 use crate::shutdown;
 use crate::shutdown::Phase;
 use crate::shutdown::wait_for_signal;
@@ -90,8 +89,6 @@
 /// before it reads the whole configuration from the store. Requests that need
 /// it come from entries, which send it, too.
 const CONFIG_WAIT: Duration = Duration::from_secs(6);
-/// The version of weights to load before any is published.
-const FIRST_VERSION: u64 = 1;
 
 /// State that the tasks of an agent share.
 pub(crate) struct Agent {
@@ -217,12 +214,7 @@
     fn target(&self) -> Option<Target> {
         let model = self.engine_spec()?.model?;
         let origin = self.engine_config.borrow().as_ref()?.origin.clone()?;
-        let newest = self.operator_state.borrow().newest(&model);
-        let published = newest.unwrap_or(Publication {
-            version: FIRST_VERSION,
-            learned_at: Duration::ZERO,
-            found_at_start: true,
-        });
+        let published = self.operator_state.borrow().newest_or_first(&model)?;
         Some(Target {
             model,
             version: published.version,
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -13,9 +13,12 @@
 use platform::chunk_origin::DigestList;
 use platform::engine::Engine;
 use platform::engine::Report;
+use platform::follow::Change;
 use platform::follow::Urgency;
 use platform::http::Transport;
 use snipewinch::digest::Hash;
+use snipewinch::engine_config::EngineConfig;
+use snipewinch::grant;
 use snipewinch::host::Identity;
 use snipewinch::host::Role;
 use snipewinch::route;
@@ -234,3 +237,55 @@
     });
     run.await;
 }
+
+fn engine_config() -> EngineConfig {
+    EngineConfig {
+        version: 1,
+        engine: route::Engine {
+            slots: 4,
+            stride: 1,
+            model: Some("m".into()),
+            warm: Duration::from_millis(300),
+            step: Duration::ZERO,
+            step_per_call: Duration::ZERO,
+            step_per_kilotoken: Duration::ZERO,
+            read_per_s: 0.0,
+            usual_prompt: 0.0,
+            usual_answer: 0.0,
+            chunks: 1,
+            chunk_bytes: 1,
+        },
+        max_gap: Duration::ZERO,
+        origin: Some(route::Origin {
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: None,
+            link_mbit: 1.0,
+        }),
+    }
+}
+
+/// Guards against a restarted agent that loads version 1 into an empty engine
+/// while the store is slow, though a newer version is published.
+#[tokio::test]
+async fn a_restarted_agent_has_no_target_until_it_knows_the_published_versions() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let address = engine(IDLE, Duration::ZERO).await;
+        let version = |agent: &Agent| agent.target().map(|target| target.version);
+
+        let agent = loader(address).await.agent;
+        agent.apply_engine_config(engine_config());
+        assert_eq!(version(&agent), None, "nothing is read");
+        agent.apply_rows(Change::Rows(Vec::new()));
+        assert_eq!(version(&agent), Some(1), "no version is published");
+
+        let agent = loader(address).await.agent;
+        agent.apply_engine_config(engine_config());
+        agent.record_published(grant::Published {
+            version: 3,
+            age_ms: None,
+        });
+        assert_eq!(version(&agent), Some(3), "an entry announced a version");
+    });
+    run.await;
+}
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -16,6 +16,8 @@
 
 /// The most published versions of one model that are kept.
 const VERSIONS_PER_MODEL_MAX: usize = 16;
+/// The version of weights to load if none is published.
+const FIRST_VERSION: u64 = 1;
 
 /// A published version of a model's weights.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -156,6 +158,17 @@
         self.weights.get(model)?.last().copied()
     }
 
+    /// The newest published version of a model, or the first version if the
+    /// store has none; `None` while neither the store nor an entry has said.
+    pub(crate) fn newest_or_first(&self, model: &str) -> Option<Publication> {
+        let first = self.loaded.then_some(Publication {
+            version: FIRST_VERSION,
+            learned_at: Duration::ZERO,
+            found_at_start: true,
+        });
+        self.newest(model).or(first)
+    }
+
     /// The published versions of a model, as the decision on old weights needs
     /// them.
     pub(crate) fn publications(&self, model: &str) -> Vec<cutover::Publication> {
