Do not give a backend server that was waiting another window to reload

What callers saw: after an agent had restarted, or its host had been suspended, its engine went on with old weights for up to another 6.7 s before it reloaded. Requests that begin on old weights too late need such an engine.

Cause: a restarted agent counted the whole bound from its own start, as it took a version that it found for one that was just published. An agent whose host was suspended counted by a clock that had stood still.

Change: the library decides over how long reloads are spread, from how long ago the version was published, if that is known, how long its chunks are there and how long the process runs. A process that started after the publication spreads over 1 s at most. The agent measures these times by both clocks, so a turn that passed during a suspension is taken at once.

For an agent that was neither restarted nor suspended the turn is as before.

--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -5,7 +5,8 @@
 //! before the order; if the order is delayed, they are read back and those that
 //! are corrupt are staged again.
 
-use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -15,6 +16,7 @@
 use platform::engine::Outcome;
 use platform::engine::Report;
 use snipewinch::weights::rollout;
+use snipewinch::weights::rollout::Progress;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -40,6 +42,8 @@
 /// How long before the limit for the use of old weights the last engine of the
 /// service starts to reload.
 const RELOAD_MARGIN: Duration = Duration::from_millis(1_300);
+/// For how many versions it is kept since when they are here.
+const MILESTONES_MAX: usize = 4;
 /// How long an engine may finish its requests before it reloads. Requests that
 /// still run then continue at other engines, which each have to process the
 /// prompt again; waiting for the longest answers would leave this engine nearly
@@ -70,13 +74,34 @@
     }
 }
 
+/// Since when something is the case for the newest versions.
+#[derive(Debug, Default)]
+struct Milestones {
+    reached: RefCell<BTreeMap<u64, Timestamp>>,
+}
+
+impl Milestones {
+    /// When this was first asked for the version.
+    fn since(&self, version: u64, clock: &Clock) -> Timestamp {
+        let mut reached = self.reached.borrow_mut();
+        let since = *reached
+            .entry(version)
+            .or_insert_with(|| Timestamp::now(clock));
+        if reached.len() > MILESTONES_MAX {
+            reached.pop_first();
+        }
+        since
+    }
+}
+
 /// Runs the loader until the process ends.
 pub(super) async fn run(agent: Rc<Agent>, chunks: Chunks) {
     let mut loader = Loader {
         agent,
         chunks,
         scanned: None,
-        completed: Cell::default(),
+        seen: Milestones::default(),
+        completed: Milestones::default(),
         reported: None,
     };
     loop {
@@ -93,8 +118,10 @@
     /// The version for which the staged chunks were scanned, and when the
     /// engine started, in milliseconds of the time of day.
     scanned: Option<(u64, u64)>,
-    /// The newest version of which all chunks are here, and since when.
-    completed: Cell<(u64, Duration)>,
+    /// The versions whose manifests are here.
+    seen: Milestones,
+    /// The versions of which all chunks are here.
+    completed: Milestones,
     /// What was last reported to the exchange: a version, and whether the
     /// engine has loaded it.
     reported: Option<(u64, bool)>,
@@ -108,6 +135,7 @@
             return;
         };
         let version = newest.target.version;
+        self.seen.since(version, &self.agent.clock);
         let scan = Some((version, report.started_ms));
         if self.scanned != scan && self.scan_staged(&newest).await {
             self.scanned = scan;
@@ -121,7 +149,7 @@
             self.reported = Some((version, is_loaded));
             self.chunks.set_loaded(known.digest, is_loaded);
         }
-        if is_loaded || report.busy || self.agent.clock.now() < self.reload_at(&known, &report) {
+        if is_loaded || report.busy || !self.reload_wait(&known, &report).is_zero() {
             return;
         }
         self.load(&known, &all, &report).await;
@@ -133,10 +161,7 @@
             (Some((known, _)), Some(report))
                 if slot_pool::loaded_version(&report) < known.target.version =>
             {
-                let reload_at = self.reload_at(&known, &report);
-                reload_at
-                    .saturating_sub(self.agent.clock.now())
-                    .max(POLL_INTERVAL)
+                self.reload_wait(&known, &report).max(POLL_INTERVAL)
             }
             _ => IDLE_INTERVAL,
         }
@@ -169,35 +194,32 @@
         true
     }
 
-    /// When this engine may reload: at once if it serves no version, else after
-    /// its delay in the rollout.
-    fn reload_at(&self, known: &KnownVersion, report: &Report) -> Duration {
+    /// How long this engine has to wait for its turn in the rollout; it does not
+    /// if it serves no version.
+    fn reload_wait(&self, known: &KnownVersion, report: &Report) -> Duration {
         if slot_pool::loaded_version(report) == 0 {
             return Duration::ZERO;
         }
         let agent = &self.agent;
         let view = agent.view.borrow().clone();
-        let deadline = known.target.learned_at
-            + agent
-                .bounds
-                .get()
-                .version_skew
-                .saturating_sub(RELOAD_MARGIN);
-        let since = self.complete_since(known.target.version);
-        let window = deadline.saturating_sub(since);
-        since + rollout::reload_delay(&view, &agent.host(), &agent.service, &known.digest, window)
+        let progress = self.progress(known);
+        let bound = agent.bounds.get().version_skew;
+        let window = progress.window(bound.saturating_sub(RELOAD_MARGIN));
+        rollout::reload_delay(&view, &agent.host(), &agent.service, &known.digest, window)
+            .saturating_sub(progress.complete)
     }
 
-    /// When all chunks of a version were first here.
-    fn complete_since(&self, version: u64) -> Duration {
-        let now = self.agent.clock.now();
-        let (seen, since) = self.completed.get();
-        match seen == version {
-            true => since,
-            false => {
-                self.completed.set((version, now));
-                now
-            }
+    /// How far a version has come whose chunks are all here.
+    fn progress(&self, known: &KnownVersion) -> Progress {
+        let clock = &self.agent.clock;
+        let version = known.target.version;
+        let announced = self.seen.since(version, clock);
+        let before = announced.monotonic.saturating_sub(known.target.learned_at);
+        let published = announced.age(clock).saturating_add(before);
+        Progress {
+            published: self.agent.publish_time_known().then_some(published),
+            complete: self.completed.since(version, clock).age(clock),
+            uptime: clock.now(),
         }
     }
 
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -35,6 +35,7 @@
 
 use super::DRAIN_TIMEOUT;
 use super::Loader;
+use super::Milestones;
 use super::POLL_INTERVAL;
 use crate::agent::Agent;
 use crate::agent::Target;
@@ -136,7 +137,8 @@
         agent,
         chunks,
         scanned: None,
-        completed: Cell::default(),
+        seen: Milestones::default(),
+        completed: Milestones::default(),
         reported: None,
     }
 }
--- a/crates/snipewinch/src/weights/rollout.rs
+++ b/crates/snipewinch/src/weights/rollout.rs
@@ -30,10 +30,45 @@
     (count * usize::from(percent.min(100)) / 100).max(1)
 }
 
-/// How long after a version is published this host may take its backend server
-/// out of service to load it, so that not all do so at once. The delays of all
-/// hosts of the service are spread evenly over `window`; no host waits for
-/// another.
+/// How long a host that has returned may wait for its turn once all chunks are
+/// there.
+pub const RETURN_WINDOW: Duration = Duration::from_secs(1);
+
+/// How far a version has come, as one host sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Progress {
+    /// How long ago it was published; `None` if that is not known.
+    pub published: Option<Duration>,
+    /// How long ago all its chunks were first on this host.
+    pub complete: Duration,
+    /// How long the process has been running.
+    pub uptime: Duration,
+}
+
+impl Progress {
+    /// Over how long the reloads of the service are spread from when all chunks
+    /// are there, if the last one starts `bound` after the version is published.
+    ///
+    /// A process that started after that doesn't know which turns are over. Its
+    /// backend server has waited for it already.
+    pub fn window(self, bound: Duration) -> Duration {
+        match self.published {
+            None => RETURN_WINDOW,
+            Some(published) => {
+                let window = bound.saturating_sub(published.saturating_sub(self.complete));
+                match published >= self.uptime {
+                    true => window.min(RETURN_WINDOW),
+                    false => window,
+                }
+            }
+        }
+    }
+}
+
+/// How long after all chunks of a version are on this host it may take its
+/// backend server out of service to load them, so that not all do so at once.
+/// The delays of all hosts of the service are spread evenly over `window`; no
+/// host waits for another.
 pub fn reload_delay(
     view: &View,
     me: &host::Name,
--- a/crates/snipewinch/tests/rollout.rs
+++ b/crates/snipewinch/tests/rollout.rs
@@ -10,6 +10,7 @@
 use snipewinch::membership::State;
 use snipewinch::membership::View;
 use snipewinch::weights::rollout;
+use snipewinch::weights::rollout::Progress;
 use snipewinch::weights::rollout::Status;
 
 fn view(count: usize) -> View {
@@ -109,3 +110,67 @@
         assert_eq!(may, *expected, "{statuses:?} after {waited:?}");
     }
 }
+
+const BOUND: Duration = Duration::from_millis(6_700);
+
+fn seconds(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+/// How long a host with this progress may still wait for its turn if it is the
+/// last of the service.
+fn wait(published: Option<f64>, complete: f64, uptime: f64) -> Duration {
+    let progress = Progress {
+        published: published.map(seconds),
+        complete: seconds(complete),
+        uptime: seconds(uptime),
+    };
+    progress.window(BOUND).saturating_sub(progress.complete)
+}
+
+#[test]
+fn the_last_reload_starts_at_the_bound_whenever_the_chunks_arrive() {
+    for (published, complete) in [(3.0, 0.0), (4.5, 1.5), (6.0, 0.0)] {
+        let wait = wait(Some(published), complete, 100.0);
+        assert_eq!(wait, BOUND - seconds(published));
+    }
+    assert_eq!(wait(Some(9.0), 0.0, 100.0), Duration::ZERO, "arrived late");
+}
+
+/// Guards against a restarted agent that keeps its engine on old weights for
+/// another whole window.
+#[test]
+fn a_host_that_returned_reloads_within_a_second() {
+    for (published, uptime) in [(None, 0.3), (None, 4.0), (Some(3.0), 0.5), (Some(0.5), 0.5)] {
+        let wait = wait(published, 0.0, uptime);
+        assert!(
+            wait <= Duration::from_secs(1),
+            "published {published:?} s ago, up for {uptime} s: {wait:?}"
+        );
+    }
+    assert_eq!(wait(Some(6.5), 0.0, 0.5), seconds(0.2), "less time is left");
+}
+
+/// Guards against an engine whose host was suspended and that waits for its
+/// turn as if no time had passed.
+#[test]
+fn a_turn_that_was_missed_is_taken_at_once() {
+    let view = view(10);
+    let manifest = Digest::of(b"v2");
+    for suspended in [0.0, 4.0, 30.0] {
+        let progress = Progress {
+            published: Some(seconds(3.5 + suspended)),
+            complete: seconds(0.5 + suspended),
+            uptime: seconds(100.0),
+        };
+        let window = progress.window(BOUND);
+        assert_eq!(window, BOUND - seconds(3.0));
+        let waits = view.members.iter().filter(|one| {
+            let service = "verse-engine".into();
+            let delay = rollout::reload_delay(&view, &one.host, &service, &manifest, window);
+            delay > progress.complete
+        });
+        let expected = if suspended == 0.0 { 8 } else { 0 };
+        assert_eq!(waits.count(), expected, "suspended for {suspended} s");
+    }
+}
