Let a restarted agent learn when a version was published

What callers saw: a restarted agent never learned the age of the newest version. It had read the version from the store first, and ignored entries that announced it with its age.

Cause: only a newer version than the known one was taken from an announcement.

Change: an announcement with an age completes a version that was found at the start. The manifest that is known already takes the new time over, so the list of digests is not read again for it.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -126,6 +126,14 @@
     origin: route::Origin,
 }
 
+impl Target {
+    /// Whether both are the same weights of the same origin.
+    fn is_same_version(&self, other: &Target) -> bool {
+        let weights = |one: &Target| (one.model.clone(), one.version, one.origin.clone());
+        weights(self) == weights(other)
+    }
+}
+
 impl Agent {
     /// The parameters of the engine on this host, from the configuration.
     fn engine_spec(&self) -> Option<route::Engine> {
@@ -185,7 +193,12 @@
     /// Records the newest published version of the weights as an entry
     /// announced it.
     fn record_published(&self, published: grant::Published) {
-        if published.version <= self.announced_version.get() {
+        let announced = self.announced_version.get();
+        let is_known = match published.age_ms {
+            Some(_) => published.version == announced && self.publish_time_known(),
+            None => published.version == announced,
+        };
+        if published.version < announced || is_known {
             return;
         }
         let Some(model) = self.engine_spec().and_then(|spec| spec.model) else {
--- a/crates/node/src/agent/chunks.rs
+++ b/crates/node/src/agent/chunks.rs
@@ -176,6 +176,9 @@
     let mut failures = 0;
     loop {
         let target = agent.target();
+        if let Some(target) = &target {
+            chunks.update_target(target);
+        }
         let known = chunks.newest().map(|known| known.target);
         let version_to_recheck = chunks.state.borrow_mut().version_to_recheck.take();
         match target {
@@ -324,6 +327,14 @@
         }
     }
 
+    /// Sets when a version was published whose manifest is known already.
+    pub(super) fn update_target(&self, target: &Target) {
+        let mut state = self.state.borrow_mut();
+        let known = state.known.iter_mut().map(|known| &mut known.target);
+        let same = known.filter(|known| known.is_same_version(target));
+        same.for_each(|known| known.learned_at = target.learned_at);
+    }
+
     /// Adds the manifest of a target, unless it is the newest already, and
     /// drops the oldest ones beyond [`VERSIONS_IN_MEMORY`].
     fn add_manifest(&self, agent: &Agent, target: Target, manifest: Manifest) {
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -291,3 +291,23 @@
     });
     run.await;
 }
+
+/// Guards against an agent that reads the list of digests again and again once
+/// it has learned when a version was published.
+#[tokio::test]
+async fn a_known_version_takes_over_when_it_was_published() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let loader = loader(engine(IDLE, Duration::ZERO).await).await;
+        add_version(&loader, 2, IDLE);
+        let learned_at = Duration::from_millis(70);
+        let known = loader.chunks.newest().unwrap().target;
+        let target = Target {
+            learned_at,
+            ..known
+        };
+        loader.chunks.update_target(&target);
+        assert_eq!(loader.chunks.newest().unwrap().target, target);
+    });
+    run.await;
+}
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -126,7 +126,7 @@
     }
 
     /// Records the newest published version of a model as an entry announced
-    /// it; true if it is new here.
+    /// it; true if that is new here: the version, or when it was published.
     pub(crate) fn record_published(
         &mut self,
         now: Duration,
@@ -134,23 +134,30 @@
         published: grant::Published,
     ) -> bool {
         let publications = self.weights.entry(model).or_default();
-        let is_new = published.version > publications.last().map_or(0, |one| one.version);
-        if is_new {
-            log::info!(
-                "E7022 version {} of the weights is published",
-                published.version
-            );
-            let age = published.age_ms.map(|ms| Duration::from_millis(ms.into()));
-            push(
-                publications,
-                Publication {
-                    version: published.version,
-                    learned_at: now.saturating_sub(age.unwrap_or_default()),
-                    found_at_start: age.is_none(),
-                },
-            );
+        let age = published.age_ms.map(|ms| Duration::from_millis(ms.into()));
+        let announced = Publication {
+            version: published.version,
+            learned_at: now.saturating_sub(age.unwrap_or_default()),
+            found_at_start: age.is_none(),
+        };
+        match publications.last_mut() {
+            Some(known) if known.version > published.version => false,
+            Some(known) if known.version == published.version => {
+                let is_new = known.found_at_start && age.is_some();
+                if is_new {
+                    *known = announced;
+                }
+                is_new
+            }
+            Some(_) | None => {
+                log::info!(
+                    "E7022 version {} of the weights is published",
+                    published.version
+                );
+                push(publications, announced);
+                true
+            }
         }
-        is_new
     }
 
     /// The newest published version of a model.
--- a/crates/node/src/operator/tests.rs
+++ b/crates/node/src/operator/tests.rs
@@ -101,3 +101,24 @@
         Some(seconds(26))
     );
 }
+
+/// Guards against a restarted agent that never learns the age of a version: it
+/// had read the version from the store before an entry announced it.
+#[test]
+fn an_announcement_tells_the_age_of_a_version_that_was_found_at_the_start() {
+    let mut state = OperatorState::default();
+    state.apply(seconds(1), published(2));
+    assert!(!state.publish_time_known("m"));
+    let mut announce = |now, age_ms| {
+        let published = grant::Published { version: 2, age_ms };
+        let is_new = state.record_published(seconds(now), "m".into(), published);
+        (is_new, state.newest("m").unwrap().learned_at)
+    };
+    assert_eq!(announce(5, None), (false, seconds(1)));
+    assert_eq!(announce(6, Some(5_500)), (true, Duration::from_millis(500)));
+    assert_eq!(
+        announce(7, Some(1_000)),
+        (false, Duration::from_millis(500))
+    );
+    assert!(state.publish_time_known("m"));
+}
