--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -213,11 +213,13 @@
     fn progress(&self, known: &KnownVersion) -> Progress {
         let clock = &self.agent.clock;
         let version = known.target.version;
-        let announced = self.seen.since(version, clock);
-        let before = announced.monotonic.saturating_sub(known.target.learned_at);
-        let published = announced.age(clock).saturating_add(before);
+        let seen = self.seen.since(version, clock);
+        let age = |published| {
+            let before = seen.monotonic.saturating_sub(published);
+            seen.age(clock).saturating_add(before)
+        };
         Progress {
-            published: self.agent.publish_time_known().then_some(published),
+            published: self.agent.published_at(version).map(age),
             complete: self.completed.since(version, clock).age(clock),
             uptime: clock.now(),
         }
