--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -13,9 +13,12 @@
 use platform::chunk_origin::DigestList;
 use platform::engine::Engine;
 use platform::engine::Report;
+use platform::follow::Change;
 use platform::follow::Urgency;
 use platform::http::Transport;
 use snipewinch::digest::Hash;
+use snipewinch::engine_config::EngineConfig;
+use snipewinch::grant;
 use snipewinch::host::Identity;
 use snipewinch::host::Role;
 use snipewinch::route;
@@ -32,6 +35,7 @@
 
 use super::DRAIN_TIMEOUT;
 use super::Loader;
+use super::Milestones;
 use super::POLL_INTERVAL;
 use crate::agent::Agent;
 use crate::agent::Target;
@@ -133,7 +137,8 @@
         agent,
         chunks,
         scanned: None,
-        completed: Cell::default(),
+        seen: Milestones::default(),
+        completed: Milestones::default(),
         reported: None,
     }
 }
@@ -234,3 +239,74 @@
     });
     run.await;
 }
+
+fn engine_config() -> EngineConfig {
+    EngineConfig {
+        version: 1,
+        engine: route::Engine {
+            slots: 4,
+            stride: 1,
+            model: Some("m".into()),
+            warm: Duration::from_millis(300),
+            step: Duration::ZERO,
+            step_per_call: Duration::ZERO,
+            step_per_kilotoken: Duration::ZERO,
+            read_per_s: 0.0,
+            usual_prompt: 0.0,
+            usual_answer: 0.0,
+            chunks: 1,
+            chunk_bytes: 1,
+        },
+        max_gap: Duration::ZERO,
+        origin: Some(route::Origin {
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: None,
+            link_mbit: 1.0,
+        }),
+    }
+}
+
+/// Guards against a restarted agent that loads version 1 into an empty engine
+/// while the store is slow, though a newer version is published.
+#[tokio::test]
+async fn a_restarted_agent_has_no_target_until_it_knows_the_published_versions() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let address = engine(IDLE, Duration::ZERO).await;
+        let version = |agent: &Agent| agent.target().map(|target| target.version);
+
+        let agent = loader(address).await.agent;
+        agent.apply_engine_config(engine_config());
+        assert_eq!(version(&agent), None, "nothing is read");
+        agent.apply_rows(Duration::ZERO, Change::Rows(Vec::new()));
+        assert_eq!(version(&agent), Some(1), "no version is published");
+
+        let agent = loader(address).await.agent;
+        agent.apply_engine_config(engine_config());
+        agent.record_published(grant::Published {
+            version: 3,
+            age_ms: None,
+        });
+        assert_eq!(version(&agent), Some(3), "an entry announced a version");
+    });
+    run.await;
+}
+
+/// Guards against an agent that reads the list of digests again and again once
+/// it has learned when a version was published.
+#[tokio::test]
+async fn the_target_stays_the_same_when_the_age_of_its_version_becomes_known() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let agent = loader(engine(IDLE, Duration::ZERO).await).await.agent;
+        agent.apply_engine_config(engine_config());
+        let announce = |age_ms| agent.record_published(grant::Published { version: 3, age_ms });
+        announce(None);
+        let target = agent.target();
+        assert_eq!(agent.published_at(3), None);
+        announce(Some(0));
+        assert!(agent.published_at(3).is_some());
+        assert_eq!(agent.target(), target);
+    });
+    run.await;
+}
--- a/crates/node/src/operator/tests.rs
+++ b/crates/node/src/operator/tests.rs
@@ -110,6 +110,28 @@
     );
 }
 
+/// Guards against a restarted agent that never learns the age of a version: it
+/// had read the version from the store before an entry announced it.
+#[test]
+fn an_announcement_tells_the_age_of_a_version_that_was_found_at_the_start() {
+    let mut state = OperatorState::default();
+    state.apply(at(1), published(2));
+    assert!(!state.publish_time_known("m"));
+    let mut announce = |now, age_ms| {
+        let published = grant::Published { version: 2, age_ms };
+        let is_new = state.record_published(seconds(now), "m".into(), published);
+        (is_new, state.newest("m").unwrap().published)
+    };
+    assert_eq!(announce(5, None), (false, None));
+    let age = Some(cutover::Interval {
+        earliest: Duration::from_millis(1_300),
+        latest: Duration::from_millis(1_500),
+    });
+    assert_eq!(announce(6, Some(4_500)), (true, age));
+    assert_eq!(announce(7, Some(1_000)), (false, age));
+    assert!(state.publish_time_known("m"));
+}
+
 /// A process that restarted within the bound took the version for just published.
 #[test]
 fn a_version_found_at_the_start_is_old_until_another_process_tells_its_age() {
