Log and count the phases of a new version of the weights at the agent

When an engine was late with a new version, the agent's log told when it knew the list, had the chunks and got the order accepted, but not where the time went: the wait for its turn, staging, draining and loading had no lines, and no figure was counted.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -62,8 +62,10 @@
 mod chunks;
 mod loader;
 mod slot_pool;
+mod timeline;
 
 use slot_pool::SlotPool;
+use timeline::Timeline;
 
 /// How often the list of backend servers is read. An agent needs it only to
 /// find the other agents.
@@ -117,6 +119,9 @@
     announced_version: Cell<u64>,
     /// Set while changes of the list of agents are needed without delay.
     urgency: Urgency,
+    /// How far the engine is with new versions of the weights.
+    timeline: RefCell<Timeline>,
+    metrics: AgentMetrics,
 }
 
 /// The weights that the engine should hold.
@@ -160,6 +165,8 @@
         );
         self.slot_pool.set_config_digest(new.digest());
         *config = Some(new);
+        drop(config);
+        self.learn_target();
         self.changed.notify_waiters();
     }
 
@@ -182,6 +189,7 @@
         if let Some(config) = config.filter(|_| is_new) {
             self.apply_engine_config(config);
         }
+        self.learn_target();
         self.changed.notify_waiters();
     }
 
@@ -202,6 +210,7 @@
             .record_published(now, model, published)
         {
             self.urgency.set(true);
+            self.learn_target();
             self.changed.notify_waiters();
         }
     }
@@ -270,6 +279,20 @@
         agent_name(self.settings.backend.unwrap_or(own))
     }
 
+    /// The id of the backend server on this host, or its address while it is
+    /// not listed.
+    fn server_id(&self) -> SmolStr {
+        let address = self.settings.backend;
+        let listing = self.listing.borrow();
+        let own = listing
+            .entries()
+            .find(|(_, entry)| Some(entry.address) == address);
+        match own {
+            Some((id, _)) => id.clone(),
+            None => self.host().0,
+        }
+    }
+
     fn region(&self, zone: &str) -> snipewinch::host::Region {
         let region = self.settings.regions.get(zone);
         region.map_or(zone, SmolStr::as_str).into()
@@ -312,6 +335,8 @@
         bounds: Cell::new(settings.bounds),
         announced_version: Cell::new(0),
         urgency: Urgency::default(),
+        timeline: RefCell::default(),
+        metrics: AgentMetrics::new(),
         settings,
     });
     spawn_local(follow_operators(agent.clone(), store.clone()));
@@ -321,10 +346,10 @@
     spawn_local(reload(agent.clone(), config.path.clone()));
     let metrics_address =
         SocketAddr::new(agent.settings.identity.address.ip(), config.metrics_port);
-    let (shared, metrics) = (agent.clone(), AgentMetrics::new());
+    let shared = agent.clone();
     let respond = move |_: &str| {
-        shared.slot_pool.update_metrics(&metrics);
-        (200, metrics.text())
+        shared.slot_pool.update_metrics(&shared.metrics);
+        (200, shared.metrics.text())
     };
     status_server::serve(metrics_address, "metrics", respond).await?;
     wait_for_signal(&agent.phase).await.context(SystemSnafu)?;
--- a/crates/node/src/agent/chunks.rs
+++ b/crates/node/src/agent/chunks.rs
@@ -47,6 +47,7 @@
 
 use super::Agent;
 use super::Target;
+use super::timeline::Phase;
 
 /// How many versions of the weights are kept in memory, apart from a reserve of
 /// a quarter of a version: the previous version is still sent to other agents
@@ -342,6 +343,7 @@
             target.version,
             manifest.chunks.len()
         );
+        agent.enter_phase(target.version, Phase::Chunks);
         state
             .known
             .retain(|known| known.target.version != target.version);
@@ -621,6 +623,9 @@
             } => self.fetch(digest, manifest, chunk),
             Action::Complete { manifest } => {
                 log::info!("E7223 all chunks of manifest {manifest} are present");
+                if let Some(version) = self.version(Id::of(&manifest)) {
+                    self.agent.enter_phase(version, Phase::Turn);
+                }
                 self.chunks.update_wants(&self.agent);
                 self.agent.changed.notify_waiters();
             }
@@ -644,12 +649,16 @@
 
     /// Has the list of a version read again from the origin.
     fn recheck_list(&self, manifest: Id) {
-        let mut state = self.chunks.state.borrow_mut();
-        let known = state
-            .known
-            .iter()
-            .find(|known| Id::of(&known.digest) == manifest);
-        state.version_to_recheck = known.map(|known| known.target.version);
+        let version = self.version(manifest);
+        self.chunks.state.borrow_mut().version_to_recheck = version;
+    }
+
+    /// The version with this manifest.
+    fn version(&self, manifest: Id) -> Option<u64> {
+        let state = self.chunks.state.borrow();
+        let mut known = state.known.iter();
+        let known = known.find(|known| Id::of(&known.digest) == manifest)?;
+        Some(known.target.version)
     }
 
     fn send(&self, link: Link, message: Message) {
--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -22,6 +22,7 @@
 use super::chunks::Chunks;
 use super::chunks::KnownVersion;
 use super::slot_pool;
+use super::timeline::Phase;
 use crate::clock::Clock;
 
 /// How often to check whether the engine has drained or loaded.
@@ -145,6 +146,7 @@
     /// Passes chunks that are already staged to the exchange; false if the
     /// engine did not answer.
     async fn scan_staged(&self, known: &KnownVersion) -> bool {
+        let mut found = 0;
         for (chunk, digest) in known.manifest.chunks.iter().enumerate() {
             let chunk = chunk as u32;
             match self
@@ -154,6 +156,7 @@
                 .await
             {
                 Ok(Some(bytes)) if known.manifest.hash.digest(&bytes) == *digest => {
+                    found += 1;
                     self.chunks.add_local(&known.digest, chunk, bytes);
                 }
                 // The first chunk is missing, corrupt or of another version:
@@ -166,6 +169,14 @@
                 }
             }
         }
+        if found > 0 {
+            log::info!(
+                "E7239 found {found} of {} chunks of version {} staged at backend server {}",
+                known.manifest.chunks.len(),
+                known.target.version,
+                self.agent.server_id()
+            );
+        }
         true
     }
 
@@ -205,17 +216,21 @@
     async fn load(&self, known: &KnownVersion, all: &[Bytes], report: &Report) {
         let version = known.target.version;
         let staged_at = Timestamp::now(&self.agent.clock);
+        self.agent.enter_phase(version, Phase::Staging);
         if !self.stage(known, all).await {
             return;
         }
         self.agent.slot_pool.set_closed(true);
         let serves = slot_pool::loaded_version(report) > 0;
         if serves {
+            self.agent.enter_phase(version, Phase::Drain);
             sleep(ARRIVAL_TIME).await;
             self.drain().await;
         }
+        self.agent.enter_phase(version, Phase::Order);
         let ordered = self.order_load(known, all, report, staged_at).await;
         if ordered {
+            self.agent.enter_phase(version, Phase::Load);
             self.wait_until_loaded(version).await;
         }
         self.agent.slot_pool.set_closed(false);
@@ -337,6 +352,7 @@
                 }
             };
             is_silent = false;
+            self.agent.observe_engine(&report);
             let slots = self.agent.engine_spec().map_or(0, |spec| spec.slots);
             let done = slot_pool::loaded_version(&report) >= version || !report.busy;
             self.agent
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -40,6 +40,7 @@
 use crate::agent::slot_pool;
 use crate::agent::slot_pool::SlotPool;
 use crate::clock::Clock;
+use crate::metrics::AgentMetrics;
 use crate::shutdown::Phase;
 
 const IDLE: &str = r#"{"models":[{"name":"m","version":2}],"active":0,"queued":0}"#;
@@ -124,6 +125,8 @@
         bounds: Cell::new(settings.bounds),
         announced_version: Cell::new(0),
         urgency: Urgency::default(),
+        timeline: RefCell::default(),
+        metrics: AgentMetrics::new(),
         settings,
     });
     let key = FleetKey::new("a key of tests, of no fleet at all");
--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -208,6 +208,9 @@
         let has_requests = report
             .as_ref()
             .is_some_and(|one| one.running + one.waiting > 0);
+        if let Some(report) = &report {
+            agent.observe_engine(report);
+        }
         let before = agent.slot_pool.report();
         agent
             .slot_pool
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -27,6 +27,9 @@
     pub(crate) waiting: IntGauge,
     /// The version of the weights that the engine has loaded; 0 if none.
     pub(crate) weights_version: IntGauge,
+    /// The time that the engine took to get a version into use, in seconds, by
+    /// phase.
+    pub(crate) rollout_phase: HistogramVec,
 }
 
 impl AgentMetrics {
@@ -39,6 +42,18 @@
                 .expect("each name is registered once");
             gauge
         };
+        let rollout_phase = HistogramVec::new(
+            HistogramOpts::new(
+                "snipewinch_rollout_phase_seconds",
+                "From a version's publication to its use by the engine, by phase",
+            )
+            .buckets(LATENCY_S.to_vec()),
+            &["phase"],
+        );
+        let rollout_phase = rollout_phase.expect("the name is valid");
+        registry
+            .register(Box::new(rollout_phase.clone()))
+            .expect("each name is registered once");
         AgentMetrics {
             slots: gauge(
                 "snipewinch_places",
@@ -53,6 +68,7 @@
                 "snipewinch_weights_version",
                 "The version that the engine holds",
             ),
+            rollout_phase,
             registry,
         }
     }
