Explain from the logs of a fleet on which weights a request began

To learn why a request began on old weights, one had to grep the logs of all entries and agents by its id, by the backend server and by the version, and to subtract times by hand. 'snipewinch explain-request ID FILE...' prints the lines that name the request with their meaning, and says on which version it began, how long it was under way, how late its entry heard of the newest version and what the agent of the backend server did meanwhile.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -28,6 +28,10 @@
         "there is no event {number}; event numbers are E and four digits, listed in docs/EVENTS.md"
     ))]
     UnknownNumber { number: String },
+    #[snafu(display(
+        "no line names request {id:?}; {read} lines were read, of which {skipped} are not log lines; give the logs of all entries, and copy the id from the X-Attempt-Id field of the request"
+    ))]
+    UnknownRequest { id: String, read: u64, skipped: u64 },
     #[snafu(display(
         "no answer from {entry}: {detail}; check the address and whether the entry is running"
     ))]
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -20,6 +20,12 @@
     }
 }
 
+/// What an event means; `None` if it has no row.
+pub(crate) fn meaning(event: &str) -> Option<&'static str> {
+    let mut rows = EVENTS_PAGE.lines().filter_map(parse_row);
+    rows.find(|row| row.number == event).map(|row| row.meaning)
+}
+
 /// A row of the table of events.
 struct Row<'a> {
     number: &'a str,
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -5,7 +5,7 @@
 
 xflags::xflags! {
     /// Checks documents and weights, shows the status of a fleet and explains
-    /// event numbers. It cannot change a fleet: the configuration is edited in
+    /// events and requests. It cannot change a fleet: the configuration is edited in
     /// the console of any entry host.
     cmd snipewinch {
         /// Checks a configuration document offline.
@@ -50,5 +50,14 @@
             /// The number, such as E2101.
             required number: String
         }
+        /// Prints what logs say of a request, and on which version of the
+        /// weights it began and why.
+        cmd explain-request {
+            /// The request's id, as sent in X-Attempt-Id.
+            required id: String
+            /// The logs of all processes, in JSON; `-`, or no file, is standard
+            /// input.
+            repeated files: PathBuf
+        }
     }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,15 +1,18 @@
 //! The `snipewinch` command-line tool: checks documents and weights, shows the
-//! status of a fleet and explains event numbers. It has no command that changes
+//! status of a fleet and explains events and requests. It has no command that changes
 //! a fleet.
 
+use std::ffi::OsString;
 use std::process::ExitCode;
 
 mod check;
 mod error;
 mod explain;
+mod explain_request;
 mod flags;
 mod status;
 mod weights;
+mod weights_log;
 
 use error::Error;
 use flags::Snipewinch;
@@ -24,7 +27,7 @@
         println!("snipewinch {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let flags = match Snipewinch::from_env() {
+    let flags = match Snipewinch::from_vec(arguments()) {
         Ok(flags) => flags,
         Err(error) if error.is_help() => {
             println!("{error}");
@@ -47,10 +50,23 @@
     }
 }
 
+/// The arguments without the program's name. The parser takes a single `-` for
+/// an argument only after `--`.
+fn arguments() -> Vec<OsString> {
+    let mut arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let separator = arguments.iter().position(|one| one == "-" || one == "--");
+    match separator {
+        Some(position) if arguments[position] == "-" => arguments.insert(position, "--".into()),
+        _ => {}
+    }
+    arguments
+}
+
 fn run(command: SnipewinchCmd) -> Result<String, Error> {
     match command {
         SnipewinchCmd::Check(flags) => check::run(&flags.document),
         SnipewinchCmd::Explain(flags) => explain::run(&flags.number),
+        SnipewinchCmd::ExplainRequest(flags) => explain_request::run(&flags.id, &flags.files),
         SnipewinchCmd::Status(flags) => status::run(flags.entry, flags.json),
         SnipewinchCmd::Weights(flags) => match flags.subcommand {
             WeightsCmd::Make(flags) => weights::make(&flags),
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -1,9 +1,11 @@
 //! The command-line tool, run as a process.
 
+use std::io::Write;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
 use std::process::Output;
+use std::process::Stdio;
 
 fn run(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_snipewinch"))
@@ -113,3 +115,214 @@
     assert!(!output.status.success());
     assert!(stderr_text(&output).contains(&entry));
 }
+
+fn log_line(time_ms: u64, host: &str, event: &str, message: &str) -> String {
+    let line = serde_json::json!({
+        "time_ms": time_ms,
+        "level": "INFO",
+        "host": host,
+        "event": event,
+        "message": message,
+    });
+    format!("{line}\n")
+}
+
+/// Request r1 is sent by entry e1 to server i-1, whose agent a1 is late.
+fn entry_log() -> String {
+    [
+        log_line(
+            1_040,
+            "e1",
+            "E7022",
+            "version 3 of the weights is published",
+        ),
+        log_line(
+            8_300,
+            "e1",
+            "E7126",
+            "request r1 is sent to backend server i-1 with version 2 of the weights; version 3 is known for 7260 ms",
+        ),
+        log_line(
+            9_018,
+            "e1",
+            "E7127",
+            "request r1 has begun at backend server i-1 on version 2 of the weights 718 ms after it was sent; version 3 is known for 7978 ms",
+        ),
+        log_line(
+            9_200,
+            "e1",
+            "E7107",
+            "stream r1 ended at backend server i-1: waited 3 ms for slots",
+        ),
+        log_line(
+            9_300,
+            "e1",
+            "E7107",
+            "stream r1-b ended at backend server i-1",
+        ),
+    ]
+    .concat()
+}
+
+fn agent_log() -> String {
+    [
+        log_line(
+            500,
+            "a1",
+            "E7238",
+            "backend server i-1 has loaded version 2 2000 ms after it was published: news 0 ms, load 2000 ms",
+        ),
+        log_line(
+            1_000,
+            "a1",
+            "E7022",
+            "version 3 of the weights is published",
+        ),
+        log_line(1_300, "a1", "E7222", "version 3 has 4 chunks"),
+        log_line(
+            7_000,
+            "a1",
+            "E7231",
+            "staging chunk 1 failed: connection closed",
+        ),
+        log_line(
+            10_000,
+            "a1",
+            "E7238",
+            "backend server i-1 has loaded version 3 9000 ms after it was published: news 0 ms, staging 8000 ms",
+        ),
+        log_line(11_000, "a1", "E7222", "version 4 has 4 chunks"),
+        log_line(5_000, "a2", "E7222", "version 3 has 4 chunks"),
+    ]
+    .concat()
+}
+
+fn write_log(name: &str, text: &str) -> String {
+    let path = temporary_path(name);
+    std::fs::write(&path, text).expect("write");
+    path.to_string_lossy().into_owned()
+}
+
+/// Runs `explain-request` with a log on its standard input.
+fn explain_from_input(arguments: &[&str], log: &str) -> Output {
+    let mut tool = Command::new(env!("CARGO_BIN_EXE_snipewinch"))
+        .arg("explain-request")
+        .args(arguments)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the tool starts");
+    let mut input = tool.stdin.take().expect("the input is piped");
+    input.write_all(log.as_bytes()).expect("written");
+    drop(input);
+    tool.wait_with_output().expect("the tool ends")
+}
+
+#[test]
+fn a_request_that_began_on_old_weights_is_explained_from_all_logs() {
+    let agent = write_log("agent.log", &agent_log());
+    let entry = write_log("entry.log", &entry_log());
+    let output = run(&["explain-request", "r1", &agent, &entry]);
+    assert!(output.status.success(), "{}", stderr_text(&output));
+    let text = stdout_text(&output);
+    let (lines, answer) = text.split_once("\nRequest r1 ").expect("an answer");
+    assert!(lines.starts_with("3 lines name request r1:\n"), "{text}");
+    let sent = "\n00:00:08.300 e1 E7126 request r1 is sent to backend server i-1 with version 2 of the weights; version 3 is known for 7260 ms\n    A request is sent to a backend server";
+    assert!(lines.contains(sent), "{text}");
+    assert_eq!(
+        answer,
+        "began on version 2 at backend server i-1, when e1 had known of version 3 for 7978 ms.\n\
+         - It was sent when version 3 was known for 7260 ms: that is what the entry decided by.\n\
+         - It began 718 ms after it was sent: on the way and in the queue of the engine.\n\
+         - e1 learned of version 3 40 ms after a1, the first in these logs.\n\
+         - i-1 loaded version 3 so:\n  \
+         00:00:01.300 a1 E7222 version 3 has 4 chunks\n  \
+         00:00:07.000 a1 E7231 staging chunk 1 failed: connection closed\n  \
+         00:00:10.000 a1 E7238 backend server i-1 has loaded version 3 9000 ms after it was published: news 0 ms, staging 8000 ms\n"
+    );
+}
+
+#[test]
+fn logs_that_are_missing_are_named_in_the_explanation() {
+    let log = entry_log();
+    let (_, without_publication) = log.split_once('\n').expect("lines");
+    let output = explain_from_input(&["r1"], without_publication);
+    let text = stdout_text(&output);
+    assert!(
+        text.contains("When e1 learned of version 3 is not in these logs (E7022); add its log from before 00:00:09.018."),
+        "{text}"
+    );
+    assert!(
+        text.contains(
+            "Why i-1 still held version 2 is not in these logs; add the log of its agent."
+        ),
+        "{text}"
+    );
+}
+
+#[test]
+fn lines_that_are_no_log_lines_are_counted_and_skipped() {
+    let log = format!("starting\n{}{{\"event\":\"E7107\"}}\n", entry_log());
+    for arguments in [&["r1", "-"][..], &["r1"]] {
+        let output = explain_from_input(arguments, &log);
+        assert!(output.status.success(), "{}", stderr_text(&output));
+        let text = stdout_text(&output);
+        let last = text.lines().last();
+        let expected = "2 of 7 lines are not log lines and were skipped";
+        assert_eq!(last, Some(expected), "{text}");
+    }
+}
+
+#[test]
+fn a_request_that_did_not_begin_on_old_weights_is_told_as_such() {
+    let log = entry_log();
+    let lines: Vec<&str> = log.lines().collect();
+    let withdrawn = log_line(
+        8_600,
+        "e1",
+        "E7128",
+        "request r1 was withdrawn from backend server i-1",
+    );
+    let cases = [
+        (
+            format!("{}\n", lines[3]),
+            "No line says that request r1 was sent to old weights or began on them",
+        ),
+        (
+            format!("{}\n", lines[1]),
+            "was sent to backend server i-1 with version 2, but no line says that it began there",
+        ),
+        (
+            format!("{}\n{withdrawn}", lines[1]),
+            "was sent to old weights and withdrawn before it began there",
+        ),
+    ];
+    for (log, expected) in cases {
+        let text = stdout_text(&explain_from_input(&["r1"], &log));
+        assert!(text.contains(expected), "{expected}: {text}");
+    }
+}
+
+#[test]
+fn a_request_that_no_log_names_is_an_error_with_a_remedy() {
+    for id in ["r", "r2", ""] {
+        let output = explain_from_input(&[id], &entry_log());
+        assert!(!output.status.success());
+        let text = stderr_text(&output);
+        let expected = format!(
+            "no line names request {id:?}; 5 lines were read, of which 0 are not log lines; give the logs of all entries"
+        );
+        assert!(text.contains(&expected), "{text}");
+    }
+}
+
+#[test]
+fn a_log_that_does_not_exist_is_named_in_the_error() {
+    let path = temporary_path("absent.log");
+    let output = run(&["explain-request", "r1", &path.to_string_lossy()]);
+    assert!(!output.status.success());
+    let text = stderr_text(&output);
+    assert!(text.contains("absent.log"), "{text}");
+    assert!(text.contains("correct the path"), "{text}");
+}
