--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -237,3 +237,33 @@
     });
     run.await;
 }
+
+#[tokio::test]
+async fn each_phase_of_a_load_is_counted_once() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let mut loader = loader(engine(IDLE, Duration::ZERO).await).await;
+        let agent = loader.agent.clone();
+        let before = report(OLD_IDLE);
+        agent.observe_engine(&before);
+        let now = agent.clock.now();
+        agent.slot_pool.apply_report(now, Some(before), 4);
+        agent.timeline.borrow_mut().learn(now, 2, Some(now));
+        add_version(&loader, 2, IDLE);
+        let started = Instant::now();
+        while !agent.metrics.text().contains("{phase=\"load\"}") {
+            assert!(started.elapsed() < Duration::from_secs(10));
+            loader.step().await;
+            sleep(POLL_INTERVAL).await;
+        }
+        loader.step().await;
+        let text = agent.metrics.text();
+        for phase in [
+            "news", "manifest", "chunks", "turn", "staging", "drain", "order", "load",
+        ] {
+            let count = format!("snipewinch_rollout_phase_seconds_count{{phase=\"{phase}\"}} 1\n");
+            assert!(text.contains(&count), "{count}{text}");
+        }
+    });
+    run.await;
+}
