--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -27,6 +27,7 @@
 use tokio::time::timeout;
 
 pub(crate) mod crashing;
+pub(crate) mod engine;
 pub(crate) mod fleet;
 pub(crate) mod limited;
 pub(crate) mod resting;
