Tell a request that waited until its engine had loaded from one on old weights

E7127 is also written if the engine loaded the newest version before the request began, and explain-request took it for a begin on old weights. It now says so, and that only streams say when they begin. The tests take the form of the lines from the sources of the node, so that the two can't drift apart.

--- a/crates/cli/src/weights_log.rs
+++ b/crates/cli/src/weights_log.rs
@@ -68,6 +68,12 @@
             },
         })
     }
+
+    /// Whether the engine has loaded the newest version meanwhile.
+    fn is_newest(&self) -> bool {
+        let held: Option<u64> = self.held.parse().ok();
+        held.is_some_and(|held| held >= self.newest)
+    }
 }
 
 /// The lines about versions of the weights.
@@ -124,6 +130,12 @@
         sent: Option<&OldWeights<'_>>,
     ) -> String {
         let wait_ms = begun.wait_ms.unwrap_or(0);
+        if begun.is_newest() {
+            return format!(
+                "Request {id} began on version {} at backend server {}, the newest that {} knew: the engine loaded it within the {wait_ms} ms since the request was sent.\n",
+                begun.held, begun.server, begun.line.host
+            );
+        }
         let mut text = format!(
             "Request {id} began on version {} at backend server {}, when {} had known of version {} for {} ms.\n",
             begun.held, begun.server, begun.line.host, begun.newest, begun.known_ms
@@ -238,7 +250,7 @@
             format!("Request {id} was sent to old weights and withdrawn before it began there.\n")
         }
         (Some(sent), false) => format!(
-            "Request {id} was sent to backend server {} with version {}, but no line says that it began there.\n",
+            "Request {id} was sent to backend server {} with version {}, but no line says that it began there; only streams say so.\n",
             sent.server, sent.held
         ),
         (None, _) => format!(
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -116,6 +116,39 @@
     assert!(stderr_text(&output).contains(&entry));
 }
 
+fn collect_literals(folder: &Path, event: &str, found: &mut Vec<String>) {
+    for entry in std::fs::read_dir(folder).expect("a folder of sources") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            collect_literals(&path, event, found);
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).expect("a source file");
+        let start = format!("\"{event} ");
+        let literals = text.split(&start).skip(1);
+        found.extend(literals.filter_map(|rest| Some(rest.split_once('"')?.0.to_owned())));
+    }
+}
+
+/// The message of an event as the node writes it, with values in place of the
+/// fields of its format.
+fn message(event: &str, values: &[&str]) -> String {
+    let sources = Path::new(env!("CARGO_MANIFEST_DIR")).join("../node/src");
+    let mut literals = Vec::new();
+    collect_literals(&sources, event, &mut literals);
+    let literal = literals.first().expect("the node writes the event");
+    let mut fields = literal.split('{');
+    let mut message = fields.next().unwrap_or_default().to_owned();
+    let mut values = values.iter();
+    for field in fields {
+        let (_, text) = field.split_once('}').expect("a format");
+        message += values.next().expect("a value for each field");
+        message += text;
+    }
+    assert_eq!(values.next(), None, "too many values for {literal:?}");
+    message
+}
+
 fn log_line(time_ms: u64, host: &str, event: &str, message: &str) -> String {
     let line = serde_json::json!({
         "time_ms": time_ms,
@@ -130,23 +163,18 @@
 /// Request r1 is sent by entry e1 to server i-1, whose agent a1 is late.
 fn entry_log() -> String {
     [
-        log_line(
-            1_040,
-            "e1",
-            "E7022",
-            "version 3 of the weights is published",
-        ),
+        log_line(1_040, "e1", "E7022", &message("E7022", &["3"])),
         log_line(
             8_300,
             "e1",
             "E7126",
-            "request r1 is sent to backend server i-1 with version 2 of the weights; version 3 is known for 7260 ms",
+            &message("E7126", &["r1", "i-1", "2", "3", "7260"]),
         ),
         log_line(
             9_018,
             "e1",
             "E7127",
-            "request r1 has begun at backend server i-1 on version 2 of the weights 718 ms after it was sent; version 3 is known for 7978 ms",
+            &message("E7127", &["r1", "i-1", "2", "718", "3", "7978"]),
         ),
         log_line(
             9_200,
@@ -170,14 +198,15 @@
             500,
             "a1",
             "E7238",
-            "backend server i-1 has loaded version 2 2000 ms after it was published: news 0 ms, load 2000 ms",
-        ),
-        log_line(
-            1_000,
-            "a1",
-            "E7022",
-            "version 3 of the weights is published",
+            &message(
+                "E7238",
+                &[
+                    "i-1",
+                    "version 2 2000 ms after it was published: news 0 ms, load 2000 ms",
+                ],
+            ),
         ),
+        log_line(1_000, "a1", "E7022", &message("E7022", &["3"])),
         log_line(1_300, "a1", "E7222", "version 3 has 4 chunks"),
         log_line(
             7_000,
@@ -189,7 +218,13 @@
             10_000,
             "a1",
             "E7238",
-            "backend server i-1 has loaded version 3 9000 ms after it was published: news 0 ms, staging 8000 ms",
+            &message(
+                "E7238",
+                &[
+                    "i-1",
+                    "version 3 9000 ms after it was published: news 0 ms, staging 8000 ms",
+                ],
+            ),
         ),
         log_line(11_000, "a1", "E7222", "version 4 has 4 chunks"),
         log_line(5_000, "a2", "E7222", "version 3 has 4 chunks"),
@@ -304,6 +339,15 @@
     }
 }
 
+#[test]
+fn an_engine_that_loaded_before_the_request_began_is_told_as_such() {
+    let begun = message("E7127", &["r1", "i-1", "3", "718", "3", "7978"]);
+    let log = log_line(9_018, "e1", "E7127", &begun);
+    let text = stdout_text(&explain_from_input(&["r1"], &log));
+    let expected = "Request r1 began on version 3 at backend server i-1, the newest that e1 knew: the engine loaded it within the 718 ms since the request was sent.\n";
+    assert!(text.ends_with(expected), "{text}");
+}
+
 #[test]
 fn a_request_that_no_log_names_is_an_error_with_a_remedy() {
     for id in ["r", "r2", ""] {
