--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -30,6 +30,7 @@
 pub(crate) mod engine;
 pub(crate) mod fleet;
 pub(crate) mod limited;
+pub(crate) mod loading;
 pub(crate) mod proxy;
 pub(crate) mod resting;
 pub(crate) mod traffic;
