Test frozen hosts, long prompts and late connections around the bound

Two more pass: a connection that opens only after the bound, at an entry that was stopped meanwhile, and a long prompt well before the bound, which must not be refused.

Engines of these tests read prompts at the speed of their configuration, and may begin a request although its connection was closed, which makes the tests of requests that are held up on the way stricter.

--- a/crates/node/tests/cutover.rs
+++ b/crates/node/tests/cutover.rs
@@ -24,6 +24,8 @@
 use harness::engine::Behavior;
 use harness::engine::Engine;
 use harness::engine::MODEL;
+use harness::engine::OnClose;
+use harness::engine::READ_PER_S;
 use harness::engine::Run;
 use harness::event;
 use harness::exchange;
@@ -51,7 +53,7 @@
     id: String,
     engine: Engine,
     proxy: Proxy,
-    _agent: Option<Agent>,
+    agent: Option<Agent>,
 }
 
 /// A published version of the weights.
@@ -133,7 +135,7 @@
             id,
             engine,
             proxy,
-            _agent: agent,
+            agent,
         });
         self.list(index, behavior.version);
     }
@@ -238,7 +240,7 @@
     let mut configuration = configuration(1);
     configuration["services"][0]["engine"] = json!({
         "slots": 4, "stride": 1, "models": [{"name": MODEL, "warmS": 0.5}],
-        "step_ms": 20.0, "per_seq_ms": 0.5, "context_per_k": 0.0, "read_per_s": 20_000.0,
+        "step_ms": 20.0, "per_seq_ms": 0.5, "context_per_k": 0.0, "read_per_s": READ_PER_S,
         "usual": {"prompt": 400.0, "answer": 3.0},
     });
     for route in configuration["routes"].as_array_mut().expect("a list") {
@@ -252,10 +254,21 @@
     callers: SocketAddr,
     path: &'static str,
     index: usize,
+) -> impl Future<Output = Answer> + Send + 'static {
+    ask_with_prompt(callers, path, index, 100)
+}
+
+/// Sends a request with a prompt of so many tokens to an entry.
+fn ask_with_prompt(
+    callers: SocketAddr,
+    path: &'static str,
+    index: usize,
+    tokens: u32,
 ) -> impl Future<Output = Answer> + Send + 'static {
     let name = path.trim_matches('/');
     let method = if name == "read" { "GET" } else { "POST" };
-    let text = request(method, path, "X-Token-Usage: 100,3\r\n", "x");
+    let fields = format!("X-Token-Usage: {tokens},3\r\n");
+    let text = request(method, path, &fields, "x");
     let id = format!("X-Attempt-Id: {name}-{index}\r\n");
     let text = text.replacen("X-Attempt-Id: a1\r\n", &id, 1);
     async move {
@@ -269,6 +282,14 @@
     }
 }
 
+/// Sends a stream and a plain request whose prompts take a second to read.
+fn ask_long(callers: SocketAddr) -> JoinSet<Answer> {
+    let paths = ["/draft/", "/grant/"].into_iter().enumerate();
+    paths
+        .map(|(index, path)| ask_with_prompt(callers, path, index, READ_PER_S as u32))
+        .collect()
+}
+
 async fn sleep_until(at: Instant) {
     tokio::time::sleep_until(at.into()).await;
 }
@@ -292,6 +313,7 @@
 async fn a_request_that_is_held_up_on_the_way_begins_on_old_weights_after_the_bound() {
     let prompt = Behavior {
         wait: Duration::ZERO,
+        on_close: OnClose::Begin,
         ..Behavior::default()
     };
     let mut site = Site::start(&[prompt], Agents::Running).await;
@@ -311,6 +333,7 @@
 async fn a_request_begins_on_old_weights_when_its_replaced_attempt_is_closed() {
     let prompt = Behavior {
         wait: Duration::ZERO,
+        on_close: OnClose::Begin,
         ..Behavior::default()
     };
     let mut site = Site::start(&[prompt], Agents::Running).await;
@@ -426,3 +449,76 @@
     );
     site.assert_none_late();
 }
+
+#[tokio::test]
+async fn a_request_whose_connection_opens_after_the_bound_is_sent_on_old_weights() {
+    let mut site = Site::start(&[Behavior::default()], Agents::Running).await;
+    let at = site.publish(2);
+    sleep_until(at + Duration::from_millis(800)).await;
+    site.hosts[0].proxy.fill().await;
+    sleep_until(at + Duration::from_millis(1_000)).await;
+    let before = site.runs().len();
+    let callers = site.entry.callers;
+    let mut traffic = JoinSet::new();
+    traffic.spawn(ask(callers, "/grant/", 1));
+    traffic.spawn(ask(callers, "/reel/", 2));
+    sleep_until(at + Duration::from_millis(1_200)).await;
+    site.entry.signal("-STOP");
+    site.hosts[0].proxy.set_link(Link::Up);
+    sleep_until(at + BOUND + Duration::from_millis(300)).await;
+    site.entry.signal("-CONT");
+    traffic.join_all().await;
+    let sent = site.runs().len() - before;
+    assert_eq!(sent, 0, "requests sent after the bound");
+    site.assert_none_late();
+}
+
+#[tokio::test]
+async fn a_request_that_a_frozen_host_has_received_begins_after_the_bound_on_old_weights() {
+    let prompt = Behavior {
+        wait: Duration::ZERO,
+        on_close: OnClose::Begin,
+        ..Behavior::default()
+    };
+    let mut site = Site::start(&[prompt], Agents::Running).await;
+    let at = site.publish(2);
+    sleep_until(at + Duration::from_millis(300)).await;
+    let agent = site.hosts[0].agent.as_ref().expect("agents run");
+    agent.signal("-STOP");
+    site.hosts[0].proxy.set_link(Link::Frozen);
+    sleep_until(at + Duration::from_millis(900)).await;
+    let traffic = site.send_each();
+    sleep_until(at + BOUND + Duration::from_millis(300)).await;
+    agent.signal("-CONT");
+    site.hosts[0].proxy.set_link(Link::Up);
+    sleep_until(at + AFTERMATH).await;
+    traffic.join_all().await;
+    site.assert_none_late();
+}
+
+#[tokio::test]
+async fn a_request_is_sent_on_old_weights_although_its_prompt_is_read_until_after_the_bound() {
+    let stubborn = Behavior {
+        on_close: OnClose::Begin,
+        ..Behavior::default()
+    };
+    let mut site = Site::start(&[stubborn], Agents::Running).await;
+    let at = site.publish(2);
+    sleep_until(at + Duration::from_millis(1_150)).await;
+    let traffic = ask_long(site.entry.callers);
+    sleep_until(at + AFTERMATH).await;
+    traffic.join_all().await;
+    site.assert_none_late();
+}
+
+#[tokio::test]
+async fn a_request_is_refused_although_its_prompt_is_read_well_before_the_bound() {
+    let mut site = Site::start(&[Behavior::default()], Agents::Running).await;
+    let at = site.publish(2);
+    let answers = ask_long(site.entry.callers).join_all().await;
+    for answer in answers {
+        assert!(answer.text.contains("data: 3"), "{answer:?}");
+        assert!(answer.sent + answer.took < at + BOUND, "{answer:?}");
+    }
+    site.assert_none_late();
+}
--- a/crates/node/tests/harness/engine.rs
+++ b/crates/node/tests/harness/engine.rs
@@ -25,10 +25,13 @@
 use super::event;
 use super::field;
 use super::read_request;
+use super::send_signal;
 use super::stream_head;
 
 /// The model that all engines hold.
 pub(crate) const MODEL: &str = "m1";
+/// The tokens of prompts that an engine reads in a second, by its configuration.
+pub(crate) const READ_PER_S: f64 = 20_000.0;
 /// The time to the deadline of a request that names none.
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
 
@@ -46,7 +49,8 @@
 pub(crate) struct Behavior {
     /// The version of the weights that it holds.
     pub(crate) version: u64,
-    /// The time from the arrival of a request to its begin.
+    /// The time from the arrival of a request to its begin, besides that in
+    /// which its prompt is read.
     pub(crate) wait: Duration,
     /// The events of each answer.
     pub(crate) events: usize,
@@ -179,7 +183,14 @@
         let left = field(request, "x-deadline-ms").and_then(|text| text.parse().ok());
         let left = left.map_or(DEADLINE_DEFAULT, Duration::from_millis);
         let index = self.push_run(&id);
-        let served = timeout(left, self.run_until_end(stream, index, &id)).await;
+        let prompt = field(request, "x-token-usage").unwrap_or_default();
+        let tokens: f64 = prompt
+            .split(',')
+            .next()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or_default();
+        let wait = self.behavior().wait + Duration::from_secs_f64(tokens / READ_PER_S);
+        let served = timeout(left, self.run_until_end(stream, index, &id, wait)).await;
         let has_begun = {
             let mut runs = self.runs.lock().unwrap();
             runs[index].is_over = true;
@@ -204,12 +215,17 @@
         runs.len() - 1
     }
 
-    async fn run_until_end(&self, stream: &mut TcpStream, index: usize, id: &str) -> Option<()> {
-        let Behavior { wait, on_close, .. } = self.behavior();
+    async fn run_until_end(
+        &self,
+        stream: &mut TcpStream,
+        index: usize,
+        id: &str,
+        wait: Duration,
+    ) -> Option<()> {
         let due = Instant::now() + wait;
         if !wait.is_zero() && timeout(wait, wait_closed(stream)).await.is_ok() {
             self.runs.lock().unwrap()[index].withdrawn = Some(Instant::now());
-            match on_close {
+            match self.behavior().on_close {
                 OnClose::Drop => return None,
                 OnClose::Begin => sleep(due.saturating_duration_since(Instant::now())).await,
             }
@@ -260,6 +276,11 @@
 }
 
 impl Agent {
+    /// Stops the process, or lets it go on.
+    pub(crate) fn signal(&self, signal: &str) {
+        send_signal(&self.process, signal);
+    }
+
     /// Starts the agent of an engine. The entries use the same port.
     pub(crate) fn spawn(
         engine: &Engine,
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -550,9 +550,7 @@
 
     /// Sends a signal to the entry.
     pub(crate) fn signal(&self, signal: &str) {
-        let id = self.entry.id().to_string();
-        let sent = Command::new("kill").args([signal, &id]).status().unwrap();
-        assert!(sent.success());
+        send_signal(&self.entry, signal);
     }
 
     pub(crate) async fn wait_ended(&mut self) {
@@ -565,6 +563,12 @@
     }
 }
 
+fn send_signal(process: &Child, signal: &str) {
+    let id = process.id().to_string();
+    let sent = Command::new("kill").args([signal, &id]).status().unwrap();
+    assert!(sent.success());
+}
+
 /// Starts the process of an entry whose settings are in a directory.
 fn spawn_entry(directory: &TempDir, metrics: SocketAddr, logging: Logging) -> Child {
     let (lines, level) = match logging {
--- a/crates/node/tests/harness/proxy.rs
+++ b/crates/node/tests/harness/proxy.rs
@@ -9,13 +9,19 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 /// The most bytes that are relayed at once.
 const BLOCK_BYTES: usize = 16 << 10;
+/// How many connections may wait to be accepted.
+const BACKLOG: u32 = 16;
+/// The longest time in which a connection that may wait opens.
+const OPEN_TIME_MAX: Duration = Duration::from_millis(50);
 
 /// The state of a host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -27,6 +33,8 @@
     Cut,
     /// It has received what was sent and does nothing with it yet.
     Frozen,
+    /// It takes no new connections: they open a second after it does.
+    Full,
 }
 
 /// A relay to one backend server.
@@ -37,23 +45,44 @@
 
 impl Proxy {
     pub(crate) async fn spawn(ip: IpAddr, target: SocketAddr) -> Proxy {
-        let listener = TcpListener::bind((ip, 0)).await.unwrap();
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind((ip, 0).into()).unwrap();
+        let listener = socket.listen(BACKLOG).unwrap();
         let address = listener.local_addr().unwrap();
         let link = watch::Sender::new(Link::Up);
-        let state = link.subscribe();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(relay(stream, target, state.clone()));
-            }
-        });
+        tokio::spawn(accept(listener, target, link.subscribe()));
         Proxy { address, link }
     }
 
+    /// Lets connections wait until no further one opens.
+    pub(crate) async fn fill(&self) {
+        self.set_link(Link::Full);
+        tokio::task::yield_now().await;
+        while let Ok(opened) = timeout(OPEN_TIME_MAX, TcpStream::connect(self.address)).await {
+            drop(opened.unwrap());
+        }
+    }
+
     pub(crate) fn set_link(&self, link: Link) {
         self.link.send_replace(link);
     }
 }
 
+async fn accept(listener: TcpListener, target: SocketAddr, mut link: watch::Receiver<Link>) {
+    loop {
+        let _ = link.wait_for(|link| *link != Link::Full).await;
+        let accepted = tokio::select! {
+            biased;
+            _ = link.changed() => continue,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            return;
+        };
+        tokio::spawn(relay(stream, target, link.clone()));
+    }
+}
+
 async fn relay(caller: TcpStream, target: SocketAddr, link: watch::Receiver<Link>) {
     let Ok(server) = TcpStream::connect(target).await else {
         return;
