Test single requests of one class that end servers

Three in 100 requests of a class may each end the server under which they run, with nothing in common but their class. Tests covered a part of a prompt that many requests share, and one request that comes again.

The new test sends such requests among others: each reaches at most two servers, and all others of the class are answered meanwhile.

--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -1,6 +1,7 @@
 //! Tests entries whose backend servers end under requests that have one part of
 //! their prompts in common.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -28,6 +29,10 @@
 
 /// The part under which servers end.
 const PART: &str = "d1e0fa17";
+/// The beginning of the bodies of requests that end servers by themselves.
+const DEADLY: &str = "deadly-";
+/// One of so many requests ends servers by itself.
+const DEADLY_INTERVAL: usize = 33;
 /// The time between two requests with the part.
 const INTERVAL: Duration = Duration::from_millis(40);
 /// How many requests with the part the longer tests send.
@@ -187,9 +192,19 @@
 }
 
 async fn ask_path(callers: SocketAddr, method: &str, path: &str, prompt: &str) -> Answer {
+    ask_with_body(callers, method, path, prompt, "x").await
+}
+
+async fn ask_with_body(
+    callers: SocketAddr,
+    method: &str,
+    path: &str,
+    prompt: &str,
+    body: &str,
+) -> Answer {
     let fields = format!("X-Prefix-Hash: {prompt}\r\n");
     let id = prompt.replace([',', ':'], "-");
-    let text = request(method, path, &fields, "x");
+    let text = request(method, path, &fields, body);
     let text = text.replacen(
         "X-Attempt-Id: a1\r\n",
         &format!("X-Attempt-Id: {id}\r\n"),
@@ -406,3 +421,44 @@
         assert_eq!(status(&answer.text), expected, "{age:?}: {answer:?}");
     }
 }
+
+#[tokio::test]
+async fn requests_with_nothing_in_common_that_end_servers_do_not_end_all_of_their_class() {
+    let trigger = Trigger::BodyStart(DEADLY.to_owned());
+    let reactions = [Reaction::End; 12];
+    let fleet = Fleet::start_with(&trigger, &reactions, 2, DOWNTIME, &configuration(1)).await;
+    let callers = fleet.callers();
+    let (mut deadly, mut sound) = (JoinSet::new(), JoinSet::new());
+    for index in 0..TRAFFIC {
+        let caller = callers[index % callers.len()];
+        let prompt = sound_prompt(index);
+        match index % DEADLY_INTERVAL == DEADLY_INTERVAL / 2 {
+            true => deadly.spawn(async move {
+                let body = format!("{DEADLY}{index}");
+                ask_with_body(caller, "POST", "/draft/", &prompt, &body).await
+            }),
+            false => sound.spawn(async move { ask(caller, &prompt).await }),
+        };
+        sleep(INTERVAL).await;
+    }
+    let sent = deadly.join_all().await.len();
+    let answers = sound.join_all().await;
+    let mut reached: BTreeMap<String, usize> = BTreeMap::new();
+    for server in &fleet.servers {
+        for id in server.record().suspect_ids {
+            *reached.entry(id).or_default() += 1;
+        }
+    }
+    assert_eq!(reached.len(), sent, "{reached:?}");
+    let most = reached.values().max().copied();
+    assert!(most <= Some(2), "servers reached by each: {reached:?}");
+    let bad: Vec<&Answer> = answers
+        .iter()
+        .filter(|answer| !answer.is_complete_stream())
+        .collect();
+    let ends = fleet.ends().len();
+    assert!(
+        bad.is_empty(),
+        "{ends} servers ended, not answered: {bad:?}"
+    );
+}
--- a/crates/node/tests/harness/crashing.rs
+++ b/crates/node/tests/harness/crashing.rs
@@ -41,6 +41,8 @@
     PromptPart(String),
     /// Those with a path and a body.
     Request { path: String, body: String },
+    /// Those whose body begins with a text.
+    BodyStart(String),
 }
 
 impl Trigger {
@@ -53,6 +55,10 @@
                 let (_, content) = request.split_once("\r\n\r\n").unwrap_or_default();
                 found == path && content == body
             }
+            Trigger::BodyStart(start) => {
+                let (_, content) = request.split_once("\r\n\r\n").unwrap_or_default();
+                content.starts_with(start)
+            }
         }
     }
 }
@@ -80,6 +86,8 @@
 pub(crate) struct Record {
     /// When requests that are the trigger arrived.
     pub(crate) suspects: Vec<Instant>,
+    /// The ids of their attempts.
+    pub(crate) suspect_ids: Vec<String>,
     /// How many other requests arrived.
     pub(crate) sound: usize,
     /// When it ended.
@@ -257,6 +265,8 @@
         match self.trigger.matches(request) {
             true => {
                 record.suspects.push(Instant::now());
+                let id = field(request, "x-attempt-id").unwrap_or_default();
+                record.suspect_ids.push(id);
                 *self.reaction.lock().unwrap()
             }
             false => {
