--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -53,7 +53,6 @@
 use crate::fleet_key;
 use crate::metrics::AgentMetrics;
 use crate::operator::OperatorState;
-use crate::operator::Publication;
 use crate::shutdown;
 use crate::shutdown::Phase;
 use crate::shutdown::wait_for_signal;
@@ -91,8 +90,6 @@
 /// before it reads the whole configuration from the store. Requests that need
 /// it come from entries, which send it, too.
 const CONFIG_WAIT: Duration = Duration::from_secs(6);
-/// The version of weights to load before any is published.
-const FIRST_VERSION: u64 = 1;
 
 /// State that the tasks of an agent share.
 pub(crate) struct Agent {
@@ -228,6 +225,15 @@
         Some((newest.version, newest.published?.earliest))
     }
 
+    /// The earliest time at which a version of the weights may have been
+    /// published; none if that is unknown.
+    fn published_at(&self, version: u64) -> Option<Duration> {
+        let model = self.engine_spec()?.model?;
+        let publications = self.operator_state.borrow().publications(&model);
+        let publication = publications.iter().find(|one| one.version == version)?;
+        Some(publication.published?.earliest)
+    }
+
     /// The latest time at which requests may begin on version `held` of the
     /// weights; none if it is the newest.
     fn begin_by(&self, held: u64) -> Option<Duration> {
@@ -247,12 +253,7 @@
     fn target(&self) -> Option<Target> {
         let model = self.engine_spec()?.model?;
         let origin = self.engine_config.borrow().as_ref()?.origin.clone()?;
-        let newest = self.operator_state.borrow().newest(&model);
-        let published = newest.unwrap_or(Publication {
-            version: FIRST_VERSION,
-            learned_at: Duration::ZERO,
-            published: None,
-        });
+        let published = self.operator_state.borrow().newest_or_first(&model)?;
         Some(Target {
             model,
             version: published.version,
