Ask in the model with the queue of each engine whether to send to it

The entries of the model asked agents whose queue was too long, and were told so only with the slot. They also left engines with old weights for the last 3 s whatever room the others had, which overloaded the others. They now use the delay of the last report, and the last second.

The figures of all remedies are a table.

--- a/crates/snipewinch/tests/cutover.rs
+++ b/crates/snipewinch/tests/cutover.rs
@@ -54,13 +54,35 @@
     sum
 }
 
+fn print_header() {
+    println!(
+        "{:<10} {:>7} {:>5} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>7} {:>7}",
+        "policy",
+        "entries",
+        "plays",
+        "late mean",
+        "late most",
+        "remaining",
+        "withdrawn",
+        "begun yet",
+        "failed",
+        "before",
+        "after"
+    );
+}
+
+/// Prints how many requests began late that could be prevented, and how many
+/// because their hosts froze with them; how many were withdrawn, and began all the
+/// same; how many were late or refused in the last seconds before the bound; the
+/// goodput before and after it.
 fn print(site: Site, remedy: Remedy, sum: &Sum) {
     let plays = sum.plays.len();
     let outcomes = || sum.plays.iter().map(|one| &one.outcome);
     let late: usize = outcomes().map(Outcome::preventable).sum();
     let all: usize = outcomes().map(|one| one.late.len()).sum();
     println!(
-        "{} entries, {plays} plays, {remedy:?}: begun late {:.2} per play, at most {}, and {} in all by hosts that froze with them; {} withdrawn, {} begun all the same; {} of {} late or refused before the bound, goodput {:.3} before and {:.3} after",
+        "{:<10} {:>7} {plays:>5} {:>9.2} {:>9} {:>9} {:>9} {:>9} {:>9} {:>7.3} {:>7.3}",
+        format!("{remedy:?}"),
         site.entries,
         late as f64 / plays as f64,
         outcomes().map(Outcome::preventable).max().unwrap_or(0),
@@ -70,7 +92,6 @@
             .map(|one| one.begun_after_withdrawal)
             .sum::<u32>(),
         sum.before.arrived - sum.before.on_time,
-        sum.before.arrived,
         sum.before.share(),
         sum.after.share(),
     );
@@ -98,6 +119,7 @@
 fn keeps_bound(site: Site) {
     let constant = play_seeds(site, Remedy::Constant);
     let predicted = play_seeds(site, Remedy::Predicted);
+    print_header();
     print(site, Remedy::Constant, &constant);
     if factor() > 1 {
         for remedy in [Remedy::Twice, Remedy::NewestOnly] {
--- a/crates/snipewinch/tests/cutover_fleet/mod.rs
+++ b/crates/snipewinch/tests/cutover_fleet/mod.rs
@@ -41,7 +41,7 @@
 /// How long after its agent's answer an engine on old weights may be used.
 const HEARD_WITHIN: Duration = Duration::from_millis(100);
 /// How long before the bound engines on old weights are the last choice.
-const LAST_CHOICE: Duration = Duration::from_secs(3);
+const LAST_CHOICE: Duration = Duration::from_secs(1);
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 const SENDS_MAX: u32 = 4;
 
@@ -212,7 +212,8 @@
     queue: Duration,
     heard: Duration,
     is_placed: bool,
-    sent: bool,
+    /// When its bytes reach the host, if they are sent and not held up further.
+    arrives: Option<Duration>,
     received: Option<Duration>,
     ended: Option<Duration>,
     is_reset: bool,
@@ -477,27 +478,32 @@
         }
     }
 
-    /// Whether an entry may send to an engine that holds a version.
-    fn admit(&self, entry: usize, held: u64, delay: Delay) -> Verdict {
+    /// The latest time at which a request may begin on a version, as an entry
+    /// knows it.
+    fn begin_by(&self, entry: usize, held: u64) -> Option<Duration> {
         let publications = self.entries[entry].publications(self.now);
-        let begin_by = cutover::begin_by(&publications, held, self.bound);
-        match self.remedy {
-            Remedy::Predicted => cutover::admit(self.now, begin_by, delay),
-            Remedy::Constant | Remedy::Twice | Remedy::NewestOnly => {
-                let newer = publications.iter().filter(|one| one.version > held);
-                let begin_by = newer
-                    .map(|one| {
-                        one.published
-                            .map_or(Duration::ZERO, |at| at.latest + self.bound)
-                    })
-                    .min();
-                match begin_by {
-                    None => Verdict::Current,
-                    Some(at) if self.now + self.remedy.margin() < at => Verdict::Until(at),
-                    Some(_) => Verdict::Outdated,
-                }
-            }
+        if self.remedy == Remedy::Predicted {
+            return cutover::begin_by(&publications, held, self.bound);
         }
+        let newer = publications.iter().filter(|one| one.version > held);
+        let heard = newer.map(|one| one.published.map(|at| at.latest + self.bound));
+        heard.map(Option::unwrap_or_default).min()
+    }
+
+    /// Whether an entry may send a request that has to begin by then.
+    fn admit(&self, begin_by: Option<Duration>, delay: Delay) -> Verdict {
+        match begin_by {
+            _ if self.remedy == Remedy::Predicted => cutover::admit(self.now, begin_by, delay),
+            None => Verdict::Current,
+            Some(at) if self.now + self.remedy.margin() < at => Verdict::Until(at),
+            Some(_) => Verdict::Outdated,
+        }
+    }
+
+    fn admit_attempt(&self, attempt: usize) -> Verdict {
+        let one = self.attempts[attempt];
+        let entry = self.requests[one.request].entry;
+        self.admit(self.begin_by(entry, one.held), self.delay(attempt))
     }
 
     fn is_last_choice(&self, verdict: Verdict) -> bool {
@@ -535,7 +541,7 @@
             queue: self.hints[engine].delay,
             heard: self.hints[engine].at,
             is_placed: false,
-            sent: false,
+            arrives: None,
             received: None,
             ended: None,
             is_reset: false,
@@ -561,15 +567,17 @@
 
     /// The engine to ask for a slot.
     fn choose(&mut self, entry: usize) -> Option<usize> {
-        let versions: Vec<(u64, Verdict)> = (1..=3)
-            .map(|held| (held, self.admit(entry, held, Delay::default())))
-            .collect();
+        let begin_by = [1, 2, 3].map(|held| self.begin_by(entry, held));
         let mut chosen: Option<(bool, bool, u64, usize)> = None;
         let offset = self.rng.random_range(0..self.hints.len());
         for index in 0..self.hints.len() {
             let engine = (index + offset) % self.hints.len();
             let hint = self.hints[engine];
-            let verdict = versions[hint.version as usize - 1].1;
+            let delay = Delay {
+                transfer: Duration::ZERO,
+                queue: hint.delay,
+            };
+            let verdict = self.admit(begin_by[hint.version as usize - 1], delay);
             let is_current = verdict == Verdict::Current;
             let may_bypass = self.remedy != Remedy::Predicted || is_current;
             let is_silent = self.is_bypassed(engine);
@@ -630,8 +638,7 @@
 
     fn open_connection(&mut self, attempt: usize) {
         let one = self.attempts[attempt];
-        let entry = self.requests[one.request].entry;
-        let verdict = self.admit(entry, one.held, self.delay(attempt));
+        let verdict = self.admit_attempt(attempt);
         if verdict == Verdict::Outdated {
             self.give_up(attempt, true);
             return;
@@ -672,9 +679,8 @@
         if one.ended.is_some() {
             return;
         }
-        let entry = self.requests[one.request].entry;
         if self.remedy == Remedy::Predicted {
-            match self.admit(entry, one.held, self.delay(attempt)) {
+            match self.admit_attempt(attempt) {
                 Verdict::Current => {}
                 Verdict::Until(at) if self.now <= one.heard + HEARD_WITHIN => {
                     self.push(at, Event::Withdraw(attempt));
@@ -685,7 +691,6 @@
                 }
             }
         }
-        self.attempts[attempt].sent = true;
         self.requests[one.request].sends += 1;
         self.push(self.now + SILENCE, Event::Silent(attempt));
         let arrives = self.now + one.transfer;
@@ -693,6 +698,7 @@
             Some(end) => end + secs(self.rng.random_range(0.0..0.2)),
             None => arrives,
         };
+        self.attempts[attempt].arrives = Some(received);
         self.push(received, Event::Received(attempt));
     }
 
@@ -855,15 +861,15 @@
         if one.is_placed {
             self.release(attempt);
         }
-        if !one.sent {
+        let Some(sent_arrives) = one.arrives else {
             return;
-        }
+        };
         let arrives = self.now + one.transfer;
         let engine = &self.engines[one.engine];
         let seen = match engine.cut.end(arrives) {
             Some(_) if is_reset => return,
-            Some(end) => end + secs(self.rng.random_range(0.0..0.2)),
-            None => arrives,
+            Some(end) => end.max(sent_arrives) + secs(self.rng.random_range(0.0..0.2)),
+            None => arrives.max(sent_arrives),
         };
         // A process that thaws reads the request before it sees the end.
         let seen = match engine.frozen.end(seen) {
