--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -559,7 +559,7 @@
 /// request goes there whose engine soon holds weights that are too old.
 fn may_bypass_agent(backend: &mut Backend, now: Duration, begin_by: Option<Duration>) -> bool {
     !backend.agent_answers(now)
-        && !cutover::is_last_choice(now, begin_by)
+        && !cutover::needs_answer(now, begin_by)
         && !backend.is_closed(now)
         && backend.running < BYPASS_REQUESTS_MAX
         && backend.health.admits(now)
--- a/crates/snipewinch/src/cutover.rs
+++ b/crates/snipewinch/src/cutover.rs
@@ -19,7 +19,10 @@
 pub const WITHDRAW_MARGIN: Duration = Duration::from_millis(100);
 /// The time before the bound in which requests go to a backend server with an
 /// older version only if no other one has a free slot.
-const LAST_CHOICE_TIME: Duration = Duration::from_secs(3);
+const LAST_CHOICE_TIME: Duration = Duration::from_secs(1);
+/// The time before the bound in which nothing is sent to a host that does not
+/// answer: what it takes when it is back may begin too late.
+const ANSWER_TIME: Duration = Duration::from_secs(4);
 /// How long before the bound requests are usually sent last to a backend server
 /// with an older version.
 pub const SEND_MARGIN: Duration = Duration::from_millis(600);
@@ -112,6 +115,12 @@
     begin_by.is_some_and(|begin_by| now + LAST_CHOICE_TIME >= begin_by)
 }
 
+/// Whether a backend server on which requests have to begin by `begin_by` gets
+/// none unless its host answers.
+pub fn needs_answer(now: Duration, begin_by: Option<Duration>) -> bool {
+    begin_by.is_some_and(|begin_by| now + ANSWER_TIME >= begin_by)
+}
+
 /// The oldest version to which a request may still be sent; 0 if any.
 pub fn min_version(now: Duration, publications: &[Publication], bound: Duration) -> u64 {
     let outdated = publications
