Stage chunks before the turn to reload

What callers saw: an engine whose agent was stopped or replaced while it waited for its turn reloaded seconds later, as the new agent fetched the whole version again.

Cause: chunks were staged at the engine only just before the order to load. Until then they were in the memory of the agent alone.

Change: an agent stages a version once when all chunks are there and its turn is still to come. A new agent finds them, as it reads what is staged first. Just before the order they are staged again as before, as staged chunks may become corrupt.

--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -1,8 +1,9 @@
 //! Loads the newest version of the weights into the engine.
 //!
-//! Staged chunks may become corrupt at any time, and an order loads what is
-//! staged when the engine accepts it. All chunks are therefore staged just
-//! before the order; if the order is delayed, they are read back and those that
+//! All chunks are staged as soon as they are here, so that an agent that restarts
+//! before its turn finds them. Staged chunks may become corrupt at any time, and
+//! an order loads what is staged when the engine accepts it. All chunks are
+//! therefore staged again just before the order; if the order is delayed, they are read back and those that
 //! are corrupt are staged again.
 
 use std::cell::RefCell;
@@ -100,6 +101,7 @@
         agent,
         chunks,
         scanned: None,
+        staged: None,
         seen: Milestones::default(),
         completed: Milestones::default(),
         reported: None,
@@ -118,6 +120,9 @@
     /// The version for which the staged chunks were scanned, and when the
     /// engine started, in milliseconds of the time of day.
     scanned: Option<(u64, u64)>,
+    /// The version that was staged before its turn, and when the engine
+    /// started, in milliseconds of the time of day.
+    staged: Option<(u64, u64)>,
     /// The versions whose manifests are here.
     seen: Milestones,
     /// The versions of which all chunks are here.
@@ -149,7 +154,11 @@
             self.reported = Some((version, is_loaded));
             self.chunks.set_loaded(known.digest, is_loaded);
         }
-        if is_loaded || report.busy || !self.reload_wait(&known, &report).is_zero() {
+        if is_loaded || report.busy {
+            return;
+        }
+        if !self.reload_wait(&known, &report).is_zero() {
+            self.stage_early(&known, &all, &report).await;
             return;
         }
         self.load(&known, &all, &report).await;
@@ -194,6 +203,15 @@
         true
     }
 
+    /// Stages a version that waits for its turn, once: an agent that restarts
+    /// finds the chunks there.
+    async fn stage_early(&mut self, known: &KnownVersion, all: &[Bytes], report: &Report) {
+        let stage = Some((known.target.version, report.started_ms));
+        if self.staged != stage && self.stage(known, all).await {
+            self.staged = stage;
+        }
+    }
+
     /// How long this engine has to wait for its turn in the rollout; it does not
     /// if it serves no version.
     fn reload_wait(&self, known: &KnownVersion, report: &Report) -> Duration {
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -21,6 +21,9 @@
 use snipewinch::grant;
 use snipewinch::host::Identity;
 use snipewinch::host::Role;
+use snipewinch::membership::Member;
+use snipewinch::membership::State;
+use snipewinch::membership::View;
 use snipewinch::route;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -53,19 +56,29 @@
 /// Starts an engine that answers each request with `report` after a silence
 /// that ends `silence` from now.
 async fn engine(report: &'static str, silence: Duration) -> SocketAddr {
+    recorded_engine(report, silence).await.0
+}
+
+/// The first lines of the requests that an engine received.
+type RequestLines = Rc<RefCell<Vec<String>>>;
+
+/// Starts an engine like [`engine`] that records the requests.
+async fn recorded_engine(report: &'static str, silence: Duration) -> (SocketAddr, RequestLines) {
+    let lines = RequestLines::default();
+    let recorded = lines.clone();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let silent_until = Instant::now() + silence;
     spawn_local(async move {
         loop {
             let (mut stream, _) = listener.accept().await.unwrap();
+            let recorded = recorded.clone();
             spawn_local(async move {
                 let mut request = [0; 4096];
-                while stream
-                    .read(&mut request)
-                    .await
-                    .is_ok_and(|length| length > 0)
-                {
+                while let Ok(length @ 1..) = stream.read(&mut request).await {
+                    let text = String::from_utf8_lossy(&request[..length]);
+                    let line = text.lines().next().unwrap_or_default();
+                    recorded.borrow_mut().push(line.into());
                     sleep_until(silent_until).await;
                     let length = report.len();
                     let response =
@@ -77,7 +90,7 @@
             });
         }
     });
-    address
+    (address, lines)
 }
 
 fn settings(backend: SocketAddr) -> Settings {
@@ -137,6 +150,7 @@
         agent,
         chunks,
         scanned: None,
+        staged: None,
         seen: Milestones::default(),
         completed: Milestones::default(),
         reported: None,
@@ -310,3 +324,54 @@
     });
     run.await;
 }
+
+/// A view of so many hosts that this one has to wait for its turn.
+fn crowd() -> View {
+    let member = |index: u8| Member {
+        host: format!("127.0.1.{index}").as_str().into(),
+        role: Role::Agent,
+        zone: "z".into(),
+        region: "r".into(),
+        service: Some("s".into()),
+        address: "127.0.0.1:1".parse().unwrap(),
+        state: State::Live,
+        incarnation: 1,
+    };
+    View {
+        members: (0..50).map(member).collect(),
+    }
+}
+
+/// Guards against an agent that restarts before its turn and has to fetch all
+/// chunks again.
+#[tokio::test]
+async fn chunks_are_staged_once_before_the_turn_to_reload() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let (address, requests) = recorded_engine(OLD_IDLE, Duration::ZERO).await;
+        let mut loader = loader(address).await;
+        let agent = loader.agent.clone();
+        *agent.view.borrow_mut() = Rc::new(crowd());
+        agent.apply_engine_config(engine_config());
+        let now = agent.clock.now();
+        agent.slot_pool.apply_report(now, Some(report(OLD_IDLE)), 4);
+        add_version(&loader, 2, OLD_IDLE);
+        let count = |method: &str| {
+            let requests = requests.borrow();
+            requests
+                .iter()
+                .filter(|one| one.starts_with(method))
+                .count()
+        };
+        while loader.chunks.newest_complete().is_none() {
+            assert!(agent.clock.now() < Duration::from_secs(5));
+            loader.step().await;
+            sleep(POLL_INTERVAL).await;
+        }
+        for _ in 0..3 {
+            loader.step().await;
+        }
+        assert_eq!((count("PUT"), count("POST")), (1, 0));
+    });
+    run.await;
+}
