--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -53,7 +53,6 @@
 use crate::fleet_key;
 use crate::metrics::AgentMetrics;
 use crate::operator::OperatorState;
-use crate::operator::Publication;
 use crate::shutdown;
 use crate::shutdown::Phase;
 use crate::shutdown::wait_for_signal;
@@ -62,9 +61,11 @@
 mod chunks;
 mod loader;
 mod slot_pool;
+mod timeline;
 
 use slot_pool::SlotPool;
 use slot_pool::loaded_version;
+use timeline::Timeline;
 
 /// How often the list of backend servers is read. An agent needs it only to
 /// find the other agents.
@@ -91,8 +92,6 @@
 /// before it reads the whole configuration from the store. Requests that need
 /// it come from entries, which send it, too.
 const CONFIG_WAIT: Duration = Duration::from_secs(6);
-/// The version of weights to load before any is published.
-const FIRST_VERSION: u64 = 1;
 
 /// State that the tasks of an agent share.
 pub(crate) struct Agent {
@@ -119,6 +118,9 @@
     announced_version: Cell<u64>,
     /// Set while changes of the list of agents are needed without delay.
     urgency: Urgency,
+    /// How far the engine is with new versions of the weights.
+    timeline: RefCell<Timeline>,
+    metrics: AgentMetrics,
 }
 
 /// The weights that the engine should hold.
@@ -162,6 +164,8 @@
         );
         self.slot_pool.set_config_digest(new.digest());
         *config = Some(new);
+        drop(config);
+        self.learn_target();
         self.changed.notify_waiters();
     }
 
@@ -184,6 +188,7 @@
         if let Some(config) = config.filter(|_| is_new) {
             self.apply_engine_config(config);
         }
+        self.learn_target();
         self.changed.notify_waiters();
     }
 
@@ -206,6 +211,7 @@
             .record_published(now, model, published)
         {
             self.urgency.set(true);
+            self.learn_target();
             self.changed.notify_waiters();
         }
     }
@@ -228,6 +234,15 @@
         Some((newest.version, newest.published?.earliest))
     }
 
+    /// The earliest time at which a version of the weights may have been
+    /// published; none if that is unknown.
+    fn published_at(&self, version: u64) -> Option<Duration> {
+        let model = self.engine_spec()?.model?;
+        let publications = self.operator_state.borrow().publications(&model);
+        let publication = publications.iter().find(|one| one.version == version)?;
+        Some(publication.published?.earliest)
+    }
+
     /// The latest time at which requests may begin on version `held` of the
     /// weights; none if it is the newest.
     fn begin_by(&self, held: u64) -> Option<Duration> {
@@ -247,12 +262,7 @@
     fn target(&self) -> Option<Target> {
         let model = self.engine_spec()?.model?;
         let origin = self.engine_config.borrow().as_ref()?.origin.clone()?;
-        let newest = self.operator_state.borrow().newest(&model);
-        let published = newest.unwrap_or(Publication {
-            version: FIRST_VERSION,
-            learned_at: Duration::ZERO,
-            published: None,
-        });
+        let published = self.operator_state.borrow().newest_or_first(&model)?;
         Some(Target {
             model,
             version: published.version,
@@ -300,6 +310,20 @@
         agent_name(self.settings.backend.unwrap_or(own))
     }
 
+    /// The id of the backend server on this host, or its address while it is
+    /// not listed.
+    fn server_id(&self) -> SmolStr {
+        let address = self.settings.backend;
+        let listing = self.listing.borrow();
+        let own = listing
+            .entries()
+            .find(|(_, entry)| Some(entry.address) == address);
+        match own {
+            Some((id, _)) => id.clone(),
+            None => self.host().0,
+        }
+    }
+
     fn region(&self, zone: &str) -> snipewinch::host::Region {
         let region = self.settings.regions.get(zone);
         region.map_or(zone, SmolStr::as_str).into()
@@ -342,6 +366,8 @@
         bounds: Cell::new(settings.bounds),
         announced_version: Cell::new(0),
         urgency: Urgency::default(),
+        timeline: RefCell::default(),
+        metrics: AgentMetrics::new(),
         settings,
     });
     spawn_local(follow_operators(agent.clone(), store.clone()));
@@ -351,10 +377,10 @@
     spawn_local(reload(agent.clone(), config.path.clone()));
     let metrics_address =
         SocketAddr::new(agent.settings.identity.address.ip(), config.metrics_port);
-    let (shared, metrics) = (agent.clone(), AgentMetrics::new());
+    let shared = agent.clone();
     let respond = move |_: &str| {
-        shared.slot_pool.update_metrics(&metrics);
-        (200, metrics.text())
+        shared.slot_pool.update_metrics(&shared.metrics);
+        (200, shared.metrics.text())
     };
     status_server::serve(metrics_address, "metrics", respond).await?;
     wait_for_signal(&agent.phase).await.context(SystemSnafu)?;
--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -5,7 +5,8 @@
 //! before the order; if the order is delayed, they are read back and those that
 //! are corrupt are staged again.
 
-use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -15,6 +16,7 @@
 use platform::engine::Outcome;
 use platform::engine::Report;
 use snipewinch::weights::rollout;
+use snipewinch::weights::rollout::Progress;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -22,6 +24,7 @@
 use super::chunks::Chunks;
 use super::chunks::KnownVersion;
 use super::slot_pool;
+use super::timeline::Phase;
 use crate::clock::Clock;
 
 /// How often to check whether the engine has drained or loaded.
@@ -40,6 +43,8 @@
 /// How long before the limit for the use of old weights the last engine of the
 /// service starts to reload.
 const RELOAD_MARGIN: Duration = Duration::from_millis(1_300);
+/// For how many versions it is kept since when they are here.
+const MILESTONES_MAX: usize = 4;
 /// How long an engine may finish its requests before it reloads. Requests that
 /// still run then continue at other engines, which each have to process the
 /// prompt again; waiting for the longest answers would leave this engine nearly
@@ -70,13 +75,34 @@
     }
 }
 
+/// Since when something is the case for the newest versions.
+#[derive(Debug, Default)]
+struct Milestones {
+    reached: RefCell<BTreeMap<u64, Timestamp>>,
+}
+
+impl Milestones {
+    /// When this was first asked for the version.
+    fn since(&self, version: u64, clock: &Clock) -> Timestamp {
+        let mut reached = self.reached.borrow_mut();
+        let since = *reached
+            .entry(version)
+            .or_insert_with(|| Timestamp::now(clock));
+        if reached.len() > MILESTONES_MAX {
+            reached.pop_first();
+        }
+        since
+    }
+}
+
 /// Runs the loader until the process ends.
 pub(super) async fn run(agent: Rc<Agent>, chunks: Chunks) {
     let mut loader = Loader {
         agent,
         chunks,
         scanned: None,
-        completed: Cell::default(),
+        seen: Milestones::default(),
+        completed: Milestones::default(),
         reported: None,
     };
     loop {
@@ -93,8 +119,10 @@
     /// The version for which the staged chunks were scanned, and when the
     /// engine started, in milliseconds of the time of day.
     scanned: Option<(u64, u64)>,
-    /// The newest version of which all chunks are here, and since when.
-    completed: Cell<(u64, Duration)>,
+    /// The versions whose manifests are here.
+    seen: Milestones,
+    /// The versions of which all chunks are here.
+    completed: Milestones,
     /// What was last reported to the exchange: a version, and whether the
     /// engine has loaded it.
     reported: Option<(u64, bool)>,
@@ -108,6 +136,7 @@
             return;
         };
         let version = newest.target.version;
+        self.seen.since(version, &self.agent.clock);
         let scan = Some((version, report.started_ms));
         if self.scanned != scan && self.scan_staged(&newest).await {
             self.scanned = scan;
@@ -121,7 +150,7 @@
             self.reported = Some((version, is_loaded));
             self.chunks.set_loaded(known.digest, is_loaded);
         }
-        if is_loaded || report.busy || self.agent.clock.now() < self.reload_at(&known, &report) {
+        if is_loaded || report.busy || !self.reload_wait(&known, &report).is_zero() {
             return;
         }
         self.load(&known, &all, &report).await;
@@ -133,10 +162,7 @@
             (Some((known, _)), Some(report))
                 if slot_pool::loaded_version(&report) < known.target.version =>
             {
-                let reload_at = self.reload_at(&known, &report);
-                reload_at
-                    .saturating_sub(self.agent.clock.now())
-                    .max(POLL_INTERVAL)
+                self.reload_wait(&known, &report).max(POLL_INTERVAL)
             }
             _ => IDLE_INTERVAL,
         }
@@ -145,6 +171,7 @@
     /// Passes chunks that are already staged to the exchange; false if the
     /// engine did not answer.
     async fn scan_staged(&self, known: &KnownVersion) -> bool {
+        let mut found = 0;
         for (chunk, digest) in known.manifest.chunks.iter().enumerate() {
             let chunk = chunk as u32;
             match self
@@ -154,6 +181,7 @@
                 .await
             {
                 Ok(Some(bytes)) if known.manifest.hash.digest(&bytes) == *digest => {
+                    found += 1;
                     self.chunks.add_local(&known.digest, chunk, bytes);
                 }
                 // The first chunk is missing, corrupt or of another version:
@@ -166,38 +194,45 @@
                 }
             }
         }
+        if found > 0 {
+            log::info!(
+                "E7239 found {found} of {} chunks of version {} staged at backend server {}",
+                known.manifest.chunks.len(),
+                known.target.version,
+                self.agent.server_id()
+            );
+        }
         true
     }
 
-    /// When this engine may reload: at once if it serves no version, else after
-    /// its delay in the rollout.
-    fn reload_at(&self, known: &KnownVersion, report: &Report) -> Duration {
+    /// How long this engine has to wait for its turn in the rollout; it does not
+    /// if it serves no version.
+    fn reload_wait(&self, known: &KnownVersion, report: &Report) -> Duration {
         if slot_pool::loaded_version(report) == 0 {
             return Duration::ZERO;
         }
         let agent = &self.agent;
         let view = agent.view.borrow().clone();
-        let deadline = known.target.learned_at
-            + agent
-                .bounds
-                .get()
-                .version_skew
-                .saturating_sub(RELOAD_MARGIN);
-        let since = self.complete_since(known.target.version);
-        let window = deadline.saturating_sub(since);
-        since + rollout::reload_delay(&view, &agent.host(), &agent.service, &known.digest, window)
+        let progress = self.progress(known);
+        let bound = agent.bounds.get().version_skew;
+        let window = progress.window(bound.saturating_sub(RELOAD_MARGIN));
+        rollout::reload_delay(&view, &agent.host(), &agent.service, &known.digest, window)
+            .saturating_sub(progress.complete)
     }
 
-    /// When all chunks of a version were first here.
-    fn complete_since(&self, version: u64) -> Duration {
-        let now = self.agent.clock.now();
-        let (seen, since) = self.completed.get();
-        match seen == version {
-            true => since,
-            false => {
-                self.completed.set((version, now));
-                now
-            }
+    /// How far a version has come whose chunks are all here.
+    fn progress(&self, known: &KnownVersion) -> Progress {
+        let clock = &self.agent.clock;
+        let version = known.target.version;
+        let seen = self.seen.since(version, clock);
+        let age = |published| {
+            let before = seen.monotonic.saturating_sub(published);
+            seen.age(clock).saturating_add(before)
+        };
+        Progress {
+            published: self.agent.published_at(version).map(age),
+            complete: self.completed.since(version, clock).age(clock),
+            uptime: clock.now(),
         }
     }
 
@@ -205,17 +240,21 @@
     async fn load(&self, known: &KnownVersion, all: &[Bytes], report: &Report) {
         let version = known.target.version;
         let staged_at = Timestamp::now(&self.agent.clock);
+        self.agent.enter_phase(version, Phase::Staging);
         if !self.stage(known, all).await {
             return;
         }
         self.agent.slot_pool.set_closed(true);
         let serves = slot_pool::loaded_version(report) > 0;
         if serves {
+            self.agent.enter_phase(version, Phase::Drain);
             sleep(ARRIVAL_TIME).await;
             self.drain().await;
         }
+        self.agent.enter_phase(version, Phase::Order);
         let ordered = self.order_load(known, all, report, staged_at).await;
         if ordered {
+            self.agent.enter_phase(version, Phase::Load);
             self.wait_until_loaded(version).await;
         }
         self.agent.slot_pool.set_closed(false);
@@ -337,6 +376,7 @@
                 }
             };
             is_silent = false;
+            self.agent.observe_engine(&report);
             let slots = self.agent.engine_spec().map_or(0, |spec| spec.slots);
             let done = slot_pool::loaded_version(&report) >= version || !report.busy;
             self.agent
--- a/crates/snipewinch/tests/cutover_fleet/mod.rs
+++ b/crates/snipewinch/tests/cutover_fleet/mod.rs
@@ -40,8 +40,6 @@
 const SILENCE: Duration = Duration::from_secs(1);
 /// How long after its agent's answer an engine on old weights may be used.
 const HEARD_WITHIN: Duration = Duration::from_millis(100);
-/// How long before the bound engines on old weights are the last choice.
-const LAST_CHOICE: Duration = Duration::from_secs(1);
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 const SENDS_MAX: u32 = 4;
 
@@ -506,11 +504,11 @@
         self.admit(self.begin_by(entry, one.held), self.delay(attempt))
     }
 
-    fn is_last_choice(&self, verdict: Verdict) -> bool {
-        match (self.remedy, verdict) {
-            (Remedy::NewestOnly, Verdict::Until(_)) => true,
-            (Remedy::Predicted, Verdict::Until(at)) => self.now + LAST_CHOICE > at,
-            (_, Verdict::Current | Verdict::Until(_) | Verdict::Outdated) => false,
+    fn is_last_choice(&self, begin_by: Option<Duration>) -> bool {
+        match self.remedy {
+            Remedy::NewestOnly => begin_by.is_some(),
+            Remedy::Predicted => cutover::is_last_choice(self.now, begin_by),
+            Remedy::Constant | Remedy::Twice => false,
         }
     }
 
@@ -577,9 +575,10 @@
                 transfer: Duration::ZERO,
                 queue: hint.delay,
             };
-            let verdict = self.admit(begin_by[hint.version as usize - 1], delay);
-            let is_current = verdict == Verdict::Current;
-            let may_bypass = self.remedy != Remedy::Predicted || is_current;
+            let begin_by = begin_by[hint.version as usize - 1];
+            let verdict = self.admit(begin_by, delay);
+            let may_bypass =
+                self.remedy != Remedy::Predicted || !cutover::needs_answer(self.now, begin_by);
             let is_silent = self.is_bypassed(engine);
             if verdict == Verdict::Outdated || is_silent && !may_bypass {
                 continue;
@@ -589,7 +588,7 @@
             }
             let noise = self.rng.random_range(0..8);
             let rank = (
-                self.is_last_choice(verdict),
+                self.is_last_choice(begin_by),
                 is_silent,
                 SLOTS + 8 - hint.free - noise,
                 engine,
