--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -53,7 +53,6 @@
 use crate::fleet_key;
 use crate::metrics::AgentMetrics;
 use crate::operator::OperatorState;
-use crate::operator::Publication;
 use crate::shutdown;
 use crate::shutdown::Phase;
 use crate::shutdown::wait_for_signal;
@@ -62,8 +61,11 @@
 mod chunks;
 mod loader;
 mod slot_pool;
+mod timeline;
 
 use slot_pool::SlotPool;
+use slot_pool::loaded_version;
+use timeline::Timeline;
 
 /// How often the list of backend servers is read. An agent needs it only to
 /// find the other agents.
@@ -90,8 +92,6 @@
 /// before it reads the whole configuration from the store. Requests that need
 /// it come from entries, which send it, too.
 const CONFIG_WAIT: Duration = Duration::from_secs(6);
-/// The version of weights to load before any is published.
-const FIRST_VERSION: u64 = 1;
 
 /// State that the tasks of an agent share.
 pub(crate) struct Agent {
@@ -113,10 +113,14 @@
     changed: Notify,
     phase: watch::Sender<Phase>,
     bounds: Cell<Bounds>,
-    /// The newest version of the weights that any entry has announced.
+    /// The newest version of the weights that any entry has announced with its
+    /// age.
     announced_version: Cell<u64>,
     /// Set while changes of the list of agents are needed without delay.
     urgency: Urgency,
+    /// How far the engine is with new versions of the weights.
+    timeline: RefCell<Timeline>,
+    metrics: AgentMetrics,
 }
 
 /// The weights that the engine should hold.
@@ -160,6 +164,8 @@
         );
         self.slot_pool.set_config_digest(new.digest());
         *config = Some(new);
+        drop(config);
+        self.learn_target();
         self.changed.notify_waiters();
     }
 
@@ -173,15 +179,16 @@
         cutover::min_version(self.clock.now(), &publications, bound)
     }
 
-    /// Applies rows that operators have written.
-    fn apply_rows(&self, rows: Change) {
-        let now = self.clock.now();
-        let is_new = self.operator_state.borrow_mut().apply(now, rows);
+    /// Applies rows that operators have written after a moment.
+    fn apply_rows(&self, after: Duration, rows: Change) {
+        let made = cutover::Interval::of_news(after, self.clock.now());
+        let is_new = self.operator_state.borrow_mut().apply(made, rows);
         let table = self.operator_state.borrow().table.clone();
         let config = table.and_then(|table| EngineConfig::for_service(&table, &self.service));
         if let Some(config) = config.filter(|_| is_new) {
             self.apply_engine_config(config);
         }
+        self.learn_target();
         self.changed.notify_waiters();
     }
 
@@ -194,7 +201,9 @@
         let Some(model) = self.engine_spec().and_then(|spec| spec.model) else {
             return;
         };
-        self.announced_version.set(published.version);
+        if published.age_ms.is_some() {
+            self.announced_version.set(published.version);
+        }
         let now = self.clock.now();
         if self
             .operator_state
@@ -202,10 +211,46 @@
             .record_published(now, model, published)
         {
             self.urgency.set(true);
+            self.learn_target();
             self.changed.notify_waiters();
         }
     }
 
+    /// Passes on to the grants of slots until when the weights of the engine may
+    /// be used.
+    fn update_cutover(&self) {
+        let held = self.slot_pool.report().as_ref().map_or(0, loaded_version);
+        self.slot_pool
+            .set_min_version(self.min_version(), self.publish_time_known());
+        self.slot_pool
+            .set_cutover(self.newest_published(), self.begin_by(held));
+    }
+
+    /// The newest published version of the weights and the earliest time at which
+    /// it may have been published; none if that is unknown.
+    fn newest_published(&self) -> Option<(u64, Duration)> {
+        let model = self.engine_spec()?.model?;
+        let newest = self.operator_state.borrow().newest(&model)?;
+        Some((newest.version, newest.published?.earliest))
+    }
+
+    /// The earliest time at which a version of the weights may have been
+    /// published; none if that is unknown.
+    fn published_at(&self, version: u64) -> Option<Duration> {
+        let model = self.engine_spec()?.model?;
+        let publications = self.operator_state.borrow().publications(&model);
+        let publication = publications.iter().find(|one| one.version == version)?;
+        Some(publication.published?.earliest)
+    }
+
+    /// The latest time at which requests may begin on version `held` of the
+    /// weights; none if it is the newest.
+    fn begin_by(&self, held: u64) -> Option<Duration> {
+        let model = self.engine_spec()?.model?;
+        let publications = self.operator_state.borrow().publications(&model);
+        cutover::begin_by(&publications, held, self.bounds.get().version_skew)
+    }
+
     /// Whether it is known when the newest version of the weights was
     /// published.
     fn publish_time_known(&self) -> bool {
@@ -217,12 +262,7 @@
     fn target(&self) -> Option<Target> {
         let model = self.engine_spec()?.model?;
         let origin = self.engine_config.borrow().as_ref()?.origin.clone()?;
-        let newest = self.operator_state.borrow().newest(&model);
-        let published = newest.unwrap_or(Publication {
-            version: FIRST_VERSION,
-            learned_at: Duration::ZERO,
-            found_at_start: true,
-        });
+        let published = self.operator_state.borrow().newest_or_first(&model)?;
         Some(Target {
             model,
             version: published.version,
@@ -270,6 +310,20 @@
         agent_name(self.settings.backend.unwrap_or(own))
     }
 
+    /// The id of the backend server on this host, or its address while it is
+    /// not listed.
+    fn server_id(&self) -> SmolStr {
+        let address = self.settings.backend;
+        let listing = self.listing.borrow();
+        let own = listing
+            .entries()
+            .find(|(_, entry)| Some(entry.address) == address);
+        match own {
+            Some((id, _)) => id.clone(),
+            None => self.host().0,
+        }
+    }
+
     fn region(&self, zone: &str) -> snipewinch::host::Region {
         let region = self.settings.regions.get(zone);
         region.map_or(zone, SmolStr::as_str).into()
@@ -312,6 +366,8 @@
         bounds: Cell::new(settings.bounds),
         announced_version: Cell::new(0),
         urgency: Urgency::default(),
+        timeline: RefCell::default(),
+        metrics: AgentMetrics::new(),
         settings,
     });
     spawn_local(follow_operators(agent.clone(), store.clone()));
@@ -321,10 +377,10 @@
     spawn_local(reload(agent.clone(), config.path.clone()));
     let metrics_address =
         SocketAddr::new(agent.settings.identity.address.ip(), config.metrics_port);
-    let (shared, metrics) = (agent.clone(), AgentMetrics::new());
+    let shared = agent.clone();
     let respond = move |_: &str| {
-        shared.slot_pool.update_metrics(&metrics);
-        (200, metrics.text())
+        shared.slot_pool.update_metrics(&shared.metrics);
+        (200, shared.metrics.text())
     };
     status_server::serve(metrics_address, "metrics", respond).await?;
     wait_for_signal(&agent.phase).await.context(SystemSnafu)?;
@@ -390,6 +446,7 @@
 /// if no entry has sent the part about the engine.
 async fn follow_operators(agent: Rc<Agent>, store: Store) {
     let mut failures = 0;
+    let mut read_at = Duration::ZERO;
     loop {
         let config_wait = CONFIG_WAIT.mul_f64(rand::rng().random_range(READ_JITTER));
         let read_config =
@@ -399,11 +456,13 @@
             false => platform::operator::VERSION_PREFIX,
         };
         let until = platform::operator::VERSION_END;
+        let sent = agent.clock.now();
         let read = store.read_range(platform::operator::TABLE, from, until);
         let delay = match read.await {
             Ok(rows) => {
                 failures = 0;
-                agent.apply_rows(Change::Rows(rows.rows));
+                agent.apply_rows(read_at, Change::Rows(rows.rows));
+                read_at = sent;
                 VERSION_READ_INTERVAL
             }
             Err(error) => {
@@ -432,9 +491,9 @@
     };
     let (mut changes, _task) =
         follow::spawn_with(store, listing::TABLE, LISTING_POLL_POLICY, control);
-    while let Some(change) = changes.recv().await {
+    while let Some(update) = changes.recv().await {
         let now = agent.clock.now();
-        let mut updates = agent.listing.borrow_mut().apply(now, change);
+        let mut updates = agent.listing.borrow_mut().apply(now, update.change);
         updates.extend(agent.listing.borrow_mut().tick(now));
         if !updates.is_empty() {
             agent.update_view();
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -13,9 +13,12 @@
 use platform::chunk_origin::DigestList;
 use platform::engine::Engine;
 use platform::engine::Report;
+use platform::follow::Change;
 use platform::follow::Urgency;
 use platform::http::Transport;
 use snipewinch::digest::Hash;
+use snipewinch::engine_config::EngineConfig;
+use snipewinch::grant;
 use snipewinch::host::Identity;
 use snipewinch::host::Role;
 use snipewinch::route;
@@ -32,6 +35,7 @@
 
 use super::DRAIN_TIMEOUT;
 use super::Loader;
+use super::Milestones;
 use super::POLL_INTERVAL;
 use crate::agent::Agent;
 use crate::agent::Target;
@@ -40,6 +44,7 @@
 use crate::agent::slot_pool;
 use crate::agent::slot_pool::SlotPool;
 use crate::clock::Clock;
+use crate::metrics::AgentMetrics;
 use crate::shutdown::Phase;
 
 const IDLE: &str = r#"{"models":[{"name":"m","version":2}],"active":0,"queued":0}"#;
@@ -124,6 +129,8 @@
         bounds: Cell::new(settings.bounds),
         announced_version: Cell::new(0),
         urgency: Urgency::default(),
+        timeline: RefCell::default(),
+        metrics: AgentMetrics::new(),
         settings,
     });
     let key = FleetKey::new("a key of tests, of no fleet at all");
@@ -133,7 +140,8 @@
         agent,
         chunks,
         scanned: None,
-        completed: Cell::default(),
+        seen: Milestones::default(),
+        completed: Milestones::default(),
         reported: None,
     }
 }
@@ -234,3 +242,104 @@
     });
     run.await;
 }
+
+fn engine_config() -> EngineConfig {
+    EngineConfig {
+        version: 1,
+        engine: route::Engine {
+            slots: 4,
+            stride: 1,
+            model: Some("m".into()),
+            warm: Duration::from_millis(300),
+            step: Duration::ZERO,
+            step_per_call: Duration::ZERO,
+            step_per_kilotoken: Duration::ZERO,
+            read_per_s: 0.0,
+            usual_prompt: 0.0,
+            usual_answer: 0.0,
+            chunks: 1,
+            chunk_bytes: 1,
+        },
+        max_gap: Duration::ZERO,
+        origin: Some(route::Origin {
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: None,
+            link_mbit: 1.0,
+        }),
+    }
+}
+
+/// Guards against a restarted agent that loads version 1 into an empty engine
+/// while the store is slow, though a newer version is published.
+#[tokio::test]
+async fn a_restarted_agent_has_no_target_until_it_knows_the_published_versions() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let address = engine(IDLE, Duration::ZERO).await;
+        let version = |agent: &Agent| agent.target().map(|target| target.version);
+
+        let agent = loader(address).await.agent;
+        agent.apply_engine_config(engine_config());
+        assert_eq!(version(&agent), None, "nothing is read");
+        agent.apply_rows(Duration::ZERO, Change::Rows(Vec::new()));
+        assert_eq!(version(&agent), Some(1), "no version is published");
+
+        let agent = loader(address).await.agent;
+        agent.apply_engine_config(engine_config());
+        agent.record_published(grant::Published {
+            version: 3,
+            age_ms: None,
+        });
+        assert_eq!(version(&agent), Some(3), "an entry announced a version");
+    });
+    run.await;
+}
+
+/// Guards against an agent that reads the list of digests again and again once
+/// it has learned when a version was published.
+#[tokio::test]
+async fn the_target_stays_the_same_when_the_age_of_its_version_becomes_known() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let agent = loader(engine(IDLE, Duration::ZERO).await).await.agent;
+        agent.apply_engine_config(engine_config());
+        let announce = |age_ms| agent.record_published(grant::Published { version: 3, age_ms });
+        announce(None);
+        let target = agent.target();
+        assert_eq!(agent.published_at(3), None);
+        announce(Some(0));
+        assert!(agent.published_at(3).is_some());
+        assert_eq!(agent.target(), target);
+    });
+    run.await;
+}
+
+#[tokio::test]
+async fn each_phase_of_a_load_is_counted_once() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let mut loader = loader(engine(IDLE, Duration::ZERO).await).await;
+        let agent = loader.agent.clone();
+        let before = report(OLD_IDLE);
+        agent.observe_engine(&before);
+        let now = agent.clock.now();
+        agent.slot_pool.apply_report(now, Some(before), 4);
+        agent.timeline.borrow_mut().learn(now, 2, Some(now));
+        add_version(&loader, 2, IDLE);
+        let started = Instant::now();
+        while !agent.metrics.text().contains("{phase=\"load\"}") {
+            assert!(started.elapsed() < Duration::from_secs(10));
+            loader.step().await;
+            sleep(POLL_INTERVAL).await;
+        }
+        loader.step().await;
+        let text = agent.metrics.text();
+        for phase in [
+            "news", "manifest", "chunks", "turn", "staging", "drain", "order", "load",
+        ] {
+            let count = format!("snipewinch_rollout_phase_seconds_count{{phase=\"{phase}\"}} 1\n");
+            assert!(text.contains(&count), "{count}{text}");
+        }
+    });
+    run.await;
+}
--- a/crates/node/src/entry/pool.rs
+++ b/crates/node/src/entry/pool.rs
@@ -94,6 +94,20 @@
     pub(super) buffer: BytesMut,
     /// Whether it has carried an exchange before.
     pub(crate) used: bool,
+    /// Whether an exchange on it is not complete.
+    is_pending: bool,
+}
+
+/// Resets a connection with an exchange that is not complete. Bytes that are
+/// held up on the way then never arrive, where after a close they would arrive
+/// first and be executed.
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.is_pending {
+            // Without the option the connection is closed instead.
+            let _ = SockRef::from(&self.io).set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
 impl Connection {
@@ -109,9 +123,15 @@
             io,
             buffer: BytesMut::new(),
             used: false,
+            is_pending: false,
         })
     }
 
+    /// Records that an exchange begins, or that it is complete.
+    pub(crate) fn set_pending(&mut self, is_pending: bool) {
+        self.is_pending = is_pending;
+    }
+
     /// Reads the next bytes of a body, or its end. Cancelling it loses nothing.
     pub(crate) async fn read_step(&mut self, body: &mut Decoder) -> Result<Step, Error> {
         loop {
@@ -142,6 +162,8 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
+    /// When its last answer was complete.
+    since: Instant,
     until: Instant,
 }
 
@@ -154,13 +176,15 @@
 }
 
 impl Pool {
-    /// Takes an idle connection that can be reused, if there is one.
-    pub(crate) fn take(&self, key: Key) -> Option<Connection> {
+    /// Takes an idle connection that can be reused and has been idle for no more
+    /// than `idle_max`, if there is one.
+    pub(crate) fn take(&self, key: Key, idle_max: Duration) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&key)?;
         while let Some(one) = kept.pop() {
-            if now < one.until && one.connection.is_quiescent() {
+            let is_recent = now.saturating_duration_since(one.since) <= idle_max;
+            if now < one.until && is_recent && one.connection.is_quiescent() {
                 return Some(one.connection);
             }
         }
@@ -178,13 +202,18 @@
         }
         connection.buffer = BytesMut::new();
         connection.used = true;
-        let until = Instant::now() + idle_max;
+        let since = Instant::now();
+        let until = since + idle_max;
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(key).or_default();
         if kept.len() >= IDLE_PER_SERVER_MAX {
             kept.remove(0);
         }
-        kept.push(Idle { connection, until });
+        kept.push(Idle {
+            connection,
+            since,
+            until,
+        });
     }
 
     /// Closes connections that have been idle for too long, and at most once
