Stage chunks as they arrive

What callers saw: with agents that are stopped in turn while a version is distributed, engines took it many seconds late: each new agent began from nothing.

Cause: a version was staged only once it was complete, and a new agent read no further than the first staged chunk if that one was missing or of another version.

Change: the loader stages the chunks that have arrived each time that it looks, and a new agent reads all staged chunks once.

Result: the new test failed before (the second of two chunks was not found) and passes.

--- a/crates/node/src/agent/chunks.rs
+++ b/crates/node/src/agent/chunks.rs
@@ -122,6 +122,12 @@
         self.state.borrow().known.last().cloned()
     }
 
+    /// A chunk of a version, if it is here.
+    pub(super) fn chunk(&self, digest: &Digest, chunk: u32) -> Option<Bytes> {
+        let state = self.state.borrow();
+        state.swarm.as_ref()?.chunk(digest, chunk)
+    }
+
     /// Adds a chunk that was found on this host.
     pub(super) fn add_local(&self, digest: &Digest, chunk: u32, bytes: Bytes) {
         // The exchange ends only with the process, so sending cannot fail.
--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -1,13 +1,13 @@
 //! Loads the newest version of the weights into the engine.
 //!
-//! All chunks are staged as soon as they are here, so that an agent that restarts
-//! before its turn finds them. Staged chunks may become corrupt at any time, and
+//! Chunks are staged as they arrive, so that an agent that restarts finds them. Staged chunks may become corrupt at any time, and
 //! an order loads what is staged when the engine accepts it. All chunks are
 //! therefore staged again just before the order; if the order is delayed, they are read back and those that
 //! are corrupt are staged again.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -95,13 +95,37 @@
     }
 }
 
+/// The chunks of one version that are staged at one start of the engine.
+#[derive(Debug, Default)]
+struct Staged {
+    version: u64,
+    started_ms: u64,
+    chunks: BTreeSet<u32>,
+}
+
+impl Staged {
+    /// None of the chunks of a version.
+    fn of(version: u64, started_ms: u64) -> Staged {
+        Staged {
+            version,
+            started_ms,
+            chunks: BTreeSet::new(),
+        }
+    }
+
+    /// Whether both are of the same version and start of the engine.
+    fn is_same(&self, other: &Staged) -> bool {
+        (self.version, self.started_ms) == (other.version, other.started_ms)
+    }
+}
+
 /// Runs the loader until the process ends.
 pub(super) async fn run(agent: Rc<Agent>, chunks: Chunks) {
     let mut loader = Loader {
         agent,
         chunks,
         scanned: None,
-        staged: None,
+        staged: Staged::default(),
         seen: Milestones::default(),
         completed: Milestones::default(),
         reported: None,
@@ -120,9 +144,8 @@
     /// The version for which the staged chunks were scanned, and when the
     /// engine started, in milliseconds of the time of day.
     scanned: Option<(u64, u64)>,
-    /// The version that was staged before its turn, and when the engine
-    /// started, in milliseconds of the time of day.
-    staged: Option<(u64, u64)>,
+    /// The chunks that were staged as they arrived.
+    staged: Staged,
     /// The versions whose manifests are here.
     seen: Milestones,
     /// The versions of which all chunks are here.
@@ -145,6 +168,9 @@
         if self.scanned != scan && self.scan_staged(&newest).await {
             self.scanned = scan;
         }
+        if slot_pool::loaded_version(&report) < version && !report.busy {
+            self.stage_early(&newest, &report).await;
+        }
         let Some((known, all)) = self.chunks.newest_complete() else {
             return;
         };
@@ -157,11 +183,10 @@
         if is_loaded || report.busy {
             return;
         }
-        if !self.reload_wait(&known, &report).is_zero() {
-            self.stage_early(&known, &all, &report).await;
-            return;
+        if self.reload_wait(&known, &report).is_zero() {
+            self.staged = Staged::default();
+            self.load(&known, &all, &report).await;
         }
-        self.load(&known, &all, &report).await;
     }
 
     /// How long there is nothing to do unless something changes.
@@ -191,8 +216,9 @@
                     self.chunks.add_local(&known.digest, chunk, bytes);
                 }
                 // The first chunk is missing, corrupt or of another version:
-                // the others are not read.
-                Ok(Some(_)) | Ok(None) if chunk == 0 => return true,
+                // the others are not read, except after a start, as a version
+                // may have been staged in part by then.
+                Ok(Some(_)) | Ok(None) if chunk == 0 && self.scanned.is_some() => return true,
                 Ok(_) => {}
                 Err(error) => {
                     log::warn!("E7230 reading staged chunks failed: {error}");
@@ -203,12 +229,24 @@
         true
     }
 
-    /// Stages a version that waits for its turn, once: an agent that restarts
-    /// finds the chunks there.
-    async fn stage_early(&mut self, known: &KnownVersion, all: &[Bytes], report: &Report) {
-        let stage = Some((known.target.version, report.started_ms));
-        if self.staged != stage && self.stage(known, all).await {
-            self.staged = stage;
+    /// Stages those chunks of a version that have arrived, once: an agent that
+    /// restarts finds them there.
+    async fn stage_early(&mut self, known: &KnownVersion, report: &Report) {
+        let staged = Staged::of(known.target.version, report.started_ms);
+        if !self.staged.is_same(&staged) {
+            self.staged = staged;
+        }
+        for chunk in 0..known.manifest.chunks.len() as u32 {
+            if self.staged.chunks.contains(&chunk) {
+                continue;
+            }
+            let Some(bytes) = self.chunks.chunk(&known.digest, chunk) else {
+                continue;
+            };
+            match self.stage_chunk(known, chunk, bytes).await {
+                true => drop(self.staged.chunks.insert(chunk)),
+                false => return,
+            }
         }
     }
 
@@ -285,18 +323,25 @@
     /// Stages every chunk; false if that failed.
     async fn stage(&self, known: &KnownVersion, all: &[Bytes]) -> bool {
         for (chunk, bytes) in all.iter().enumerate() {
-            let staged = self
-                .agent
-                .engine
-                .stage(&known.target.model, chunk as u32, bytes.clone());
-            if let Err(error) = staged.await {
-                log::warn!("E7231 staging chunk {chunk} failed: {error}");
+            if !self.stage_chunk(known, chunk as u32, bytes.clone()).await {
                 return false;
             }
         }
         true
     }
 
+    /// Stages a chunk; false if that failed.
+    async fn stage_chunk(&self, known: &KnownVersion, chunk: u32, bytes: Bytes) -> bool {
+        let staged = self.agent.engine.stage(&known.target.model, chunk, bytes);
+        match staged.await {
+            Ok(()) => true,
+            Err(error) => {
+                log::warn!("E7231 staging chunk {chunk} failed: {error}");
+                false
+            }
+        }
+    }
+
     /// Reads the staged chunks back and stages those again that differ; false
     /// if that failed.
     async fn verify_staged(&self, known: &KnownVersion, all: &[Bytes]) -> bool {
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -40,6 +40,7 @@
 use super::Loader;
 use super::Milestones;
 use super::POLL_INTERVAL;
+use super::Staged;
 use crate::agent::Agent;
 use crate::agent::Target;
 use crate::agent::chunks;
@@ -150,7 +151,7 @@
         agent,
         chunks,
         scanned: None,
-        staged: None,
+        staged: Staged::default(),
         seen: Milestones::default(),
         completed: Milestones::default(),
         reported: None,
@@ -216,6 +217,11 @@
 /// Makes a version of one chunk known, which an engine that answers `bytes` has
 /// staged.
 fn add_version(loader: &Loader, version: u64, bytes: &str) {
+    add_chunks(loader, version, &[bytes]);
+}
+
+/// Makes a version of these chunks known, which are equally long.
+fn add_chunks(loader: &Loader, version: u64, chunks: &[&str]) {
     let target = Target {
         model: "m".into(),
         version,
@@ -229,8 +235,11 @@
     let list = DigestList {
         model: "m".into(),
         version,
-        chunk_bytes: bytes.len() as u32,
-        digests: vec![Hash::Sha256.digest(bytes.as_bytes()).to_string().into()],
+        chunk_bytes: chunks[0].len() as u32,
+        digests: chunks
+            .iter()
+            .map(|bytes| Hash::Sha256.digest(bytes.as_bytes()).to_string().into())
+            .collect(),
     };
     loader.chunks.add_list(&loader.agent, target, &list);
 }
@@ -375,3 +384,33 @@
     });
     run.await;
 }
+
+/// Guards against an agent that restarts while chunks arrive and has to fetch
+/// all of them again.
+#[tokio::test]
+async fn chunks_are_staged_and_found_before_a_version_is_complete() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let (address, requests) = recorded_engine(OLD_IDLE, Duration::ZERO).await;
+        let mut loader = loader(address).await;
+        let agent = loader.agent.clone();
+        let now = agent.clock.now();
+        agent.slot_pool.apply_report(now, Some(report(OLD_IDLE)), 4);
+        let missing = "-".repeat(OLD_IDLE.len());
+        add_chunks(&loader, 2, &[&missing, OLD_IDLE]);
+        let staged = || {
+            let requests = requests.borrow();
+            let staged = requests.iter().filter(|one| one.starts_with("PUT"));
+            staged.cloned().collect::<Vec<String>>()
+        };
+        while staged().is_empty() {
+            assert!(agent.clock.now() < Duration::from_secs(5));
+            loader.step().await;
+            sleep(POLL_INTERVAL).await;
+        }
+        loader.step().await;
+        assert_eq!(staged().len(), 1);
+        assert!(staged()[0].contains("num=1"), "{:?}", staged());
+    });
+    run.await;
+}
--- a/crates/snipewinch/src/weights/swarm.rs
+++ b/crates/snipewinch/src/weights/swarm.rs
@@ -379,6 +379,12 @@
         self.transfers.get(&Id::of(manifest))?.manifest.as_ref()
     }
 
+    /// Returns a chunk of a manifest, if it is held.
+    pub fn chunk(&self, manifest: &Digest, chunk: u32) -> Option<Bytes> {
+        let digest = self.manifest(manifest)?.chunks.get(chunk as usize)?;
+        self.store.get(digest)
+    }
+
     /// Returns all chunks of a manifest in order, if every one is held.
     pub fn weights(&self, manifest: &Digest) -> Option<Vec<Bytes>> {
         let digests = &self.manifest(manifest)?.chunks;
