--- a/crates/snipewinch/src/cutover.rs
+++ b/crates/snipewinch/src/cutover.rs
@@ -28,7 +28,7 @@
 pub const SEND_MARGIN: Duration = Duration::from_millis(600);
 /// How long a change in the store takes to reach a process while the store and
 /// the links are sound.
-const NEWS_DELAY_MAX: Duration = Duration::from_millis(1_500);
+const NEWS_DELAY_MAX: Duration = Duration::from_secs(2);
 
 /// When a version was published, as a process knows it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
