--- a/crates/node/src/operator/tests.rs
+++ b/crates/node/src/operator/tests.rs
@@ -138,3 +138,18 @@
     assert_eq!(min_version(&state, "m", seconds(15)), 0);
     assert_eq!(min_version(&state, "m", seconds(16)), 2);
 }
+
+/// Guards against a process that has just started and takes a version for no
+/// older than itself.
+#[test]
+fn an_announced_version_may_be_older_than_the_process() {
+    let mut state = OperatorState::default();
+    let announced = grant::Published {
+        version: 2,
+        age_ms: Some(5_000),
+    };
+    assert!(state.record_published(Duration::from_secs(1), "m".into(), announced));
+    let bound = Duration::from_secs(8);
+    let begin_by = cutover::begin_by(&state.publications("m"), 1, bound);
+    assert!(begin_by <= Some(Duration::from_secs(4)), "{begin_by:?}");
+}
--- a/crates/node/tests/cutover.rs
+++ b/crates/node/tests/cutover.rs
@@ -426,3 +426,36 @@
     );
     site.assert_none_late();
 }
+
+#[tokio::test]
+async fn an_answer_without_events_that_began_in_time_on_old_weights_is_cut_at_the_bound() {
+    let long = Behavior {
+        events: 20,
+        event_interval: Duration::from_millis(100),
+        ..Behavior::default()
+    };
+    let mut site = Site::start(&[long], Agents::Running).await;
+    let at = site.publish(2);
+    sleep_until(at + Duration::from_millis(700)).await;
+    let callers = site.entry.callers;
+    let (grant, read) = tokio::join!(ask(callers, "/grant/", 1), ask(callers, "/read/", 2));
+    for answer in [grant, read] {
+        assert!(answer.sent + answer.took > at + BOUND, "{answer:?}");
+        assert!(answer.is_complete(20), "{answer:?}");
+    }
+    site.assert_none_late();
+}
+
+#[tokio::test]
+async fn a_request_that_was_sent_before_a_version_was_known_begins_after_its_bound() {
+    let slow = Behavior {
+        wait: BOUND + Duration::from_millis(500),
+        ..Behavior::default()
+    };
+    let mut site = Site::start(&[slow], Agents::Running).await;
+    let traffic = site.send_each();
+    sleep(Duration::from_millis(200)).await;
+    site.publish(2);
+    traffic.join_all().await;
+    site.assert_none_late();
+}
--- a/crates/snipewinch/tests/grant.rs
+++ b/crates/snipewinch/tests/grant.rs
@@ -367,3 +367,27 @@
     assert_eq!(published(5).and_then(|one| one.age_ms), Some(2_000));
     assert_eq!(published(64), None);
 }
+
+/// Guards against an agent that is woken up over and over while its engine holds
+/// weights that are too old for the request that waits.
+#[test]
+fn an_agent_is_not_woken_up_at_once_while_it_can_grant_nothing() {
+    let mut issuer = issuer();
+    let spec = Spec {
+        slots: SLOTS,
+        stride: 1,
+        step: STEP,
+        step_per_call: Duration::ZERO,
+        read_per_s: 20_000.0,
+    };
+    issuer.set_engine(spec, 900.0, Duration::from_millis(400));
+    let begin_by = Duration::from_secs(8);
+    issuer.set_cutover(Some((2, Duration::ZERO)), Some(begin_by));
+    let now = begin_by - Duration::from_millis(150);
+    let mut entry = Entry::new(1);
+    entry.waiting = 1;
+    issuer.receive(now, &entry.demand(now).expect("it waits"));
+    assert!(issuer.grant(now).is_empty());
+    let wakeup = issuer.next_wakeup(now);
+    assert!(wakeup.is_none_or(|at| at > now), "{wakeup:?} at {now:?}");
+}
