--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -48,6 +48,7 @@
 use crate::agent::slot_pool;
 use crate::agent::slot_pool::SlotPool;
 use crate::clock::Clock;
+use crate::metrics::AgentMetrics;
 use crate::shutdown::Phase;
 
 const IDLE: &str = r#"{"models":[{"name":"m","version":2}],"active":0,"queued":0}"#;
@@ -142,6 +143,8 @@
         bounds: Cell::new(settings.bounds),
         announced_version: Cell::new(0),
         urgency: Urgency::default(),
+        timeline: RefCell::default(),
+        metrics: AgentMetrics::new(),
         settings,
     });
     let key = FleetKey::new("a key of tests, of no fleet at all");
@@ -334,6 +337,36 @@
     run.await;
 }
 
+#[tokio::test]
+async fn each_phase_of_a_load_is_counted_once() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let mut loader = loader(engine(IDLE, Duration::ZERO).await).await;
+        let agent = loader.agent.clone();
+        let before = report(OLD_IDLE);
+        agent.observe_engine(&before);
+        let now = agent.clock.now();
+        agent.slot_pool.apply_report(now, Some(before), 4);
+        agent.timeline.borrow_mut().learn(now, 2, Some(now));
+        add_version(&loader, 2, IDLE);
+        let started = Instant::now();
+        while !agent.metrics.text().contains("{phase=\"load\"}") {
+            assert!(started.elapsed() < Duration::from_secs(10));
+            loader.step().await;
+            sleep(POLL_INTERVAL).await;
+        }
+        loader.step().await;
+        let text = agent.metrics.text();
+        for phase in [
+            "news", "manifest", "chunks", "turn", "staging", "drain", "order", "load",
+        ] {
+            let count = format!("snipewinch_rollout_phase_seconds_count{{phase=\"{phase}\"}} 1\n");
+            assert!(text.contains(&count), "{count}{text}");
+        }
+    });
+    run.await;
+}
+
 /// A view of so many hosts that this one has to wait for its turn.
 fn crowd() -> View {
     let member = |index: u8| Member {
