Take a version for old that is older than the process

A process that heard of the age of a version took the version for no older than itself, as its clock starts at zero. Requests could begin on old weights later by the difference. Such a version now counts as one of unknown age. Found by review; its test failed before.

--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -148,9 +148,12 @@
         announced: grant::Published,
     ) -> bool {
         let age = announced.age_ms.map(|ms| Duration::from_millis(ms.into()));
-        let published = age.map(|age| cutover::Interval {
-            earliest: now.saturating_sub(age + ANNOUNCEMENT_DELAY_MAX),
-            latest: now.saturating_sub(age),
+        // The time before the start of the process cannot be expressed, and such
+        // a version counts as one of unknown age.
+        let latest = age.and_then(|age| now.checked_sub(age));
+        let published = latest.map(|latest| cutover::Interval {
+            earliest: latest.saturating_sub(ANNOUNCEMENT_DELAY_MAX),
+            latest,
         });
         let publications = self.weights.entry(model).or_default();
         let known = publications
