Grant slots by the weights of the last report

An agent decided until when its engine's weights may be used by the report before the last one, so it granted nothing for a poll after a load. Found by review.

--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -445,6 +445,7 @@
             self.agent
                 .slot_pool
                 .apply_report(self.agent.clock.now(), Some(report), slots);
+            self.agent.update_cutover();
             if done {
                 return;
             }
--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -209,7 +209,6 @@
                 None
             }
         };
-        agent.update_cutover();
         let spec = agent.engine_spec();
         let slots = spec.as_ref().map_or(0, |spec| spec.slots);
         if let Some(spec) = &spec {
@@ -225,6 +224,7 @@
         agent
             .slot_pool
             .apply_report(agent.clock.now(), report, slots);
+        agent.update_cutover();
         let after = agent.slot_pool.report();
         agent.update_urgency(after.as_ref().map_or(0, loaded_version));
         if before.map(|one| (one.started_ms, one.accepted_orders, one.busy))
