Withdraw by what is known now, and only what has not begun

A request that was sent before a version was known began on the older one 0.3 s after the bound, as its withdrawal was decided when it was sent. An answer without events that had begun in time was cut at the bound.

Until when an open attempt may begin is now asked while it waits, again when a version is published or its age becomes known; an answer without events has begun with its head. No request goes to old weights without their agent, and a request that is not sent for its weights takes nothing from the retry budget.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use super::Entry;
+use super::dispatcher::Dispatcher;
 use super::dispatcher::Slot;
 use super::events;
 use super::events::EventBuffer;
@@ -68,9 +69,6 @@
     pub(crate) silence_check: Duration,
     /// Whether it was silent at the last check.
     pub(crate) is_silent: bool,
-    /// When it is ended if it has not begun, as it would begin on weights that
-    /// are too old.
-    pub(crate) withdraw_at: Option<Duration>,
     /// When its first event arrived.
     pub(crate) first_event: Option<Duration>,
     /// Whether it has gone on well after its first event.
@@ -105,7 +103,6 @@
             last_progress: now,
             silence_check: now,
             is_silent: false,
-            withdraw_at: None,
             first_event: None,
             has_come_through: false,
             is_notice_due: true,
@@ -119,9 +116,21 @@
         }
     }
 
-    /// When it is to be withdrawn; none once it has begun.
-    pub(crate) fn withdrawal(&self) -> Option<Duration> {
-        self.withdraw_at.filter(|_| self.first_event.is_none())
+    /// Whether the backend server is known to have begun it.
+    pub(crate) fn has_begun(&self) -> bool {
+        match self.expects_stream {
+            true => self.first_event.is_some(),
+            false => self.answer.is_some(),
+        }
+    }
+
+    /// When it is to be withdrawn, as it would begin on weights that are too old;
+    /// none once it has begun.
+    pub(crate) fn withdrawal(&self, dispatcher: &Dispatcher) -> Option<Duration> {
+        match self.has_begun() {
+            true => None,
+            false => dispatcher.withdrawal(&self.slot),
+        }
     }
 
     /// The head of the answer, once it has arrived.
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -126,7 +126,7 @@
     Output(usize, Result<Output, pool::Error>),
     /// It is time to check whether open attempts are silent.
     SilenceCheck,
-    /// Open attempts have not begun while their weights could be used.
+    /// Open attempts may not have begun while their weights could be used.
     Withdrawal,
 }
 
@@ -268,7 +268,8 @@
                     .record_notice(attempt.slot.key, sent, notice);
             }
         }
-        let is_unreached = matches!(&wakeup, Wakeup::Started(Err(StartError::Unreached(_))));
+        let is_start = matches!(&wakeup, Wakeup::Started(_));
+        let sends = progress.attempts.sends();
         let step = match wakeup {
             Wakeup::Started(started) => {
                 start = None;
@@ -342,7 +343,10 @@
                 }
             }
             // What has reached no backend server is no retry.
-            Step::Retry if is_unreached || entry.try_retry(&call.service) => {
+            Step::Retry
+                if is_start && progress.attempts.sends() == sends
+                    || entry.try_retry(&call.service) =>
+            {
                 queued = entry.clock.now();
                 start = Some(start_attempt(entry, call, progress));
             }
@@ -374,11 +378,22 @@
             None => pending().await,
         }
     };
-    let withdrawal = progress.open.iter().filter_map(Attempt::withdrawal).min();
+    let dispatcher = &entry.dispatcher;
+    let withdrawals = progress.open.iter();
+    let withdrawal = withdrawals
+        .filter_map(|one| one.withdrawal(dispatcher))
+        .min();
+    let has_unbegun = progress.open.iter().any(|one| !one.has_begun());
     let withdrawal = async {
-        match withdrawal {
-            Some(at) => sleep_until(entry.clock.at(at)).await,
-            None => pending().await,
+        let due = async {
+            match withdrawal {
+                Some(at) => sleep_until(entry.clock.at(at)).await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            () = due => {}
+            () = dispatcher.versions_changed(), if has_unbegun => {}
         }
     };
     let started = async {
@@ -570,7 +585,6 @@
     let position = progress.last_event_id.clone();
     let mut attempt = Attempt::new(key, slot, entry.clock, exchange, is_stream, position);
     attempt.silence_check = now.saturating_add(silence_limit(&call.route));
-    attempt.withdraw_at = withdraw_at;
     progress.open.push(attempt);
     Step::Wait
 }
@@ -618,7 +632,11 @@
 /// servers could be used.
 fn withdraw(entry: &Entry, call: &Call, progress: &mut Progress) -> Step {
     let now = entry.clock.now();
-    let is_due = |attempt: &mut Attempt| attempt.withdrawal().is_some_and(|at| at <= now);
+    let dispatcher = &entry.dispatcher;
+    let is_due = |attempt: &mut Attempt| {
+        let withdrawal = attempt.withdrawal(dispatcher);
+        withdrawal.is_some_and(|at| at <= now)
+    };
     let mut step = Step::Wait;
     for attempt in progress.open.extract_if(.., is_due) {
         let next = progress.attempts.handle(Event::Withdrawn(attempt.key));
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -153,6 +153,8 @@
     state: Rc<RefCell<State>>,
     /// Notified when a request begins to wait.
     queued: Rc<Notify>,
+    /// Notified when more is known of published versions.
+    published: Rc<Notify>,
 }
 
 /// The weights of a backend server as a request is sent to it.
@@ -219,6 +221,7 @@
             clock,
             state: Rc::new(RefCell::new(state)),
             queued: Rc::default(),
+            published: Rc::default(),
         }
     }
 
@@ -350,6 +353,24 @@
         }
     }
 
+    /// When a request that has not begun is to be withdrawn, by the weights of its
+    /// backend server; none if they are the newest.
+    pub(crate) fn withdrawal(&self, slot: &Slot) -> Option<Duration> {
+        let weights = slot.weights?;
+        let state = self.state.borrow();
+        let versions = &state.services.get(&slot.service)?.versions;
+        let backend = state.backends.get(slot.key);
+        let held = backend.map_or(weights.held, |one| one.version().max(weights.held));
+        let begin_by = cutover::begin_by(&versions.publications, held, versions.bound)?;
+        let transfer = backend.map(Backend::transfer).unwrap_or_default();
+        Some(cutover::withdraw_at(begin_by, transfer))
+    }
+
+    /// Waits until a version is published, or it becomes known when.
+    pub(crate) async fn versions_changed(&self) {
+        self.published.notified().await;
+    }
+
     /// Records how long a connection to a backend server took to open.
     pub(crate) fn record_connected(&self, key: Key, took: Duration) {
         if let Some(backend) = self.state.borrow_mut().backends.get_mut(key) {
@@ -394,6 +415,9 @@
         let service_state = state.services.entry(service.clone()).or_default();
         service_state.min_version =
             grant::min_version(local, versions.of_unknown_age, credits.iter());
+        if service_state.versions.publications != versions.publications {
+            self.published.notify_waiters();
+        }
         service_state.versions = versions;
     }
 
@@ -551,11 +575,11 @@
 }
 
 /// Whether a request may go to an engine without a slot granted by its agent.
-/// What is sent to a host that does not answer may arrive much later, so no
-/// request goes there whose engine soon holds weights that are too old.
+/// What is sent to a host that does not answer may be read much later, so none
+/// goes to one with older weights than the newest.
 fn may_bypass_agent(backend: &mut Backend, now: Duration, begin_by: Option<Duration>) -> bool {
     !backend.agent_answers(now)
-        && !cutover::needs_answer(now, begin_by)
+        && begin_by.is_none()
         && !backend.is_closed(now)
         && backend.running < BYPASS_REQUESTS_MAX
         && backend.health.admits(now)
--- a/crates/node/src/entry/pool.rs
+++ b/crates/node/src/entry/pool.rs
@@ -98,9 +98,9 @@
     is_pending: bool,
 }
 
-/// Resets a connection with an exchange that is not complete. Bytes that are
-/// held up on the way then never arrive, where after a close they would arrive
-/// first and be executed.
+/// Resets a connection with an exchange that is not complete. Bytes that a cut
+/// link holds up then never arrive, where after a close they would arrive first
+/// and be executed. A host that has received them still reads them.
 impl Drop for Connection {
     fn drop(&mut self) {
         if self.is_pending {
--- a/crates/snipewinch/src/cutover.rs
+++ b/crates/snipewinch/src/cutover.rs
@@ -20,15 +20,12 @@
 /// The time before the bound in which requests go to a backend server with an
 /// older version only if no other one has a free slot.
 const LAST_CHOICE_TIME: Duration = Duration::from_secs(1);
-/// The time before the bound in which nothing is sent to a host that does not
-/// answer: what it takes when it is back may begin too late.
-const ANSWER_TIME: Duration = Duration::from_secs(4);
 /// How long before the bound requests are usually sent last to a backend server
 /// with an older version.
 pub const SEND_MARGIN: Duration = Duration::from_millis(600);
-/// How long a change in the store takes to reach a process while the store and
-/// the links are sound.
-const NEWS_DELAY_MAX: Duration = Duration::from_secs(2);
+/// How long a change in the store takes to reach a process that waits for it,
+/// also if its poll is lost.
+const NEWS_DELAY_MAX: Duration = Duration::from_secs(4);
 
 /// When a version was published, as a process knows it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -97,12 +94,18 @@
     }
 }
 
+/// When a request is withdrawn that has to begin by `begin_by` at a backend server
+/// `transfer` away.
+pub fn withdraw_at(begin_by: Duration, transfer: Duration) -> Duration {
+    begin_by.saturating_sub(transfer + WITHDRAW_MARGIN)
+}
+
 /// Whether a request may be sent now that has to begin by `begin_by`.
 pub fn admit(now: Duration, begin_by: Option<Duration>, delay: Delay) -> Verdict {
     let Some(begin_by) = begin_by else {
         return Verdict::Current;
     };
-    let withdraw_at = begin_by.saturating_sub(delay.transfer + WITHDRAW_MARGIN);
+    let withdraw_at = withdraw_at(begin_by, delay.transfer);
     match now + delay.transfer + delay.queue.mul_f64(QUEUE_FACTOR) < withdraw_at {
         true => Verdict::Until(withdraw_at),
         false => Verdict::Outdated,
@@ -115,12 +118,6 @@
     begin_by.is_some_and(|begin_by| now + LAST_CHOICE_TIME >= begin_by)
 }
 
-/// Whether a backend server on which requests have to begin by `begin_by` gets
-/// none unless its host answers.
-pub fn needs_answer(now: Duration, begin_by: Option<Duration>) -> bool {
-    begin_by.is_some_and(|begin_by| now + ANSWER_TIME >= begin_by)
-}
-
 /// The oldest version to which a request may still be sent; 0 if any.
 pub fn min_version(now: Duration, publications: &[Publication], bound: Duration) -> u64 {
     let outdated = publications
--- a/crates/snipewinch/tests/cutover_fleet/mod.rs
+++ b/crates/snipewinch/tests/cutover_fleet/mod.rs
@@ -577,8 +577,7 @@
             };
             let begin_by = begin_by[hint.version as usize - 1];
             let verdict = self.admit(begin_by, delay);
-            let may_bypass =
-                self.remedy != Remedy::Predicted || !cutover::needs_answer(self.now, begin_by);
+            let may_bypass = self.remedy != Remedy::Predicted || begin_by.is_none();
             let is_silent = self.is_bypassed(engine);
             if verdict == Verdict::Outdated || is_silent && !may_bypass {
                 continue;
