--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -1,8 +1,9 @@
 //! Loads the newest version of the weights into the engine.
 //!
-//! Chunks are staged as they arrive, so that an agent that restarts finds them. Staged chunks may become corrupt at any time, and
-//! an order loads what is staged when the engine accepts it. All chunks are
-//! therefore staged again just before the order; if the order is delayed, they are read back and those that
+//! Chunks are staged as they arrive, so that an agent that restarts finds them.
+//! Staged chunks may become corrupt at any time, and an order loads what is
+//! staged when the engine accepts it. All chunks are therefore staged again just
+//! before the order; if the order is delayed, they are read back and those that
 //! are corrupt are staged again.
 
 use std::cell::RefCell;
