--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -181,10 +181,8 @@
 
     /// Applies rows that operators have written after a moment.
     fn apply_rows(&self, after: Duration, rows: Change) {
-        let made = cutover::Interval {
-            earliest: after,
-            latest: self.clock.now(),
-        };
+        // Entries that wait for changes announce a version within that delay.
+        let made = cutover::Interval::of_news(after, self.clock.now());
         let is_new = self.operator_state.borrow_mut().apply(made, rows);
         let table = self.operator_state.borrow().table.clone();
         let config = table.and_then(|table| EngineConfig::for_service(&table, &self.service));
--- a/crates/snipewinch/src/cutover.rs
+++ b/crates/snipewinch/src/cutover.rs
@@ -38,7 +38,8 @@
 
 impl Interval {
     /// The interval of a change that was made after a moment and learned of at
-    /// another, by a process that waits for changes all the time.
+    /// another, by a process that waits for changes all the time or hears from
+    /// such processes.
     pub fn of_news(after: Duration, learned_at: Duration) -> Interval {
         Interval {
             earliest: after.max(learned_at.saturating_sub(NEWS_DELAY_MAX)),
