Express moments before the start of the process

Cause: the clock of a process began at zero, so an entry that restarted could not express when a version had been published before. It took the version for one of unknown age, which counts as old, and refused requests that old weights could still serve, although agents told it the age.

Ruled out: agents that do not tell; their credits carry the age for a minute.

Change: the clock begins 10 min before the start.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -451,7 +451,7 @@
     loop {
         let config_wait = CONFIG_WAIT.mul_f64(rand::rng().random_range(READ_JITTER));
         let read_config =
-            agent.engine_config.borrow().is_none() && agent.clock.now() >= config_wait;
+            agent.engine_config.borrow().is_none() && agent.clock.uptime() >= config_wait;
         let from = match read_config {
             true => platform::operator::CONFIGURATION,
             false => platform::operator::VERSION_PREFIX,
--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -289,7 +289,7 @@
         Progress {
             published: self.agent.published_at(version).map(age),
             complete: self.completed.since(version, clock).age(clock),
-            uptime: clock.now(),
+            uptime: clock.uptime(),
         }
     }
 
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -4,32 +4,45 @@
 
 use tokio::time::Instant;
 
-/// A monotonic clock that counts from the start of the process.
+/// What the clock shows when the process starts, so that moments before it can be
+/// expressed: when a version was published, as another process has said.
+const START: Duration = Duration::from_secs(600);
+
+/// A monotonic clock.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock {
+    origin: Instant,
     started: Instant,
 }
 
 impl Clock {
-    /// Starts the clock at zero.
+    /// Starts the clock.
     pub(crate) fn start() -> Clock {
+        let started = Instant::now();
         Clock {
-            started: Instant::now(),
+            origin: started.checked_sub(START).unwrap_or(started),
+            started,
         }
     }
 
-    /// The time since the start of the process.
+    /// The time since the origin of the clock, which is some time before the start
+    /// of the process.
     pub(crate) fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// The time since the start of the process.
+    pub(crate) fn uptime(&self) -> Duration {
         self.started.elapsed()
     }
 
-    /// What [`Clock::now`] returns at an instant; zero before the start.
+    /// What [`Clock::now`] returns at an instant; zero before the origin.
     pub(crate) fn time_of(&self, instant: Instant) -> Duration {
-        instant.saturating_duration_since(self.started)
+        instant.saturating_duration_since(self.origin)
     }
 
     /// The instant at which [`Clock::now`] returns `time`.
     pub(crate) fn at(&self, time: Duration) -> Instant {
-        self.started + time
+        self.origin + time
     }
 }
--- a/crates/node/tests/cutover.rs
+++ b/crates/node/tests/cutover.rs
@@ -374,6 +374,30 @@
     assert!(answer.text.contains("data: 3"), "{answer:?}");
 }
 
+/// Guards against an entry that refuses what old weights may still serve: a version
+/// that was published before its process started was of unknown age to it, although
+/// agents told how old it is.
+#[tokio::test]
+async fn an_entry_that_restarts_cannot_express_the_age_of_a_version() {
+    let mut site = Site::start(&[Behavior::default(); 2], Agents::Running).await;
+    let at = site.publish(2);
+    // The entry tells the agents.
+    let before = site.send_until(at + Duration::from_millis(300));
+    before.join_all().await;
+    site.entry.restart().await;
+    let until = at + BOUND - Duration::from_millis(1_000);
+    let answers = site.send_until(until).join_all().await.concat();
+    assert!(answers.len() >= 5, "the restart took too long");
+    let refused: Vec<&Answer> = answers.iter().filter(|one| !one.is_complete(3)).collect();
+    assert!(
+        refused.is_empty(),
+        "{} of {}: {refused:?}",
+        refused.len(),
+        answers.len()
+    );
+    site.assert_none_late();
+}
+
 #[tokio::test]
 async fn requests_begin_on_old_weights_after_the_bound_beside_an_entry_that_restarts() {
     let slow = Behavior {
