Take a version for as old as the last read that did not show it

Cause: agents read versions each 7 to 13 s and took one for 4 s old at most, so an entry that had its age from there could use old weights some seconds too long.

Ruled out: a slower spread of news; entries that follow the store know it to 0.2 s.

Change: cutover::Estimate is the interval in which a version was published. What is read and heard narrows it, a process adds its own last read that did not show the version, an announcement says how vague it is, and it is passed on three times at most, as delays of messages add up. The limit of 4 s is gone, for entries too.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -113,9 +113,6 @@
     changed: Notify,
     phase: watch::Sender<Phase>,
     bounds: Cell<Bounds>,
-    /// The newest version of the weights that any entry has announced with its
-    /// age.
-    announced_version: Cell<u64>,
     /// Set while changes of the list of agents are needed without delay.
     urgency: Urgency,
     /// How far the engine is with new versions of the weights.
@@ -179,11 +176,15 @@
         cutover::min_version(self.clock.now(), &publications, bound)
     }
 
-    /// Applies rows that operators have written after a moment.
-    fn apply_rows(&self, after: Duration, rows: Change) {
-        // Entries that wait for changes announce a version within that delay.
-        let made = cutover::Interval::of_news(after, self.clock.now());
+    /// Applies the operators' rows by a read that was sent at a moment, and by which
+    /// those are known that have been written since `after`.
+    fn apply_rows(&self, after: Duration, sent: Duration, rows: Change) {
+        let made = cutover::Interval {
+            earliest: after,
+            latest: self.clock.now(),
+        };
         let is_new = self.operator_state.borrow_mut().apply(made, rows);
+        self.operator_state.borrow_mut().confirm(sent);
         let table = self.operator_state.borrow().table.clone();
         let config = table.and_then(|table| EngineConfig::for_service(&table, &self.service));
         if let Some(config) = config.filter(|_| is_new) {
@@ -196,25 +197,21 @@
     /// Records the newest published version of the weights as an entry
     /// announced it.
     fn record_published(&self, published: grant::Published) {
-        if published.version <= self.announced_version.get() {
-            return;
-        }
         let Some(model) = self.engine_spec().and_then(|spec| spec.model) else {
             return;
         };
-        if published.age_ms.is_some() {
-            self.announced_version.set(published.version);
-        }
         let now = self.clock.now();
-        if self
-            .operator_state
-            .borrow_mut()
-            .record_published(now, model, published)
-        {
+        let mut state = self.operator_state.borrow_mut();
+        let known = state.newest(&model).map_or(0, |newest| newest.version);
+        if !state.record_published(now, model, published) {
+            return;
+        }
+        drop(state);
+        if published.version > known {
             self.urgency.set(true);
-            self.learn_target();
-            self.changed.notify_waiters();
         }
+        self.learn_target();
+        self.changed.notify_waiters();
     }
 
     /// Passes on to the grants of slots until when the weights of the engine may
@@ -227,12 +224,12 @@
             .set_cutover(self.newest_published(), self.begin_by(held));
     }
 
-    /// The newest published version of the weights and the earliest time at which
-    /// it may have been published; none if that is unknown.
-    fn newest_published(&self) -> Option<(u64, Duration)> {
+    /// The newest published version of the weights and when it was published;
+    /// none if that is unknown.
+    fn newest_published(&self) -> Option<(u64, cutover::Estimate)> {
         let model = self.engine_spec()?.model?;
         let newest = self.operator_state.borrow().newest(&model)?;
-        Some((newest.version, newest.published?.earliest))
+        Some((newest.version, newest.published?))
     }
 
     /// The earliest time at which a version of the weights may have been
@@ -365,7 +362,6 @@
         changed: Notify::new(),
         phase: watch::Sender::new(Phase::Running),
         bounds: Cell::new(settings.bounds),
-        announced_version: Cell::new(0),
         urgency: Urgency::default(),
         timeline: RefCell::default(),
         metrics: AgentMetrics::new(),
@@ -462,7 +458,7 @@
         let delay = match read.await {
             Ok(rows) => {
                 failures = 0;
-                agent.apply_rows(read_at, Change::Rows(rows.rows));
+                agent.apply_rows(read_at, sent, Change::Rows(rows.rows));
                 read_at = sent;
                 VERSION_READ_INTERVAL
             }
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -16,6 +16,8 @@
 use platform::follow::Change;
 use platform::follow::Urgency;
 use platform::http::Transport;
+use platform::rows::Row;
+use snipewinch::cutover;
 use snipewinch::digest::Hash;
 use snipewinch::engine_config::EngineConfig;
 use snipewinch::grant;
@@ -141,7 +143,6 @@
         changed: Notify::new(),
         phase: watch::Sender::new(Phase::Running),
         bounds: Cell::new(settings.bounds),
-        announced_version: Cell::new(0),
         urgency: Urgency::default(),
         timeline: RefCell::default(),
         metrics: AgentMetrics::new(),
@@ -292,6 +293,65 @@
     }
 }
 
+/// An age that another process has observed, to the millisecond.
+fn age(ms: u64) -> cutover::Age {
+    cutover::Age {
+        most: Duration::from_millis(ms),
+        uncertainty: Duration::ZERO,
+        relays: 0,
+    }
+}
+
+fn version_row(version: u64) -> Row {
+    let value = format!(r#"{{"model":"m","version":{version}}}"#);
+    Row {
+        key: "version/m".into(),
+        value: Some(value.into_bytes()),
+        version,
+    }
+}
+
+/// Guards against requests that begin on old weights after the bound: an agent
+/// reads the versions each 7 to 13 s and took one for 4 s old at most.
+#[tokio::test]
+async fn a_version_may_be_as_old_as_the_agents_last_read_that_did_not_show_it() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let agent = loader(engine(IDLE, Duration::ZERO).await).await.agent;
+        agent.apply_engine_config(engine_config());
+        let now = agent.clock.now();
+        let last = now - Duration::from_secs(13);
+        agent.apply_rows(Duration::ZERO, last, Change::Rows(Vec::new()));
+        agent.apply_rows(last, now, Change::Rows(vec![version_row(2)]));
+        assert_eq!(agent.published_at(2), Some(last));
+        agent.record_published(grant::Published::new(2, Some(age(1_000))));
+        let published = agent.published_at(2).expect("it is known");
+        let oldest = agent.clock.now() - published;
+        assert!(oldest < Duration::from_millis(1_500), "{oldest:?}");
+    });
+    run.await;
+}
+
+/// Guards against ages of 10 s and more that are passed on although many agents
+/// have read the store since and know better.
+#[tokio::test]
+async fn an_announced_version_is_no_older_than_the_last_read_that_did_not_show_it() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let agent = loader(engine(IDLE, Duration::ZERO).await).await.agent;
+        agent.apply_engine_config(engine_config());
+        let last = agent.clock.now() - Duration::from_secs(2);
+        agent.apply_rows(Duration::ZERO, last, Change::Rows(Vec::new()));
+        let vague = cutover::Age {
+            uncertainty: Duration::from_secs(11),
+            ..age(12_000)
+        };
+        agent.record_published(grant::Published::new(2, Some(vague)));
+        assert_eq!(agent.published_at(2), Some(last));
+    });
+    run.await;
+}
+
 /// Guards against a restarted agent that loads version 1 into an empty engine
 /// while the store is slow, though a newer version is published.
 #[tokio::test]
@@ -304,15 +364,12 @@
         let agent = loader(address).await.agent;
         agent.apply_engine_config(engine_config());
         assert_eq!(version(&agent), None, "nothing is read");
-        agent.apply_rows(Duration::ZERO, Change::Rows(Vec::new()));
+        agent.apply_rows(Duration::ZERO, Duration::ZERO, Change::Rows(Vec::new()));
         assert_eq!(version(&agent), Some(1), "no version is published");
 
         let agent = loader(address).await.agent;
         agent.apply_engine_config(engine_config());
-        agent.record_published(grant::Published {
-            version: 3,
-            age_ms: None,
-        });
+        agent.record_published(grant::Published::new(3, None));
         assert_eq!(version(&agent), Some(3), "an entry announced a version");
     });
     run.await;
@@ -326,11 +383,11 @@
     let run = local.run_until(async {
         let agent = loader(engine(IDLE, Duration::ZERO).await).await.agent;
         agent.apply_engine_config(engine_config());
-        let announce = |age_ms| agent.record_published(grant::Published { version: 3, age_ms });
+        let announce = |age| agent.record_published(grant::Published::new(3, age));
         announce(None);
         let target = agent.target();
         assert_eq!(agent.published_at(3), None);
-        announce(Some(0));
+        announce(Some(age(0)));
         assert!(agent.published_at(3).is_some());
         assert_eq!(agent.target(), target);
     });
--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -9,6 +9,7 @@
 use peer::FleetKey;
 use peer::datagram::Socket;
 use platform::engine::Report;
+use snipewinch::cutover;
 use snipewinch::grant::HolderId;
 use snipewinch::grant::Issuer;
 use snipewinch::grant::Message;
@@ -95,7 +96,7 @@
     /// version.
     pub(super) fn set_cutover(
         &self,
-        published: Option<(u64, Duration)>,
+        published: Option<(u64, cutover::Estimate)>,
         begin_by: Option<Duration>,
     ) {
         let mut state = self.state.borrow_mut();
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -506,10 +506,10 @@
     let (mut changes, _task) =
         follow::spawn_with(store, platform::operator::TABLE, policy, control);
     while let Some(update) = changes.recv().await {
-        let made = cutover::Interval::of_news(
-            entry.clock.time_of(update.after),
-            entry.clock.time_of(update.before),
-        );
+        let made = cutover::Interval {
+            earliest: entry.clock.time_of(update.after),
+            latest: entry.clock.time_of(update.before),
+        };
         if entry.operator.borrow_mut().apply(made, update.change) {
             entry.update_engine_configs();
         }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -14,12 +14,6 @@
 use snipewinch::grant;
 use snipewinch::route::Table;
 
-/// How long the message of another process with the age of a version takes at
-/// most while the links are sound.
-const ANNOUNCEMENT_DELAY_MAX: Duration = Duration::from_millis(200);
-/// The uncertainty of the time of a publication from which on another process
-/// is believed that has followed the store more closely.
-const VAGUE_MIN: Duration = Duration::from_millis(500);
 /// The most published versions of one model that are kept.
 const VERSIONS_PER_MODEL_MAX: usize = 16;
 /// The version of weights to load if none is published.
@@ -34,7 +28,9 @@
     pub(crate) learned_at: Duration,
     /// When it was published; none if that was before this process first read
     /// the store, or before the one that announced it did.
-    pub(crate) published: Option<cutover::Interval>,
+    pub(crate) published: Option<cutover::Estimate>,
+    /// Whether this process has read it from the store.
+    is_read: bool,
 }
 
 /// The configuration in force and the published versions of weights.
@@ -46,24 +42,34 @@
     pub(crate) weights: HashMap<SmolStr, Vec<Publication>>,
     /// Whether the store has been read.
     loaded: bool,
+    /// When the read was sent that was the last to be applied, if that is known.
+    confirmed: Option<Duration>,
 }
 
 impl Publication {
     fn to_cutover(self) -> cutover::Publication {
         cutover::Publication {
             version: self.version,
-            published: self.published,
+            published: self.published.map(cutover::Estimate::interval),
         }
     }
 
     /// The form in which entries and agents announce it to each other.
     pub(crate) fn announcement(&self, now: Duration) -> grant::Published {
-        let age = |published: cutover::Interval| now.saturating_sub(published.earliest);
-        grant::Published {
-            version: self.version,
-            age_ms: self
-                .published
-                .map(|published| age(published).as_millis().min(u128::from(u32::MAX)) as u32),
+        let age = self.published.map(|published| published.age(now));
+        grant::Published::new(self.version, age)
+    }
+
+    /// Adds what another process, or this one's first read of the version, says
+    /// of when it was published; true if that is new.
+    fn learn(&mut self, published: Option<cutover::Estimate>) -> bool {
+        match (&mut self.published, published) {
+            (_, None) => false,
+            (Some(known), Some(published)) => known.narrow(published),
+            (known @ None, Some(published)) => {
+                *known = Some(published);
+                true
+            }
         }
     }
 }
@@ -85,6 +91,11 @@
         }
     }
 
+    /// Records that all rows that were written before a moment are applied.
+    pub(crate) fn confirm(&mut self, sent: Duration) {
+        self.confirmed = Some(sent);
+    }
+
     /// The version of the configuration in force; 0 before the first.
     pub(crate) fn configuration_version(&self) -> u64 {
         let table = self.table.as_ref();
@@ -116,27 +127,42 @@
 
     fn record(&mut self, made: cutover::Interval, model: SmolStr, version: u64) {
         let publications = self.weights.entry(model).or_default();
-        let known = publications.last().map_or(0, |one| one.version);
-        if version > known {
-            let published = self.loaded.then_some(made);
-            match published {
-                Some(made) => log::info!(
-                    "E7022 version {version} of the weights is published, {} ms ago at most",
-                    made.latest.saturating_sub(made.earliest).as_millis()
-                ),
-                None => log::info!(
-                    "E7022 version {version} of the weights was published before this process began to follow the store"
-                ),
+        // A version that was there at the first read may be of any age.
+        let published = self.loaded.then(|| cutover::Estimate::observed(made));
+        let known = publications.iter_mut().find(|one| one.version == version);
+        match known {
+            Some(known) if !known.is_read => {
+                known.is_read = true;
+                known.learn(published);
+                return;
             }
-            push(
-                publications,
-                Publication {
-                    version,
-                    learned_at: made.latest,
-                    published,
-                },
-            );
+            Some(_) => return,
+            None => {}
+        }
+        if publications
+            .last()
+            .is_some_and(|last| last.version > version)
+        {
+            return;
         }
+        match published {
+            Some(_) => log::info!(
+                "E7022 version {version} of the weights is published, {} ms ago at most",
+                made.latest.saturating_sub(made.earliest).as_millis()
+            ),
+            None => log::info!(
+                "E7022 version {version} of the weights was published before this process began to follow the store"
+            ),
+        }
+        push(
+            publications,
+            Publication {
+                version,
+                learned_at: made.latest,
+                published,
+                is_read: true,
+            },
+        );
     }
 
     /// Records the newest published version of a model as another process
@@ -147,27 +173,13 @@
         model: SmolStr,
         announced: grant::Published,
     ) -> bool {
-        let age = announced.age_ms.map(|ms| Duration::from_millis(ms.into()));
-        // The time before the start of the process cannot be expressed, and such
-        // a version counts as one of unknown age.
-        let latest = age.and_then(|age| now.checked_sub(age));
-        let published = latest.map(|latest| cutover::Interval {
-            earliest: latest.saturating_sub(ANNOUNCEMENT_DELAY_MAX),
-            latest,
-        });
+        let age = announced.age();
         let publications = self.weights.entry(model).or_default();
         let known = publications
             .iter_mut()
             .find(|one| one.version == announced.version);
         if let Some(known) = known {
-            let is_vague = known
-                .published
-                .is_none_or(|known| known.latest.saturating_sub(known.earliest) > VAGUE_MIN);
-            if is_vague && published.is_some() {
-                known.published = published;
-                return true;
-            }
-            return false;
+            return known.learn(age.and_then(|age| cutover::Estimate::heard(now, age)));
         }
         if publications
             .last()
@@ -179,12 +191,16 @@
             "E7022 version {} of the weights is published",
             announced.version
         );
+        let published = cutover::Estimate::first_heard(now, age, self.confirmed);
         push(
             publications,
             Publication {
                 version: announced.version,
-                learned_at: published.map_or(now, |published| published.latest),
+                learned_at: age.map_or(now, |age| {
+                    now.saturating_sub(age.most.saturating_sub(age.uncertainty))
+                }),
                 published,
+                is_read: false,
             },
         );
         true
@@ -202,6 +218,7 @@
             version: FIRST_VERSION,
             learned_at: Duration::ZERO,
             published: None,
+            is_read: true,
         });
         self.newest(model).or(first)
     }
--- a/crates/node/src/operator/tests.rs
+++ b/crates/node/src/operator/tests.rs
@@ -42,6 +42,17 @@
     }])
 }
 
+/// The announcement of a version by a process that knows to the millisecond when
+/// it was published.
+fn published_ago(version: u64, age_ms: Option<u64>) -> grant::Published {
+    let age = age_ms.map(|ms| cutover::Age {
+        most: Duration::from_millis(ms),
+        uncertainty: Duration::ZERO,
+        relays: 0,
+    });
+    grant::Published::new(version, age)
+}
+
 fn seconds(s: u64) -> Duration {
     Duration::from_secs(s)
 }
@@ -95,7 +106,7 @@
 fn a_version_announced_by_an_entry_ages_from_its_publication() {
     let mut state = OperatorState::default();
     state.apply(at(0), Change::Snapshot(Vec::new()));
-    let announced = |version, age_ms| grant::Published { version, age_ms };
+    let announced = |version, age_ms: Option<u64>| published_ago(version, age_ms);
     assert!(state.record_published(seconds(20), "m".into(), announced(2, Some(2_000))));
     assert!(!state.record_published(seconds(21), "m".into(), announced(2, Some(3_000))));
     assert_eq!(min_version(&state, "m", seconds(24)), 0);
@@ -118,9 +129,10 @@
     state.apply(at(1), published(2));
     assert!(!state.publish_time_known("m"));
     let mut announce = |now, age_ms| {
-        let published = grant::Published { version: 2, age_ms };
+        let published = published_ago(2, age_ms);
         let is_new = state.record_published(seconds(now), "m".into(), published);
-        (is_new, state.newest("m").unwrap().published)
+        let known = state.newest("m").unwrap().published;
+        (is_new, known.map(cutover::Estimate::interval))
     };
     assert_eq!(announce(5, None), (false, None));
     let age = Some(cutover::Interval {
@@ -138,10 +150,7 @@
     let mut state = OperatorState::default();
     state.apply(at(20), published(2));
     assert_eq!(min_version(&state, "m", seconds(20)), 2);
-    let announced = grant::Published {
-        version: 2,
-        age_ms: Some(1_000),
-    };
+    let announced = published_ago(2, Some(1_000));
     assert!(state.record_published(seconds(20), "m".into(), announced));
     assert_eq!(min_version(&state, "m", seconds(20)), 0);
     assert_eq!(min_version(&state, "m", seconds(26)), 2);
@@ -166,12 +175,54 @@
 #[test]
 fn an_announced_version_may_be_older_than_the_process() {
     let mut state = OperatorState::default();
-    let announced = grant::Published {
-        version: 2,
-        age_ms: Some(5_000),
-    };
+    let announced = published_ago(2, Some(5_000));
     assert!(state.record_published(Duration::from_secs(1), "m".into(), announced));
     let bound = Duration::from_secs(8);
     let begin_by = cutover::begin_by(&state.publications("m"), 1, bound);
     assert!(begin_by <= Some(Duration::from_secs(4)), "{begin_by:?}");
 }
+
+/// Guards against entries that refuse requests at once although old weights may
+/// still be used: cut off from the store, they hear of a version from agents that
+/// read the store each 7 to 13 s, and went by the first of these for good.
+#[test]
+fn a_vague_age_does_not_outlast_a_more_precise_one() {
+    let mut state = OperatorState::default();
+    state.apply(at(0), Change::Snapshot(Vec::new()));
+    let mut hear = |most_ms, uncertainty_ms| {
+        let age = cutover::Age {
+            most: Duration::from_millis(most_ms),
+            uncertainty: Duration::from_millis(uncertainty_ms),
+            relays: 0,
+        };
+        let published = grant::Published::new(2, Some(age));
+        state.record_published(seconds(20), "m".into(), published)
+    };
+    assert!(hear(11_000, 10_900));
+    assert!(hear(1_000, 800));
+    assert!(!hear(9_000, 8_900), "it says no more");
+    assert_eq!(min_version(&state, "m", seconds(25)), 0);
+    assert_eq!(min_version(&state, "m", seconds(26)), 2);
+}
+
+/// Guards against a process that never learns how old a version is which an entry
+/// announced without its age, although its own reads tell.
+#[test]
+fn the_first_read_of_a_version_tells_its_age() {
+    let mut state = OperatorState::default();
+    state.apply(at(0), Change::Snapshot(Vec::new()));
+    assert!(state.record_published(seconds(20), "m".into(), published_ago(2, None)));
+    let made = cutover::Interval {
+        earliest: seconds(18),
+        latest: seconds(21),
+    };
+    state.apply(made, published(2));
+    assert!(state.publish_time_known("m"));
+    assert_eq!(min_version(&state, "m", seconds(24)), 0);
+    let later = cutover::Interval {
+        earliest: seconds(21),
+        latest: seconds(31),
+    };
+    state.apply(later, published(2));
+    assert_eq!(min_version(&state, "m", seconds(25)), 2, "read once more");
+}
--- a/crates/snipewinch/src/cutover.rs
+++ b/crates/snipewinch/src/cutover.rs
@@ -23,9 +23,15 @@
 /// How long before the bound requests are usually sent last to a backend server
 /// with an older version.
 pub const SEND_MARGIN: Duration = Duration::from_millis(600);
-/// How long a change in the store takes to reach a process that waits for it,
-/// also if its poll is lost.
-const NEWS_DELAY_MAX: Duration = Duration::from_secs(4);
+/// How long the message of another process with the age of a version takes at
+/// most while the links are sound.
+const ANNOUNCEMENT_DELAY_MAX: Duration = Duration::from_millis(200);
+/// The uncertainty of the time of a publication from which on other processes
+/// are believed that know it better.
+const VAGUE_MIN: Duration = Duration::from_millis(500);
+/// How many processes pass an age on. Each may add the time by which its message
+/// took longer than [`ANNOUNCEMENT_DELAY_MAX`].
+const RELAYS_MAX: u8 = 3;
 
 /// When a version was published, as a process knows it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,15 +43,116 @@
 }
 
 impl Interval {
-    /// The interval of a change that was made after a moment and learned of at
-    /// another, by a process that waits for changes all the time or hears from
-    /// such processes.
-    pub fn of_news(after: Duration, learned_at: Duration) -> Interval {
-        Interval {
-            earliest: after.max(learned_at.saturating_sub(NEWS_DELAY_MAX)),
-            latest: learned_at,
+    /// What is known by two observations of the same moment; the first one if
+    /// they contradict each other.
+    fn intersection(self, other: Interval) -> Interval {
+        let both = Interval {
+            earliest: self.earliest.max(other.earliest),
+            latest: self.latest.min(other.latest),
+        };
+        match both.earliest <= both.latest {
+            true => both,
+            false => self,
         }
     }
+
+    fn width(self) -> Duration {
+        self.latest.saturating_sub(self.earliest)
+    }
+}
+
+/// The age of a version, as one process tells it to another.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Age {
+    /// The greatest possible age.
+    pub most: Duration,
+    /// By how much it may be less.
+    pub uncertainty: Duration,
+    /// How many processes have passed it on.
+    pub relays: u8,
+}
+
+/// When a version was published, from what a process has read and heard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Estimate {
+    interval: Interval,
+    /// Through how many processes its earliest moment came.
+    relays: u8,
+}
+
+impl Estimate {
+    /// From two reads of the store, of which the later one showed the version.
+    pub fn observed(interval: Interval) -> Estimate {
+        Estimate {
+            interval,
+            relays: 0,
+        }
+    }
+
+    /// From what another process has said; `None` if too many have passed it on,
+    /// or if it may have been before the process started, which is the origin of
+    /// its clock.
+    pub fn heard(now: Duration, age: Age) -> Option<Estimate> {
+        let relays = age.relays.saturating_add(1);
+        let interval = Interval {
+            earliest: now.checked_sub(age.most + ANNOUNCEMENT_DELAY_MAX)?,
+            latest: now.saturating_sub(age.most.saturating_sub(age.uncertainty)),
+        };
+        (relays <= RELAYS_MAX).then_some(Estimate { interval, relays })
+    }
+
+    /// From the first that a process hears of a version, which its own read of the
+    /// store at `confirmed` did not show; `None` if nothing is known of its age.
+    pub fn first_heard(
+        now: Duration,
+        age: Option<Age>,
+        confirmed: Option<Duration>,
+    ) -> Option<Estimate> {
+        let heard = age.and_then(|age| Estimate::heard(now, age));
+        let own = confirmed.map(|earliest| {
+            Estimate::observed(Interval {
+                earliest,
+                latest: now,
+            })
+        });
+        match (heard, own) {
+            (Some(mut heard), Some(own)) => {
+                heard.narrow(own);
+                Some(heard)
+            }
+            (heard, own) => heard.or(own),
+        }
+    }
+
+    /// The moments between which it was.
+    pub fn interval(self) -> Interval {
+        self.interval
+    }
+
+    /// What to say to other processes.
+    pub fn age(self, now: Duration) -> Age {
+        Age {
+            most: now.saturating_sub(self.interval.earliest),
+            uncertainty: self.interval.width(),
+            relays: self.relays,
+        }
+    }
+
+    /// Makes it more precise by another estimate; true if it changed. What other
+    /// processes say counts only while it is vague: the delays of their messages
+    /// would add up.
+    pub fn narrow(&mut self, other: Estimate) -> bool {
+        let is_believed = other.relays == 0 || self.interval.width() > VAGUE_MIN;
+        let interval = self.interval.intersection(other.interval);
+        if !is_believed || interval == self.interval {
+            return false;
+        }
+        if interval.earliest > self.interval.earliest {
+            self.relays = other.relays;
+        }
+        self.interval = interval;
+        true
+    }
 }
 
 /// A published version of a model's weights.
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -102,10 +102,44 @@
     /// The version.
     #[serde(rename = "v")]
     pub version: u64,
-    /// Milliseconds since it was published; none if the sender started later
-    /// and cannot know.
+    /// The most milliseconds since it was published; none if the sender started
+    /// later and cannot know.
     #[serde(rename = "a", default)]
     pub age_ms: Option<u32>,
+    /// How many milliseconds less it may be.
+    #[serde(rename = "u", default)]
+    pub uncertainty_ms: u32,
+    /// How many processes have passed the age on.
+    #[serde(rename = "h", default)]
+    pub relays: u8,
+}
+
+impl Published {
+    /// The announcement of a version; without `age` if that is unknown.
+    pub fn new(version: u64, age: Option<cutover::Age>) -> Published {
+        // Rounded up, as a version must not seem younger than it is.
+        let millis = |time: Duration| {
+            time.as_nanos()
+                .div_ceil(1_000_000)
+                .min(u128::from(u32::MAX)) as u32
+        };
+        Published {
+            version,
+            age_ms: age.map(|age| millis(age.most)),
+            uncertainty_ms: age.map_or(0, |age| millis(age.uncertainty)),
+            relays: age.map_or(0, |age| age.relays),
+        }
+    }
+
+    /// The age of the version; none if the sender does not know it.
+    pub fn age(&self) -> Option<cutover::Age> {
+        let most = Duration::from_millis(self.age_ms?.into());
+        Some(cutover::Age {
+            most,
+            uncertainty: Duration::from_millis(self.uncertainty_ms.into()).min(most),
+            relays: self.relays,
+        })
+    }
 }
 
 /// Tells an entry how many slots an agent has granted to it, and the state of
@@ -181,9 +215,8 @@
     version: u64,
     min_version: u64,
     publish_time_known: bool,
-    /// The newest published version, and the earliest time at which it may have
-    /// been published.
-    published: Option<(u64, Duration)>,
+    /// The newest published version and when it was published, if that is known.
+    published: Option<(u64, cutover::Estimate)>,
     /// The latest time at which requests may begin on the version that the
     /// backend server holds; `None` if it is the newest.
     begin_by: Option<Duration>,
@@ -224,10 +257,14 @@
         self.publish_time_known = publish_time_known;
     }
 
-    /// Sets the newest published version with the earliest time at which it may
-    /// have been published, none if that is unknown, and the latest time at
-    /// which requests may begin on the version that the backend server holds.
-    pub fn set_cutover(&mut self, published: Option<(u64, Duration)>, begin_by: Option<Duration>) {
+    /// Sets the newest published version with the time at which it was published,
+    /// none if that is unknown, and the latest time at which requests may begin on
+    /// the version that the backend server holds.
+    pub fn set_cutover(
+        &mut self,
+        published: Option<(u64, cutover::Estimate)>,
+        begin_by: Option<Duration>,
+    ) {
         self.published = published;
         self.begin_by = begin_by;
     }
@@ -387,10 +424,9 @@
         let in_use = self.in_use();
         let free = self.capacity.saturating_sub(in_use + self.waiting());
         let delay = self.first_event_delay(now, in_use, self.typical_tokens);
-        let published = self.published.map(|(version, earliest)| Published {
-            version,
-            age_ms: Some(now.saturating_sub(earliest).as_millis() as u32),
-        });
+        let published = self.published;
+        let published =
+            published.map(|(version, estimate)| Published::new(version, Some(estimate.age(now))));
         Credit {
             published: published.filter(|one| one.age_ms <= Some(PUBLISHED_AGE_MAX_MS)),
             delay_ms: delay.as_millis().min(u128::from(u16::MAX)) as u16,
--- a/crates/snipewinch/tests/cutover_fleet/mod.rs
+++ b/crates/snipewinch/tests/cutover_fleet/mod.rs
@@ -323,10 +323,10 @@
                 };
                 entry.news.push(News {
                     version: version.number,
-                    interval: Interval::of_news(
-                        version.published - before,
-                        version.published + late,
-                    ),
+                    interval: Interval {
+                        earliest: version.published - before,
+                        latest: version.published + late,
+                    },
                 });
             }
             if self.rng.random_bool(0.08) {
--- a/crates/snipewinch/tests/grant.rs
+++ b/crates/snipewinch/tests/grant.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
+use snipewinch::cutover::Estimate;
+use snipewinch::cutover::Interval;
 use snipewinch::engine::Spec;
 use snipewinch::grant::Credit;
 use snipewinch::grant::Demand;
@@ -327,6 +329,14 @@
     assert_eq!(min_version(0, 0, [].iter()), 0, "none is published");
 }
 
+fn published_at(secs: u64) -> Estimate {
+    let at = Duration::from_secs(secs);
+    Estimate::observed(Interval {
+        earliest: at,
+        latest: at,
+    })
+}
+
 #[test]
 fn no_slot_is_granted_to_a_request_that_may_begin_too_late_on_old_weights() {
     let spec = Spec {
@@ -341,7 +351,7 @@
         let mut issuer = issuer();
         issuer.set_engine(spec, 900.0, Duration::from_millis(400));
         issuer.set_slowness(slowness);
-        issuer.set_cutover(Some((2, Duration::ZERO)), begin_by);
+        issuer.set_cutover(Some((2, published_at(0))), begin_by);
         let mut entry = Entry::new(1);
         entry.waiting = 1;
         issuer.receive(now, &entry.demand(now).expect("it waits"));
@@ -358,7 +368,7 @@
 #[test]
 fn a_credit_says_for_a_minute_how_old_the_newest_version_is() {
     let mut issuer = issuer();
-    issuer.set_cutover(Some((2, Duration::from_secs(3))), None);
+    issuer.set_cutover(Some((2, published_at(3))), None);
     let published = |now| {
         issuer
             .credit(Duration::from_secs(now), HolderId(1))
@@ -382,7 +392,7 @@
     };
     issuer.set_engine(spec, 900.0, Duration::from_millis(400));
     let begin_by = Duration::from_secs(8);
-    issuer.set_cutover(Some((2, Duration::ZERO)), Some(begin_by));
+    issuer.set_cutover(Some((2, published_at(0))), Some(begin_by));
     let now = begin_by - Duration::from_millis(150);
     let mut entry = Entry::new(1);
     entry.waiting = 1;
