Count the reading of a request's own prompt once in its wait

Cause: a request on old weights was taken to begin after 1.5 times what the model of the engine predicts, its own prompt included. A prompt of a second was refused 1.4 s before the bound, though it is read in a second whatever runs beside it.

Change: cutover::Delay tells the own prompt from the wait for others; only that wait, which holds what the model does not know, counts 1.5 times.

Result: a_prompt_of_a_second_is_not_granted_1400_ms_before_the_bound.

--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -156,14 +156,12 @@
         let is_fresh = |at| now.saturating_sub(at) <= DELAY_AGE_MAX;
         let credit = self.holder.last_credit();
         let recent = credit.filter(|_| self.holder.last_credit_at().is_some_and(is_fresh));
-        let queue = match recent {
+        let first_event = match recent {
             Some(credit) => Duration::from_millis(credit.delay_ms.into()),
             None => spec.full_wait(engine.usual_prompt.max(f64::from(tokens))),
         };
-        cutover::Delay {
-            transfer: self.transfer(),
-            queue,
-        }
+        let prompt = spec.prefill_time(f64::from(tokens));
+        cutover::Delay::new(self.transfer(), first_event, prompt)
     }
 
     /// Its running and waiting requests for each slot, for services without
--- a/crates/node/src/entry/dispatcher/weights.rs
+++ b/crates/node/src/entry/dispatcher/weights.rs
@@ -127,7 +127,7 @@
             Some((config, _)) => backend.begin_delay(now, &config.engine, tokens),
             None => cutover::Delay {
                 transfer: backend.transfer(),
-                queue: Duration::ZERO,
+                ..cutover::Delay::default()
             },
         };
         cutover::admit(now, begin_by, delay)
--- a/crates/snipewinch/src/cutover.rs
+++ b/crates/snipewinch/src/cutover.rs
@@ -11,8 +11,9 @@
 
 use std::time::Duration;
 
-/// How much longer than by the model of its engine a request may wait: the model
-/// knows neither the lengths of contexts nor requests that came without a slot.
+/// How much longer than by the model of its engine a request may wait for others:
+/// the model knows neither the lengths of contexts nor requests that came without a
+/// slot.
 const QUEUE_FACTOR: f64 = 1.5;
 /// How long before the bound a request that has not begun must have left its
 /// backend server.
@@ -170,8 +171,28 @@
 pub struct Delay {
     /// The longest time to the backend server and back.
     pub transfer: Duration,
-    /// The wait there, by the model of its engine.
+    /// The wait for others there, by the model of its engine.
     pub queue: Duration,
+    /// How long its own prompt is read there.
+    pub prompt: Duration,
+}
+
+impl Delay {
+    /// Of a request whose first event is predicted after `first_event`, of which
+    /// its own prompt takes `prompt`.
+    pub fn new(transfer: Duration, first_event: Duration, prompt: Duration) -> Delay {
+        let prompt = prompt.min(first_event);
+        Delay {
+            transfer,
+            queue: first_event - prompt,
+            prompt,
+        }
+    }
+
+    /// How long the request may take to begin.
+    fn most(self) -> Duration {
+        self.transfer + self.queue.mul_f64(QUEUE_FACTOR) + self.prompt
+    }
 }
 
 /// Whether a request may be sent to a backend server.
@@ -214,7 +235,7 @@
         return Verdict::Current;
     };
     let withdraw_at = withdraw_at(begin_by, delay.transfer);
-    match now + delay.transfer + delay.queue.mul_f64(QUEUE_FACTOR) < withdraw_at {
+    match now + delay.most() < withdraw_at {
         true => Verdict::Until(withdraw_at),
         false => Verdict::Outdated,
     }
--- a/crates/snipewinch/src/engine.rs
+++ b/crates/snipewinch/src/engine.rs
@@ -86,6 +86,11 @@
         self.pass_end.saturating_sub(now) + self.next_pass_time(running, tokens)
     }
 
+    /// How long prefilling a prompt of `tokens` takes.
+    pub fn prefill_time(&self, tokens: f64) -> Duration {
+        self.spec.prefill_time(tokens)
+    }
+
     /// How long the next pass takes if it prefills `tokens` more.
     pub fn next_pass_time(&self, running: u64, tokens: f64) -> Duration {
         self.spec.decode_time(running + 1) + self.spec.prefill_time(self.pending_tokens + tokens)
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -376,10 +376,11 @@
             }
         };
         let (holder, account) = waiting.min_by_key(|(_, one)| rank(one))?;
-        let delay = cutover::Delay {
-            transfer: ENTRY_ROUND_TRIP,
-            queue: self.first_event_delay(now, in_use, account.tokens),
-        };
+        let delay = cutover::Delay::new(
+            ENTRY_ROUND_TRIP,
+            self.first_event_delay(now, in_use, account.tokens),
+            self.scale(self.predictor.prefill_time(account.tokens)),
+        );
         if cutover::admit(now, self.begin_by, delay) == Verdict::Outdated {
             return None;
         }
@@ -392,8 +393,12 @@
     /// The time from `now` to the first event of a request with a prompt of
     /// `tokens`.
     fn first_event_delay(&self, now: Duration, in_use: u64, tokens: f64) -> Duration {
-        let delay = self.predictor.first_event_delay(now, in_use, tokens);
-        delay.mul_f64(self.slowness.max(1.0))
+        self.scale(self.predictor.first_event_delay(now, in_use, tokens))
+    }
+
+    /// How long the engine takes for what takes `time` by its parameters.
+    fn scale(&self, time: Duration) -> Duration {
+        time.mul_f64(self.slowness.max(1.0))
     }
 
     /// How long a pass may take: what running streams allow, or half of it for
--- a/crates/snipewinch/tests/cutover_fleet/engine.rs
+++ b/crates/snipewinch/tests/cutover_fleet/engine.rs
@@ -138,6 +138,11 @@
             .first_event_delay(now, self.in_use, f64::from(tokens))
     }
 
+    /// How long a prompt is read, by the engine's own model.
+    pub(crate) fn predict_prompt(&self, now: Duration, lag: Duration, tokens: u32) -> Duration {
+        spec(self.pace(now.saturating_sub(lag))).prefill_time(f64::from(tokens))
+    }
+
     pub(crate) fn release(&mut self) {
         self.in_use = self.in_use.saturating_sub(1);
     }
--- a/crates/snipewinch/tests/grant.rs
+++ b/crates/snipewinch/tests/grant.rs
@@ -365,6 +365,33 @@
     assert_eq!(granted(earlier, Some(begin_by), 4.0), 0, "a slow engine");
 }
 
+/// Guards against a long prompt that is refused although it is read well before the
+/// bound: its own reading was taken to last half as long again, like the wait for
+/// others.
+#[test]
+fn a_prompt_of_a_second_is_not_granted_1400_ms_before_the_bound() {
+    let spec = Spec {
+        slots: SLOTS,
+        stride: 1,
+        step: STEP,
+        step_per_call: Duration::ZERO,
+        read_per_s: 20_000.0,
+    };
+    let mut issuer = issuer();
+    issuer.set_engine(spec, 400.0, Duration::from_millis(400));
+    let now = Duration::from_secs(6);
+    let begin_by = now + Duration::from_millis(1_400);
+    issuer.set_cutover(Some((2, published_at(0))), Some(begin_by));
+    let mut entry = Entry::new(1);
+    entry.waiting = 1;
+    let demand = Demand {
+        tokens: 20_000,
+        ..entry.demand(now).expect("it waits")
+    };
+    issuer.receive(now, &demand);
+    assert_eq!(issuer.grant(now).len(), 1);
+}
+
 #[test]
 fn a_credit_says_for_a_minute_how_old_the_newest_version_is() {
     let mut issuer = issuer();
