Use an engine whose agent is silent only once it has been heard

Cause: an agent that did not answer for 300 ms was bypassed, and its engine got one request at a time of each entry.

Ruled out: resets, which do not reach a frozen host; not using such engines at all, since agents also stop and are replaced.

Change: contact::Contact. A byte from the engine that is newer than the silence shows that it can be reached. Where no request is under way that would bring one, the entry asks the engine for its state, two engines at once and each twice a second at most, only while requests wait. snipewinch_engine_probes_total counts it.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -71,6 +71,7 @@
 use answer::Reason;
 use call::Call;
 use dispatcher::Dispatcher;
+use dispatcher::Prober;
 use dispatcher::Versions;
 use pool::Pool;
 use quarantine::Quarantine;
@@ -579,6 +580,7 @@
 }
 
 async fn run_timer(entry: Rc<Entry>) {
+    let mut prober = Prober::open();
     loop {
         match entry.dispatcher.is_waiting() {
             true => sleep(QUEUED_TICK_INTERVAL).await,
@@ -593,6 +595,7 @@
         entry.update_versions();
         entry.check_tables();
         entry.dispatcher.tick();
+        prober.tick(&entry);
         entry.pool.sweep();
         let blocked = entry.quarantine.tick(entry.clock.now());
         entry.metrics.blocked_parts.set(blocked as i64);
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -10,6 +10,7 @@
 use platform::listing::State;
 use slotmap::SlotMap;
 use smol_str::SmolStr;
+use snipewinch::contact::Contact;
 use snipewinch::cutover;
 use snipewinch::grant::Holder;
 use snipewinch::grant::HolderId;
@@ -84,6 +85,8 @@
     pub(crate) holder: Holder,
     /// Until when requests bypass the agent.
     pub(crate) bypass_agent_until: Option<Duration>,
+    /// When it and its agent were heard.
+    pub(crate) contact: Contact,
     /// When the agent was last sent the configuration of its engine.
     pub(crate) config_sent: Option<Duration>,
 }
@@ -115,7 +118,9 @@
     /// Whether its agent answers. If a demand has gone unanswered for too long,
     /// requests bypass the agent for [`AGENT_RETRY_DELAY`].
     pub(crate) fn agent_answers(&mut self, now: Duration) -> bool {
-        if self.holder.unanswered_for(now) > AGENT_ANSWER_TIMEOUT {
+        let unanswered = self.holder.unanswered_for(now);
+        if unanswered > AGENT_ANSWER_TIMEOUT {
+            self.contact.record_silence(now.saturating_sub(unanswered));
             if self.bypass_agent_until.is_none() {
                 log::info!(
                     "E7050 agent of backend server {} does not answer, requests bypass it",
@@ -294,6 +299,7 @@
                     round_trip: Duration::ZERO,
                     holder: Holder::new(self.holder_id),
                     bypass_agent_until: None,
+                    contact: Contact::default(),
                     config_sent: None,
                     id: id.clone(),
                 };
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -37,8 +37,10 @@
 
 mod direct;
 mod limited;
+mod probe;
 mod weights;
 
+pub(crate) use probe::Prober;
 use weights::Replacement;
 pub(crate) use weights::Versions;
 pub(crate) use weights::Weights;
@@ -287,6 +289,7 @@
         let mut state = self.state.borrow_mut();
         let key = state.backends.find_by_agent(from)?;
         let backend = state.backends.get_mut(key).expect("it was just found");
+        backend.contact.record_agent();
         if backend.bypass_agent_until.take().is_some() {
             log::info!("E7051 agent of backend server {} answers again", backend.id);
         }
@@ -480,10 +483,16 @@
     }
 }
 
-/// Whether a request may go to an engine without a slot granted by its agent.
-/// What is sent to a host that does not answer may be read much later, so none
-/// goes to one with older weights than the newest.
+/// Whether a request may go to an engine without a slot granted by its agent: one
+/// that has been heard since the agent is silent.
 fn may_bypass_agent(backend: &mut Backend, now: Duration, begin_by: Option<Duration>) -> bool {
+    may_use_without_agent(backend, now, begin_by) && backend.contact.is_reached(now)
+}
+
+/// Whether an engine could be used without its agent, which is silent, if it can
+/// be reached. What is sent to a host that does not answer may be read much later,
+/// so none goes to one with older weights than the newest.
+fn may_use_without_agent(backend: &mut Backend, now: Duration, begin_by: Option<Duration>) -> bool {
     !backend.agent_answers(now)
         && begin_by.is_none()
         && !backend.is_closed(now)
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -89,6 +89,9 @@
     pub(crate) refusals: IntCounterVec,
     /// Requests sent to backend servers, by outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Engines that were asked whether they can be reached, as their agents were
+    /// silent.
+    pub(crate) engine_probes: IntCounter,
     /// Streams that were resumed at another backend server.
     pub(crate) streams_resumed: IntCounter,
     /// Requests that had just begun when their backend server ended.
@@ -194,6 +197,10 @@
                 "Requests sent to backend servers",
                 "outcome",
             ),
+            engine_probes: counter(
+                "snipewinch_engine_probes_total",
+                "Engines that were asked for their state while their agents were silent",
+            ),
             streams_resumed: counter(
                 "snipewinch_streams_resumed_total",
                 "Streams that went on at another backend server",
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -78,6 +78,7 @@
 pub mod claim;
 pub mod concurrency;
 pub mod configuration;
+pub mod contact;
 pub mod cutover;
 pub mod deadline;
 pub mod digest;
