Say what a failed drill and unanswered requests looked like

Cause: three tests are known to fail beside load, and their output does not tell why: the drill ends with a connection error and names no host, the test of failing servers counts answers, and the one of a server that is missing waits 900 ms for an entry that may need longer to follow the list again.

Change: the drill prints the hosts that have ended by themselves, with the ends of their logs (E5103). assert_contained prints the answers.

--- a/crates/bench/src/drill.rs
+++ b/crates/bench/src/drill.rs
@@ -166,7 +166,15 @@
     let mut monitor = Monitor::open(&fleet);
     let mut schedule = Schedule::open(seed, span, versions.clone());
     schedule.run(&mut fleet, &mut monitor).await?;
-    let settled = settle(&mut fleet, &mut schedule, &mut monitor).await?;
+    let settled = settle(&mut fleet, &mut schedule, &mut monitor).await;
+    for host in fleet.ended_hosts() {
+        let log = host.log.join("\n");
+        eprintln!(
+            "E5103 {} has ended by itself, its log is:\n{log}",
+            host.name
+        );
+    }
+    let settled = settled?;
     let totals = load.stop().await;
     let promises = judge(&fleet, &schedule, &monitor, &totals).await?;
     let report = Report {
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -28,6 +28,7 @@
 
 pub use counts::Links;
 pub use hosts::Backend;
+pub use hosts::EndedHost;
 pub use hosts::Host;
 pub use hosts::StopOutcome;
 pub use plan::EngineSettings;
--- a/crates/bench/src/fleet/hosts.rs
+++ b/crates/bench/src/fleet/hosts.rs
@@ -102,6 +102,15 @@
     pub log: Vec<String>,
 }
 
+/// A host whose process has exited by itself.
+#[derive(Clone, Debug)]
+pub struct EndedHost {
+    /// The name of the host.
+    pub name: host::Name,
+    /// The last lines of its log, oldest first.
+    pub log: Vec<String>,
+}
+
 /// The settings of a host to start.
 #[derive(Clone, Debug)]
 struct HostSpec {
@@ -289,6 +298,23 @@
         Ok(())
     }
 
+    /// The hosts whose process has exited by itself, with the last lines of its
+    /// log.
+    pub fn ended_hosts(&mut self) -> Vec<EndedHost> {
+        let mut ended = Vec::new();
+        for host in self.hosts.values_mut().filter(|host| !host.stopping) {
+            if let Some(process) = &mut host.process
+                && process.has_ended()
+            {
+                ended.push(EndedHost {
+                    name: host.name.clone(),
+                    log: process.log_lines(),
+                });
+            }
+        }
+        ended
+    }
+
     /// Whether the process of a host has exited.
     ///
     /// # Errors
--- a/crates/node/tests/repeat.rs
+++ b/crates/node/tests/repeat.rs
@@ -106,8 +106,16 @@
         .filter(|one| !one.is_bad && one.sent > due + DOWNTIME)
         .collect();
     assert!(!sound.is_empty(), "the traffic ended too early");
-    let answered = sound.iter().filter(|one| status(&one.text) == 200).count();
-    assert_eq!(answered, sound.len(), "sound requests were not answered");
+    let unanswered: Vec<&&Answer> = sound
+        .iter()
+        .filter(|one| status(&one.text) != 200)
+        .collect();
+    assert!(
+        unanswered.is_empty(),
+        "{} of {} sound requests were not answered: {unanswered:?}",
+        unanswered.len(),
+        sound.len()
+    );
 }
 
 /// Guards against a request without a prompt of which nothing is remembered.
