Refuse at once what only unreachable servers could take

Cause: where all servers of a service without agents are ejected, each request went to one of them all the same, waited 400 ms for a connection and was refused then.

Ruled out: servers that fail some requests; they still get all of them when no other is left, as most are answered.

Change: health tells a request that found no connection (Outcome::Unreached) from one that failed. While one request tries an unreachable server, others are refused at once, so a server that is back is used again with the next request.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -466,6 +466,7 @@
         pool::Error::Connect { source } if source.kind() == ErrorKind::ConnectionRefused => {
             Outcome::Refused
         }
+        pool::Error::Connect { .. } => Outcome::Unreached,
         _ => Outcome::Failed,
     }
 }
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -345,7 +345,7 @@
                 reported: now,
             });
         }
-        if outcome == Outcome::Failed && backend.is_closed(now) {
+        if matches!(outcome, Outcome::Failed | Outcome::Unreached) && backend.is_closed(now) {
             // An engine that loads weights aborts its requests, which says
             // nothing about its health.
             return;
--- a/crates/node/src/entry/dispatcher/direct.rs
+++ b/crates/node/src/entry/dispatcher/direct.rs
@@ -43,7 +43,8 @@
     }
 
     /// Picks the nearest and least loaded backend server of a service without
-    /// agents. Ejected ones come last.
+    /// agents. Ejected ones come last. One that is unreachable gets no request
+    /// while another one tries: each would wait for a connection and be refused.
     fn pick_least_loaded(&self, request: &SlotRequest) -> Pick {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
@@ -57,7 +58,8 @@
         let mut rest: Option<Duration> = None;
         let untried = backends
             .of_service(&request.service)
-            .filter(|(key, backend)| request.admits(*key, backend));
+            .filter(|(key, backend)| request.admits(*key, backend))
+            .filter(|(_, backend)| !backend.health.is_unreachable(now));
         for (key, backend) in untried {
             match limits.admission(now, backend.server) {
                 Admission::Unlimited | Admission::Granted => {}
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -1,13 +1,16 @@
 //! Tests an entry as callers and backend servers see it, also when either
 //! violates the protocol.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
+use std::time::Instant;
 
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -20,8 +23,11 @@
 use harness::chunk;
 use harness::complete_answer;
 use harness::configuration;
+use harness::exchange;
 use harness::field;
 use harness::listed;
+use harness::proxy::Link;
+use harness::proxy::Proxy;
 use harness::request;
 use harness::status;
 use harness::stream_head;
@@ -30,6 +36,9 @@
 /// hold again.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 
+/// The time within which a request is refused that cannot be served.
+const REFUSAL_TIME_MAX: Duration = Duration::from_millis(100);
+
 fn answering(text: &str) -> Vec<Action> {
     vec![Action::Send(complete_answer(200, "", text))]
 }
@@ -575,3 +584,51 @@
     let answer = harness.ask(&request("GET", "/read/1", "", "")).await;
     assert_eq!(body(&answer).as_deref(), Some("missing"));
 }
+
+/// Guards against requests that each wait for a connection to the only server of
+/// their service and are refused then, though it is known that it can't be reached.
+#[tokio::test]
+async fn requests_wait_for_a_server_that_is_known_to_be_unreachable() {
+    let server = Server::spawn(answering("granted")).await;
+    let proxy = Proxy::spawn(Ipv4Addr::LOCALHOST.into(), server.address).await;
+    let harness = Harness::start(&[]).await;
+    let row = listed(proxy.address, "za", "ready");
+    harness.store.put("servers", "s0", &row);
+    let ask = |index: usize| {
+        let callers = harness.callers;
+        let text = request("POST", "/grant/1", "", "x");
+        let text = text.replacen("X-Attempt-Id: a1", &format!("X-Attempt-Id: a{index}"), 1);
+        async move {
+            let sent = Instant::now();
+            (exchange(callers, &text).await, sent.elapsed())
+        }
+    };
+    let until_served = async {
+        while status(&ask(0).await.0) != 200 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(STABLE_WINDOW, until_served).await.expect("served");
+    proxy.fill().await;
+    // They find out that it can't be reached.
+    (1..4).map(ask).collect::<JoinSet<_>>().join_all().await;
+    let mut asked = JoinSet::new();
+    for index in 4..34 {
+        asked.spawn(ask(index));
+        sleep(Duration::from_millis(20)).await;
+    }
+    let answers = asked.join_all().await;
+    assert!(answers.iter().all(|(answer, _)| status(answer) == 503));
+    let waited = answers.iter().filter(|(_, took)| *took > REFUSAL_TIME_MAX);
+    let waited = waited.count();
+    assert!(waited <= 3, "{waited} of {} waited", answers.len());
+    proxy.set_link(Link::Up);
+    // A connection that is just being tried may open a second later only.
+    sleep(Duration::from_millis(1_100)).await;
+    let served = async {
+        while status(&ask(34).await.0) != 200 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(STABLE_WINDOW, served).await.expect("served again");
+}
--- a/crates/snipewinch/src/health.rs
+++ b/crates/snipewinch/src/health.rs
@@ -41,10 +41,12 @@
 pub enum Outcome {
     /// With an answer of any status.
     Answered,
-    /// Without a connection or an answer, or with one that was cut off.
+    /// Without an answer, or with one that was cut off.
     Failed,
     /// The connection was refused: no process listens at the address.
     Refused,
+    /// No connection opened in time.
+    Unreached,
 }
 
 /// The health of one backend server.
@@ -55,11 +57,14 @@
     ejected_until: Option<Duration>,
     /// When the request was sent that probes the server after its ejection.
     probe_sent: Option<Duration>,
+    /// Whether the last request found no connection.
+    is_unreached: bool,
 }
 
 impl Health {
     /// Whether a request may go to the server. If all servers of a service are
-    /// ejected, the embedder sends to them anyway.
+    /// ejected, the embedder sends to them anyway, unless they are unreachable
+    /// ([`Health::is_unreachable`]).
     pub fn admits(&self, now: Duration) -> bool {
         match (self.ejected_until, self.probe_sent) {
             (None, _) => true,
@@ -70,6 +75,15 @@
         }
     }
 
+    /// Whether further requests would find no connection either, as far as is
+    /// known: the last ones did not, and another one is just trying.
+    pub fn is_unreachable(&self, now: Duration) -> bool {
+        let is_tried = self
+            .probe_sent
+            .is_some_and(|since| now.saturating_sub(since) <= EJECTION_MIN);
+        self.ejected_until.is_some() && self.is_unreached && is_tried
+    }
+
     /// Records that a request goes to the server.
     pub fn record_sent(&mut self, now: Duration) {
         if self.ejected_until.is_some() {
@@ -84,11 +98,12 @@
                 *self = Health::default();
                 false
             }
-            Outcome::Failed | Outcome::Refused => {
+            Outcome::Failed | Outcome::Refused | Outcome::Unreached => {
                 self.failures += match outcome {
                     Outcome::Refused => FAILURES_TO_EJECT,
-                    Outcome::Answered | Outcome::Failed => 1,
+                    Outcome::Answered | Outcome::Failed | Outcome::Unreached => 1,
                 };
+                self.is_unreached = matches!(outcome, Outcome::Refused | Outcome::Unreached);
                 self.probe_sent = None;
                 let ejected = self.ejected_until.is_some() || self.failures >= FAILURES_TO_EJECT;
                 if ejected {
--- a/crates/snipewinch/tests/health.rs
+++ b/crates/snipewinch/tests/health.rs
@@ -80,3 +80,40 @@
     health.record_outcome(Duration::from_millis(2_100), Outcome::Answered);
     assert!(health.admits(Duration::from_millis(2_200)));
 }
+
+/// Guards against requests that all wait for a connection to the only server, which
+/// cannot be reached, and against a server that stays unused when it is back.
+#[test]
+fn an_unreachable_server_is_tried_by_all_requests_or_by_none() {
+    let ms = Duration::from_millis;
+    let mut health = Health::default();
+    for at in [0, 100, 200] {
+        health.record_sent(ms(at));
+        assert!(!health.is_unreachable(ms(at)));
+        health.record_outcome(ms(400 + at), Outcome::Unreached);
+    }
+    assert!(!health.is_unreachable(ms(700)), "nobody tries");
+    health.record_sent(ms(700));
+    assert!(health.is_unreachable(ms(800)), "another one tries");
+    health.record_outcome(ms(1_100), Outcome::Unreached);
+    assert!(!health.is_unreachable(ms(1_200)));
+    health.record_sent(ms(1_200));
+    assert!(!health.is_unreachable(ms(2_300)), "its result is lost");
+    health.record_sent(ms(2_300));
+    health.record_outcome(ms(2_310), Outcome::Answered);
+    health.record_sent(ms(2_320));
+    assert!(!health.is_unreachable(ms(2_330)));
+}
+
+/// Guards against the only server of a service that gets nothing because it fails
+/// some requests.
+#[test]
+fn a_server_that_fails_requests_counts_as_unreachable() {
+    let mut health = Health::default();
+    for at in 0..6 {
+        health.record_sent(Duration::from_secs(at));
+        health.record_outcome(Duration::from_secs(at), Outcome::Failed);
+    }
+    health.record_sent(Duration::from_secs(6));
+    assert!(!health.is_unreachable(Duration::from_secs(6)));
+}
