Take only an answer in time for a sign that an engine can be reached

Cause: any byte of an engine that was newer than the silence of its agent let requests go there. Behind a full link, bytes of streams still come, but late, and so would a request.

Change: contact::Contact goes by answers to requests for the engine's state, which have to come within 300 ms. Bytes of answers under way no longer count, which takes a look-up per read out of the path of a stream.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -194,7 +194,6 @@
             let Some(answer) = &mut self.answer else {
                 let head = self.exchange.read_head().await?;
                 self.last_progress = self.clock.now();
-                self.slot.record_heard(self.last_progress);
                 if let Some(output) = self.begin_answer(head)? {
                     return Ok(output);
                 }
@@ -202,7 +201,6 @@
             };
             let step = self.exchange.connection.read_step(&mut answer.body).await?;
             self.last_progress = self.clock.now();
-            self.slot.record_heard(self.last_progress);
             match step {
                 Step::Data(data) if answer.is_stream => {
                     let events = self.events.push(&data)?;
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -85,7 +85,7 @@
     pub(crate) holder: Holder,
     /// Until when requests bypass the agent.
     pub(crate) bypass_agent_until: Option<Duration>,
-    /// When it and its agent were heard.
+    /// Whether it can be reached while its agent is silent.
     pub(crate) contact: Contact,
     /// When the agent was last sent the configuration of its engine.
     pub(crate) config_sent: Option<Duration>,
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -484,7 +484,7 @@
 }
 
 /// Whether a request may go to an engine without a slot granted by its agent: one
-/// that has been heard since the agent is silent.
+/// that has answered since the agent is silent.
 fn may_bypass_agent(backend: &mut Backend, now: Duration, begin_by: Option<Duration>) -> bool {
     may_use_without_agent(backend, now, begin_by) && backend.contact.is_reached(now)
 }
--- a/crates/node/src/entry/dispatcher/probe.rs
+++ b/crates/node/src/entry/dispatcher/probe.rs
@@ -7,13 +7,12 @@
 use platform::engine::Engine;
 use platform::http::Transport;
 use smol_str::SmolStr;
-use snipewinch::contact::HEARD_AGE_MAX;
+use snipewinch::contact::ANSWER_TIME_MAX;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use super::Dispatcher;
 use super::Key;
-use super::Slot;
 use super::may_use_without_agent;
 use crate::entry::Entry;
 
@@ -27,22 +26,10 @@
 struct Target {
     key: Key,
     address: SocketAddr,
-}
-
-impl Slot {
-    /// Records that bytes came from the backend server.
-    pub(crate) fn record_heard(&self, now: Duration) {
-        self.dispatcher.record_heard(self.key, now);
-    }
+    asked: Duration,
 }
 
 impl Dispatcher {
-    fn record_heard(&self, key: Key, now: Duration) {
-        if let Some(backend) = self.state.borrow_mut().backends.get_mut(key) {
-            backend.contact.record_heard(now);
-        }
-    }
-
     /// The engines to ask now, those first that were asked longest ago.
     fn take_probes(&self) -> Vec<Target> {
         let now = self.clock.now();
@@ -53,34 +40,37 @@
         for (service, service_state) in services.filter(|(_, one)| !one.queue.is_empty()) {
             for (key, backend) in state.backends.of_service(service) {
                 let begin_by = service_state.versions.begin_by(backend);
-                if let Some(asked) = backend.contact.probe_due(now)
-                    && may_use_without_agent(backend, now, begin_by)
-                {
-                    due.push((asked, key, backend.address));
+                if backend.contact.may_ask(now) && may_use_without_agent(backend, now, begin_by) {
+                    due.push((backend.contact.asked(), key, backend.address));
                 }
             }
         }
         due.sort_by_key(|(asked, ..)| *asked);
         due.truncate(ENGINES_AT_ONCE_MAX);
-        let targets = due
-            .into_iter()
-            .map(|(_, key, address)| Target { key, address });
+        let targets = due.into_iter().map(|(_, key, address)| Target {
+            key,
+            address,
+            asked: now,
+        });
         let targets: Vec<Target> = targets.collect();
         for target in &targets {
             if let Some(backend) = state.backends.get_mut(target.key) {
-                backend.contact.record_probe(now);
+                backend.contact.record_asked(now);
             }
         }
         targets
     }
 
-    /// Records that an engine has answered, which requests may go to.
-    fn record_probed(&self, key: Key) {
+    /// Records that an engine has answered, so that requests may go to it.
+    fn record_state(&self, target: Target) {
+        let now = self.clock.now();
         let service: Option<SmolStr> = {
-            let state = self.state.borrow();
-            state.backends.get(key).map(|one| one.service.clone())
+            let mut state = self.state.borrow_mut();
+            state.backends.get_mut(target.key).map(|backend| {
+                backend.contact.record_answered(target.asked, now);
+                backend.service.clone()
+            })
         };
-        self.record_heard(key, self.clock.now());
         if let Some(service) = service {
             self.process_queue(&service);
         }
@@ -114,8 +104,8 @@
             let dispatcher = entry.dispatcher.clone();
             entry.metrics.engine_probes.inc();
             spawn_local(async move {
-                if let Ok(Ok(_)) = timeout(HEARD_AGE_MAX, engine.report()).await {
-                    dispatcher.record_probed(target.key);
+                if let Ok(Ok(_)) = timeout(ANSWER_TIME_MAX, engine.report()).await {
+                    dispatcher.record_state(target);
                 }
             });
         }
--- a/crates/snipewinch/src/contact.rs
+++ b/crates/snipewinch/src/contact.rs
@@ -2,27 +2,27 @@
 //!
 //! An agent is silent because its process has ended, or because its host is frozen,
 //! cut off or behind a full link. What is sent to such a host is held up there, and
-//! may be executed when its caller has long left. A byte from the backend server
-//! itself that is newer than the silence tells one from the other; where no request
-//! is under way that would bring one, the backend server is asked for its state.
+//! may be executed when its caller has long left. So the backend server is asked for
+//! its state: an answer that is not late tells one from the other. Bytes of answers
+//! under way do not, as they may have been on the way for long.
 
 use std::time::Duration;
 
-/// How long a byte from a backend server shows that it can be reached: as long as
-/// an agent may take to answer.
-pub const HEARD_AGE_MAX: Duration = Duration::from_millis(300);
+/// How long a backend server may take to answer, and how long its answer shows that
+/// it can be reached: as long as an agent may take.
+pub const ANSWER_TIME_MAX: Duration = Duration::from_millis(300);
 /// The time between two requests for the state of one backend server.
-pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// What a process has heard of one backend server and its agent.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Contact {
     /// When the first demand was sent that the agent has not answered.
     silent_since: Option<Duration>,
-    /// When the last byte came from the backend server.
-    heard: Option<Duration>,
-    /// When it was last asked for its state.
-    probed: Option<Duration>,
+    /// When the backend server was last asked for its state.
+    asked: Option<Duration>,
+    /// When it last answered in time.
+    answered: Option<Duration>,
 }
 
 impl Contact {
@@ -36,30 +36,35 @@
         self.silent_since.take().is_some()
     }
 
-    /// Records that bytes came from the backend server.
-    pub fn record_heard(&mut self, now: Duration) {
-        self.heard = Some(now);
+    /// Records that the backend server is asked for its state.
+    pub fn record_asked(&mut self, now: Duration) {
+        self.asked = Some(now);
     }
 
-    /// Records that the backend server is asked for its state.
-    pub fn record_probe(&mut self, now: Duration) {
-        self.probed = Some(now);
+    /// Records that the backend server has answered what it was asked at a time.
+    pub fn record_answered(&mut self, asked: Duration, now: Duration) {
+        if now.saturating_sub(asked) <= ANSWER_TIME_MAX {
+            self.answered = Some(now);
+        }
     }
 
     /// Whether the backend server has shown since the silence of its agent that it
     /// can be reached.
     pub fn is_reached(&self, now: Duration) -> bool {
-        match (self.silent_since, self.heard) {
-            (Some(silent), Some(heard)) => heard > silent && now <= heard + HEARD_AGE_MAX,
+        match (self.silent_since, self.answered) {
+            (Some(silent), Some(at)) => at > silent && now <= at + ANSWER_TIME_MAX,
             (Some(_) | None, _) => false,
         }
     }
 
-    /// When the backend server was last asked for its state, if it may be asked
-    /// now; `None` in the outer sense if it may not.
-    pub fn probe_due(&self, now: Duration) -> Option<Option<Duration>> {
-        let is_due = self.silent_since.is_some() && !self.is_reached(now);
-        let is_recent = self.probed.is_some_and(|at| now < at + PROBE_INTERVAL);
-        (is_due && !is_recent).then_some(self.probed)
+    /// Whether the backend server may be asked for its state now.
+    pub fn may_ask(&self, now: Duration) -> bool {
+        let is_recent = self.asked.is_some_and(|at| now < at + PROBE_INTERVAL);
+        self.silent_since.is_some() && !is_recent
+    }
+
+    /// When the backend server was last asked for its state; none if never.
+    pub fn asked(&self) -> Option<Duration> {
+        self.asked
     }
 }
