Withhold slots while requests do not arrive at the engine

Change: transit::Transit compares the slots that entries hold with the requests that the engine has. E7215, E7216.

--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -14,6 +14,7 @@
 use snipewinch::grant::Issuer;
 use snipewinch::grant::Message;
 use snipewinch::route;
+use snipewinch::transit::Transit;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
@@ -49,6 +50,9 @@
     /// The oldest version of weights on which requests may start.
     min_version: u64,
     slots: u32,
+    transit: Transit,
+    /// Whether fewer slots are granted because requests do not arrive.
+    is_limited: bool,
     /// When a message or report was last processed.
     now: Duration,
     link: Option<(Rc<Socket>, FleetKey)>,
@@ -162,9 +166,21 @@
         // Requests that reached the engine without a slot.
         let without_slot = engine_requests.saturating_sub(in_use) as u32;
         let outdated = version == 0 || version < self.min_version;
+        let slots = self
+            .transit
+            .capacity(self.now, self.slots, in_use, engine_requests);
+        let is_limited = slots < self.slots;
+        if std::mem::replace(&mut self.is_limited, is_limited) != is_limited {
+            match is_limited {
+                true => log::warn!(
+                    "E7215 entries hold {in_use} slots and the engine has {engine_requests} requests: requests are held up on the way, fewer slots are granted"
+                ),
+                false => log::info!("E7216 requests arrive at the engine again"),
+            }
+        }
         let capacity = match self.closed || report.busy || outdated {
             true => 0,
-            false => self.slots.saturating_sub(without_slot),
+            false => slots.saturating_sub(without_slot),
         };
         self.issuer.set_capacity(capacity, version);
         self.announce((capacity > 0, version));
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -98,6 +98,7 @@
 pub mod route;
 pub mod routing;
 pub mod server_limit;
+pub mod transit;
 pub mod weights;
 pub mod wire;
 
