Say what the moments of a read stand for

Cause: comments on the ages of versions still told of a clock that began with the process, and three moments in a row were not told apart.

Change: comments only.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -176,8 +176,9 @@
         cutover::min_version(self.clock.now(), &publications, bound)
     }
 
-    /// Applies the operators' rows by a read that was sent at a moment, and by which
-    /// those are known that have been written since `after`.
+    /// Applies the operators' rows as of a read that was `sent` at a moment. What it
+    /// shows for the first time has been written after `after`, when the read before
+    /// it was sent.
     fn apply_rows(&self, after: Duration, sent: Duration, rows: Change) {
         let made = cutover::Interval {
             earliest: after,
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -42,7 +42,8 @@
     pub(crate) weights: HashMap<SmolStr, Vec<Publication>>,
     /// Whether the store has been read.
     loaded: bool,
-    /// When the read was sent that was the last to be applied, if that is known.
+    /// When the last read was sent that is applied; none where the store is followed
+    /// by polls.
     confirmed: Option<Duration>,
 }
 
--- a/crates/snipewinch/src/cutover.rs
+++ b/crates/snipewinch/src/cutover.rs
@@ -91,8 +91,7 @@
     }
 
     /// From what another process has said; `None` if too many have passed it on,
-    /// or if it may have been before the process started, which is the origin of
-    /// its clock.
+    /// or if it may have been before the origin of the clock.
     pub fn heard(now: Duration, age: Age) -> Option<Estimate> {
         let relays = age.relays.saturating_add(1);
         let interval = Interval {
@@ -102,8 +101,9 @@
         (relays <= RELAYS_MAX).then_some(Estimate { interval, relays })
     }
 
-    /// From the first that a process hears of a version, which its own read of the
-    /// store at `confirmed` did not show; `None` if nothing is known of its age.
+    /// From what another process has said of a version that was not known here. The
+    /// own read of the store at `confirmed` did not show it. `None` if nothing is
+    /// known of its age.
     pub fn first_heard(
         now: Duration,
         age: Option<Age>,
