Review case 5: a lost answer of the store hides a withdrawn key for too long

Cause: a poll of the store is held back for up to 1.8 times the bound of configuration, and suspected only 400 ms after that. Change: a script with stand-ins; nothing of the system is changed.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -375,6 +375,8 @@
     /// Connections of an earlier generation deliver nothing.
     generation: u64,
     away: Option<Away>,
+    /// Whether the answers of a table's feed are lost.
+    loses: Option<String>,
     open: Vec<TcpStream>,
 }
 
@@ -488,6 +490,16 @@
         self.state.1.notify_all();
     }
 
+    /// Writes a row while the answers that tell of it are lost. Returns when it
+    /// was acknowledged.
+    fn put_unheard(&self, table: &str, key: &str, value: &str) -> u64 {
+        self.state.0.lock().expect("no panic").loses = Some(table.to_owned());
+        let acknowledged = self.put(table, key, value);
+        sleep(millis(50));
+        self.state.0.lock().expect("no panic").loses = None;
+        acknowledged
+    }
+
     fn version(&self) -> u64 {
         self.state.0.lock().expect("no panic").version
     }
@@ -501,7 +513,9 @@
         while let Ok(Some(request)) = read_message(&mut reader, false) {
             let answer = self.answer(&request, generation);
             let state = self.state.0.lock().expect("no panic");
-            let is_dead = state.generation != generation || state.away.is_some();
+            let target = request.word(1);
+            let is_lost = target.starts_with("/rows-feed") && state.loses == Some(query(target, "table"));
+            let is_dead = state.generation != generation || state.away.is_some() || is_lost;
             let (era, away) = (state.era, state.away);
             drop(state);
             if is_dead {
@@ -1247,6 +1261,59 @@
     deployment.finish(began, file, broken, 3, "times the request reached runners later than stableWindowMs after it had crashed the third")
 }
 
+// ---------------------------------------------------------------- case: lost
+
+/// The answers of the store that tell of a withdrawn key are lost.
+fn lost_answer(deployment: &Deployment, file: &Path) -> ExitCode {
+    let began = epoch_ms();
+    deployment.store.put("op", "config", &configuration(1, &["kept", "withdrawn"]));
+    let _runners: Vec<Process> = (0..3)
+        .map(|index| {
+            let (zone, _) = ZONES[index as usize];
+            deployment.start_runner(&format!("desk-{index}"), runner_address(index + 1), zone, None)
+        })
+        .collect();
+    sleep(millis(1_000));
+    // Started in turn, so that they do not ask the store at the same moments.
+    let entries: Vec<Entry> = (0..9_u8)
+        .map(|index| {
+            let (zone, region) = ZONES[usize::from(index) % 3];
+            sleep(millis(400));
+            deployment.start_entry(index + 1, zone, region)
+        })
+        .collect();
+    if !wait_ready(&entries) {
+        return ExitCode::from(2);
+    }
+    let traffic = |length: u64| {
+        let until = Instant::now() + millis(length);
+        while Instant::now() < until {
+            for entry in &entries {
+                deployment.send(entry, "GET", "/lookup/", "kept", "");
+                deployment.send(entry, "GET", "/lookup/", "withdrawn", "");
+            }
+            sleep(millis(200));
+        }
+    };
+    traffic(15_000);
+    let text = configuration(2, &["kept"]);
+    let acknowledged = match deployment.trouble {
+        true => deployment.store.put_unheard("op", "config", &text),
+        false => deployment.store.put("op", "config", &text),
+    };
+    deployment.note("operator withdrew the key".to_owned());
+    let calm = epoch_ms();
+    traffic(8_000);
+    sleep(millis(2_000));
+    // All machines are in touch again stableWindowMs after the last lost answer.
+    let due = (acknowledged + CONFIG_APPLY_MS).max(calm + STABLE_WINDOW_MS);
+    let lines = deployment.lines();
+    let runs = runs(&lines);
+    let late = lines.iter().filter(|line| line.at > due).filter_map(|line| words(line, "client sent "));
+    let broken = late.filter(|words| words[2] == "withdrawn" && runs.contains_key(words[0])).count();
+    deployment.finish(began, file, broken, 0, "requests ran with the withdrawn key, sent later than configApplyMs after the acknowledgement by machines in touch")
+}
+
 // ---------------------------------------------------------------- case: odd
 
 /// A host of the users that is no runner: it answers 404 to all that it doesn't
@@ -1347,6 +1414,7 @@
         "left-runner" => left_runner(&deployment, file),
         "same-id" => same_id(&deployment, file),
         "odd-entry" => odd_entry(&deployment, file),
+        "lost-answer" => lost_answer(&deployment, file),
         _ => ExitCode::from(2),
     }
 }
