Review case 3: an entry stands still while its log is not read

Cause: log lines are written to standard output on the only thread of the process, which blocks once the pipe is full. The sound requests of case 4 may not be repeated now, so that those that a crash breaks off are seen. Nothing of the system is changed.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -44,9 +44,16 @@
 const OUTER_MS: u64 = 5_000;
 const STABLE_WINDOW_MS: u64 = 3_000;
 const HEARTBEAT_MS: u64 = 1_200;
+/// The `timeoutMs` of the plain routes.
+const TIMEOUT_MS: u64 = 1_500;
 /// How long an entry in the list outlives the last heartbeat.
 const LISTED_MS: u64 = 3 * HEARTBEAT_MS;
 
+/// In place of a status: the answer is lost.
+const LOST: u16 = 0;
+/// The share of answers that the store may lose, of the site's `platform_lost`.
+const LOST_SHARE: f64 = 0.35;
+
 const HOST: &str = "songs.example";
 const SERVICE: &str = "ledger-desk";
 
@@ -375,8 +382,11 @@
     /// Connections of an earlier generation deliver nothing.
     generation: u64,
     away: Option<Away>,
-    /// Whether the answers of a table's feed are lost.
-    loses: Option<String>,
+    /// The polls in flight, with the table and when each was sent.
+    polls: BTreeMap<u64, (String, Instant)>,
+    polls_sent: u64,
+    /// The polls whose answers will be lost.
+    lost: Vec<u64>,
     open: Vec<TcpStream>,
 }
 
@@ -490,14 +500,18 @@
         self.state.1.notify_all();
     }
 
-    /// Writes a row while the answers that tell of it are lost. Returns when it
-    /// was acknowledged.
-    fn put_unheard(&self, table: &str, key: &str, value: &str) -> u64 {
-        self.state.0.lock().expect("no panic").loses = Some(table.to_owned());
-        let acknowledged = self.put(table, key, value);
-        sleep(millis(50));
-        self.state.0.lock().expect("no panic").loses = None;
-        acknowledged
+    /// Writes a row. Of the answers to polls in flight that tell of it, a share is
+    /// lost: those to the polls sent last. Returns when it was acknowledged, and
+    /// how many answers are lost.
+    fn put_half_heard(&self, table: &str, key: &str, value: &str, share: f64) -> (u64, usize) {
+        let mut state = self.state.0.lock().expect("no panic");
+        let polls = state.polls.iter().filter(|(_, (one, _))| one == table);
+        let mut polls: Vec<(Instant, u64)> = polls.map(|(id, (_, sent))| (*sent, *id)).collect();
+        polls.sort_unstable();
+        let count = (polls.len() as f64 * share) as usize;
+        state.lost = polls.iter().rev().take(count).map(|(_, id)| *id).collect();
+        drop(state);
+        (self.put(table, key, value), count)
     }
 
     fn version(&self) -> u64 {
@@ -513,9 +527,7 @@
         while let Ok(Some(request)) = read_message(&mut reader, false) {
             let answer = self.answer(&request, generation);
             let state = self.state.0.lock().expect("no panic");
-            let target = request.word(1);
-            let is_lost = target.starts_with("/rows-feed") && state.loses == Some(query(target, "table"));
-            let is_dead = state.generation != generation || state.away.is_some() || is_lost;
+            let is_dead = state.generation != generation || state.away.is_some() || answer.0 == LOST;
             let (era, away) = (state.era, state.away);
             drop(state);
             if is_dead {
@@ -616,11 +628,20 @@
         let wait: u64 = query(target, "waitMs").parse().unwrap_or(0);
         let until = Instant::now() + millis(wait.min(30_000));
         let mut state = self.state.0.lock().expect("no panic");
+        state.polls_sent += 1;
+        let poll = state.polls_sent;
+        state.polls.insert(poll, (table.clone(), Instant::now()));
         loop {
+            if state.lost.contains(&poll) && state.rows.iter().any(|((one, _), row)| *one == table && row.version > since) {
+                state.polls.remove(&poll);
+                return (LOST, Vec::new());
+            }
             if state.generation != generation {
+                state.polls.remove(&poll);
                 return (503, Vec::new());
             }
             if since > state.version {
+                state.polls.remove(&poll);
                 return (410, Vec::new());
             }
             let mut found: Vec<_> = state
@@ -631,7 +652,9 @@
             let left = until.saturating_duration_since(Instant::now());
             if !found.is_empty() || left.is_zero() {
                 found.sort_by_key(|(_, row)| row.version);
-                return (200, self.render(&state, &found, false));
+                let body = self.render(&state, &found, false);
+                state.polls.remove(&poll);
+                return (200, body);
             }
             state = self.state.1.wait_timeout(state, left).expect("no panic").0;
         }
@@ -821,6 +844,10 @@
         }
     }
 
+    fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+    }
+
     fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
     }
@@ -832,6 +859,8 @@
     callers: SocketAddr,
     readiness: SocketAddr,
     _process: Process,
+    /// Collects what the process logs to its standard output.
+    collector: Process,
 }
 
 struct Deployment {
@@ -936,15 +965,18 @@
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("the folder can be written");
         let log = fs::File::create(self.folder.join(format!("{name}.log"))).expect("it can be created");
-        let child = Command::new("target/release/snipewinch-node")
+        let mut child = Command::new("target/release/snipewinch-node")
             .env("SNIPEWINCH_BOOT", &path)
             .env("SNIPEWINCH_METRICS_PORT", metrics.port().to_string())
             .stdin(Stdio::null())
-            .stdout(log)
+            .stdout(Stdio::piped())
             .spawn()
             .expect("target/release/snipewinch-node is built");
+        let output = child.stdout.take().expect("it is piped");
+        let collector = Command::new("cat").stdin(output).stdout(log).spawn().expect("cat starts");
         let process = Process { child, input: None };
-        Entry { name, callers, readiness, _process: process }
+        let collector = Process { child: collector, input: None };
+        Entry { name, callers, readiness, _process: process, collector }
     }
 
     /// Sends a request in a thread of its own and records what became of it.
@@ -1016,18 +1048,20 @@
     exchange(entry.readiness, request, millis(500)).is_ok_and(|answer| answer.status() == 200)
 }
 
-/// The configuration; `keys` are those of the one tenant.
+/// The configuration; `keys` are those of the one tenant. The service `closed`
+/// has no runner.
 fn configuration(version: u64, keys: &[&str]) -> String {
-    let route = |name: &str, kind: &str, attempts: u32| {
+    let route = |name: &str, kind: &str, attempts: u32, service: &str| {
         format!(
-            "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"prefix\":\"/{name}/\",\"routeKind\":\"{kind}\",\"timeoutMs\":1500,\"goalMs\":300,\"priority\":2,\"service\":\"{SERVICE}\",\"maxAttempts\":{attempts},\"public\":false}}"
+            "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"prefix\":\"/{name}/\",\"routeKind\":\"{kind}\",\"timeoutMs\":{TIMEOUT_MS},\"goalMs\":300,\"priority\":2,\"service\":\"{service}\",\"maxAttempts\":{attempts},\"public\":false}}"
         )
     };
     let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
     format!(
-        "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{{\"name\":\"{SERVICE}\",\"maxConns\":248}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"archive\",\"apiKeys\":[{}]}}]}}",
-        route("lookup", "idempotent", 2),
-        route("grant", "non_idempotent", 1),
+        "{{\"version\":{version},\"routes\":[{},{},{}],\"services\":[{{\"name\":\"{SERVICE}\",\"maxConns\":248}},{{\"name\":\"closed\",\"maxConns\":108}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"archive\",\"apiKeys\":[{}]}}]}}",
+        route("lookup", "idempotent", 2, SERVICE),
+        route("grant", "non_idempotent", 1, SERVICE),
+        route("closed", "idempotent", 2, "closed"),
         keys.join(",")
     )
 }
@@ -1232,7 +1266,7 @@
     let mut down: Vec<(usize, Instant)> = Vec::new();
     for step in 0..500_usize {
         for entry in &entries {
-            deployment.send(entry, "GET", "/lookup/", "kept", "");
+            deployment.send(entry, "POST", "/grant/", "kept", "");
         }
         // Every five seconds the request comes again, at either machine.
         if step % 50 == 40 {
@@ -1256,8 +1290,10 @@
     let lines = deployment.lines();
     let crashes: Vec<&Line> = lines.iter().filter(|line| line.text.starts_with("runner crashes ")).collect();
     let due = crashes.get(2).map_or(u64::MAX, |third| third.at + STABLE_WINDOW_MS);
-    let arrivals = lines.iter().filter(|line| line.at > due && line.text.contains(" POST /grant/"));
-    let broken = arrivals.filter(|line| line.text.starts_with("runner ran ")).count();
+    let is_deadly = |line: &&Line| line.text.starts_with("runner ran ") && line.text.ends_with(" POST /grant/");
+    let broken = lines.iter().filter(|line| line.at > due).filter(is_deadly).count();
+    let lost = lines.iter().filter(|line| line.text.starts_with("client got ") && line.text.contains(" 502 ")).count();
+    deployment.note(format!("{} crashes; {lost} requests, the deadly ones among them, were broken off", crashes.len()));
     deployment.finish(began, file, broken, 3, "times the request reached runners later than stableWindowMs after it had crashed the third")
 }
 
@@ -1296,12 +1332,10 @@
         }
     };
     traffic(15_000);
-    let text = configuration(2, &["kept"]);
-    let acknowledged = match deployment.trouble {
-        true => deployment.store.put_unheard("op", "config", &text),
-        false => deployment.store.put("op", "config", &text),
-    };
-    deployment.note("operator withdrew the key".to_owned());
+    let share = if deployment.trouble { LOST_SHARE } else { 0.0 };
+    let (acknowledged, lost) = deployment.store.put_half_heard("op", "config", &configuration(2, &["kept"]), share);
+    deployment.note(format!("operator withdrew the key; {lost} answers are lost"));
+    sleep(millis(50));
     let calm = epoch_ms();
     traffic(8_000);
     sleep(millis(2_000));
@@ -1392,6 +1426,63 @@
     deployment.finish(began, file, denied, 5 + answers.len() / 500, "proper requests ended with a 4xx without a runner's signature")
 }
 
+// ---------------------------------------------------------------- case: log
+
+/// What collects the logs of one entry stands still for a while.
+fn stalled_log(deployment: &Deployment, file: &Path) -> ExitCode {
+    let began = epoch_ms();
+    deployment.store.put("op", "config", &configuration(1, &["kept"]));
+    let _runners: Vec<Process> = (0..3)
+        .map(|index| {
+            let (zone, _) = ZONES[index as usize];
+            deployment.start_runner(&format!("desk-{index}"), runner_address(index + 1), zone, None)
+        })
+        .collect();
+    sleep(millis(1_000));
+    let entries: Vec<Entry> = (0..3_u8)
+        .map(|index| {
+            let (zone, region) = ZONES[usize::from(index)];
+            deployment.start_entry(index + 1, zone, region)
+        })
+        .collect();
+    if !wait_ready(&entries) {
+        return ExitCode::from(2);
+    }
+    for step in 0..600 {
+        if step == 40 && deployment.trouble {
+            deployment.note(format!("the collector of the logs of {} stands still", entries[0].name));
+            entries[0].collector.signal("-STOP");
+        }
+        if step == 560 && deployment.trouble {
+            deployment.note(format!("the collector of the logs of {} goes on", entries[0].name));
+            entries[0].collector.signal("-CONT");
+        }
+        for entry in &entries {
+            deployment.send(entry, "GET", "/lookup/", "kept", "");
+            // Each of these leaves a line in the log.
+            deployment.send(entry, "GET", "/closed/", "kept", "");
+            deployment.send(entry, "GET", "/lookup/", "of-nobody", "");
+        }
+        sleep(millis(100));
+    }
+    sleep(millis(5_000));
+    let lines = deployment.lines();
+    let mut answered: BTreeMap<&str, u64> = BTreeMap::new();
+    for line in &lines {
+        if let Some(words) = words(line, "client got ").filter(|words| !words.contains(&"nothing:")) {
+            answered.insert(words[0], line.at);
+        }
+    }
+    let sent = lines.iter().filter_map(|line| Some((line.at, words(line, "client sent ")?)));
+    let took = sent.map(|(at, words)| answered.get(words[0]).map_or(u64::MAX, |until| until - at));
+    let long: Vec<u64> = took.filter(|took| *took > TIMEOUT_MS).collect();
+    let unanswered = long.iter().filter(|took| **took > TIMEOUT_MS + 500).count();
+    deployment.note(format!("{} requests lasted longer than timeoutMs, {unanswered} of them had no answer 0.5 s after it", long.len()));
+    // Fewer than eight, or a quarter of them.
+    let allowed = (long.len() / 4).max(7);
+    deployment.finish(began, file, unanswered, allowed, "requests had no final answer 0.5 s after their route's timeoutMs")
+}
+
 fn main() -> ExitCode {
     let args: Vec<String> = env::args().skip(1).collect();
     if args.first().is_some_and(|first| first == "runner") {
@@ -1414,6 +1505,7 @@
         "left-runner" => left_runner(&deployment, file),
         "same-id" => same_id(&deployment, file),
         "odd-entry" => odd_entry(&deployment, file),
+        "stalled-log" => stalled_log(&deployment, file),
         "lost-answer" => lost_answer(&deployment, file),
         _ => ExitCode::from(2),
     }
