--- a/review/standin.rs
+++ b/review/standin.rs
@@ -25,12 +25,12 @@
 use std::process::Command;
 use std::process::ExitCode;
 use std::process::Stdio;
-use std::sync::Arc;
-use std::sync::Condvar;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
 use std::thread;
 use std::thread::sleep;
 use std::time::Duration;
@@ -110,11 +110,15 @@
             break;
         }
         if let Some((name, value)) = text.split_once(':') {
-            message.fields.push((name.to_owned(), value.trim().to_owned()));
+            message
+                .fields
+                .push((name.to_owned(), value.trim().to_owned()));
         }
     }
     let is_chunked = message.field("transfer-encoding") == Some("chunked");
-    let length = message.field("content-length").and_then(|text| text.parse::<usize>().ok());
+    let length = message
+        .field("content-length")
+        .and_then(|text| text.parse::<usize>().ok());
     match length {
         _ if is_chunked => loop {
             line.clear();
@@ -172,7 +176,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let hex = text.get(at + 1..at + 3).and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        let hex = text
+            .get(at + 1..at + 3)
+            .and_then(|hex| u8::from_str_radix(hex, 16).ok());
         match (bytes[at], hex) {
             (b'%', Some(byte)) => {
                 out.push(byte);
@@ -250,7 +256,11 @@
     }
 
     fn skip(&mut self) -> char {
-        while self.chars.get(self.at).is_some_and(|one| one.is_whitespace()) {
+        while self
+            .chars
+            .get(self.at)
+            .is_some_and(|one| one.is_whitespace())
+        {
             self.at += 1;
         }
         self.chars.get(self.at).copied().unwrap_or('\0')
@@ -316,10 +326,16 @@
 
     fn word(&mut self) -> Json {
         let start = self.at;
-        while self.chars.get(self.at).is_some_and(|one| !",]}".contains(*one) && !one.is_whitespace()) {
+        while self
+            .chars
+            .get(self.at)
+            .is_some_and(|one| !",]}".contains(*one) && !one.is_whitespace())
+        {
             self.at += 1;
         }
-        let word: String = self.chars[start..self.at.min(self.chars.len())].iter().collect();
+        let word: String = self.chars[start..self.at.min(self.chars.len())]
+            .iter()
+            .collect();
         if self.at == start {
             self.at += 1;
         }
@@ -402,7 +418,13 @@
     fn spawn(ip: Ipv4Addr) -> Store {
         let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let store = Store {
-            state: Arc::new((Mutex::new(StoreState { era: 1, ..StoreState::default() }), Condvar::new())),
+            state: Arc::new((
+                Mutex::new(StoreState {
+                    era: 1,
+                    ..StoreState::default()
+                }),
+                Condvar::new(),
+            )),
             address: listener.local_addr().expect("it is bound"),
             started: Instant::now(),
         };
@@ -482,7 +504,11 @@
         self.state.1.notify_all();
         sleep(length);
         let mut state = self.state.0.lock().expect("no panic");
-        let old = state.copies.iter().rev().find(|(at, ..)| *at + age <= began);
+        let old = state
+            .copies
+            .iter()
+            .rev()
+            .find(|(at, ..)| *at + age <= began);
         let (_, version, rows) = old.expect("the store ran that long").clone();
         state.version = version;
         state.rows = rows;
@@ -527,7 +553,8 @@
         while let Ok(Some(request)) = read_message(&mut reader, false) {
             let answer = self.answer(&request, generation);
             let state = self.state.0.lock().expect("no panic");
-            let is_dead = state.generation != generation || state.away.is_some() || answer.0 == LOST;
+            let is_dead =
+                state.generation != generation || state.away.is_some() || answer.0 == LOST;
             let (era, away) = (state.era, state.away);
             drop(state);
             if is_dead {
@@ -545,7 +572,10 @@
                 ("Content-Type", "application/json".to_owned()),
                 ("Store-Era", era.to_string()),
             ];
-            if writer.write_all(&encode_answer(status, &fields, &body)).is_err() {
+            if writer
+                .write_all(&encode_answer(status, &fields, &body))
+                .is_err()
+            {
                 return;
             }
         }
@@ -584,7 +614,12 @@
         }
     }
 
-    fn render(&self, state: &StoreState, rows: &[(&(String, String), &Row)], has_more: bool) -> Vec<u8> {
+    fn render(
+        &self,
+        state: &StoreState,
+        rows: &[(&(String, String), &Row)],
+        has_more: bool,
+    ) -> Vec<u8> {
         let rows: Vec<String> = rows
             .iter()
             .map(|((table, key), row)| {
@@ -608,14 +643,21 @@
     }
 
     fn page(&self, target: &str) -> Vec<u8> {
-        let (table, from, until) = (query(target, "table"), query(target, "from"), query(target, "target"));
+        let (table, from, until) = (
+            query(target, "table"),
+            query(target, "from"),
+            query(target, "target"),
+        );
         let limit = query(target, "limit").parse().unwrap_or(500).min(500);
         let state = self.state.0.lock().expect("no panic");
         let found: Vec<_> = state
             .rows
             .iter()
             .filter(|((one, key), row)| {
-                *one == table && row.value.is_some() && *key >= from && (until.is_empty() || *key < until)
+                *one == table
+                    && row.value.is_some()
+                    && *key >= from
+                    && (until.is_empty() || *key < until)
             })
             .collect();
         let shown = &found[..found.len().min(limit)];
@@ -632,7 +674,12 @@
         let poll = state.polls_sent;
         state.polls.insert(poll, (table.clone(), Instant::now()));
         loop {
-            if state.lost.contains(&poll) && state.rows.iter().any(|((one, _), row)| *one == table && row.version > since) {
+            if state.lost.contains(&poll)
+                && state
+                    .rows
+                    .iter()
+                    .any(|((one, _), row)| *one == table && row.version > since)
+            {
                 state.polls.remove(&poll);
                 return (LOST, Vec::new());
             }
@@ -673,7 +720,11 @@
         let conditions = call.get("expectedRev").list();
         if !conditions.iter().all(is_met) {
             let ids: Vec<_> = conditions.iter().map(id).collect();
-            let found: Vec<_> = state.rows.iter().filter(|(one, _)| ids.contains(one)).collect();
+            let found: Vec<_> = state
+                .rows
+                .iter()
+                .filter(|(one, _)| ids.contains(one))
+                .collect();
             return (412, self.render(&state, &found, false));
         }
         for one in call.get("writes").list() {
@@ -686,7 +737,11 @@
         for one in call.get("delete").list() {
             let (table, key) = id(one);
             state.beats.remove(&key);
-            if state.rows.get(&(table.clone(), key.clone())).is_some_and(|row| row.value.is_some()) {
+            if state
+                .rows
+                .get(&(table.clone(), key.clone()))
+                .is_some_and(|row| row.value.is_some())
+            {
                 set(&mut state, &table, &key, None);
             }
         }
@@ -700,7 +755,9 @@
 fn set(state: &mut StoreState, table: &str, key: &str, value: Option<String>) {
     state.version += 1;
     let version = state.version;
-    state.rows.insert((table.to_owned(), key.to_owned()), Row { value, version });
+    state
+        .rows
+        .insert((table.to_owned(), key.to_owned()), Row { value, version });
 }
 
 // ---------------------------------------------------------------- runners
@@ -715,12 +772,21 @@
         "POST /rows-tx HTTP/1.1\r\nHost: store\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
-    while !exchange(store, request.as_bytes(), millis(500)).is_ok_and(|answer| answer.status() == 200) {
+    while !exchange(store, request.as_bytes(), millis(500))
+        .is_ok_and(|answer| answer.status() == 200)
+    {
         sleep(millis(100));
     }
 }
 
-fn entry_text(service: &str, address: SocketAddr, zone: &str, slots: u32, born: u64, seq: u64) -> String {
+fn entry_text(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: u32,
+    born: u64,
+    seq: u64,
+) -> String {
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"1\",\"slots\":{slots},\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":{seq},\"born\":{born}}}"
     )
@@ -754,7 +820,11 @@
                 if is_leaving.load(Ordering::SeqCst) {
                     return;
                 }
-                write_entry(store, &id, &entry_text(SERVICE, address, &zone, 6, born, seq));
+                write_entry(
+                    store,
+                    &id,
+                    &entry_text(SERVICE, address, &zone, 6, born, seq),
+                );
                 sleep(millis(HEARTBEAT_MS));
             }
         });
@@ -784,12 +854,20 @@
                 if is_leaving.load(Ordering::SeqCst) {
                     fields.push(("Server-Leaving", "1".to_owned()));
                 }
-                if request.field("x-expect-instance").is_some_and(|expected| expected != id) {
+                if request
+                    .field("x-expect-instance")
+                    .is_some_and(|expected| expected != id)
+                {
                     let _ = writer.write_all(&encode_answer(421, &fields, b""));
                     continue;
                 }
                 let tenant = request.field("x-tenant").unwrap_or("-").to_owned();
-                println!("{} ran {id} {attempt} {tenant} {} {}", epoch_ms(), request.word(0), request.word(1));
+                println!(
+                    "{} ran {id} {attempt} {tenant} {} {}",
+                    epoch_ms(),
+                    request.word(0),
+                    request.word(1)
+                );
                 let body = String::from_utf8_lossy(&request.body).into_owned();
                 if deadly.as_deref() == Some(body.as_str()) {
                     println!("{} crashes {id} {attempt}", epoch_ms());
@@ -845,7 +923,9 @@
     }
 
     fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        let _ = Command::new("kill")
+            .args([name, &self.child.id().to_string()])
+            .status();
     }
 
     fn has_ended(&mut self) -> bool {
@@ -886,13 +966,28 @@
 
 impl Deployment {
     fn note(&self, text: String) {
-        let line = Line { at: epoch_ms(), text };
+        let line = Line {
+            at: epoch_ms(),
+            text,
+        };
         self.record.lock().expect("no panic").push(line);
     }
 
-    fn start_runner(&self, id: &str, address: SocketAddr, zone: &str, deadly: Option<&str>) -> Process {
+    fn start_runner(
+        &self,
+        id: &str,
+        address: SocketAddr,
+        zone: &str,
+        deadly: Option<&str>,
+    ) -> Process {
         let mut command = Command::new(env::current_exe().expect("it runs"));
-        command.args(["runner", id, &address.to_string(), zone, &self.store.address.to_string()]);
+        command.args([
+            "runner",
+            id,
+            &address.to_string(),
+            zone,
+            &self.store.address.to_string(),
+        ]);
         command.args(deadly);
         let started = command.stdin(Stdio::piped()).stdout(Stdio::piped()).spawn();
         let mut child = started.expect("it starts");
@@ -964,7 +1059,8 @@
         );
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("the folder can be written");
-        let log = fs::File::create(self.folder.join(format!("{name}.log"))).expect("it can be created");
+        let log =
+            fs::File::create(self.folder.join(format!("{name}.log"))).expect("it can be created");
         let mut child = Command::new("target/release/snipewinch-node")
             .env("SNIPEWINCH_BOOT", &path)
             .env("SNIPEWINCH_METRICS_PORT", metrics.port().to_string())
@@ -973,10 +1069,23 @@
             .spawn()
             .expect("target/release/snipewinch-node is built");
         let output = child.stdout.take().expect("it is piped");
-        let collector = Command::new("cat").stdin(output).stdout(log).spawn().expect("cat starts");
+        let collector = Command::new("cat")
+            .stdin(output)
+            .stdout(log)
+            .spawn()
+            .expect("cat starts");
         let process = Process { child, input: None };
-        let collector = Process { child: collector, input: None };
-        Entry { name, callers, readiness, _process: process, collector }
+        let collector = Process {
+            child: collector,
+            input: None,
+        };
+        Entry {
+            name,
+            callers,
+            readiness,
+            _process: process,
+            collector,
+        }
     }
 
     /// Sends a request in a thread of its own and records what became of it.
@@ -995,11 +1104,18 @@
             // The same request comes again: its path has no number.
             false => request.replacen(&format!("{path}{attempt}"), path, 1),
         };
-        let (record, callers, name, key) =
-            (self.record.clone(), entry.callers, entry.name.clone(), key.to_owned());
+        let (record, callers, name, key) = (
+            self.record.clone(),
+            entry.callers,
+            entry.name.clone(),
+            key.to_owned(),
+        );
         thread::spawn(move || {
             let at = epoch_ms();
-            let line = Line { at, text: format!("client sent {attempt} {name} {key}") };
+            let line = Line {
+                at,
+                text: format!("client sent {attempt} {name} {key}"),
+            };
             record.lock().expect("no panic").push(line);
             let text = match exchange(callers, request.as_bytes(), millis(4_000)) {
                 Ok(answer) => format!(
@@ -1010,7 +1126,10 @@
                 ),
                 Err(error) => format!("client got {attempt} {name} {key} nothing: {error}"),
             };
-            record.lock().expect("no panic").push(Line { at: epoch_ms(), text });
+            record.lock().expect("no panic").push(Line {
+                at: epoch_ms(),
+                text,
+            });
         });
     }
 
@@ -1021,7 +1140,14 @@
     }
 
     /// Writes the record and says how the case ended.
-    fn finish(&self, began: u64, file: &Path, broken: usize, allowed: usize, what: &str) -> ExitCode {
+    fn finish(
+        &self,
+        began: u64,
+        file: &Path,
+        broken: usize,
+        allowed: usize,
+        what: &str,
+    ) -> ExitCode {
         let verdict = match broken > allowed {
             true => format!("BROKEN: {broken} {what}, {allowed} are allowed"),
             false => format!("held: {broken} {what}, {allowed} are allowed"),
@@ -1110,11 +1236,18 @@
 /// A key is withdrawn just after the store came back from a copy.
 fn withdrawn_key(deployment: &Deployment, file: &Path) -> ExitCode {
     let began = epoch_ms();
-    deployment.store.put("op", "config", &configuration(1, &["kept", "withdrawn"]));
+    deployment
+        .store
+        .put("op", "config", &configuration(1, &["kept", "withdrawn"]));
     let _runners: Vec<Process> = (0..3)
         .map(|index| {
             let (zone, _) = ZONES[index as usize];
-            deployment.start_runner(&format!("desk-{index}"), runner_address(index + 1), zone, None)
+            deployment.start_runner(
+                &format!("desk-{index}"),
+                runner_address(index + 1),
+                zone,
+                None,
+            )
         })
         .collect();
     // The model runners of the site. No request goes to them here; they write
@@ -1156,21 +1289,39 @@
     };
     traffic(12_000);
     if deployment.trouble {
-        deployment.note(format!("store goes away at version {}", deployment.store.version()));
-        deployment.store.drill(Away::Silent, millis(1_000), millis(2_500));
-        deployment.note(format!("store is back at version {}", deployment.store.version()));
+        deployment.note(format!(
+            "store goes away at version {}",
+            deployment.store.version()
+        ));
+        deployment
+            .store
+            .drill(Away::Silent, millis(1_000), millis(2_500));
+        deployment.note(format!(
+            "store is back at version {}",
+            deployment.store.version()
+        ));
     }
     traffic(300);
-    let acknowledged = deployment.store.put("op", "config", &configuration(2, &["kept"]));
-    deployment.note(format!("operator withdrew the key, version {} of the store", deployment.store.version()));
+    let acknowledged = deployment
+        .store
+        .put("op", "config", &configuration(2, &["kept"]));
+    deployment.note(format!(
+        "operator withdrew the key, version {} of the store",
+        deployment.store.version()
+    ));
     traffic(20_000);
     sleep(millis(2_000));
     // The bound of configuration, with what an unstable store may add.
     let due = acknowledged + CONFIG_APPLY_MS + OUTER_MS;
     let lines = deployment.lines();
     let runs = runs(&lines);
-    let late = lines.iter().filter(|line| line.at > due).filter_map(|line| words(line, "client sent "));
-    let broken = late.filter(|words| words[2] == "withdrawn" && runs.contains_key(words[0])).count();
+    let late = lines
+        .iter()
+        .filter(|line| line.at > due)
+        .filter_map(|line| words(line, "client sent "));
+    let broken = late
+        .filter(|words| words[2] == "withdrawn" && runs.contains_key(words[0]))
+        .count();
     deployment.finish(began, file, broken, 0, "requests ran with the withdrawn key, sent later than configApplyMs + outerMs after the acknowledgement")
 }
 
@@ -1180,11 +1331,18 @@
 /// is listed.
 fn left_runner(deployment: &Deployment, file: &Path) -> ExitCode {
     let began = epoch_ms();
-    deployment.store.put("op", "config", &configuration(1, &["kept"]));
+    deployment
+        .store
+        .put("op", "config", &configuration(1, &["kept"]));
     let mut runners: Vec<Process> = (0..4)
         .map(|index| {
             let (zone, _) = ZONES[index as usize % 3];
-            deployment.start_runner(&format!("desk-{index}"), runner_address(index + 1), zone, None)
+            deployment.start_runner(
+                &format!("desk-{index}"),
+                runner_address(index + 1),
+                zone,
+                None,
+            )
         })
         .collect();
     sleep(millis(1_000));
@@ -1212,14 +1370,20 @@
     runners[3].tell("leaving");
     traffic(7_000);
     if deployment.trouble {
-        deployment.note(format!("store goes away at version {}", deployment.store.version()));
+        deployment.note(format!(
+            "store goes away at version {}",
+            deployment.store.version()
+        ));
         let away = thread::spawn({
             let store = deployment.store.clone();
             move || store.drill(Away::Closed, millis(500), millis(5_000))
         });
         traffic(500);
         let _ = away.join();
-        deployment.note(format!("store is back at version {}", deployment.store.version()));
+        deployment.note(format!(
+            "store is back at version {}",
+            deployment.store.version()
+        ));
     }
     traffic(5_000);
     runners.pop();
@@ -1229,16 +1393,23 @@
     let mut broken = 0;
     for entry in &entries {
         let passed_on = lines.iter().find(|line| {
-            words(line, "client got ").is_some_and(|words| words[1] == entry.name && words.contains(&"leaving=1"))
+            words(line, "client got ")
+                .is_some_and(|words| words[1] == entry.name && words.contains(&"leaving=1"))
         });
         let Some(passed_on) = passed_on else {
             continue;
         };
         let due = passed_on.at + DRAIN_MS;
-        let late = lines.iter().filter(|line| line.at > due).filter_map(|line| words(line, "client sent "));
+        let late = lines
+            .iter()
+            .filter(|line| line.at > due)
+            .filter_map(|line| words(line, "client sent "));
         broken += late
             .filter(|words| words[1] == entry.name)
-            .filter(|words| runs.get(words[0]).is_some_and(|(_, runner)| runner == "desk-3"))
+            .filter(|words| {
+                runs.get(words[0])
+                    .is_some_and(|(_, runner)| runner == "desk-3")
+            })
             .count();
     }
     deployment.finish(began, file, broken, 0, "requests reached the runner that had left, sent later than drainMs after their machine had passed on that it leaves")
@@ -1250,7 +1421,9 @@
 fn same_id(deployment: &Deployment, file: &Path) -> ExitCode {
     const DEADLY: &str = "deadly";
     let began = epoch_ms();
-    deployment.store.put("op", "config", &configuration(1, &["kept"]));
+    deployment
+        .store
+        .put("op", "config", &configuration(1, &["kept"]));
     let addresses: Vec<SocketAddr> = (1..=3).map(runner_address).collect();
     let deadly = deployment.trouble.then_some(DEADLY);
     let start = |index: usize| {
@@ -1259,7 +1432,9 @@
     };
     let mut runners: Vec<Process> = (0..3).map(start).collect();
     sleep(millis(1_000));
-    let entries: Vec<Entry> = (0..2_u8).map(|index| deployment.start_entry(index + 1, ZONES[0].0, ZONES[0].1)).collect();
+    let entries: Vec<Entry> = (0..2_u8)
+        .map(|index| deployment.start_entry(index + 1, ZONES[0].0, ZONES[0].1))
+        .collect();
     if !wait_ready(&entries) {
         return ExitCode::from(2);
     }
@@ -1288,12 +1463,28 @@
     }
     sleep(millis(2_000));
     let lines = deployment.lines();
-    let crashes: Vec<&Line> = lines.iter().filter(|line| line.text.starts_with("runner crashes ")).collect();
-    let due = crashes.get(2).map_or(u64::MAX, |third| third.at + STABLE_WINDOW_MS);
-    let is_deadly = |line: &&Line| line.text.starts_with("runner ran ") && line.text.ends_with(" POST /grant/");
-    let broken = lines.iter().filter(|line| line.at > due).filter(is_deadly).count();
-    let lost = lines.iter().filter(|line| line.text.starts_with("client got ") && line.text.contains(" 502 ")).count();
-    deployment.note(format!("{} crashes; {lost} requests, the deadly ones among them, were broken off", crashes.len()));
+    let crashes: Vec<&Line> = lines
+        .iter()
+        .filter(|line| line.text.starts_with("runner crashes "))
+        .collect();
+    let due = crashes
+        .get(2)
+        .map_or(u64::MAX, |third| third.at + STABLE_WINDOW_MS);
+    let is_deadly =
+        |line: &&Line| line.text.starts_with("runner ran ") && line.text.ends_with(" POST /grant/");
+    let broken = lines
+        .iter()
+        .filter(|line| line.at > due)
+        .filter(is_deadly)
+        .count();
+    let lost = lines
+        .iter()
+        .filter(|line| line.text.starts_with("client got ") && line.text.contains(" 502 "))
+        .count();
+    deployment.note(format!(
+        "{} crashes; {lost} requests, the deadly ones among them, were broken off",
+        crashes.len()
+    ));
     deployment.finish(began, file, broken, 3, "times the request reached runners later than stableWindowMs after it had crashed the third")
 }
 
@@ -1302,11 +1493,18 @@
 /// The answers of the store that tell of a withdrawn key are lost.
 fn lost_answer(deployment: &Deployment, file: &Path) -> ExitCode {
     let began = epoch_ms();
-    deployment.store.put("op", "config", &configuration(1, &["kept", "withdrawn"]));
+    deployment
+        .store
+        .put("op", "config", &configuration(1, &["kept", "withdrawn"]));
     let _runners: Vec<Process> = (0..3)
         .map(|index| {
             let (zone, _) = ZONES[index as usize];
-            deployment.start_runner(&format!("desk-{index}"), runner_address(index + 1), zone, None)
+            deployment.start_runner(
+                &format!("desk-{index}"),
+                runner_address(index + 1),
+                zone,
+                None,
+            )
         })
         .collect();
     sleep(millis(1_000));
@@ -1333,8 +1531,13 @@
     };
     traffic(15_000);
     let share = if deployment.trouble { LOST_SHARE } else { 0.0 };
-    let (acknowledged, lost) = deployment.store.put_half_heard("op", "config", &configuration(2, &["kept"]), share);
-    deployment.note(format!("operator withdrew the key; {lost} answers are lost"));
+    let (acknowledged, lost) =
+        deployment
+            .store
+            .put_half_heard("op", "config", &configuration(2, &["kept"]), share);
+    deployment.note(format!(
+        "operator withdrew the key; {lost} answers are lost"
+    ));
     sleep(millis(50));
     let calm = epoch_ms();
     traffic(8_000);
@@ -1343,8 +1546,13 @@
     let due = (acknowledged + CONFIG_APPLY_MS).max(calm + STABLE_WINDOW_MS);
     let lines = deployment.lines();
     let runs = runs(&lines);
-    let late = lines.iter().filter(|line| line.at > due).filter_map(|line| words(line, "client sent "));
-    let broken = late.filter(|words| words[2] == "withdrawn" && runs.contains_key(words[0])).count();
+    let late = lines
+        .iter()
+        .filter(|line| line.at > due)
+        .filter_map(|line| words(line, "client sent "));
+    let broken = late
+        .filter(|words| words[2] == "withdrawn" && runs.contains_key(words[0]))
+        .count();
     deployment.finish(began, file, broken, 0, "requests ran with the withdrawn key, sent later than configApplyMs after the acknowledgement by machines in touch")
 }
 
@@ -1366,8 +1574,15 @@
                 while let Ok(Some(request)) = read_message(&mut reader, false) {
                     let attempt = request.field("x-attempt-id").unwrap_or("-");
                     let text = format!("web server got {attempt} {}", request.start);
-                    record.lock().expect("no panic").push(Line { at: epoch_ms(), text });
-                    let answer = encode_answer(404, &[("Content-Type", "text/plain".to_owned())], b"not found");
+                    record.lock().expect("no panic").push(Line {
+                        at: epoch_ms(),
+                        text,
+                    });
+                    let answer = encode_answer(
+                        404,
+                        &[("Content-Type", "text/plain".to_owned())],
+                        b"not found",
+                    );
                     if writer.write_all(&answer).is_err() {
                         return;
                     }
@@ -1382,11 +1597,18 @@
 /// runners.
 fn odd_entry(deployment: &Deployment, file: &Path) -> ExitCode {
     let began = epoch_ms();
-    deployment.store.put("op", "config", &configuration(1, &["kept"]));
+    deployment
+        .store
+        .put("op", "config", &configuration(1, &["kept"]));
     let _runners: Vec<Process> = (0..3)
         .map(|index| {
             let (zone, _) = ZONES[index as usize];
-            deployment.start_runner(&format!("desk-{index}"), runner_address(index + 1), zone, None)
+            deployment.start_runner(
+                &format!("desk-{index}"),
+                runner_address(index + 1),
+                zone,
+                None,
+            )
         })
         .collect();
     let web_server = spawn_web_server(deployment.record.clone());
@@ -1417,13 +1639,22 @@
     }
     sleep(millis(2_000));
     let lines = deployment.lines();
-    let answers: Vec<Vec<&str>> = lines.iter().filter_map(|line| words(line, "client got ")).collect();
+    let answers: Vec<Vec<&str>> = lines
+        .iter()
+        .filter_map(|line| words(line, "client got "))
+        .collect();
     let is_denied = |words: &&Vec<&str>| {
         let is_own = words.join(" ").contains("by=the entry");
         words[3].starts_with('4') && !["408", "421", "429"].contains(&words[3]) && is_own
     };
     let denied = answers.iter().filter(is_denied).count();
-    deployment.finish(began, file, denied, 5 + answers.len() / 500, "proper requests ended with a 4xx without a runner's signature")
+    deployment.finish(
+        began,
+        file,
+        denied,
+        5 + answers.len() / 500,
+        "proper requests ended with a 4xx without a runner's signature",
+    )
 }
 
 // ---------------------------------------------------------------- case: log
@@ -1431,11 +1662,18 @@
 /// What collects the logs of one entry stands still for a while.
 fn stalled_log(deployment: &Deployment, file: &Path) -> ExitCode {
     let began = epoch_ms();
-    deployment.store.put("op", "config", &configuration(1, &["kept"]));
+    deployment
+        .store
+        .put("op", "config", &configuration(1, &["kept"]));
     let _runners: Vec<Process> = (0..3)
         .map(|index| {
             let (zone, _) = ZONES[index as usize];
-            deployment.start_runner(&format!("desk-{index}"), runner_address(index + 1), zone, None)
+            deployment.start_runner(
+                &format!("desk-{index}"),
+                runner_address(index + 1),
+                zone,
+                None,
+            )
         })
         .collect();
     sleep(millis(1_000));
@@ -1450,11 +1688,17 @@
     }
     for step in 0..600 {
         if step == 40 && deployment.trouble {
-            deployment.note(format!("the collector of the logs of {} stands still", entries[0].name));
+            deployment.note(format!(
+                "the collector of the logs of {} stands still",
+                entries[0].name
+            ));
             entries[0].collector.signal("-STOP");
         }
         if step == 560 && deployment.trouble {
-            deployment.note(format!("the collector of the logs of {} goes on", entries[0].name));
+            deployment.note(format!(
+                "the collector of the logs of {} goes on",
+                entries[0].name
+            ));
             entries[0].collector.signal("-CONT");
         }
         for entry in &entries {
@@ -1469,18 +1713,27 @@
     let lines = deployment.lines();
     let mut answered: BTreeMap<&str, u64> = BTreeMap::new();
     for line in &lines {
-        if let Some(words) = words(line, "client got ").filter(|words| !words.contains(&"nothing:")) {
+        if let Some(words) = words(line, "client got ").filter(|words| !words.contains(&"nothing:"))
+        {
             answered.insert(words[0], line.at);
         }
     }
-    let sent = lines.iter().filter_map(|line| Some((line.at, words(line, "client sent ")?)));
+    let sent = lines
+        .iter()
+        .filter_map(|line| Some((line.at, words(line, "client sent ")?)));
     let took = sent.map(|(at, words)| answered.get(words[0]).map_or(u64::MAX, |until| until - at));
     let long: Vec<u64> = took.filter(|took| *took > TIMEOUT_MS).collect();
     let unanswered = long.iter().filter(|took| **took > TIMEOUT_MS + 500).count();
     deployment.note(format!("{} requests lasted longer than timeoutMs, {unanswered} of them had no answer 0.5 s after it", long.len()));
     // Fewer than eight, or a quarter of them.
     let allowed = (long.len() / 4).max(7);
-    deployment.finish(began, file, unanswered, allowed, "requests had no final answer 0.5 s after their route's timeoutMs")
+    deployment.finish(
+        began,
+        file,
+        unanswered,
+        allowed,
+        "requests had no final answer 0.5 s after their route's timeoutMs",
+    )
 }
 
 fn main() -> ExitCode {
