Read a store that was restored from a backup by era and version

Cause: a position in the store was a version alone. A restored store gives versions out again, so a poll from an old position skips what was written between the backup and it, and gets a normal answer.

Evidence: a scratch copy logged each poll. The configuration got version 198; the entries that polled since 178, 184 and 193 got it, those since 199, 208 and 214 got empty answers of era 2.

Change: snipewinch::position orders what is read by era and version. The client of the store reads Store-Era in each answer, refuses answers of an earlier era, and ends polls in flight once any answer shows a new one; the table is read again. A server that is missing from the backup is kept as after an outage.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -21,7 +21,8 @@
     entries: BTreeMap<SmolStr, BackendServer>,
     /// Entries that are missing, and until when they may reappear.
     missing: BTreeMap<SmolStr, Duration>,
-    /// Whether the store cannot be reached.
+    /// Whether the store cannot be reached, or was restored from a backup and has
+    /// not been read since.
     disconnected: bool,
     /// Whether the list has been read.
     loaded: bool,
@@ -61,6 +62,9 @@
                 self.disconnected = true;
                 return updates;
             }
+            // Entries that were written after the backup come back as after an
+            // outage.
+            Change::Restored => self.disconnected = true,
             Change::Snapshot(rows) => {
                 let reconnected = std::mem::take(&mut self.disconnected);
                 let is_absent = |id: &&SmolStr| !rows.iter().any(|row| row.key == **id);
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -56,6 +56,21 @@
     );
 }
 
+/// Guards against taking a server that registered after the backup for one that has
+/// left, though it is about to write its entry again.
+#[test]
+fn an_entry_missing_after_the_store_was_restored_may_reappear_within_the_grace_period() {
+    let mut listing = listing();
+    listing.apply(NOW, Change::Restored);
+    let updates = listing.apply(NOW, Change::Snapshot(vec![row("b", "ready")]));
+    assert_eq!(updates, [Update::Missing("a".into())]);
+    listing.apply(NOW, Change::Rows(vec![row("a", "ready")]));
+    assert!(
+        listing.tick(NOW + RECONNECT_GRACE).is_empty(),
+        "it reappeared"
+    );
+}
+
 #[test]
 fn an_entry_that_does_not_reappear_after_an_outage_is_removed() {
     let mut listing = listing();
--- a/crates/node/src/entry/limits.rs
+++ b/crates/node/src/entry/limits.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
+use snipewinch::position::Position;
 use snipewinch::server_limit::Published;
 use snipewinch::server_limit::Row;
 use tokio::time::Instant;
@@ -57,8 +58,8 @@
 /// The table as it was last read.
 #[derive(Debug, Default)]
 struct View {
-    /// The version up to which it is known.
-    since: Option<u64>,
+    /// The position up to which it is known.
+    since: Option<Position>,
     rows: BTreeMap<SmolStr, Publication>,
 }
 
@@ -84,7 +85,7 @@
     }
 
     fn apply(&mut self, changed: Rows) {
-        self.since = Some(changed.version);
+        self.since = Some(changed.position);
         for row in changed.rows {
             let decoded = row.value.as_deref().map(serde_json::from_slice);
             match decoded {
--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -183,7 +183,7 @@
     /// Applies rows of the table.
     fn apply(&self, now: Duration, host: &str, change: Change) {
         let (rows, is_snapshot) = match change {
-            Change::Disconnected => return,
+            Change::Disconnected | Change::Restored => return,
             Change::Rows(rows) => (rows, false),
             Change::Snapshot(rows) => (rows, true),
         };
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -80,7 +80,7 @@
     /// configuration came into force.
     pub(crate) fn apply(&mut self, made: cutover::Interval, change: Change) -> bool {
         match change {
-            Change::Disconnected => false,
+            Change::Disconnected | Change::Restored => false,
             Change::Rows(rows) | Change::Snapshot(rows) => {
                 let before = self.configuration_version();
                 for row in rows {
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -33,6 +33,7 @@
 //! | [`document`] | [`document::Document::parse`] | whether a configuration is valid |
 //! | [`configuration`] | [`configuration::follow::Follower::open`] | which version of the configuration is in force |
 //! | [`membership`] | [`membership::Roster::new`] | which hosts exist and which of them take work |
+//! | [`position`] | [`position::Eras`] | whether what was read of a store still holds after it was restored |
 //! | [`lease`] | | which process holds a lease, and under which fencing number |
 //!
 //! Each takes an event and the time, and returns actions that the embedder
@@ -93,6 +94,7 @@
 pub mod limit;
 pub mod membership;
 mod mix;
+pub mod position;
 pub mod quarantine;
 pub mod retry;
 pub mod route;
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -47,6 +47,8 @@
 const WAIT_MAX_MS: u64 = 30_000;
 /// Largest number of rows in a page, and the default.
 const PAGE_MAX: usize = 500;
+/// Names the era of the store in all its answers.
+const ERA_FIELD: &str = "Store-Era";
 /// The part of a response that occupies the link at a time.
 const SEGMENT_BYTES: usize = 16 << 10;
 
@@ -59,9 +61,18 @@
     version: u64,
 }
 
+/// What a store held at a moment.
+#[derive(Clone, Debug)]
+pub struct Backup {
+    version: u64,
+    rows: BTreeMap<RowId, Row>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     version: u64,
+    /// How often the store was restored from a backup.
+    restores: u64,
     rows: BTreeMap<RowId, Row>,
     /// Feeds that start before this version are refused, with 410.
     compacted: u64,
@@ -157,6 +168,34 @@
         self.changed.notify_waiters();
     }
 
+    /// What the store holds now, but for its objects.
+    pub fn backup(&self) -> Backup {
+        let state = self.state.lock();
+        Backup {
+            version: state.version,
+            rows: state.rows.clone(),
+        }
+    }
+
+    /// Goes back to a backup and begins a new era: what was written since is lost,
+    /// and its versions are given out again. Objects stay. Polls in flight are never
+    /// answered.
+    pub fn restore(&self, backup: &Backup) {
+        let mut state = self.state.lock();
+        state.version = backup.version;
+        state.rows = backup.rows.clone();
+        state.restores += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// The value of a row.
+    pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.state.lock();
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        row.value.clone()
+    }
+
     /// Answers every call with 503, or stops doing so.
     pub fn set_down(&self, down: bool) {
         self.state.lock().down = down;
@@ -325,10 +364,14 @@
             return std::future::pending().await;
         }
         let wait_end = Instant::now() + Duration::from_millis(wait_ms);
+        let restores = self.state.lock().restores;
         loop {
             let changed = self.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
+            if self.state.lock().restores != restores {
+                return std::future::pending().await;
+            }
             if let Some(response) = self.changes_since(&table, since, Instant::now() >= wait_end) {
                 return Ok(response);
             }
@@ -344,7 +387,7 @@
         if state.down {
             return Some(error(StatusCode::SERVICE_UNAVAILABLE, "out of service"));
         }
-        if since < state.compacted {
+        if since < state.compacted || since > state.version {
             return Some(error(StatusCode::GONE, "the history is gone"));
         }
         let changed = state
@@ -432,6 +475,11 @@
 
 impl Handler for Store {
     async fn handle(self: Arc<Self>, request: Request) -> Reply {
-        self.dispatch(request).await.into()
+        let era = 1 + self.state.lock().restores;
+        let mut reply: Reply = self.dispatch(request).await.into();
+        if let Reply::Answer(response) = &mut reply {
+            response.headers_mut().insert(ERA_FIELD, era.into());
+        }
+        reply
     }
 }
