Write rows again that a restored store has lost

Cause: the fleet key was written once and the limits of servers each minute, so a store that came back from an older backup lacked them for good or for a minute. A host that started then made another key.

Change: entries hear of a restore, create the key again unless there is one, and write their limits again within a second. Older rows of others in the backup do not replace newer ones that are known.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -399,7 +399,7 @@
 /// Obtains the fleet key and starts the tasks that need it: the grants of slots
 /// to entries, the exchange of chunks and the loader.
 async fn start_peering(agent: Rc<Agent>, store: Store, backend: SocketAddr) {
-    let key = fleet_key::obtain(&store).await;
+    let key = FleetKey::new(&fleet_key::obtain(&store).await);
     let address = agent.settings.identity.address;
     match Socket::bind(address).await {
         Ok(socket) => {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use peer::FleetKey;
 use peer::datagram::Socket;
 use platform::boot::Bounds;
 use platform::follow;
@@ -553,7 +554,9 @@
             return;
         }
     };
-    let key = fleet_key::obtain(&store).await;
+    let secret = fleet_key::obtain(&store).await;
+    let key = FleetKey::new(&secret);
+    spawn_local(fleet_key::keep(store, secret));
     entry.dispatcher.connect_agents(socket.clone(), key.clone());
     loop {
         match socket.receive::<Credit>(&key).await {
--- a/crates/node/src/entry/limits.rs
+++ b/crates/node/src/entry/limits.rs
@@ -42,6 +42,9 @@
 /// The interval between the start and the first read; all entries may have
 /// started at the same moment.
 const START_VIEW_DELAY: Duration = Duration::from_secs(2);
+/// The time over which entries spread the writes of their rows after the store was
+/// restored from a backup: all of them notice at one moment.
+const RESTORE_SPREAD: Duration = Duration::from_secs(1);
 /// The jitter of these intervals.
 const JITTER: std::ops::Range<f64> = 0.8..1.2;
 
@@ -61,6 +64,9 @@
     /// The position up to which it is known.
     since: Option<Position>,
     rows: BTreeMap<SmolStr, Publication>,
+    /// Whether the store was restored from a backup since the last read, so that
+    /// rows that are known already may be newer.
+    is_restored: bool,
 }
 
 impl View {
@@ -69,7 +75,9 @@
         let since = self.since.take();
         let changed = match since {
             None => {
-                self.rows.clear();
+                if !self.is_restored {
+                    self.rows.clear();
+                }
                 store.read(TABLE).await?
             }
             Some(since) => {
@@ -86,9 +94,15 @@
 
     fn apply(&mut self, changed: Rows) {
         self.since = Some(changed.position);
+        let is_restored = std::mem::take(&mut self.is_restored);
         for row in changed.rows {
             let decoded = row.value.as_deref().map(serde_json::from_slice);
+            let is_older = |read: &Publication| {
+                let known = self.rows.get(&row.key);
+                known.is_some_and(|known| known.written_ms > read.written_ms)
+            };
             match decoded {
+                Some(Ok(publication)) if is_restored && is_older(&publication) => {}
                 Some(Ok(publication)) => {
                     self.rows.insert(row.key, publication);
                 }
@@ -106,6 +120,12 @@
         }
     }
 
+    /// Has the whole table read again, as the store was restored from a backup.
+    fn restart(&mut self) {
+        self.since = None;
+        self.is_restored = true;
+    }
+
     /// The rows of entries that still renew them.
     fn published(&self) -> Vec<Published> {
         let now_ms = millis_since_epoch();
@@ -125,9 +145,14 @@
     let mut first_interval = Some(START_VIEW_DELAY);
     let mut jitter = 1.0;
     let mut next_request = Instant::now();
+    let mut restores = store.restores();
     loop {
         sleep(CHECK_INTERVAL).await;
         let now = Instant::now();
+        if restores.take() {
+            view.restart();
+            next_write = now + RESTORE_SPREAD.mul_f64(rand::rng().random());
+        }
         if now < next_request {
             continue;
         }
@@ -150,7 +175,7 @@
             true => LIMITED_VIEW_INTERVAL,
             false => first_interval.unwrap_or(VIEW_INTERVAL),
         };
-        if needs.view || now >= viewed + interval.mul_f64(jitter) {
+        if needs.view || view.is_restored || now >= viewed + interval.mul_f64(jitter) {
             match timeout(VIEW_TIMEOUT, view.update(&store)).await {
                 Ok(Ok(())) => entry
                     .dispatcher
--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -1,6 +1,7 @@
 //! Detects requests, and parts of prompts, that end the backend servers which
 //! run them, and refuses them. All entries share their evidence through the platform's store.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -102,6 +103,10 @@
     changed: Notify,
     /// Requested when this entry sees the end of a backend server.
     refresh: Refresh,
+    /// When the rows of other entries were written that are merged.
+    merged: RefCell<HashMap<SmolStr, u64>>,
+    /// Whether the store was restored from a backup since the last snapshot.
+    is_restored: Cell<bool>,
 }
 
 impl Quarantine {
@@ -112,6 +117,8 @@
             blocked: RefCell::default(),
             changed: Notify::new(),
             refresh: Refresh::default(),
+            merged: RefCell::default(),
+            is_restored: Cell::default(),
         }
     }
 
@@ -183,19 +190,31 @@
     /// Applies rows of the table.
     fn apply(&self, now: Duration, host: &str, change: Change) {
         let (rows, is_snapshot) = match change {
-            Change::Disconnected | Change::Restored => return,
+            Change::Disconnected => return,
+            Change::Restored => {
+                self.is_restored.set(true);
+                return;
+            }
             Change::Rows(rows) => (rows, false),
             Change::Snapshot(rows) => (rows, true),
         };
+        let is_restored = is_snapshot && self.is_restored.take();
         let mut ledger = self.ledger.borrow_mut();
+        let mut merged = self.merged.borrow_mut();
         let mut own = None;
         for row in rows {
+            let known_s = merged.get(&row.key).copied().unwrap_or_default();
             match decode_row(&row) {
-                Some(evidence) if row.key == host => {
+                Some((_, evidence)) if row.key == host => {
                     ledger.restore(now, evidence.clone());
                     own = Some(evidence);
                 }
-                Some(evidence) => ledger.merge(now, &row.key, evidence),
+                // An older row of the backup does not take newer evidence back.
+                Some((written_s, _)) if is_restored && written_s < known_s => {}
+                Some((written_s, evidence)) => {
+                    merged.insert(row.key.clone(), written_s);
+                    ledger.merge(now, &row.key, evidence);
+                }
                 None => {}
             }
         }
@@ -208,7 +227,8 @@
     }
 }
 
-fn decode_row(row: &Row) -> Option<Evidence> {
+/// The evidence in a row, and when it was written.
+fn decode_row(row: &Row) -> Option<(u64, Evidence)> {
     let decoded = serde_json::from_slice::<Publication>(row.value.as_deref()?);
     if let Err(error) = &decoded {
         log::warn!(
@@ -218,10 +238,11 @@
     }
     let publication = decoded.ok()?;
     let age_s = seconds_since_epoch().saturating_sub(publication.written_s);
-    match age_s < ROW_AGE_MAX.as_secs() {
-        true => Some(publication.evidence),
-        false => Some(Evidence::default()),
-    }
+    let evidence = match age_s < ROW_AGE_MAX.as_secs() {
+        true => publication.evidence,
+        false => Evidence::default(),
+    };
+    Some((publication.written_s, evidence))
 }
 
 fn seconds_since_epoch() -> u64 {
--- a/crates/node/tests/restore.rs
+++ b/crates/node/tests/restore.rs
@@ -1,6 +1,7 @@
 //! Tests an entry whose store is restored from a backup: what was written since is
 //! gone, and versions are given out again.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -13,12 +14,15 @@
 
 use harness::Action;
 use harness::Harness;
+use harness::Options;
 use harness::Server;
 use harness::complete_answer;
 use harness::configuration;
 use harness::request;
 use harness::status;
 
+/// The time within which rows that the store has lost must be written again.
+const REWRITE_TIME_MAX: Duration = Duration::from_secs(5);
 /// The time within which a configuration must be in force.
 const APPLY_TIME_MAX: Duration = Duration::from_secs(5);
 
@@ -29,6 +33,20 @@
     }
 }
 
+async fn wait_value(store: &Store, table: &str, key: &str, limit: Duration) -> Vec<u8> {
+    let waiting = async {
+        loop {
+            if let Some(value) = store.value(table, key) {
+                return value;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(limit, waiting)
+        .await
+        .unwrap_or_else(|_| panic!("no row {key:?} in table {table:?}"))
+}
+
 fn without_key(version: u64) -> Value {
     let mut configuration = configuration(version);
     configuration["tenants"] = json!([{"name": "archive", "apiKeys": ["k2"]}]);
@@ -59,3 +77,19 @@
         .await
         .expect("the withdrawn key is refused");
 }
+
+/// Guards against rows of the entry that are lost with the store for good: a fleet
+/// key that later processes would create anew, and limits that others don't hear of.
+#[tokio::test]
+async fn rows_that_the_store_has_lost_are_written_again() {
+    let (store, address) = Store::spawn((Ipv4Addr::LOCALHOST, 0).into()).await.unwrap();
+    store.put("op", "config", &configuration(1));
+    let backup = store.backup();
+    let _entry = Harness::start_on(&store, address, "edge-1", &Options::default()).await;
+    let key = wait_value(&store, "snipewinch", "fleet-key", REWRITE_TIME_MAX).await;
+    wait_value(&store, "snipewinch-limits", "edge-1", REWRITE_TIME_MAX).await;
+    store.restore(&backup);
+    let written = wait_value(&store, "snipewinch", "fleet-key", REWRITE_TIME_MAX).await;
+    assert_eq!(written, key, "the fleet has another key");
+    wait_value(&store, "snipewinch-limits", "edge-1", REWRITE_TIME_MAX).await;
+}
