Go on with a stream only by an answer that is one

Report of other operators: after a stream broke off, callers found the text of the next server's answer in it, or it ended as if complete.

Cause: on a route of streams each 2xx answer was taken for a stream of events. A text/plain answer in the form of an event was put into a begun stream, and its end ended the stream as complete. Errors were not: all their forms were tried.

Change: an answer goes on with a begun stream only if it is text/event-stream or of the type with which the stream began; else the attempt is broken. The two tests of begun streams in resume.rs failed before and pass.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -154,6 +154,14 @@
         self.position.as_ref()
     }
 
+    /// The media type of the answer, without parameters; empty if it has none.
+    pub(crate) fn media_type(&self) -> SmolStr {
+        let head = self.head();
+        let field = head.and_then(|head| head.fields.get("content-type"));
+        let media_type = field.and_then(|field| field.split(';').next());
+        media_type.unwrap_or_default().trim().to_lowercase().into()
+    }
+
     /// Whether the answer says that another server has the address.
     pub(crate) fn is_misdirected(&self) -> bool {
         self.head().is_some_and(|head| head.status == MISDIRECTED)
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -140,6 +140,8 @@
     pub(super) shortage: Reason,
     /// Whether sending an answer to the caller has begun.
     pub(super) head_sent: bool,
+    /// The media type of the stream that the caller gets, once it has begun.
+    pub(super) media_type: Option<SmolStr>,
     /// Why the answer is cut if no attempt can complete it.
     pub(super) cut_cause: Cause,
     /// The attempt whose answer is relayed.
@@ -165,6 +167,7 @@
             failure: None,
             shortage: Reason::Busy,
             head_sent: false,
+            media_type: None,
             cut_cause: Cause::NoRetry,
             answering: None,
             last_event_id: None,
@@ -286,6 +289,11 @@
             {
                 relay::drop_superseded(entry, progress, index)
             }
+            Wakeup::Output(index, Ok(Output::StreamEnd | Output::Events(_)))
+                if !relay::continues_stream(progress, index) =>
+            {
+                record_broken(entry, call, progress, index, &pool::Error::NoStream)
+            }
             Wakeup::Output(index, Ok(Output::Events(events))) => {
                 start = None;
                 if relay::relay_events(entry, call, progress, index, events, out).await
--- a/crates/node/src/entry/pool.rs
+++ b/crates/node/src/entry/pool.rs
@@ -70,6 +70,9 @@
         /// The largest length, in bytes.
         limit: usize,
     },
+    /// The answer that should continue a stream is of another type.
+    #[snafu(display("answer that should continue a stream is none"))]
+    NoStream,
     /// Only answers to other requests arrived.
     #[snafu(display("received only answers to other requests"))]
     Mismatched,
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -25,6 +25,8 @@
 use super::cut::Cause;
 use super::quarantine;
 
+/// The media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
 /// How long after its first event a request has come through: a prompt that ends
 /// backend servers does so as they begin to write.
 const COME_THROUGH_TIME: Duration = Duration::from_millis(300);
@@ -75,6 +77,19 @@
     progress.attempts.handle(Event::Dropped(attempt.key))
 }
 
+/// Whether the answer of an attempt may go on with the stream that the caller gets: it
+/// is a stream of events, or of the same type.
+pub(super) fn continues_stream(progress: &Progress, index: usize) -> bool {
+    let attempt = &progress.open[index];
+    match &progress.media_type {
+        Some(begun) if progress.answering != Some(attempt.key) => {
+            let found = attempt.media_type();
+            found == EVENT_STREAM || found == *begun
+        }
+        Some(_) | None => true,
+    }
+}
+
 /// Whether an attempt has sent or skipped all events that the caller has.
 pub(super) fn has_all_events(progress: &Progress, index: usize) -> bool {
     let position = progress.open[index].position();
@@ -109,6 +124,7 @@
     match attempt.head() {
         Some(head) if !progress.head_sent => {
             progress.head_sent = true;
+            progress.media_type = Some(attempt.media_type());
             bytes = answer::chunked(head, call.closes);
             progress.first_event_delay = now.saturating_sub(call.arrived);
             progress.last_event = now;
