Answer what is in flight when a stopping entry ends

Report of other operators: in a planned stop, requests that were taken late in the grace were cut at its end without an answer, also such as may not be repeated.

Cause: the process ended when its time was up. With a server that works for 7.5 s, 20 requests that were sent 1.4 to 2.9 s after SIGTERM ended with a closed connection, 10 of them on a non_idempotent route.

Change: in a last phase each waiting request is answered, 503 if it has reached no server and 504 if it may have run; begun streams are cut. After SIGTERM a request that may run once is refused as not run if its deadline lies beyond the end.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -117,6 +117,8 @@
 /// The age of a table from which on it counts as outdated, in multiples of the
 /// time within which its changes must take effect.
 const OUTDATED_BOUNDS: f64 = 2.2;
+/// How long the last answers of a process that ends may take to be sent.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 /// The pause after an error of the listening socket or the agents' socket.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(20);
 
@@ -135,6 +137,8 @@
     /// Whether a configuration and the list of backend servers are known.
     started: watch::Sender<bool>,
     in_flight: Rc<Cell<usize>>,
+    /// When the process ends, once it was told to.
+    ends_at: Cell<Option<Duration>>,
     tables: Tables,
 }
 
@@ -180,6 +184,11 @@
         *self.phase.borrow()
     }
 
+    /// Whether the process ends before a deadline, as far as it was told to.
+    pub(crate) fn ends_before(&self, deadline: Duration) -> bool {
+        self.ends_at.get().is_some_and(|at| at < deadline)
+    }
+
     /// Waits until shutdown has reached `phase`.
     pub(crate) async fn wait_for_phase(&self, phase: Phase) {
         let mut phases = self.phase.subscribe();
@@ -397,6 +406,7 @@
         phase: watch::Sender::new(Phase::Running),
         started: watch::Sender::new(false),
         in_flight: Rc::default(),
+        ends_at: Cell::default(),
         tables: Tables::default(),
     });
     let shared = entry.clone();
@@ -436,10 +446,17 @@
     Ok(())
 }
 
+/// Waits until no request is in flight or the time is up.
+async fn wait_answered(entry: &Entry, until: Duration) {
+    while entry.in_flight.get() > 0 && entry.clock.now() < until {
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Shuts down gracefully. The readiness page has said "not ready" since the
 /// signal; requests are still answered while callers arrive. Then idle
-/// connections are closed, and the entry ends once no request is in flight or
-/// its time is up.
+/// connections are closed, and the entry ends once no request is in flight. When
+/// its time is up, it tells callers that wait what is known of their requests.
 async fn shut_down(entry: &Entry) {
     log::info!(
         "E7005 entry shutting down with {} requests in flight",
@@ -447,12 +464,13 @@
     );
     let started = entry.clock.now();
     let schedule = Schedule::within(entry.bounds.get().shutdown_grace);
+    entry.ends_at.set(Some(started + schedule.end));
     sleep(schedule.close).await;
     entry.phase.send_replace(Phase::Closing);
     sleep(Duration::from_millis(50)).await;
-    while entry.in_flight.get() > 0 && entry.clock.now() - started < schedule.end {
-        sleep(Duration::from_millis(20)).await;
-    }
+    wait_answered(entry, started + schedule.end).await;
+    entry.phase.send_replace(Phase::Ending);
+    wait_answered(entry, entry.clock.now() + LAST_ANSWERS_TIME).await;
     log::info!(
         "E7006 entry exiting with {} requests in flight",
         entry.in_flight.get()
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -23,6 +23,9 @@
     Leaving,
     /// No answer arrived by its deadline; it may have been executed.
     AnswerTimeout,
+    /// This entry ends before an answer arrived; the request may have been
+    /// executed.
+    Stopped,
     /// A backend server failed without a complete answer; the request may have
     /// been executed.
     Unknown,
@@ -53,7 +56,7 @@
             | Reason::Nobody
             | Reason::Resting(_)
             | Reason::Starting => 503,
-            Reason::AnswerTimeout => 504,
+            Reason::AnswerTimeout | Reason::Stopped => 504,
             Reason::Unknown => 502,
             Reason::NoRoute => 404,
             Reason::UnknownKey => 401,
@@ -74,6 +77,7 @@
             Reason::Starting => "starting",
             Reason::Leaving => "leaving",
             Reason::AnswerTimeout => "timeout",
+            Reason::Stopped => "stopped",
             Reason::Unknown => "unknown",
             Reason::NoRoute => "route",
             Reason::UnknownKey => "key",
@@ -97,6 +101,7 @@
             Reason::Starting => "not run: this host has no configuration yet; come back shortly",
             Reason::Leaving => "not run: this host stops; come back at once",
             Reason::AnswerTimeout => "no answer in time; it may have run",
+            Reason::Stopped => "this host ends before an answer came; it may have run",
             Reason::Unknown => "the backend server broke off; it may have run",
             Reason::NoRoute => "no route matches the host and path; check both",
             Reason::UnknownKey => "the key is missing or not known; send the customer's key",
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -44,6 +44,7 @@
 use super::pool::Connection;
 use super::quarantine;
 use super::relay;
+use crate::shutdown::Phase;
 
 /// The time to the deadline of a request whose caller gives none.
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
@@ -235,18 +236,18 @@
 pub(crate) async fn run(entry: &Rc<Entry>, call: &Call, out: &mut WriteHalf<'_>) -> End {
     let mut progress = Progress::new(&call.route);
     let deadline = entry.clock.at(call.deadline);
-    let end = tokio::select! {
-        end = run_attempts(entry, call, &mut progress, out) => Some(end),
-        () = sleep_until(deadline) => None,
+    let (cause, reason) = tokio::select! {
+        end = run_attempts(entry, call, &mut progress, out) => return end,
+        () = sleep_until(deadline) => (Cause::Deadline, Reason::AnswerTimeout),
+        () = entry.wait_for_phase(Phase::Ending) => (Cause::Stop, Reason::Stopped),
     };
     progress.open.clear();
-    match end {
-        Some(end) => end,
-        None if progress.head_sent => {
-            log::info!("E7101 request {} cut off at its deadline", call.id);
-            cut::end(entry, call, Cause::Deadline, progress.last_event)
+    match progress.head_sent {
+        true => {
+            log::info!("E7101 request {} cut off: {}", call.id, cause.name());
+            cut::end(entry, call, cause, progress.last_event)
         }
-        None => relay::end_unanswered(entry, call, &mut progress, out, Reason::AnswerTimeout).await,
+        false => relay::end_unanswered(entry, call, &mut progress, out, reason).await,
     }
 }
 
--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -292,7 +292,7 @@
 /// Finds the route, customer and service of a request.
 fn prepare_call(entry: &Entry, head: Request, body: Bytes, closes: bool) -> Result<Call, Refused> {
     let attempt = head.fields.get(header::ATTEMPT).map(str::to_owned);
-    if entry.phase() == Phase::Closing {
+    if entry.phase() >= Phase::Closing {
         return Err((Reason::Leaving, attempt));
     }
     let Some(table) = entry.table() else {
@@ -317,6 +317,11 @@
         .service(service)
         .and_then(|service| service.engine.as_ref());
     let arrived = entry.clock.now();
+    let deadline = Call::deadline_of(&head, matched.route, arrived);
+    // Another host can finish it, and here its outcome might remain unknown.
+    if !matched.route.repeat.may_rerun() && entry.ends_before(deadline) {
+        return Err((Reason::Leaving, attempt));
+    }
     let customer = matched.customer.map(|customer| customer.name.as_str());
     let keys = quarantine::keys(service, &head, customer, &body);
     if let Verdict::Blocked(key) = entry.quarantine.verdict(arrived, &keys) {
@@ -324,7 +329,7 @@
         return Err((Reason::Quarantined, attempt));
     }
     Ok(Call {
-        deadline: Call::deadline_of(&head, matched.route, arrived),
+        deadline,
         route: matched.route.clone(),
         customer: matched.customer.map(|customer| customer.name.clone()),
         priority: matched.priority(),
--- a/crates/node/src/entry/cut.rs
+++ b/crates/node/src/entry/cut.rs
@@ -17,16 +17,19 @@
     NoRetry,
     /// The next attempt got no slot.
     NoSlot,
+    /// The process ends.
+    Stop,
 }
 
 impl Cause {
     /// The cause in log lines and its label in metrics.
-    fn name(self) -> &'static str {
+    pub(crate) fn name(self) -> &'static str {
         match self {
             Cause::BrokenOff => "broken_off",
             Cause::Deadline => "deadline",
             Cause::NoRetry => "no_retry",
             Cause::NoSlot => "no_slot",
+            Cause::Stop => "stop",
         }
     }
 }
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -298,6 +298,9 @@
             };
             refuse(entry, call, progress, out, reason).await
         }
+        None if unknown == Reason::Stopped => {
+            refuse(entry, call, progress, out, Reason::Leaving).await
+        }
         None if unknown == Reason::AnswerTimeout => {
             refuse(entry, call, progress, out, Reason::DeadlinePassed).await
         }
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -46,6 +46,8 @@
     Leaving,
     /// Closes idle connections and accepts no more requests.
     Closing,
+    /// Answers what is still in flight, as the process is about to end.
+    Ending,
 }
 
 /// Reads the settings file on each SIGHUP and passes the settings to `apply`. A
