Never wait for the reader of a log

Cause: lines were written by the only thread to a descriptor that blocks.

Change: crates/output queues lines to a thread of its own and loses what finds the queue full; the next line and a metric say how many. It is used by snipewinch-node and snipewinchd, and what tools print ends quietly when its reader has left. No library: tracing-appender needs two large ones and prints to the stalled output when its thread does not end.

Tests: an_entry_whose_log_is_not_read_goes_on, crates/output/tests. Tests that read the log at once wait for the line now, as it is written by another thread; what they check of it is unchanged.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -24,14 +24,12 @@
 
 fn main() -> ExitCode {
     if std::env::args().nth(1).as_deref() == Some("--version") {
-        println!("snipewinch {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
+        return print(concat!("snipewinch ", env!("CARGO_PKG_VERSION")));
     }
     let flags = match Snipewinch::from_vec(arguments()) {
         Ok(flags) => flags,
         Err(error) if error.is_help() => {
-            println!("{error}");
-            return ExitCode::SUCCESS;
+            return print(&error.to_string());
         }
         Err(error) => {
             eprintln!("snipewinch: {error}; `snipewinch --help` lists the commands");
@@ -39,10 +37,7 @@
         }
     };
     match run(flags.subcommand) {
-        Ok(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
-        }
+        Ok(text) => print(&text),
         Err(error) => {
             eprintln!("snipewinch: {error}");
             ExitCode::FAILURE
@@ -50,6 +45,10 @@
     }
 }
 
+fn print(text: &str) -> ExitCode {
+    output::print("snipewinch", text)
+}
+
 /// The arguments without the program's name. The parser takes a single `-` for
 /// an argument only after `--`.
 fn arguments() -> Vec<OsString> {
--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -2,8 +2,8 @@
 
 use std::env;
 use std::ffi::OsString;
-use std::io::Write;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use snafu::ResultExt;
 use tokio::runtime;
@@ -20,6 +20,8 @@
 
 /// The exit code for an invalid command line or setting.
 const EXIT_USAGE: u8 = 2;
+/// How long the last log lines may take to be written.
+const LOG_FINISH_TIME: Duration = Duration::from_millis(300);
 
 mod flags {
     xflags::xflags! {
@@ -125,8 +127,7 @@
     let flags = match flags::Snipewinchd::from_env() {
         Ok(flags) => flags,
         Err(error) if error.is_help() => {
-            println!("{error}");
-            return ExitCode::SUCCESS;
+            return print(&error.to_string());
         }
         Err(error) => {
             let detail = error.to_string();
@@ -134,12 +135,11 @@
         }
     };
     if flags.version {
-        println!("snipewinchd {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
+        return print(concat!("snipewinchd ", env!("CARGO_PKG_VERSION")));
     }
     if flags.settings {
-        print_settings();
-        return ExitCode::SUCCESS;
+        let settings: Vec<String> = SETTINGS.iter().map(describe).collect();
+        return print(&settings.join("\n"));
     }
     let lookup = |setting: &Setting| {
         let flag = flags.value(setting.name);
@@ -164,26 +164,28 @@
     }
 }
 
-fn print_settings() {
-    for setting in SETTINGS {
-        let Setting {
-            name,
-            default,
-            help,
-            expects,
-        } = setting;
-        println!(
-            "--{name} ({})\n    {help} Expects {expects}.",
-            setting.variable()
-        );
-        if !default.is_empty() {
-            println!("    Unless set: {default}");
-        }
+fn print(text: &str) -> ExitCode {
+    output::print("snipewinchd", text)
+}
+
+/// The flag, the variable, the help and the default of a setting.
+fn describe(setting: &Setting) -> String {
+    let Setting {
+        name,
+        default,
+        help,
+        expects,
+    } = setting;
+    let variable = setting.variable();
+    let text = format!("--{name} ({variable})\n    {help} Expects {expects}.");
+    match default.is_empty() {
+        true => text,
+        false => format!("{text}\n    Unless set: {default}"),
     }
 }
 
 fn run_daemon(config: Config) -> Result<(), Error> {
-    log::install(&config)?;
+    let log = log::install(&config)?;
     let runtime = match config.workers {
         1 => runtime::Builder::new_current_thread().enable_all().build(),
         workers => runtime::Builder::new_multi_thread()
@@ -191,16 +193,17 @@
             .enable_all()
             .build(),
     };
-    runtime.context(SystemSnafu)?.block_on(serve(config))
+    let result = runtime.context(SystemSnafu)?.block_on(serve(config));
+    log.finish(LOG_FINISH_TIME);
+    result
 }
 
 async fn serve(config: Config) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate()).context(SystemSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(SystemSnafu)?;
     let daemon = Daemon::open(config).await?;
-    println!("{}", daemon.ready_line());
     // If the parent process does not read the line, the daemon runs on.
-    let _ = std::io::stdout().flush();
+    print(&daemon.ready_line());
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -1,15 +1,19 @@
 //! The logger: writes lines of text, or one JSON object per line, to standard
 //! error.
 
+use std::io::Write;
 use std::time::SystemTime;
 
 use fern::Dispatch;
 use log::Record;
+use output::Writer;
 use serde::Serialize;
+use snafu::ResultExt;
 
 use crate::Config;
 use crate::Error;
 use crate::LogFormat;
+use crate::error::SystemSnafu;
 
 #[derive(Serialize)]
 struct Line<'a> {
@@ -21,8 +25,11 @@
     target: &'a str,
 }
 
-/// Installs the logger of this process.
-pub(crate) fn install(config: &Config) -> Result<(), Error> {
+/// Installs the logger of this process. Its lines are written by the returned writer,
+/// which never waits for their reader.
+pub(crate) fn install(config: &Config) -> Result<Writer, Error> {
+    let writer = Writer::spawn(std::io::stderr()).context(SystemSnafu)?;
+    let output: Box<dyn Write + Send> = Box::new(writer.clone());
     let host = config.host.clone();
     let format = config.log;
     Dispatch::new()
@@ -53,9 +60,10 @@
                 )),
             }
         })
-        .chain(std::io::stderr())
+        .chain(output)
         .apply()
-        .map_err(|_| Error::Log)
+        .map_err(|_| Error::Log)?;
+    Ok(writer)
 }
 
 fn json(host: &str, message: &str, record: &Record<'_>) -> String {
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -3,6 +3,7 @@
 use std::env;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -26,6 +27,8 @@
 const EXIT_USAGE: u8 = 2;
 /// The default port for metrics: the usual one of Prometheus exporters.
 const DEFAULT_METRICS_PORT: &str = "9464";
+/// How long the last log lines may take to be written.
+const LOG_FINISH_TIME: Duration = Duration::from_millis(300);
 /// The default log level.
 const DEFAULT_LOG_LEVEL: &str = "info";
 
@@ -56,8 +59,7 @@
     let flags = match flags::SnipewinchNode::from_env() {
         Ok(flags) => flags,
         Err(error) if error.is_help() => {
-            println!("{error}");
-            return ExitCode::SUCCESS;
+            return print(&error.to_string());
         }
         Err(error) => {
             let detail = error.to_string();
@@ -65,8 +67,7 @@
         }
     };
     if flags.version {
-        println!("snipewinch-node {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
+        return print(concat!("snipewinch-node ", env!("CARGO_PKG_VERSION")));
     }
     match configure(flags).and_then(start) {
         Ok(()) => ExitCode::SUCCESS,
@@ -74,6 +75,10 @@
     }
 }
 
+fn print(text: &str) -> ExitCode {
+    output::print("snipewinch-node", text)
+}
+
 fn fail(error: &Error) -> ExitCode {
     eprintln!("snipewinch-node: {error}");
     match error {
@@ -123,16 +128,18 @@
 }
 
 fn start(config: Config) -> Result<(), Error> {
-    log::install(&config)?;
+    let log = log::install(&config)?;
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context(SystemSnafu)?;
     let local = LocalSet::new();
-    local.block_on(&runtime, async move {
+    let result = local.block_on(&runtime, async move {
         match config.settings.identity.role {
             Role::Entry => entry::run(config).await,
             Role::Agent => agent::run(config).await,
         }
-    })
+    });
+    log.finish(LOG_FINISH_TIME);
+    result
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -255,7 +255,13 @@
 }
 
 fn text(registry: &Registry) -> String {
-    let mut bytes = Vec::new();
+    let mut bytes = format!(
+        "# HELP snipewinch_log_lines_lost_total Log lines that were lost, as they were not read in time\n\
+         # TYPE snipewinch_log_lines_lost_total counter\n\
+         snipewinch_log_lines_lost_total {}\n",
+        crate::log::lost_lines()
+    )
+    .into_bytes();
     match TextEncoder::new().encode(&registry.gather(), &mut bytes) {
         Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
         Err(error) => {
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each file of tests uses a part of it")]
 
 use std::fs::File;
+use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::process::Child;
@@ -270,6 +271,8 @@
     /// They are kept, at all levels.
     Captured,
     Discarded,
+    /// They go into a pipe that is full and that nobody reads.
+    Unread,
 }
 
 /// An event of a stream with a number as its id and data.
@@ -585,6 +588,7 @@
             (file.into(), "debug")
         }
         Logging::Discarded => (Stdio::null(), "info"),
+        Logging::Unread => (full_pipe(), "debug"),
     };
     Command::new(env!("CARGO_BIN_EXE_snipewinch-node"))
         .env(
@@ -598,8 +602,22 @@
         .unwrap()
 }
 
+/// The writing end of a pipe that takes no byte.
+fn full_pipe() -> Stdio {
+    let (reader, mut writer) = std::io::pipe().unwrap();
+    let output = writer.try_clone().unwrap();
+    std::mem::forget(reader);
+    // Ends with the test's process.
+    std::thread::spawn(move || while writer.write_all(&[b'.'; 4096]).is_ok() {});
+    std::thread::sleep(Duration::from_millis(100));
+    output.into()
+}
+
 pub(crate) fn listed(address: SocketAddr, zone: &str, state: &str) -> Value {
-    json!({"service": "desk", "address": address, "zone": zone, "state": state, "slots": 4, "seq": 1})
+    json!({
+        "service": "desk", "address": address, "zone": zone, "version": "v1", "slots": 4,
+        "state": state, "coldLeftMs": 0, "seq": 1,
+    })
 }
 
 /// The settings of an entry with the addresses for its callers, its readiness,
--- a/crates/node/tests/logs.rs
+++ b/crates/node/tests/logs.rs
@@ -12,12 +12,15 @@
 
 use harness::Action;
 use harness::Harness;
+use harness::Logging;
+use harness::Options;
 use harness::Server;
 use harness::body;
 use harness::chunk;
 use harness::complete_answer;
 use harness::configuration;
 use harness::request;
+use harness::status;
 use harness::stream_head;
 
 /// The index of the streaming route in the shared configuration.
@@ -38,7 +41,7 @@
 
 /// Asserts that one answer was cut, and returns the line that says so.
 async fn only_cut(harness: &Harness, route: &str, cause: &str) -> String {
-    let lines = harness.lines("E7118");
+    let lines = harness.wait_lines("E7118", 1).await;
     let messages = messages(&lines);
     let [message] = messages[..] else {
         panic!("not one line: {messages:?}");
@@ -148,7 +151,7 @@
         milliseconds(&message, " ms after the last event"),
     );
     assert!(age >= 1_200 && silence <= age, "{message}");
-    assert_eq!(harness.lines("E7101").len(), 1);
+    assert_eq!(harness.wait_lines("E7101", 1).await.len(), 1);
 }
 
 #[tokio::test]
@@ -176,7 +179,7 @@
         body(&answer).as_deref(),
         Some("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
     );
-    let lines = harness.lines("E7116");
+    let lines = harness.wait_lines("E7116", 1).await;
     let messages = messages(&lines);
     let [message] = messages[..] else {
         panic!("not one line: {messages:?}");
@@ -186,6 +189,7 @@
         "{message}"
     );
     assert!(milliseconds(message, " ms") >= 1_000, "{message}");
+    harness.wait_lines("E7107", 1).await;
     assert!(harness.lines("E7105").is_empty());
     assert!(harness.lines("E7118").is_empty());
 }
@@ -204,7 +208,7 @@
     harness.store.put("op", "config", &after);
     harness.wait_lines("E7020", 2).await;
     read_to_close(waiting).await;
-    let lines = harness.lines("E7119");
+    let lines = harness.wait_lines("E7119", 2).await;
     let levels: Vec<_> = lines.iter().map(|line| &line["level"]).collect();
     assert_eq!(levels, ["DEBUG", "INFO"]);
     assert_eq!(
@@ -218,3 +222,23 @@
     assert_eq!(harness.metric(counter).await, 2);
     assert!(harness.lines("E7111").is_empty());
 }
+
+/// Guards against a process that stands still because nobody reads its log.
+#[tokio::test]
+async fn an_entry_whose_log_is_not_read_goes_on() {
+    let server = Server::spawn(vec![Action::Send(complete_answer(200, "", "read"))]).await;
+    let options = Options {
+        logging: Logging::Unread,
+        ..Options::default()
+    };
+    let mut harness = Harness::start_with(&[&server], &options, &configuration(1)).await;
+    for _ in 0..200 {
+        let answers = [
+            harness.ask(&request("GET", "/read/", "", "")).await,
+            harness.ask(&request("GET", "/nowhere/", "", "")).await,
+        ];
+        assert_eq!(answers.map(|answer| status(&answer)), [200, 404]);
+    }
+    harness.terminate();
+    harness.wait_ended().await;
+}
