--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -11,7 +11,7 @@
 
 fn row(key: &str, state: &str) -> Row {
     let value = format!(
-        r#"{{"service":"s","address":"10.0.0.1:80","zone":"z","state":"{state}","slots":4}}"#
+        r#"{{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"{state}","coldLeftMs":0,"seq":1,"born":7}}"#
     );
     Row {
         key: key.into(),
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -259,7 +259,9 @@
     fn begin_answer(&mut self, head: Response) -> Result<Option<Output>, Error> {
         let not_run = head.status == MISDIRECTED || head.fields.get(header::NOT_RUN).is_some();
         let is_signed = head.fields.get(header::SIGNATURE).is_some();
-        if !not_run && is_success(&head) && !is_signed {
+        let has_id = head.fields.get(header::ATTEMPT).is_some();
+        // A failure with neither is of another server than the one that is listed.
+        if !not_run && !is_signed && (is_success(&head) || !has_id) {
             return Err(Error::Unsigned);
         }
         self.answer = Some(Answer {
--- a/crates/node/tests/hostile.rs
+++ b/crates/node/tests/hostile.rs
@@ -765,3 +765,25 @@
         seen.assert_answer("mine");
     }
 }
+
+/// Guards against answers of another server than the listed one, such as a web server
+/// that has its address: they have neither the id of the attempt nor a signature.
+#[tokio::test]
+async fn a_failure_of_another_server_is_not_passed_on() {
+    for status_line in ["404 Not Found", "500 X", "403 X", "302 X"] {
+        let text = format!("HTTP/1.1 {status_line}\r\nContent-Length: 7\r\n\r\nstrange");
+        let first = Server::spawn(vec![Action::Send(text.clone())]).await;
+        let second = answering("ok").await;
+        let harness = Harness::start(&[&first, &second]).await;
+        let read = harness.ask(&request("GET", "/read/", "", "")).await;
+        assert_complete(&read, "ok");
+        let harness = Harness::start(&[&first]).await;
+        let started = Instant::now();
+        for path in ["/grant/", "/reel/", "/draft/"] {
+            let answer = harness.ask(&request("POST", path, "", "")).await;
+            assert!(!answer.contains("strange"), "{path}: {answer}");
+            assert!(matches!(status(&answer), 502 | 504), "{path}: {answer}");
+        }
+        assert!(started.elapsed() < Duration::from_secs(2) || status_line.starts_with('3'));
+    }
+}
