Count ends by the start of a server

Cause: the quarantine knew servers by their ids, so the second end of one was taken for the first, told again.

Change: it counts by server_limit::Server, of id and time of start, and an attempt remembers the start to which it was sent.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -120,7 +120,7 @@
 /// What happened while a request waited.
 enum Wakeup {
     /// A slot and a connection for a further attempt were obtained, or not.
-    Started(Result<Started, StartError>),
+    Started(Box<Result<Started, StartError>>),
     /// The open attempt at an index has gone on, or failed.
     Output(usize, Result<Output, pool::Error>),
     /// It is time to check whether open attempts are silent.
@@ -280,7 +280,7 @@
                     .metrics
                     .slot_wait
                     .observe(progress.queue_time.as_secs_f64());
-                begin_attempt(entry, call, progress, started)
+                begin_attempt(entry, call, progress, *started)
             }
             Wakeup::Output(index, Ok(Output::NotRun)) => {
                 record_not_run(entry, call, progress, index).await
@@ -395,7 +395,7 @@
     tokio::select! {
         biased;
         (index, output) = next_output(&mut progress.open) => Wakeup::Output(index, output),
-        started = started => Wakeup::Started(started),
+        started = started => Wakeup::Started(Box::new(started)),
         () = withdrawal => Wakeup::Withdrawal,
         () = silence => Wakeup::SilenceCheck,
     }
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -25,6 +25,7 @@
 use snipewinch::health::Outcome;
 use snipewinch::server_limit::Admission;
 use snipewinch::server_limit::Board;
+use snipewinch::server_limit::Server;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -143,6 +144,8 @@
     is_suspected: bool,
     pub(crate) key: Key,
     pub(crate) id: SmolStr,
+    /// The start of the backend server.
+    pub(crate) server: Server,
     pub(crate) address: std::net::SocketAddr,
     /// The service of the backend server.
     pub(crate) service: SmolStr,
@@ -274,6 +277,7 @@
             is_suspected: request.is_suspected,
             key,
             id: backend.id.clone(),
+            server: backend.server,
             address: backend.address,
         }
     }
--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -29,7 +29,6 @@
 use snipewinch::quarantine::Evidence;
 use snipewinch::quarantine::Key;
 use snipewinch::quarantine::Ledger;
-use snipewinch::quarantine::Server;
 use snipewinch::quarantine::Verdict;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -307,7 +306,7 @@
     quarantine
         .ledger
         .borrow_mut()
-        .record_end(now, attempt.sent, Server::of(server), &call.keys);
+        .record_end(now, attempt.sent, slot.server, &call.keys);
     quarantine.refresh.request();
     let entry = entry.clone();
     spawn_local(async move {
--- a/crates/node/tests/harness/crashing.rs
+++ b/crates/node/tests/harness/crashing.rs
@@ -81,6 +81,15 @@
     Reset,
 }
 
+/// Under which id a server returns after its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Naming {
+    /// Under another id.
+    Changes,
+    /// Under its id, with a later time of start.
+    Stays,
+}
+
 /// What a server has seen.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Record {
@@ -105,6 +114,7 @@
 
 struct State {
     name: String,
+    naming: Naming,
     trigger: Trigger,
     /// How long it refuses connections after its end.
     downtime: Duration,
@@ -115,8 +125,8 @@
     ended: Notify,
 }
 
-/// A backend server that answers resumable streams. It lists itself, and each
-/// time that it has ended it returns at its address under another id.
+/// A backend server that answers resumable streams. It lists itself, and returns at its
+/// address each time that it has ended.
 pub(crate) struct CrashingServer {
     state: Arc<State>,
 }
@@ -125,6 +135,7 @@
     pub(crate) fn spawn(
         store: &Store,
         name: String,
+        naming: Naming,
         trigger: Trigger,
         reaction: Reaction,
         downtime: Duration,
@@ -133,6 +144,7 @@
         let address = reserved.local_addr().unwrap();
         let state = Arc::new(State {
             name,
+            naming,
             trigger,
             downtime,
             address,
@@ -162,7 +174,10 @@
 
 impl State {
     fn id(&self, incarnation: usize) -> String {
-        format!("{}-{incarnation}", self.name)
+        match self.naming {
+            Naming::Changes => format!("{}-{incarnation}", self.name),
+            Naming::Stays => self.name.clone(),
+        }
     }
 
     /// Listens and replaces its row in the list.
@@ -171,10 +186,14 @@
         socket.set_reuseaddr(true).unwrap();
         socket.bind(self.address).unwrap();
         let listener = socket.listen(BACKLOG).unwrap();
-        if let Some(before) = incarnation.checked_sub(1) {
-            self.store.remove("servers", &self.id(before));
+        match incarnation.checked_sub(1) {
+            Some(before) if self.naming == Naming::Changes => {
+                self.store.remove("servers", &self.id(before));
+            }
+            Some(_) | None => {}
         }
-        let row = listed(self.address, "za", "ready");
+        let mut row = listed(self.address, "za", "ready");
+        row["born"] = (1_790_000_000_000 + incarnation as u64).into();
         self.store.put("servers", &self.id(incarnation), &row);
         self.record.lock().unwrap().is_up = true;
         listener
--- a/crates/node/tests/harness/fleet.rs
+++ b/crates/node/tests/harness/fleet.rs
@@ -13,6 +13,7 @@
 use super::Options;
 use super::TIMEOUT;
 use super::crashing::CrashingServer;
+use super::crashing::Naming;
 use super::crashing::Reaction;
 use super::crashing::Trigger;
 
@@ -35,6 +36,19 @@
         entries: usize,
         downtime: Duration,
         configuration: &Value,
+    ) -> Fleet {
+        let naming = Naming::Changes;
+        Fleet::start_named(trigger, reactions, entries, downtime, configuration, naming).await
+    }
+
+    /// The same with servers that may keep their ids.
+    pub(crate) async fn start_named(
+        trigger: &Trigger,
+        reactions: &[Reaction],
+        entries: usize,
+        downtime: Duration,
+        configuration: &Value,
+        naming: Naming,
     ) -> Fleet {
         let (store, store_address) = Store::spawn(([127, 0, 0, 1], 0).into()).await.unwrap();
         store.put("op", "config", configuration);
@@ -43,7 +57,7 @@
             .enumerate()
             .map(|(index, reaction)| {
                 let name = format!("s{index}");
-                CrashingServer::spawn(&store, name, trigger.clone(), *reaction, downtime)
+                CrashingServer::spawn(&store, name, naming, trigger.clone(), *reaction, downtime)
             })
             .collect();
         let mut fleet = Fleet {
--- a/crates/node/tests/repeat.rs
+++ b/crates/node/tests/repeat.rs
@@ -13,6 +13,7 @@
 
 use harness::body;
 use harness::configuration;
+use harness::crashing::Naming;
 use harness::crashing::Reaction;
 use harness::crashing::Trigger;
 use harness::exchange;
@@ -118,6 +119,19 @@
     );
 }
 
+/// Guards against a request that ends servers for ever which return under their ids: only
+/// their first end was counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_ends_servers_which_keep_their_ids_is_blocked() {
+    let trigger = trigger("/draft/");
+    let reactions = [Reaction::End; 3];
+    let (downtime, naming) = (Duration::from_millis(500), Naming::Stays);
+    let configuration = configuration(1);
+    let fleet = Fleet::start_named(&trigger, &reactions, 3, downtime, &configuration, naming).await;
+    let answers = send_traffic(&fleet, "/draft/", TRAFFIC).await;
+    assert_contained(&fleet, &answers);
+}
+
 /// Guards against a request without a prompt of which nothing is remembered.
 #[tokio::test]
 async fn a_plain_request_that_has_ended_three_servers_is_not_sent_to_further_ones() {
--- a/crates/snipewinch/src/quarantine.rs
+++ b/crates/snipewinch/src/quarantine.rs
@@ -23,8 +23,6 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
-use crate::mix;
-
 mod cleared;
 mod key;
 mod pending;
@@ -38,6 +36,8 @@
 use suspect::Counted;
 use suspect::Suspect;
 
+pub use crate::server_limit::Server;
+
 /// The ends of servers after which a key that nothing clears is blocked.
 const ENDS_TO_BLOCK: usize = 3;
 /// The ends of servers after which work is not sent to a further server.
@@ -79,18 +79,6 @@
 /// The most cleared keys that one entry publishes.
 const PUBLISHED_CLEARED_MAX: usize = 64;
 
-/// Identifies one run of a server, from its start to its end.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(transparent)]
-pub struct Server(u64);
-
-impl Server {
-    /// The server with an id that no other run of a server has.
-    pub fn of(id: &str) -> Server {
-        Server(mix::hash(id))
-    }
-}
-
 /// The end of a server, with keys that are under suspicion.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct End {
--- a/crates/snipewinch/tests/outbreak/mod.rs
+++ b/crates/snipewinch/tests/outbreak/mod.rs
@@ -453,7 +453,7 @@
         if machine.up_at > self.now {
             return;
         }
-        let server = Server::of(&format!("{index}-{}", machine.run));
+        let server = Server::of(&format!("{index}-{}", machine.run), None);
         machine.run += 1;
         machine.up_at = self.now + RESTART;
         let broken = std::mem::take(&mut machine.requests);
--- a/crates/snipewinch/tests/quarantine.rs
+++ b/crates/snipewinch/tests/quarantine.rs
@@ -31,7 +31,7 @@
 fn end_servers(ledger: &mut Ledger, from: Duration, gap: Duration, count: u32, keys: &[Key]) {
     for number in 0..count {
         let now = from + gap * number;
-        let server = Server::of(&format!("server-{number}"));
+        let server = Server::of(&format!("server-{number}"), None);
         ledger.record_end(now, ms(0), server, keys);
         ledger.settle(now + ms(15));
     }
@@ -81,7 +81,7 @@
     let quiet = Duration::from_secs(62);
     ledger.settle(quiet);
     assert_eq!(ledger.verdict(quiet, &shared), Verdict::Clear);
-    ledger.record_end(quiet, ms(0), Server::of("another"), &shared);
+    ledger.record_end(quiet, ms(0), Server::of("another", None), &shared);
     ledger.settle(quiet + ms(15));
     assert_eq!(ledger.verdict(quiet + ms(15), &shared), Verdict::Clear);
 }
@@ -124,7 +124,7 @@
     for number in 0..3_u32 {
         let mut first = Ledger::open(number.into());
         let now = ms(100) + ms(200) * number;
-        let server = Server::of(&format!("server-{number}"));
+        let server = Server::of(&format!("server-{number}"), None);
         first.record_end(now, ms(0), server, &[shared, bad]);
         first.record_progress(now + ms(5), &[shared]);
         first.settle(now + ms(15));
@@ -141,7 +141,7 @@
     let (mut first, mut second) = (Ledger::open(1), Ledger::open(2));
     for number in 0..3_u32 {
         let now = ms(100) + ms(200) * number;
-        let server = Server::of(&format!("server-{number}"));
+        let server = Server::of(&format!("server-{number}"), None);
         for (delay, key) in [(ms(0), first_key), (ms(20), bad)] {
             first.record_end(now + delay, ms(0), server, &[key]);
             first.settle(now + delay + ms(15));
@@ -164,7 +164,7 @@
     let now = ms(1_000);
     assert_eq!(ledger.verdict(now, &[shared]), Verdict::Clear);
     assert_ne!(ledger.verdict(now, &[shared, bad]), Verdict::Clear);
-    ledger.record_end(now, ms(0), Server::of("another"), &[other, bad]);
+    ledger.record_end(now, ms(0), Server::of("another", None), &[other, bad]);
     ledger.settle(now + ms(15));
     let now = ms(1_100);
     assert_eq!(ledger.verdict(now, &[shared]), Verdict::Clear);
@@ -174,7 +174,7 @@
         ("fifth", 1_200, Verdict::Clear),
         ("sixth", 1_400, Verdict::Blocked(shared)),
     ] {
-        ledger.record_end(ms(at), ms(0), Server::of(server), &[shared]);
+        ledger.record_end(ms(at), ms(0), Server::of(server, None), &[shared]);
         ledger.settle(ms(at + 15));
         assert_eq!(ledger.verdict(ms(at + 20), &[shared]), verdict);
     }
@@ -186,7 +186,7 @@
     let bad = key("bad");
     let evidence = Evidence {
         ends: vec![End {
-            server: Server::of("server-0"),
+            server: Server::of("server-0", None),
             keys: vec![bad],
             renewals: 0,
         }],
@@ -204,7 +204,7 @@
     let mut ledger = Ledger::open(1);
     let new = key("new");
     for number in 0..8_u32 {
-        let server = Server::of(&format!("server-{number}"));
+        let server = Server::of(&format!("server-{number}"), None);
         ledger.record_end(ms(100) + ms(4) * number, ms(0), server, &[new]);
         ledger.settle(ms(101) + ms(4) * number);
     }
@@ -220,7 +220,7 @@
         let sent = ms(100) + ms(200) * copy;
         for attempt in 0..2_u32 {
             let sent = sent + ms(2) * attempt;
-            let server = Server::of(&format!("server-{copy}-{attempt}"));
+            let server = Server::of(&format!("server-{copy}-{attempt}"), None);
             ledger.record_end(sent + ms(1), sent, server, &keys);
         }
         ledger.settle(sent + ms(30));
@@ -269,7 +269,7 @@
     );
     ledger.settle(later);
     assert_eq!(ledger.verdict(later, &bad), Verdict::Clear);
-    ledger.record_end(later, ms(0), Server::of("another"), &bad);
+    ledger.record_end(later, ms(0), Server::of("another", None), &bad);
     ledger.settle(later + ms(20));
     assert_eq!(
         ledger.verdict(later + ms(20), &bad),
@@ -289,7 +289,7 @@
     let trial = ms(61_000);
     assert!(matches!(ledger.verdict(trial, &keys), Verdict::Suspect(_)));
     let mut other = ledger.clone();
-    ledger.record_end(trial, ms(0), Server::of("another"), &keys);
+    ledger.record_end(trial, ms(0), Server::of("another", None), &keys);
     ledger.settle(trial + ms(15));
     let later = Duration::from_secs(600);
     assert!(matches!(ledger.verdict(later, &keys), Verdict::Blocked(_)));
@@ -423,7 +423,7 @@
             ledger.record_end(
                 now,
                 ms(0),
-                Server::of(&format!("other-{number}")),
+                Server::of(&format!("other-{number}"), None),
                 &keys[10..],
             );
             ledger.settle(now + ms(15));
@@ -448,7 +448,12 @@
                 .collect();
             keys.push(bad);
             let now = ms(100) + ms(200) * number;
-            ledger.record_end(now, ms(0), Server::of(&format!("server-{number}")), &keys);
+            ledger.record_end(
+                now,
+                ms(0),
+                Server::of(&format!("server-{number}"), None),
+                &keys,
+            );
             ledger.settle(now + ms(15));
         }
         assert_eq!(ledger.verdict(ms(1_000), &[bad]), Verdict::Blocked(bad));
