Send nothing to a server that had left, though a backup lists it

Cause: with the removal of a row the entry forgot what that start had said, and took the old row for a sign of life.

Change: what a start has said outlasts its row.

--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -71,6 +71,35 @@
     );
 }
 
+/// Guards against requests to a server that had left: the backup still lists it.
+#[test]
+fn a_server_that_had_left_before_the_store_was_restored_is_not_listed_by_the_backup() {
+    let mut listing = listing();
+    listing.apply(NOW, Change::Rows(vec![removed("a")]));
+    listing.apply(NOW, Change::Restored);
+    let rows = vec![row("a", "ready"), row("b", "ready")];
+    assert_eq!(listing.apply(NOW, Change::Snapshot(rows)), []);
+    // A server that only lapsed writes its entry again.
+    let updates = listing.apply(NOW, Change::Rows(vec![row("a", "ready")]));
+    assert!(matches!(&updates[..], [Update::Listed(id, _)] if id == "a"));
+}
+
+/// Guards against the same by an older row of a server that has begun to leave.
+#[test]
+fn a_server_that_leaves_is_not_ready_again_by_an_older_row() {
+    let mut listing = listing();
+    listing.apply(NOW, Change::Rows(vec![row("a", "draining")]));
+    listing.apply(NOW, Change::Restored);
+    let rows = vec![row("a", "ready"), row("b", "ready")];
+    assert_eq!(listing.apply(NOW, Change::Snapshot(rows)), []);
+    let mut started_again = row("a", "ready");
+    let value = started_again.value.take().expect("a value");
+    let text = String::from_utf8(value).expect("JSON");
+    started_again.value = Some(text.replace("\"born\":7", "\"born\":8").into_bytes());
+    let updates = listing.apply(NOW, Change::Rows(vec![started_again]));
+    assert_eq!(updates.len(), 1, "a new start takes requests");
+}
+
 #[test]
 fn an_entry_that_does_not_reappear_after_an_outage_is_removed() {
     let mut listing = listing();
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -59,6 +59,8 @@
     pub(crate) id: SmolStr,
     /// Identifies its start among all servers.
     pub(crate) server: Server,
+    /// Whether its row tells when it started.
+    is_start_known: bool,
     pub(crate) address: SocketAddr,
     pub(crate) service: SmolStr,
     /// 0 in the availability zone of this entry, 1 in its region, 2 elsewhere.
@@ -236,10 +238,11 @@
             .map(|(key, _)| key)
     }
 
-    /// Identifies the start of the backend server that is listed under an id.
-    pub(crate) fn server(&self, id: &str) -> Option<Server> {
-        let key = self.ids.get(id)?;
-        Some(self.arena.get(*key)?.server)
+    /// The identity of a backend server whose row does not tell when it started, so that
+    /// a later start under its id cannot be told apart.
+    pub(crate) fn unknown_start(&self, id: &str) -> Option<Server> {
+        let backend = self.arena.get(*self.ids.get(id)?)?;
+        (!backend.is_start_known).then_some(backend.server)
     }
 
     /// Applies updates of the list.
@@ -277,6 +280,7 @@
                 backend.leaving = leaving;
                 backend.is_missing = false;
                 backend.server = server;
+                backend.is_start_known = entry.started_ms.is_some();
                 backend.slots = entry.slots;
                 backend.service = entry.service;
                 backend.listed_version = version;
@@ -295,6 +299,7 @@
                     suspected: 0,
                     load: None,
                     server: Server::of(&id, entry.started_ms),
+                    is_start_known: entry.started_ms.is_some(),
                     health: Health::default(),
                     round_trip: Duration::ZERO,
                     holder: Holder::new(self.holder_id),
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -199,7 +199,7 @@
         let mut state = self.state.borrow_mut();
         for update in &updates {
             if let Update::Removed(id) = update
-                && let Some(server) = state.backends.server(id)
+                && let Some(server) = state.backends.unknown_start(id)
             {
                 state.limits.forget_wishes(server);
             }
--- a/crates/node/tests/rest.rs
+++ b/crates/node/tests/rest.rs
@@ -165,3 +165,29 @@
         assert_eq!(status(&answers[0].text), 200, "{value}");
     }
 }
+
+/// Guards against requests to a server that has said that it leaves and is listed again
+/// by a backup of the store, with nothing but its first word.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_has_left_gets_no_request_though_a_backup_lists_it() {
+    let leaving = RestingServer::spawn(Mood::Answers(String::new())).await;
+    let other = RestingServer::spawn(Mood::Answers(String::new())).await;
+    let fleet = Fleet::start(&[&leaving, &other]).await;
+    for (index, server) in [&leaving, &other].into_iter().enumerate() {
+        let mut row = listed(server.address, "za", "ready");
+        row["born"] = 1_790_000_000_000_u64.into();
+        fleet.store.put("servers", &format!("s{index}"), &row);
+    }
+    sleep(Duration::from_secs(1)).await;
+    let backup = fleet.store.backup();
+    leaving.set_mood(Mood::Answers("Server-Leaving: 1\r\n".into()));
+    fleet.send_for(Duration::from_millis(500)).await;
+    fleet.store.remove("servers", "s0");
+    sleep(Duration::from_secs(2)).await;
+    fleet.store.restore(&backup);
+    let start = Instant::now();
+    let answers = fleet.send_for(Duration::from_secs(6)).await;
+    let late = leaving.count_in(start, Duration::ZERO, Duration::from_secs(6));
+    assert_eq!(late, 0);
+    assert!(answers.iter().all(|answer| status(&answer.text) == 200));
+}
