--- a/crates/node/tests/cutover.rs
+++ b/crates/node/tests/cutover.rs
@@ -37,6 +37,12 @@
 
 /// How long after a publication requests may begin on older weights.
 const BOUND: Duration = Duration::from_secs(2);
+/// The same in the record of an incident.
+const RECORDED_BOUND: Duration = Duration::from_secs(8);
+/// How long after the publication the recorded request reached its engine.
+const RECORDED_ARRIVAL: Duration = Duration::from_millis(7_284);
+/// How long it waited there until it began.
+const RECORDED_WAIT: Duration = Duration::from_millis(718);
 /// A time after which nothing is sent any more.
 const AFTERMATH: Duration = Duration::from_millis(3_500);
 /// The time in which entries learn of a change of the list.
@@ -76,6 +82,7 @@
     store_address: SocketAddr,
     entry: Harness,
     agents: Agents,
+    bound: Duration,
     hosts: Vec<Host>,
     publications: Vec<Publication>,
 }
@@ -97,10 +104,15 @@
 
 impl Site {
     async fn start(behaviors: &[Behavior], agents: Agents) -> Site {
+        Site::start_within(behaviors, agents, BOUND).await
+    }
+
+    /// The same with another bound.
+    async fn start_within(behaviors: &[Behavior], agents: Agents, bound: Duration) -> Site {
         let (store, store_address) = Store::spawn((Ipv4Addr::LOCALHOST, 0).into()).await.unwrap();
         store.put("op", "config", &engine_configuration());
         let options = Options {
-            version_ms: BOUND.as_millis() as u32,
+            version_ms: bound.as_millis() as u32,
             ..Options::default()
         };
         store.put("op", &format!("version/{MODEL}"), &published(1));
@@ -110,6 +122,7 @@
             store_address,
             entry,
             agents,
+            bound,
             hosts: Vec::new(),
             publications: Vec::new(),
         };
@@ -128,7 +141,7 @@
         let proxy = Proxy::spawn(ip, engine.address).await;
         let port = self.entry.peers.port();
         let agent = (self.agents == Agents::Running).then(|| {
-            let (name, bound) = (format!("side-{index}"), BOUND.as_millis() as u32);
+            let (name, bound) = (format!("side-{index}"), self.bound.as_millis() as u32);
             Agent::spawn(&engine, &name, port, self.store_address, bound)
         });
         self.hosts.push(Host {
@@ -214,8 +227,11 @@
             .publications
             .iter()
             .filter(|one| one.version > begin.version);
-        let late =
-            newer.filter_map(|one| begin.at.checked_duration_since(one.acknowledged + BOUND));
+        let late = newer.filter_map(|one| {
+            begin
+                .at
+                .checked_duration_since(one.acknowledged + self.bound)
+        });
         late.max().filter(|late| !late.is_zero())
     }
 
@@ -310,6 +326,39 @@
     site.assert_none_late();
 }
 
+/// Guards against the recorded incident to the millisecond (old-weights.md): a stream
+/// reached its engine 7,284 ms after the publication of newer weights, waited there for
+/// 718 ms and began 8,002 ms after it. Requests of all kinds arrive at that time and up
+/// to 88 ms before.
+#[tokio::test]
+async fn the_recorded_request_begins_two_milliseconds_after_the_bound() {
+    let reading = Duration::from_millis(5);
+    let busy = Behavior {
+        wait: RECORDED_WAIT - reading,
+        ..Behavior::default()
+    };
+    let behaviors = [busy; 3];
+    let mut site = Site::start_within(&behaviors, Agents::Running, RECORDED_BOUND).await;
+    let at = site.publish(2);
+    let mut asked = JoinSet::new();
+    for (index, path) in PATHS.iter().cycle().take(12).enumerate() {
+        let before = Duration::from_millis(88 - 8 * index as u64);
+        let way = Duration::from_millis(2);
+        sleep_until(at + RECORDED_ARRIVAL - before - way).await;
+        asked.spawn(ask(site.entry.callers, path, index));
+    }
+    sleep_until(at + RECORDED_BOUND + Duration::from_millis(1_500)).await;
+    asked.join_all().await;
+    let waits = site.runs().into_iter().map(|run| {
+        let begun = run.begin.map(|begin| begin.at.duration_since(at));
+        (run.arrived.saturating_duration_since(at), begun)
+    });
+    for (arrived, begun) in waits.filter(|(arrived, _)| !arrived.is_zero()) {
+        println!("arrived {arrived:?} after the publication, begun {begun:?}");
+    }
+    site.assert_none_late();
+}
+
 #[tokio::test]
 async fn a_request_that_is_held_up_on_the_way_begins_on_old_weights_after_the_bound() {
     let prompt = Behavior {
