Count how late withdrawals and timers are, and log what begins on old weights

- E7128 and snipewinch_withdrawal_delay_seconds tell how much later than planned a request was withdrawn, E7130 and snipewinch_timer_delay_seconds how late the entry's timer is.
- E7127 is logged for each stream that begins on an older version than the newest, also if the entry expected the newest there, with the version that was expected.
- E7129 and snipewinch_outdated_begins_total tell of streams that began after the use of their version had ended, by what the entry knows.

Nothing is decided differently.

--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -174,7 +174,7 @@
             9_018,
             "e1",
             "E7127",
-            &message("E7127", &["r1", "i-1", "2", "718", "3", "7978"]),
+            &message("E7127", &["r1", "i-1", "2", "718", "3", "7978", "2"]),
         ),
         log_line(
             9_200,
@@ -341,7 +341,7 @@
 
 #[test]
 fn an_engine_that_loaded_before_the_request_began_is_told_as_such() {
-    let begun = message("E7127", &["r1", "i-1", "3", "718", "3", "7978"]);
+    let begun = message("E7127", &["r1", "i-1", "3", "718", "3", "7978", "2"]);
     let log = log_line(9_018, "e1", "E7127", &begun);
     let text = stdout_text(&explain_from_input(&["r1"], &log));
     let expected = "Request r1 began on version 3 at backend server i-1, the newest that e1 knew: the engine loaded it within the 718 ms since the request was sent.\n";
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -102,6 +102,8 @@
 const QUEUED_TICK_INTERVAL: Duration = Duration::from_millis(7);
 /// The interval of that timer otherwise.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// The delay of a timer from which on it is logged.
+const LATE_TIMER_MIN: Duration = Duration::from_millis(100);
 /// The fraction of the shared retry budget that is used. Each entry divides the
 /// budget by the number of entries that it knows, which may be outdated for a
 /// while after entries start or stop.
@@ -375,6 +377,18 @@
         self.tables.outdated.set(outdated);
     }
 
+    /// Records how late a timer has fired that was due at a time.
+    fn record_timer(&self, due: Duration) {
+        let delay = self.clock.now().saturating_sub(due);
+        self.metrics.timer_delay.observe(delay.as_secs_f64());
+        if delay >= LATE_TIMER_MIN {
+            log::info!(
+                "E7130 the process stood still or was busy for {} ms",
+                delay.as_millis()
+            );
+        }
+    }
+
     fn is_ready(&self) -> bool {
         *self.started.borrow() && self.phase() == Phase::Running
     }
@@ -603,11 +617,14 @@
 async fn run_timer(entry: Rc<Entry>) {
     let mut prober = Prober::open();
     loop {
-        match entry.dispatcher.is_waiting() {
-            true => sleep(QUEUED_TICK_INTERVAL).await,
-            false => {
-                let _ = timeout(IDLE_TICK_INTERVAL, entry.dispatcher.wait_queued()).await;
-            }
+        let begin = entry.clock.now();
+        let interval = match entry.dispatcher.is_waiting() {
+            true => QUEUED_TICK_INTERVAL,
+            false => IDLE_TICK_INTERVAL,
+        };
+        tokio::select! {
+            () = sleep(interval) => entry.record_timer(begin + interval),
+            () = entry.dispatcher.wait_queued(), if interval == IDLE_TICK_INTERVAL => {}
         }
         let updates = entry.listing.borrow_mut().tick(entry.clock.now());
         if !updates.is_empty() {
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -42,7 +42,6 @@
 mod weights;
 
 pub(crate) use probe::Prober;
-use weights::Replacement;
 pub(crate) use weights::Versions;
 pub(crate) use weights::Weights;
 
@@ -256,18 +255,11 @@
         backend.suspected += u32::from(request.is_suspected);
         backend.health.record_sent(now);
         state.limits.record_sent(now, backend.server);
-        let newest = state
-            .services
-            .get(&request.service)
-            .and_then(|service_state| service_state.versions.newest);
         let held = backend.version();
-        let replaced_by = newest.filter(|newest| newest.version > held);
+        let service_state = state.services.get(&request.service);
         let weights = request.has_engine.then_some(Weights {
             held,
-            replaced_by: replaced_by.map(|newest| Replacement {
-                version: newest.version,
-                learned_at: newest.learned_at,
-            }),
+            replaced_by: service_state.and_then(|one| one.versions.replacement(held)),
         });
         Slot {
             service: backend.service.clone(),
--- a/crates/node/src/entry/dispatcher/weights.rs
+++ b/crates/node/src/entry/dispatcher/weights.rs
@@ -34,6 +34,15 @@
         publications.any(|one| one.version == version && one.published.is_some())
     }
 
+    /// The newest version, if it is newer than `held`.
+    pub(super) fn replacement(&self, held: u64) -> Option<Replacement> {
+        let newest = self.newest.filter(|newest| newest.version > held)?;
+        Some(Replacement {
+            version: newest.version,
+            learned_at: newest.learned_at,
+        })
+    }
+
     /// The latest time at which a request may begin on the weights that a
     /// backend server holds; none if they are the newest.
     pub(super) fn begin_by(&self, backend: &Backend) -> Option<Duration> {
@@ -86,6 +95,21 @@
         Some(cutover::withdraw_at(begin_by, transfer))
     }
 
+    /// The newest published version of the weights of a service, if it is newer
+    /// than `held`.
+    pub(crate) fn replacement(&self, service: &str, held: u64) -> Option<Replacement> {
+        let state = self.state.borrow();
+        state.services.get(service)?.versions.replacement(held)
+    }
+
+    /// The latest time at which requests of a service may begin on version `held`;
+    /// none if it is the newest.
+    pub(crate) fn begin_by(&self, service: &str, held: u64) -> Option<Duration> {
+        let state = self.state.borrow();
+        let versions = &state.services.get(service)?.versions;
+        cutover::begin_by(&versions.publications, held, versions.bound)
+    }
+
     /// Waits until a version is published, or it becomes known when.
     pub(crate) async fn versions_changed(&self) {
         self.published.notified().await;
--- a/crates/node/src/entry/old_weights.rs
+++ b/crates/node/src/entry/old_weights.rs
@@ -4,6 +4,7 @@
 use std::future::pending;
 use std::time::Duration;
 
+use platform::header;
 use snipewinch::attempt::Event;
 use snipewinch::attempt::Step;
 use tokio::time::sleep_until;
@@ -49,6 +50,55 @@
     }
 }
 
+/// Records on which version a request has begun, if a newer one is published.
+pub(super) fn record_begin(entry: &Entry, call: &Call, attempt: &Attempt, now: Duration) {
+    let Some(weights) = attempt.slot.weights else {
+        return;
+    };
+    let head = attempt.head();
+    let field = head.and_then(|head| head.fields.get(header::WEIGHTS_VERSION));
+    let begun_on = field.and_then(|field| field.trim().parse().ok());
+    let service = &attempt.slot.service;
+    let named = begun_on.unwrap_or(weights.held);
+    let replaced_by = entry.dispatcher.replacement(service, named);
+    let Some(newest) = replaced_by.or(weights.replaced_by) else {
+        return;
+    };
+    let service = service.as_str();
+    let age = now.saturating_sub(newest.learned_at);
+    entry
+        .metrics
+        .old_weights_age
+        .with_label_values(&[service])
+        .observe(age.as_secs_f64());
+    log::info!(
+        "E7127 request {} has begun at backend server {} on version {} of the weights {} ms after it was sent; version {} is known for {} ms, and version {} was expected there",
+        call.id,
+        attempt.slot.id,
+        field.unwrap_or("unknown"),
+        now.saturating_sub(attempt.sent).as_millis(),
+        newest.version,
+        age.as_millis(),
+        weights.held
+    );
+    let Some(begin_by) = entry.dispatcher.begin_by(&attempt.slot.service, named) else {
+        return;
+    };
+    if begin_by < now {
+        entry
+            .metrics
+            .outdated_begins
+            .with_label_values(&[service])
+            .inc();
+        log::warn!(
+            "E7129 request {} has begun at backend server {} on version {named} of the weights, which could be used until {} ms ago",
+            call.id,
+            attempt.slot.id,
+            (now - begin_by).as_millis()
+        );
+    }
+}
+
 /// Records that a request is not sent, as it may begin too late on the weights
 /// of the backend server. Nothing has reached that.
 pub(super) fn record_outdated(
@@ -82,14 +132,19 @@
     };
     let mut step = Step::Wait;
     for attempt in progress.open.extract_if(.., is_due) {
+        let planned = attempt.withdrawal(dispatcher).unwrap_or(now);
+        // What is due when it is sent has no earlier plan.
+        let delay = now.saturating_sub(planned.max(attempt.sent));
         let next = progress.attempts.handle(Event::Withdrawn(attempt.key));
         log::info!(
-            "E7128 request {} was withdrawn from backend server {}: it has not begun {} ms after it was sent, and the weights there are too old now; retry {}",
+            "E7128 request {} was withdrawn from backend server {}: it has not begun {} ms after it was sent, and the weights there are too old now; {} ms later than planned; retry {}",
             call.id,
             attempt.slot.id,
             now.saturating_sub(attempt.sent).as_millis(),
+            delay.as_millis(),
             next == Step::Retry
         );
+        entry.metrics.withdrawal_delay.observe(delay.as_secs_f64());
         entry
             .metrics
             .attempts
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -23,6 +23,7 @@
 use super::call::record_broken;
 use super::cut;
 use super::cut::Cause;
+use super::old_weights;
 use super::quarantine;
 
 /// The media type of a stream of events.
@@ -161,26 +162,7 @@
         .begin_wait
         .with_label_values(&[service])
         .observe(wait.as_secs_f64());
-    let Some(newest) = attempt.slot.weights.and_then(|one| one.replaced_by) else {
-        return;
-    };
-    let age = now.saturating_sub(newest.learned_at);
-    entry
-        .metrics
-        .old_weights_age
-        .with_label_values(&[service])
-        .observe(age.as_secs_f64());
-    let head = attempt.head();
-    let version = head.and_then(|head| head.fields.get(header::WEIGHTS_VERSION));
-    log::info!(
-        "E7127 request {} has begun at backend server {} on version {} of the weights {} ms after it was sent; version {} is known for {} ms",
-        call.id,
-        attempt.slot.id,
-        version.unwrap_or("unknown"),
-        wait.as_millis(),
-        newest.version,
-        age.as_millis()
-    );
+    old_weights::record_begin(entry, call, attempt, now);
 }
 
 /// Ends a stream after its last event.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -14,6 +14,8 @@
 
 /// The upper bounds of latency buckets, in seconds.
 const LATENCY_S: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0];
+/// The upper bounds of the buckets of delays of timers, in seconds.
+const TIMER_DELAY_S: [f64; 9] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0];
 
 /// The metrics of an agent.
 #[derive(Debug)]
@@ -122,6 +124,13 @@
     /// For requests that began on an older version of the weights: how long the
     /// newest one was known then, in seconds, by service.
     pub(crate) old_weights_age: HistogramVec,
+    /// Requests that began on an older version after its use had ended, by what
+    /// this entry knows, by service.
+    pub(crate) outdated_begins: IntCounterVec,
+    /// How long after its planned time a request was withdrawn, in seconds.
+    pub(crate) withdrawal_delay: Histogram,
+    /// How long after its due time the timer of the entry fired, in seconds.
+    pub(crate) timer_delay: Histogram,
 }
 
 impl EntryMetrics {
@@ -135,14 +144,15 @@
                 .expect("each name is registered once");
             counters
         };
-        let histogram = |name: &str, help: &str| {
-            let options = HistogramOpts::new(name, help).buckets(LATENCY_S.to_vec());
+        let histogram_of = |buckets_s: &[f64], name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(buckets_s.to_vec());
             let histogram = Histogram::with_opts(options).expect("the name is valid");
             registry
                 .register(Box::new(histogram.clone()))
                 .expect("each name is registered once");
             histogram
         };
+        let histogram = |name: &str, help: &str| histogram_of(&LATENCY_S, name, help);
         let histograms = |name: &str, help: &str, label: &str| {
             let options = HistogramOpts::new(name, help).buckets(LATENCY_S.to_vec());
             let histograms = HistogramVec::new(options, &[label]).expect("the name is valid");
@@ -244,6 +254,21 @@
                 "How long a newer version was known when a request began on older weights",
                 "service",
             ),
+            outdated_begins: counters(
+                "snipewinch_outdated_begins_total",
+                "Requests that began on older weights after their use had ended",
+                "service",
+            ),
+            withdrawal_delay: histogram_of(
+                &TIMER_DELAY_S,
+                "snipewinch_withdrawal_delay_seconds",
+                "From the planned time of a withdrawal to the withdrawal",
+            ),
+            timer_delay: histogram_of(
+                &TIMER_DELAY_S,
+                "snipewinch_timer_delay_seconds",
+                "From the due time of the entry's timer to its run",
+            ),
             registry,
         }
     }
