Tell processes that start between two versions when the first one was published

Cause: the store holds the newest version of a model only, and so did announcements. A process that starts after the third version has been published learns when that was, and takes it for what replaced the first one. So it sent to engines on the first version, granted slots of them and planned withdrawals by the bound of the third version; the second one's had passed. Agents that had run all along kept this from showing, unless they started anew, too. The class: state that is inferred from the latest value only, where its history decides.

Change: a publication says which version it replaces. A version that was published between the one that an engine holds and the oldest newer one that a process knows counts as old. Demands and credits tell what replaced the version of the engine, besides the newest one, so whoever was there tells who was not.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -221,16 +221,19 @@
         let held = self.slot_pool.report().as_ref().map_or(0, loaded_version);
         self.slot_pool
             .set_min_version(self.min_version(), self.publish_time_known());
+        let newest = self.publication(|state, model| Some(state.newest(model)?.to_cutover()));
+        let first_newer = self.publication(|state, model| state.first_newer(model, held));
         self.slot_pool
-            .set_cutover(self.newest_published(), self.begin_by(held));
+            .set_cutover(newest, first_newer, self.begin_by(held));
     }
 
-    /// The newest published version of the weights and when it was published;
-    /// none if that is unknown.
-    fn newest_published(&self) -> Option<(u64, cutover::Estimate)> {
+    /// A publication of the model of the engine, if it is known.
+    fn publication(
+        &self,
+        find: impl FnOnce(&OperatorState, &str) -> Option<cutover::Publication>,
+    ) -> Option<cutover::Publication> {
         let model = self.engine_spec()?.model?;
-        let newest = self.operator_state.borrow().newest(&model)?;
-        Some((newest.version, newest.published?))
+        find(&self.operator_state.borrow(), &model)
     }
 
     /// The earliest time at which a version of the weights may have been
@@ -239,7 +242,7 @@
         let model = self.engine_spec()?.model?;
         let publications = self.operator_state.borrow().publications(&model);
         let publication = publications.iter().find(|one| one.version == version)?;
-        Some(publication.published?.earliest)
+        Some(publication.published?.interval().earliest)
     }
 
     /// The latest time at which requests may begin on version `held` of the
--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -100,11 +100,12 @@
     /// version.
     pub(super) fn set_cutover(
         &self,
-        published: Option<(u64, cutover::Estimate)>,
+        newest: Option<cutover::Publication>,
+        first_newer: Option<cutover::Publication>,
         begin_by: Option<Duration>,
     ) {
         let mut state = self.state.borrow_mut();
-        state.issuer.set_cutover(published, begin_by);
+        state.issuer.set_cutover(newest, first_newer, begin_by);
     }
 
     /// Sets the digest of the engine's configuration.
@@ -289,7 +290,8 @@
                 continue;
             }
         };
-        if let Some(published) = demand.published {
+        let announced = [demand.first_newer, demand.published];
+        for published in announced.into_iter().flatten() {
             agent.record_published(published);
             agent.update_cutover();
         }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -29,6 +29,7 @@
 use snipewinch::dispatch::Shortage;
 use snipewinch::engine_config::EngineConfig;
 use snipewinch::grant::Credit;
+use snipewinch::grant::Published;
 use snipewinch::retry;
 use snipewinch::route::Limits;
 use snipewinch::route::Table;
@@ -205,10 +206,12 @@
         }
     }
 
-    /// Records when the newest version of the weights of a service was published,
+    /// Records which versions of the weights of a service were published, and when,
     /// as an agent says it.
     fn record_published(&self, service: Option<SmolStr>, credit: &Credit) {
-        let (Some(service), Some(published)) = (service, credit.published) else {
+        let announced = [credit.first_newer, credit.published];
+        let announced: Vec<Published> = announced.into_iter().flatten().collect();
+        let Some(service) = service.filter(|_| !announced.is_empty()) else {
             return;
         };
         let table = self.table();
@@ -220,10 +223,11 @@
             return;
         };
         let now = self.clock.now();
-        let is_new = self
-            .operator
-            .borrow_mut()
-            .record_published(now, model, published);
+        let mut is_new = false;
+        for published in announced {
+            let mut operator = self.operator.borrow_mut();
+            is_new |= operator.record_published(now, model.clone(), published);
+        }
         if is_new {
             self.update_versions();
         }
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -22,6 +22,7 @@
 use snipewinch::grant::Demand;
 use snipewinch::grant::HolderId;
 use snipewinch::grant::Message;
+use snipewinch::grant::Published;
 use snipewinch::health::Outcome;
 use snipewinch::server_limit::Admission;
 use snipewinch::server_limit::Board;
@@ -657,11 +658,10 @@
             .oldest()
             .map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let min_version = service_state.min_version;
-        let published = service_state
-            .versions
-            .newest
-            .map(|newest| newest.announcement(now));
         let versions = &service_state.versions;
+        let published = versions
+            .newest
+            .map(|newest| Published::of(&newest.to_cutover(), now));
         let mut keys = Vec::new();
         let mut candidates = Vec::new();
         for (key, backend) in self.backends.of_service(service) {
@@ -704,6 +704,7 @@
             };
             let message = Message::Demand(Demand {
                 published,
+                first_newer: versions.first_newer(now, backend.version()),
                 ..demand
             });
             if let Err(error) = socket.send(&fleet_key, &message, backend.agent) {
--- a/crates/node/src/entry/dispatcher/weights.rs
+++ b/crates/node/src/entry/dispatcher/weights.rs
@@ -7,6 +7,7 @@
 use snipewinch::cutover::Verdict;
 use snipewinch::grant;
 use snipewinch::grant::Credit;
+use snipewinch::grant::Published;
 
 use super::Backend;
 use super::Dispatcher;
@@ -34,6 +35,14 @@
         publications.any(|one| one.version == version && one.published.is_some())
     }
 
+    /// The announcement of the version that replaced `held`, if it is another one
+    /// than the newest.
+    pub(super) fn first_newer(&self, now: Duration, held: u64) -> Option<Published> {
+        let first = cutover::first_newer(&self.publications, held)?;
+        let newest = self.newest.map(|newest| newest.version);
+        (newest != Some(first.version)).then(|| Published::of(first, now))
+    }
+
     /// The newest version, if it is newer than `held`.
     pub(super) fn replacement(&self, held: u64) -> Option<Replacement> {
         let newest = self.newest.filter(|newest| newest.version > held)?;
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Publication {
     pub(crate) version: u64,
+    /// The newest version before it, as far as this process knows.
+    pub(crate) replaces: Option<u64>,
     /// When this process learned of the version, or when it was published if
     /// another process announced it with its age.
     pub(crate) learned_at: Duration,
@@ -48,22 +50,25 @@
 }
 
 impl Publication {
-    fn to_cutover(self) -> cutover::Publication {
+    pub(crate) fn to_cutover(self) -> cutover::Publication {
         cutover::Publication {
             version: self.version,
-            published: self.published.map(cutover::Estimate::interval),
+            replaces: self.replaces,
+            published: self.published,
         }
     }
 
-    /// The form in which entries and agents announce it to each other.
-    pub(crate) fn announcement(&self, now: Duration) -> grant::Published {
-        let age = self.published.map(|published| published.age(now));
-        grant::Published::new(self.version, age)
+    /// Adds what another process, or this one's first read of the version, says
+    /// of it; true if that is new.
+    fn learn(&mut self, replaces: Option<u64>, published: Option<cutover::Estimate>) -> bool {
+        // Who has missed a version names an older one.
+        let known = self.replaces;
+        self.replaces = known.max(replaces);
+        let is_narrowed = self.learn_time(published);
+        is_narrowed || self.replaces != known
     }
 
-    /// Adds what another process, or this one's first read of the version, says
-    /// of when it was published; true if that is new.
-    fn learn(&mut self, published: Option<cutover::Estimate>) -> bool {
+    fn learn_time(&mut self, published: Option<cutover::Estimate>) -> bool {
         match (&mut self.published, published) {
             (_, None) => false,
             (Some(known), Some(published)) => known.narrow(published),
@@ -127,14 +132,18 @@
     }
 
     fn record(&mut self, made: cutover::Interval, model: SmolStr, version: u64) {
-        let publications = self.weights.entry(model).or_default();
-        // A version that was there at the first read may be of any age.
+        // A version that was there at the first read may be of any age, and others
+        // may have been published before it.
         let published = self.loaded.then(|| cutover::Estimate::observed(made));
+        let publications = self.weights.entry(model).or_default();
+        let before = publications.iter().rfind(|one| one.version < version);
+        let before = before.map_or(FIRST_VERSION, |one| one.version);
+        let replaces = self.loaded.then_some(before);
         let known = publications.iter_mut().find(|one| one.version == version);
         match known {
             Some(known) if !known.is_read => {
                 known.is_read = true;
-                known.learn(published);
+                known.learn(replaces, published);
                 return;
             }
             Some(_) => return,
@@ -155,10 +164,11 @@
                 "E7022 version {version} of the weights was published before this process began to follow the store"
             ),
         }
-        push(
+        insert(
             publications,
             Publication {
                 version,
+                replaces,
                 learned_at: made.latest,
                 published,
                 is_read: true,
@@ -166,8 +176,8 @@
         );
     }
 
-    /// Records the newest published version of a model as another process
-    /// announced it; true if the version or its age is new here.
+    /// Records a published version of a model as another process announced it;
+    /// true if anything of it is new here.
     pub(crate) fn record_published(
         &mut self,
         now: Duration,
@@ -180,23 +190,24 @@
             .iter_mut()
             .find(|one| one.version == announced.version);
         if let Some(known) = known {
-            return known.learn(age.and_then(|age| cutover::Estimate::heard(now, age)));
-        }
-        if publications
-            .last()
-            .is_some_and(|last| last.version > announced.version)
-        {
-            return false;
+            let published = age.and_then(|age| cutover::Estimate::heard(now, age));
+            return known.learn(announced.replaces, published);
         }
         log::info!(
             "E7022 version {} of the weights is published",
             announced.version
         );
-        let published = cutover::Estimate::first_heard(now, age, self.confirmed);
-        push(
+        // Its time is the later one's at most, of which a read may tell more.
+        let is_newest = publications
+            .last()
+            .is_none_or(|last| last.version < announced.version);
+        let confirmed = self.confirmed.filter(|_| is_newest);
+        let published = cutover::Estimate::first_heard(now, age, confirmed);
+        insert(
             publications,
             Publication {
                 version: announced.version,
+                replaces: announced.replaces,
                 learned_at: age.map_or(now, |age| {
                     now.saturating_sub(age.most.saturating_sub(age.uncertainty))
                 }),
@@ -207,6 +218,12 @@
         true
     }
 
+    /// The publication that ended the time of version `held` of a model as the
+    /// newest, if it is known.
+    pub(crate) fn first_newer(&self, model: &str, held: u64) -> Option<cutover::Publication> {
+        cutover::first_newer(&self.publications(model), held).copied()
+    }
+
     /// The newest published version of a model.
     pub(crate) fn newest(&self, model: &str) -> Option<Publication> {
         self.weights.get(model)?.last().copied()
@@ -217,6 +234,7 @@
     pub(crate) fn newest_or_first(&self, model: &str) -> Option<Publication> {
         let first = self.loaded.then_some(Publication {
             version: FIRST_VERSION,
+            replaces: None,
             learned_at: Duration::ZERO,
             published: None,
             is_read: true,
@@ -246,8 +264,10 @@
     }
 }
 
-fn push(publications: &mut Vec<Publication>, new: Publication) {
-    publications.push(new);
+/// Inserts a publication, the newest last.
+fn insert(publications: &mut Vec<Publication>, new: Publication) {
+    let index = publications.partition_point(|one| one.version < new.version);
+    publications.insert(index, new);
     let excess = publications.len().saturating_sub(VERSIONS_PER_MODEL_MAX);
     publications.drain(..excess);
 }
--- a/crates/node/src/operator/tests.rs
+++ b/crates/node/src/operator/tests.rs
@@ -80,6 +80,58 @@
     assert_eq!(min_version(&state, "other", seconds(99)), 0);
 }
 
+/// Guards against requests that begin on the first of three versions after the bound of
+/// the second, at a process that started after the third.
+#[test]
+fn a_process_that_starts_between_two_versions_counts_only_the_newer_one() {
+    let mut state = OperatorState::default();
+    state.apply(at(20), published(3));
+    let begin_by = |state: &OperatorState, held| {
+        cutover::begin_by(&state.publications("m"), held, VERSION_BOUND)
+    };
+    state.record_published(seconds(21), "m".into(), published_ago(3, Some(1_000)));
+    assert_eq!(begin_by(&state, 1), Some(Duration::ZERO), "2 is unknown");
+    let known = begin_by(&state, 2).expect("3 is newer");
+    assert!(known > seconds(26) && known <= seconds(27), "{known:?}");
+    let replacing = |replaces, published| grant::Published {
+        replaces: Some(replaces),
+        ..published
+    };
+    let third = replacing(2, published_ago(3, Some(2_000)));
+    state.record_published(seconds(22), "m".into(), third);
+    assert_eq!(begin_by(&state, 1), Some(Duration::ZERO), "2 is unknown");
+    let second = replacing(1, published_ago(2, Some(4_000)));
+    assert!(state.record_published(seconds(22), "m".into(), second));
+    let known = begin_by(&state, 1).expect("2 is newer");
+    assert!(known > seconds(24) && known <= seconds(25), "{known:?}");
+    assert_eq!(state.newest("m").map(|one| one.version), Some(3));
+    let announced = state.first_newer("m", 1).map(|one| one.version);
+    assert_eq!(announced, Some(2), "others are told");
+}
+
+#[test]
+fn a_version_that_was_missed_is_unknown_to_who_hears_of_it_later() {
+    let mut state = OperatorState::default();
+    state.apply(at(0), Change::Snapshot(Vec::new()));
+    state.apply(at(10), published(2));
+    let made = cutover::Interval {
+        earliest: seconds(10),
+        latest: seconds(20),
+    };
+    state.apply(made, published(4));
+    let begin_by = |state: &OperatorState, held| {
+        cutover::begin_by(&state.publications("m"), held, VERSION_BOUND)
+    };
+    assert_eq!(begin_by(&state, 2), Some(seconds(17)), "it read 2 at 10 s");
+    let fourth = grant::Published {
+        replaces: Some(3),
+        ..published_ago(4, Some(0))
+    };
+    state.record_published(seconds(20), "m".into(), fourth);
+    assert_eq!(begin_by(&state, 2), Some(Duration::ZERO), "3 is unknown");
+    assert!(begin_by(&state, 3) > Some(seconds(26)));
+}
+
 #[test]
 fn only_a_version_found_at_the_start_is_of_unknown_age() {
     let mut state = OperatorState::default();
--- a/crates/node/tests/cutover.rs
+++ b/crates/node/tests/cutover.rs
@@ -153,6 +153,16 @@
         self.list(index, behavior.version);
     }
 
+    /// Kills the agent of an engine and starts another one.
+    fn restart_agent(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        drop(host.agent.take());
+        let (name, bound) = (format!("side-{index}"), self.bound.as_millis() as u32);
+        let port = self.entry.peers.port();
+        let agent = Agent::spawn(&host.engine, &name, port, self.store_address, bound);
+        host.agent = Some(agent);
+    }
+
     /// Writes the row of an engine.
     fn list(&self, index: usize, version: u64) {
         let host = &self.hosts[index];
@@ -483,6 +493,31 @@
     site.assert_none_late();
 }
 
+/// Guards against a process that counts only the newer of two versions between which
+/// it has started.
+#[tokio::test]
+async fn a_request_begins_late_on_the_first_of_three_versions_beside_processes_that_restart() {
+    let slow = Behavior {
+        wait: Duration::from_millis(900),
+        ..Behavior::default()
+    };
+    let mut site = Site::start(&[slow, slow], Agents::Running).await;
+    let at = site.publish(2);
+    let before = site.send_until(at + Duration::from_millis(200));
+    sleep_until(at + Duration::from_millis(1_000)).await;
+    site.publish(3);
+    let between = site.send_until(at + Duration::from_millis(1_200));
+    sleep_until(at + Duration::from_millis(1_200)).await;
+    site.restart_agent(1);
+    site.entry.restart().await;
+    let traffic = site.send_until(at + BOUND + Duration::from_millis(900));
+    for asked in [before, between, traffic] {
+        asked.join_all().await;
+    }
+    sleep_until(at + AFTERMATH).await;
+    site.assert_none_late();
+}
+
 #[tokio::test]
 async fn a_stream_that_began_in_time_on_old_weights_is_cut_at_the_bound() {
     let long = Behavior {
--- a/crates/snipewinch/src/cutover.rs
+++ b/crates/snipewinch/src/cutover.rs
@@ -161,9 +161,12 @@
 pub struct Publication {
     /// The version.
     pub version: u64,
+    /// The newest version before it, as far as the process knows; none if the
+    /// process started later and nobody has told it.
+    pub replaces: Option<u64>,
     /// When it was published; `None` if it may have been at any time before the
     /// process started.
-    pub published: Option<Interval>,
+    pub published: Option<Estimate>,
 }
 
 /// What lies between sending a request and its begin.
@@ -208,18 +211,39 @@
 
 /// The latest time at which a request may begin on version `held`, by the
 /// versions that are published; `None` if none of them is newer. An older
-/// version may be used for `bound` after a newer one was published.
+/// version may be used for `bound` after a newer one was published. If there may
+/// be one between that the process does not know, `held` counts as too old.
 pub fn begin_by(publications: &[Publication], held: u64, bound: Duration) -> Option<Duration> {
+    let newer = || publications.iter().filter(|one| one.version > held);
+    let first = newer().min_by_key(|one| one.version)?;
+    match first.follows(held) {
+        true => newer().map(|one| one.begin_by(bound)).min(),
+        false => Some(Duration::ZERO),
+    }
+}
+
+/// The publication that ended the time of version `held` as the newest, if it is
+/// known.
+pub fn first_newer(publications: &[Publication], held: u64) -> Option<&Publication> {
     let newer = publications.iter().filter(|one| one.version > held);
-    newer.map(|one| one.begin_by(bound)).min()
+    let first = newer.min_by_key(|one| one.version);
+    first.filter(|one| one.follows(held))
 }
 
 impl Publication {
+    /// Whether no other version was published between `held` and this one.
+    fn follows(&self, held: u64) -> bool {
+        let is_next = self.version <= held.saturating_add(1);
+        is_next || self.replaces.is_some_and(|replaced| replaced <= held)
+    }
+
     /// The latest time at which a request may begin on an older version. One of
     /// unknown age counts as old.
     fn begin_by(&self, bound: Duration) -> Duration {
         let published = self.published;
-        published.map_or(Duration::ZERO, |published| published.earliest + bound)
+        published.map_or(Duration::ZERO, |published| {
+            published.interval().earliest + bound
+        })
     }
 }
 
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -83,6 +83,10 @@
     /// entries follow what operators publish closely, agents need not.
     #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     pub published: Option<Published>,
+    /// The version that replaced the one of the backend server, if that is another
+    /// one: an agent that started later cannot know.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub first_newer: Option<Published>,
 }
 
 /// What an entry sends to an agent.
@@ -112,6 +116,10 @@
     /// How many processes have passed the age on.
     #[serde(rename = "h", default)]
     pub relays: u8,
+    /// The newest version before it; none if the sender started later and cannot
+    /// know.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub replaces: Option<u64>,
 }
 
 impl Published {
@@ -128,9 +136,24 @@
             age_ms: age.map(|age| millis(age.most)),
             uncertainty_ms: age.map_or(0, |age| millis(age.uncertainty)),
             relays: age.map_or(0, |age| age.relays),
+            replaces: None,
         }
     }
 
+    /// The announcement of a publication.
+    pub fn of(publication: &cutover::Publication, now: Duration) -> Published {
+        let age = publication.published.map(|published| published.age(now));
+        Published {
+            replaces: publication.replaces,
+            ..Published::new(publication.version, age)
+        }
+    }
+
+    /// Whether the version is so old, by any bound, that its age need not be told.
+    fn is_old(&self) -> bool {
+        self.age_ms > Some(PUBLISHED_AGE_MAX_MS)
+    }
+
     /// The age of the version; none if the sender does not know it.
     pub fn age(&self) -> Option<cutover::Age> {
         let most = Duration::from_millis(self.age_ms?.into());
@@ -185,6 +208,10 @@
     /// cannot know.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub published: Option<Published>,
+    /// The same of the version that replaced the one of the backend server, if
+    /// that is another one.
+    #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
+    pub first_newer: Option<Published>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -215,8 +242,10 @@
     version: u64,
     min_version: u64,
     publish_time_known: bool,
-    /// The newest published version and when it was published, if that is known.
-    published: Option<(u64, cutover::Estimate)>,
+    /// The newest published version, and the one that replaced the version of the
+    /// backend server.
+    newest: Option<cutover::Publication>,
+    first_newer: Option<cutover::Publication>,
     /// The latest time at which requests may begin on the version that the
     /// backend server holds; `None` if it is the newest.
     begin_by: Option<Duration>,
@@ -257,15 +286,17 @@
         self.publish_time_known = publish_time_known;
     }
 
-    /// Sets the newest published version with the time at which it was published,
-    /// none if that is unknown, and the latest time at which requests may begin on
-    /// the version that the backend server holds.
+    /// Sets the newest published version, the one that replaced the version of the
+    /// backend server, each none if unknown, and the latest time at which requests
+    /// may begin on the latter.
     pub fn set_cutover(
         &mut self,
-        published: Option<(u64, cutover::Estimate)>,
+        newest: Option<cutover::Publication>,
+        first_newer: Option<cutover::Publication>,
         begin_by: Option<Duration>,
     ) {
-        self.published = published;
+        self.newest = newest;
+        self.first_newer = first_newer;
         self.begin_by = begin_by;
     }
 
@@ -429,11 +460,18 @@
         let in_use = self.in_use();
         let free = self.capacity.saturating_sub(in_use + self.waiting());
         let delay = self.first_event_delay(now, in_use, self.typical_tokens);
-        let published = self.published;
-        let published =
-            published.map(|(version, estimate)| Published::new(version, Some(estimate.age(now))));
+        let announce = |publication: Option<cutover::Publication>| {
+            let known = publication.filter(|one| one.published.is_some());
+            let announced = known.map(|one| Published::of(&one, now));
+            announced.filter(|one| !one.is_old())
+        };
+        let first_newer = self.first_newer.filter(|first| {
+            let newest = self.newest.map(|newest| newest.version);
+            newest != Some(first.version)
+        });
         Credit {
-            published: published.filter(|one| one.age_ms <= Some(PUBLISHED_AGE_MAX_MS)),
+            published: announce(self.newest),
+            first_newer: announce(first_newer),
             delay_ms: delay.as_millis().min(u128::from(u16::MAX)) as u16,
             holder,
             granted: self.accounts.get(&holder).map_or(0, |one| one.granted),
@@ -592,6 +630,7 @@
             granted: self.granted,
             released: self.released,
             published: None,
+            first_newer: None,
         })
     }
 
--- a/crates/snipewinch/tests/cutover_fleet/mod.rs
+++ b/crates/snipewinch/tests/cutover_fleet/mod.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use snipewinch::cutover;
 use snipewinch::cutover::Delay;
+use snipewinch::cutover::Estimate;
 use snipewinch::cutover::Interval;
 use snipewinch::cutover::Publication;
 use snipewinch::cutover::Verdict;
@@ -172,7 +173,8 @@
         known
             .map(|one| Publication {
                 version: one.version,
-                published: (!before(one)).then_some(one.interval),
+                replaces: Some(one.version - 1),
+                published: (!before(one)).then_some(Estimate::observed(one.interval)),
             })
             .collect()
     }
@@ -486,7 +488,7 @@
             return cutover::begin_by(&publications, held, self.bound);
         }
         let newer = publications.iter().filter(|one| one.version > held);
-        let heard = newer.map(|one| one.published.map(|at| at.latest + self.bound));
+        let heard = newer.map(|one| one.published.map(|at| at.interval().latest + self.bound));
         heard.map(Option::unwrap_or_default).min()
     }
 
--- a/crates/snipewinch/tests/grant.rs
+++ b/crates/snipewinch/tests/grant.rs
@@ -5,6 +5,7 @@
 use quickcheck::quickcheck;
 use snipewinch::cutover::Estimate;
 use snipewinch::cutover::Interval;
+use snipewinch::cutover::Publication;
 use snipewinch::engine::Spec;
 use snipewinch::grant::Credit;
 use snipewinch::grant::Demand;
@@ -151,6 +152,7 @@
         granted: 0,
         released: 0,
         published: None,
+        first_newer: None,
     }
 }
 
@@ -329,6 +331,15 @@
     assert_eq!(min_version(0, 0, [].iter()), 0, "none is published");
 }
 
+/// Version 2, published at a time.
+fn publication(secs: u64) -> Publication {
+    Publication {
+        version: 2,
+        replaces: Some(1),
+        published: Some(published_at(secs)),
+    }
+}
+
 fn published_at(secs: u64) -> Estimate {
     let at = Duration::from_secs(secs);
     Estimate::observed(Interval {
@@ -351,7 +362,7 @@
         let mut issuer = issuer();
         issuer.set_engine(spec, 900.0, Duration::from_millis(400));
         issuer.set_slowness(slowness);
-        issuer.set_cutover(Some((2, published_at(0))), begin_by);
+        issuer.set_cutover(Some(publication(0)), None, begin_by);
         let mut entry = Entry::new(1);
         entry.waiting = 1;
         issuer.receive(now, &entry.demand(now).expect("it waits"));
@@ -381,7 +392,7 @@
     issuer.set_engine(spec, 400.0, Duration::from_millis(400));
     let now = Duration::from_secs(6);
     let begin_by = now + Duration::from_millis(1_400);
-    issuer.set_cutover(Some((2, published_at(0))), Some(begin_by));
+    issuer.set_cutover(Some(publication(0)), None, Some(begin_by));
     let mut entry = Entry::new(1);
     entry.waiting = 1;
     let demand = Demand {
@@ -395,7 +406,7 @@
 #[test]
 fn a_credit_says_for_a_minute_how_old_the_newest_version_is() {
     let mut issuer = issuer();
-    issuer.set_cutover(Some((2, published_at(3))), None);
+    issuer.set_cutover(Some(publication(3)), None, None);
     let published = |now| {
         issuer
             .credit(Duration::from_secs(now), HolderId(1))
@@ -419,7 +430,7 @@
     };
     issuer.set_engine(spec, 900.0, Duration::from_millis(400));
     let begin_by = Duration::from_secs(8);
-    issuer.set_cutover(Some((2, published_at(0))), Some(begin_by));
+    issuer.set_cutover(Some(publication(0)), None, Some(begin_by));
     let now = begin_by - Duration::from_millis(150);
     let mut entry = Entry::new(1);
     entry.waiting = 1;
