Withdraw attempts while a request waits for something else

Cause: a request looked at the withdrawals of its open attempts only while it waited for their outputs. While events were written to a caller that reads nothing, a server that refused was read to its end, or the end of a server was probed, an attempt that was open beside that began on old weights.

Change: these waits go through old_weights::withdraw_beside, which ends what is due meanwhile. A broken attempt leaves the open ones before its server is probed.

The waits for a probe and for the rest of a refusal have no test of their own.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -40,6 +40,7 @@
 use super::dispatcher::SlotRequest;
 use super::exchange::Exchange;
 use super::old_weights;
+use super::old_weights::withdraw_beside;
 use super::pool;
 use super::pool::Connection;
 use super::quarantine;
@@ -293,16 +294,15 @@
             Wakeup::Output(index, Ok(Output::StreamEnd | Output::Events(_)))
                 if !relay::continues_stream(progress, index) =>
             {
-                record_broken(entry, call, progress, index, &pool::Error::NoStream)
+                let attempt = progress.open.remove(index);
+                record_broken(entry, call, progress, attempt, &pool::Error::NoStream)
             }
             Wakeup::Output(index, Ok(Output::Events(events))) => {
                 start = None;
-                if relay::relay_events(entry, call, progress, index, events, out).await
-                    != End::Complete
-                {
-                    return End::Aborted;
+                match relay::relay_events(entry, call, progress, index, events, out).await {
+                    Ok(step) => step,
+                    Err(end) => return end,
                 }
-                Step::Wait
             }
             Wakeup::Output(index, Ok(Output::StreamEnd))
                 if relay::has_all_events(progress, index) =>
@@ -310,33 +310,45 @@
                 return relay::end_stream(entry, call, progress, index, out).await;
             }
             Wakeup::Output(index, Ok(Output::StreamEnd)) => {
-                record_broken(entry, call, progress, index, &pool::Error::PartialEvent)
+                let attempt = progress.open.remove(index);
+                record_broken(entry, call, progress, attempt, &pool::Error::PartialEvent)
             }
             Wakeup::Output(index, Ok(Output::Complete(body))) => {
-                let attempt = &progress.open[index];
-                if attempt.may_have_ended_server() {
-                    quarantine::record_end(entry, call, attempt).await;
-                }
-                match complete(entry, call, progress, index, body) {
+                let attempt = progress.open.remove(index);
+                let step = match attempt.may_have_ended_server() {
+                    true => {
+                        let recording = quarantine::record_end(entry, call, &attempt);
+                        let beside = withdraw_beside(entry, call, progress, recording);
+                        beside.await.1
+                    }
+                    false => Step::Wait,
+                };
+                match complete(entry, call, progress, attempt, body) {
                     Ok((head, body)) => {
                         return relay::send_answer(entry, call, progress, &head, body, out).await;
                     }
-                    Err(step) => step,
+                    Err(next) => step.or(next),
                 }
             }
             Wakeup::Output(index, Ok(Output::Long(_))) if progress.head_sent => {
-                record_broken(entry, call, progress, index, &pool::Error::Mismatched)
+                let attempt = progress.open.remove(index);
+                record_broken(entry, call, progress, attempt, &pool::Error::Mismatched)
             }
             Wakeup::Output(index, Ok(Output::Long(begin))) => {
                 drop(start);
                 return relay::relay_chunked(entry, call, progress, index, begin, out).await;
             }
             Wakeup::Output(index, Err(error)) => {
-                let attempt = &progress.open[index];
-                if !attempt.has_come_through {
-                    quarantine::record_broken(entry, call, attempt, &error).await;
-                }
-                record_broken(entry, call, progress, index, &error)
+                let attempt = progress.open.remove(index);
+                let step = match attempt.has_come_through {
+                    true => Step::Wait,
+                    false => {
+                        let recording = quarantine::record_broken(entry, call, &attempt, &error);
+                        let beside = withdraw_beside(entry, call, progress, recording);
+                        beside.await.1
+                    }
+                };
+                step.or(record_broken(entry, call, progress, attempt, &error))
             }
             Wakeup::SilenceCheck => check_silence(entry, call, progress),
             Wakeup::Withdrawal => old_weights::withdraw(entry, call, progress),
@@ -654,7 +666,9 @@
     entry.metrics.attempts.with_label_values(&["not_run"]).inc();
     progress.shortage = Reason::Busy;
     let step = progress.attempts.handle(Event::NotRun(attempt.key));
-    attempt.finish_refusal(entry).await;
+    let reading = attempt.finish_refusal(entry);
+    let ((), next) = withdraw_beside(entry, call, progress, reading).await;
+    let step = step.or(next);
     log_attempt_end(entry, call, progress, server, step);
     step
 }
@@ -664,10 +678,9 @@
     entry: &Entry,
     call: &Call,
     progress: &mut Progress,
-    index: usize,
+    attempt: Attempt,
     error: &pool::Error,
 ) -> Step {
-    let attempt = progress.open.remove(index);
     let server = attempt.slot.key;
     log::info!(
         "E7105 request {} got no valid answer from backend server {}: {error}; events sent {}, prompt parts {}",
@@ -705,10 +718,9 @@
     entry: &Entry,
     call: &Call,
     progress: &mut Progress,
-    index: usize,
+    attempt: Attempt,
     body: Bytes,
 ) -> Result<(Response, Bytes), Step> {
-    let attempt = progress.open.remove(index);
     let key = attempt.key;
     let Some(head) = attempt.head().cloned() else {
         return Err(progress.attempts.handle(Event::Broken(key)));
--- a/crates/node/src/entry/old_weights.rs
+++ b/crates/node/src/entry/old_weights.rs
@@ -2,6 +2,7 @@
 //! newest.
 
 use std::future::pending;
+use std::pin::pin;
 use std::time::Duration;
 
 use snipewinch::attempt::Event;
@@ -125,3 +126,24 @@
         }
     }
 }
+
+/// Waits for `work`, and withdraws open attempts that are due meanwhile. Returns also
+/// what to do next because of these.
+pub(super) async fn withdraw_beside<T>(
+    entry: &Entry,
+    call: &Call,
+    progress: &mut Progress,
+    work: impl Future<Output = T>,
+) -> (T, Step) {
+    let mut work = pin!(work);
+    let mut step = Step::Wait;
+    loop {
+        let withdrawal = wait_withdrawal(entry, &progress.open);
+        tokio::select! {
+            biased;
+            () = withdrawal => {}
+            output = &mut work => return (output, step),
+        }
+        step = step.or(withdraw(entry, call, progress));
+    }
+}
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -23,6 +23,7 @@
 use super::call::record_broken;
 use super::cut;
 use super::cut::Cause;
+use super::old_weights;
 use super::quarantine;
 
 /// The media type of a stream of events.
@@ -96,7 +97,8 @@
     progress.head_sent && position == progress.last_event_id.as_ref()
 }
 
-/// Relays complete events of an attempt.
+/// Relays complete events of an attempt. Returns what to do next, or the end of the
+/// request if its caller has left.
 pub(super) async fn relay_events(
     entry: &Entry,
     call: &Call,
@@ -104,7 +106,7 @@
     index: usize,
     events: Bytes,
     out: &mut WriteHalf<'_>,
-) -> End {
+) -> Result<Step, End> {
     select_attempt(entry, call, progress, index);
     let attempt = &mut progress.open[0];
     let now = entry.clock.now();
@@ -118,7 +120,7 @@
     }
     let unsent = attempt.skip_sent(events, progress.last_event_id.as_ref());
     if unsent.is_empty() {
-        return End::Complete;
+        return Ok(Step::Wait);
     }
     let mut bytes = Vec::new();
     match attempt.head() {
@@ -146,10 +148,10 @@
         .max(now.saturating_sub(progress.last_event));
     progress.last_event = now;
     write::chunk(&mut bytes, &unsent);
-    match out.write_all(&bytes).await {
-        Ok(()) => End::Complete,
-        Err(_) => End::Aborted,
-    }
+    let writing = out.write_all(&bytes);
+    let (written, step) = old_weights::withdraw_beside(entry, call, progress, writing).await;
+    written.map_err(|_| End::Aborted)?;
+    Ok(step)
 }
 
 /// Records when, and on which weights, a backend server has begun a request.
@@ -258,7 +260,8 @@
             Err(error) => {
                 quarantine::record_broken(entry, call, attempt, &error).await;
                 // Part of the answer is sent, so no other attempt can follow.
-                let _ = record_broken(entry, call, progress, 0, &error);
+                let attempt = progress.open.remove(0);
+                let _ = record_broken(entry, call, progress, attempt, &error);
                 return cut::end(entry, call, Cause::BrokenOff, progress.last_event);
             }
         }
--- a/crates/node/tests/harness/engine.rs
+++ b/crates/node/tests/harness/engine.rs
@@ -57,6 +57,8 @@
     pub(crate) events: usize,
     /// The time between two events.
     pub(crate) event_interval: Duration,
+    /// By how many bytes an event is longer than its id and data.
+    pub(crate) padding: usize,
     pub(crate) on_close: OnClose,
 }
 
@@ -67,6 +69,7 @@
             wait: Duration::from_millis(20),
             events: 3,
             event_interval: Duration::from_millis(20),
+            padding: 0,
             on_close: OnClose::Drop,
         }
     }
@@ -252,7 +255,7 @@
         let head = head.replacen("200 OK", &fields, 1);
         stream.write_all(head.as_bytes()).await.ok()?;
         for number in 1..=behavior.events {
-            let event = chunk(&event(number));
+            let event = chunk(&padded_event(number, behavior.padding));
             stream.write_all(event.as_bytes()).await.ok()?;
             sleep(behavior.event_interval).await;
         }
@@ -260,6 +263,14 @@
     }
 }
 
+/// An event with a comment of so many bytes, if any.
+fn padded_event(number: usize, padding: usize) -> String {
+    match padding {
+        0 => event(number),
+        _ => format!(": {}\n{}", ".".repeat(padding), event(number)),
+    }
+}
+
 /// Answers that a request is not executed.
 async fn refuse(stream: &mut TcpStream, status: u16, id: &str) -> Option<()> {
     let answer = complete_answer(status, "X-Not-Executed: 1\r\n", "").replace("{id}", id);
--- a/crates/snipewinch/src/attempt.rs
+++ b/crates/snipewinch/src/attempt.rs
@@ -60,6 +60,16 @@
     End,
 }
 
+impl Step {
+    /// What to do after two events, of which this step follows the earlier one.
+    pub fn or(self, later: Step) -> Step {
+        match self {
+            Step::Wait => later,
+            Step::Retry | Step::End => self,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Open {
     key: Key,
