Judge each request by the versions of its service as it is now

Cause: a slot at a service without an engine had no weights and counted as current for good, also once a configuration gave the service an engine.

Change: each slot has weights. A service without an engine has no published versions, so nothing there is outdated; one that loses its engine loses the versions too. A request that is on its way meanwhile is judged again when they return.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -234,20 +234,23 @@
             .iter()
             .flat_map(|table| &table.configuration().services);
         for service in services {
-            let model = service
-                .engine
-                .as_ref()
-                .and_then(|engine| engine.model.as_ref());
-            if let Some(model) = model {
-                let operator = self.operator.borrow();
-                let versions = Versions {
-                    publications: operator.publications(model),
-                    bound: self.bounds.get().version_skew,
-                    of_unknown_age: operator.newest_of_unknown_age(model),
-                    newest: operator.newest(model),
-                };
-                self.dispatcher.set_versions(&service.name, versions);
-            }
+            let engine = service.engine.as_ref();
+            let versions = match engine.and_then(|engine| engine.model.as_ref()) {
+                Some(model) => self.versions(model),
+                None => Versions::default(),
+            };
+            self.dispatcher.set_versions(&service.name, versions);
+        }
+    }
+
+    /// The published versions of a model.
+    fn versions(&self, model: &SmolStr) -> Versions {
+        let operator = self.operator.borrow();
+        Versions {
+            publications: operator.publications(model),
+            bound: self.bounds.get().version_skew,
+            of_unknown_age: operator.newest_of_unknown_age(model),
+            newest: operator.newest(model),
         }
     }
 
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -149,8 +149,7 @@
     pub(crate) address: std::net::SocketAddr,
     /// The service of the backend server.
     pub(crate) service: SmolStr,
-    /// None if the service runs no model engines.
-    pub(crate) weights: Option<Weights>,
+    pub(crate) weights: Weights,
 }
 
 impl Drop for Slot {
@@ -262,13 +261,13 @@
             .and_then(|service_state| service_state.versions.newest);
         let held = backend.version();
         let replaced_by = newest.filter(|newest| newest.version > held);
-        let weights = request.has_engine.then_some(Weights {
+        let weights = Weights {
             held,
             replaced_by: replaced_by.map(|newest| Replacement {
                 version: newest.version,
                 learned_at: newest.learned_at,
             }),
-        });
+        };
         Slot {
             service: backend.service.clone(),
             weights,
--- a/crates/node/src/entry/dispatcher/weights.rs
+++ b/crates/node/src/entry/dispatcher/weights.rs
@@ -65,10 +65,9 @@
         let now = self.clock.now();
         let state = self.state.borrow();
         match state.backends.get(slot.key) {
-            Some(backend) if slot.weights.is_some() => state.admit_weights(backend, now, tokens),
-            Some(_) => Verdict::Current,
+            Some(backend) => state.admit_weights(backend, now, tokens),
             // It is no longer listed and no longer reports its weights.
-            None if slot.weights.is_some_and(|one| one.replaced_by.is_some()) => Verdict::Outdated,
+            None if slot.weights.replaced_by.is_some() => Verdict::Outdated,
             None => Verdict::Current,
         }
     }
@@ -76,7 +75,7 @@
     /// When a request that has not begun is to be withdrawn, by the weights of its
     /// backend server; none if they are the newest.
     pub(crate) fn withdrawal(&self, slot: &Slot) -> Option<Duration> {
-        let weights = slot.weights?;
+        let weights = slot.weights;
         let state = self.state.borrow();
         let versions = &state.services.get(&slot.service)?.versions;
         let backend = state.backends.get(slot.key);
--- a/crates/node/src/entry/old_weights.rs
+++ b/crates/node/src/entry/old_weights.rs
@@ -22,7 +22,7 @@
 /// a host that does not answer any more may arrive when the weights there are
 /// too old, so the other end must have been heard of just before.
 pub(super) fn idle_max(slot: &Slot) -> Duration {
-    match slot.weights.and_then(|one| one.replaced_by) {
+    match slot.weights.replaced_by {
         Some(_) => OLD_WEIGHTS_IDLE_MAX,
         None => Duration::MAX,
     }
@@ -31,9 +31,7 @@
 /// Logs that a request goes to a backend server with older weights than the
 /// newest.
 pub(super) fn log_sent(call: &Call, slot: &Slot, now: Duration, withdraw_at: Option<Duration>) {
-    let Some(weights) = slot.weights else {
-        return;
-    };
+    let weights = slot.weights;
     if let Some(newest) = weights.replaced_by {
         log::info!(
             "E7126 request {} is sent to backend server {} with version {} of the weights; version {} is known for {} ms, time left to begin {} ms",
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -163,7 +163,7 @@
         .begin_wait
         .with_label_values(&[service])
         .observe(wait.as_secs_f64());
-    let Some(newest) = attempt.slot.weights.and_then(|one| one.replaced_by) else {
+    let Some(newest) = attempt.slot.weights.replaced_by else {
         return;
     };
     let age = now.saturating_sub(newest.learned_at);
--- a/crates/node/tests/old_weights.rs
+++ b/crates/node/tests/old_weights.rs
@@ -11,6 +11,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -203,3 +204,33 @@
     assert!(!answering.engine.runs().is_empty(), "no second attempt");
     site.assert_none_late(at);
 }
+
+/// Guards against requests that count as current for good since their service had no
+/// engine as they were sent.
+#[tokio::test]
+async fn a_request_begins_on_old_weights_as_its_service_had_no_engine_when_it_was_sent() {
+    let slow = Behavior {
+        wait: BOUND + Duration::from_millis(700),
+        ..Behavior::default()
+    };
+    let mut plain = configuration(1);
+    plain["routes"][0]["goalMs"] = 1_000.into();
+    let mut site = Site::start(&plain).await;
+    site.add_host(slow).await;
+    site.wait_serving().await;
+    let callers = site.entry.callers;
+    let mut asked = JoinSet::new();
+    for path in ["/read/", "/draft/"] {
+        let method = if path == "/read/" { "GET" } else { "POST" };
+        let text = request(method, path, "X-Token-Usage: 100,3\r\n", "x");
+        asked.spawn(async move { exchange(callers, &text).await });
+    }
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(site.hosts[0].engine.runs().len(), 3, "requests sent");
+    let mut configuration = engine_configuration();
+    configuration["version"] = 2.into();
+    site.store.put("op", "config", &configuration);
+    let at = site.publish(2);
+    asked.join_all().await;
+    site.assert_none_late(at);
+}
