Number the credits of agents and name the engine's start in them

Cause: a credit had no order. One that was overtaken on the way, or came from a former process of the agent, brought back the version that the engine held before, also after the list had shown a new start of the engine. An agent whose report was taken before the restart did the same.

Change: a credit carries its agent's process, a number and the start of the engine. Holder::receive ignores what was overtaken; Holder::version bounds a report on an earlier start by the listed version. Credits without a number (agents before this change) count as they arrive.

Measured: a_credit_that_was_overtaken_brings_an_old_state_back and a_late_credit_of_a_former_agent_counts failed before (version 3 where the engine holds 2) and pass. a_report_on_an_engine_before_its_restart_counts and credits_of_agents_that_do_not_number_them_count_as_they_arrive need the new fields and were not run on the code before.

--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -9,9 +9,11 @@
 use peer::FleetKey;
 use peer::datagram::Socket;
 use platform::engine::Report;
+use rand::RngExt;
 use snipewinch::cutover;
 use snipewinch::grant::HolderId;
 use snipewinch::grant::Issuer;
+use snipewinch::grant::IssuerId;
 use snipewinch::grant::Message;
 use snipewinch::route;
 use snipewinch::transit::Transit;
@@ -161,6 +163,7 @@
             return;
         };
         let version = loaded_version(report);
+        let started_ms = report.started_ms;
         let in_use = self.issuer.in_use();
         let engine_requests = u64::from(report.running + report.waiting);
         // Requests that reached the engine without a slot.
@@ -183,6 +186,7 @@
             false => slots.saturating_sub(without_slot),
         };
         self.issuer.set_capacity(capacity, version);
+        self.issuer.set_started(started_ms);
         self.announce((capacity > 0, version));
     }
 
@@ -196,7 +200,7 @@
         }
     }
 
-    fn send_credit(&self, holder: HolderId) {
+    fn send_credit(&mut self, holder: HolderId) {
         let (Some((socket, key)), Some(address)) = (&self.link, self.addresses.get(&holder)) else {
             return;
         };
@@ -261,7 +265,11 @@
 /// Receives demands from entries and answers them with credits.
 pub(super) async fn serve_demands(agent: Rc<Agent>, socket: Socket, key: FleetKey) {
     let socket = Rc::new(socket);
-    agent.slot_pool.state.borrow_mut().link = Some((socket.clone(), key.clone()));
+    {
+        let mut state = agent.slot_pool.state.borrow_mut();
+        state.link = Some((socket.clone(), key.clone()));
+        state.issuer.set_id(IssuerId(rand::rng().random()));
+    }
     loop {
         let wake = agent
             .slot_pool
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -59,8 +59,8 @@
     pub(crate) id: SmolStr,
     /// Identifies its start among all servers.
     pub(crate) server: Server,
-    /// Whether its row tells when it started.
-    is_start_known: bool,
+    /// When it started by its row, in milliseconds since the Unix epoch.
+    started_ms: Option<u64>,
     pub(crate) address: SocketAddr,
     pub(crate) service: SmolStr,
     /// 0 in the availability zone of this entry, 1 in its region, 2 elsewhere.
@@ -97,8 +97,7 @@
     /// The version of the weights that it holds: from the agent's last credit
     /// if there is one, from the list otherwise.
     pub(crate) fn version(&self) -> u64 {
-        let reported = self.holder.last_credit().map(|credit| credit.version);
-        reported.unwrap_or(self.listed_version)
+        self.holder.version(self.started_ms, self.listed_version)
     }
 
     /// Whether it may hold weights of a version or newer. One whose agent has
@@ -242,7 +241,7 @@
     /// a later start under its id cannot be told apart.
     pub(crate) fn unknown_start(&self, id: &str) -> Option<Server> {
         let backend = self.arena.get(*self.ids.get(id)?)?;
-        (!backend.is_start_known).then_some(backend.server)
+        backend.started_ms.is_none().then_some(backend.server)
     }
 
     /// Applies updates of the list.
@@ -280,7 +279,7 @@
                 backend.leaving = leaving;
                 backend.is_missing = false;
                 backend.server = server;
-                backend.is_start_known = entry.started_ms.is_some();
+                backend.started_ms = entry.started_ms;
                 backend.slots = entry.slots;
                 backend.service = entry.service;
                 backend.listed_version = version;
@@ -299,7 +298,7 @@
                     suspected: 0,
                     load: None,
                     server: Server::of(&id, entry.started_ms),
-                    is_start_known: entry.started_ms.is_some(),
+                    started_ms: entry.started_ms,
                     health: Health::default(),
                     round_trip: Duration::ZERO,
                     holder: Holder::new(self.holder_id),
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -51,6 +51,13 @@
 #[serde(transparent)]
 pub struct HolderId(pub u64);
 
+/// Identifies the process of an agent, from its start to its end.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct IssuerId(pub u64);
+
 /// Tells an agent how many slots an entry needs, holds and has released.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Demand {
@@ -149,6 +156,12 @@
     /// The entry.
     #[serde(rename = "t")]
     pub holder: HolderId,
+    /// The agent.
+    #[serde(rename = "i", default)]
+    pub issuer: IssuerId,
+    /// Increases with each credit of the agent; 0 if it does not say.
+    #[serde(rename = "q", default)]
+    pub sequence: u64,
     /// All slots granted to it.
     #[serde(rename = "g")]
     pub granted: u64,
@@ -162,6 +175,10 @@
     /// The version of the weights that the backend server holds; 0 if none.
     #[serde(rename = "v")]
     pub version: u64,
+    /// When the backend server started that holds it, in milliseconds since the
+    /// Unix epoch; 0 if that is unknown.
+    #[serde(rename = "b", default)]
+    pub started_ms: u64,
     /// The oldest version on which requests may start, as far as the agent
     /// knows: an entry that has just started cannot know how long ago a version
     /// was published.
@@ -210,9 +227,13 @@
 /// The agent's side: grants the slots of one backend server.
 #[derive(Clone, Debug, Default)]
 pub struct Issuer {
+    id: IssuerId,
+    /// Credits issued so far.
+    sequence: u64,
     accounts: BTreeMap<HolderId, Account>,
     capacity: u64,
     version: u64,
+    started_ms: u64,
     min_version: u64,
     publish_time_known: bool,
     /// The newest published version and when it was published, if that is known.
@@ -234,6 +255,17 @@
         Issuer::default()
     }
 
+    /// Sets the identity of the agent's process.
+    pub fn set_id(&mut self, id: IssuerId) {
+        self.id = id;
+    }
+
+    /// Sets when the backend server started, in milliseconds since the Unix epoch; 0
+    /// if that is unknown.
+    pub fn set_started(&mut self, started_ms: u64) {
+        self.started_ms = started_ms;
+    }
+
     /// Sets how many slots there are, 0 while none may be granted, and which
     /// version of the weights the backend server holds.
     pub fn set_capacity(&mut self, capacity: u32, version: u64) {
@@ -425,7 +457,8 @@
     }
 
     /// The credit to send to an entry.
-    pub fn credit(&self, now: Duration, holder: HolderId) -> Credit {
+    pub fn credit(&mut self, now: Duration, holder: HolderId) -> Credit {
+        self.sequence += 1;
         let in_use = self.in_use();
         let free = self.capacity.saturating_sub(in_use + self.waiting());
         let delay = self.first_event_delay(now, in_use, self.typical_tokens);
@@ -436,9 +469,12 @@
             published: published.filter(|one| one.age_ms <= Some(PUBLISHED_AGE_MAX_MS)),
             delay_ms: delay.as_millis().min(u128::from(u16::MAX)) as u16,
             holder,
+            issuer: self.id,
+            sequence: self.sequence,
             granted: self.accounts.get(&holder).map_or(0, |one| one.granted),
             free: free.min(u64::from(u16::MAX)) as u16,
             version: self.version,
+            started_ms: self.started_ms,
             min_version: self.min_version,
             publish_time_known: self.publish_time_known,
             holders: self.accounts.len().min(usize::from(u16::MAX)) as u16,
@@ -494,6 +530,10 @@
     unanswered_since: Option<Duration>,
     last_credit_at: Option<Duration>,
     last_credit: Option<Credit>,
+    /// The agents of the last credits, the current one first, and the sequence of
+    /// its last credit.
+    issuers: [Option<IssuerId>; 2],
+    credit_sequence: u64,
     changed: bool,
 }
 
@@ -512,12 +552,33 @@
             unanswered_since: None,
             last_credit_at: None,
             last_credit: None,
+            issuers: [None; 2],
+            credit_sequence: 0,
             changed: false,
         }
     }
 
-    /// Applies a credit of the agent and returns how many slots are new.
+    /// Whether a credit that has just arrived was overtaken by a later one.
+    fn is_overtaken(&self, credit: &Credit) -> bool {
+        match self.issuers {
+            _ if credit.sequence == 0 => false,
+            [Some(current), _] if current == credit.issuer => {
+                credit.sequence < self.credit_sequence
+            }
+            [_, former] => former == Some(credit.issuer),
+        }
+    }
+
+    /// Applies a credit of the agent and returns how many slots are new. One that
+    /// was overtaken changes nothing.
     pub fn receive(&mut self, now: Duration, credit: &Credit) -> u64 {
+        if self.is_overtaken(credit) {
+            return 0;
+        }
+        if self.issuers[0] != Some(credit.issuer) {
+            self.issuers = [Some(credit.issuer), self.issuers[0]];
+        }
+        self.credit_sequence = credit.sequence;
         self.last_credit_at = Some(now);
         self.unanswered_since = None;
         self.last_credit = Some(*credit);
@@ -615,6 +676,21 @@
         self.last_credit_at = None;
     }
 
+    /// The version of the weights that the backend server holds: the one that the
+    /// agent has reported last, or without a report the listed one. `started_ms` is
+    /// the listed start; of a report on an earlier one, whose weights are gone, the
+    /// listed version bounds what still counts.
+    pub fn version(&self, started_ms: Option<u64>, listed: u64) -> u64 {
+        let Some(credit) = &self.last_credit else {
+            return listed;
+        };
+        let is_earlier = credit.started_ms > 0 && started_ms > Some(credit.started_ms);
+        match is_earlier {
+            true => credit.version.min(listed),
+            false => credit.version,
+        }
+    }
+
     /// When the agent last sent a credit.
     pub fn last_credit_at(&self) -> Option<Duration> {
         self.last_credit_at
--- a/crates/snipewinch/tests/grant.rs
+++ b/crates/snipewinch/tests/grant.rs
@@ -11,6 +11,7 @@
 use snipewinch::grant::Holder;
 use snipewinch::grant::HolderId;
 use snipewinch::grant::Issuer;
+use snipewinch::grant::IssuerId;
 use snipewinch::grant::LEASE;
 use snipewinch::grant::RENEWAL_INTERVAL;
 use snipewinch::grant::min_version;
@@ -396,7 +397,7 @@
 fn a_credit_says_for_a_minute_how_old_the_newest_version_is() {
     let mut issuer = issuer();
     issuer.set_cutover(Some((2, published_at(3))), None);
-    let published = |now| {
+    let mut published = |now| {
         issuer
             .credit(Duration::from_secs(now), HolderId(1))
             .published
@@ -428,3 +429,69 @@
     let wakeup = issuer.next_wakeup(now);
     assert!(wakeup.is_none_or(|at| at > now), "{wakeup:?} at {now:?}");
 }
+
+/// Datagrams may overtake each other: an engine that has started anew then seemed to
+/// hold what it held before.
+#[test]
+fn a_credit_that_was_overtaken_brings_an_old_state_back() {
+    let mut issuer = issuer();
+    issuer.set_capacity(SLOTS, 3);
+    let late = issuer.credit(Duration::ZERO, HolderId(1));
+    issuer.set_capacity(SLOTS, 2);
+    let newest = issuer.credit(Duration::ZERO, HolderId(1));
+    let mut holder = Holder::new(HolderId(1));
+    holder.receive(Duration::ZERO, &newest);
+    holder.receive(Duration::ZERO, &late);
+    assert_eq!(holder.last_credit().map(|credit| credit.version), Some(2));
+}
+
+#[test]
+fn a_report_on_an_engine_before_its_restart_counts() {
+    let mut issuer = issuer();
+    issuer.set_capacity(SLOTS, 3);
+    issuer.set_started(1_000);
+    let mut holder = Holder::new(HolderId(1));
+    holder.receive(Duration::ZERO, &issuer.credit(Duration::ZERO, HolderId(1)));
+    assert_eq!(holder.version(Some(1_000), 2), 3, "the list is older");
+    assert_eq!(
+        holder.version(Some(900), 2),
+        3,
+        "the list is of a former start"
+    );
+    assert_eq!(holder.version(None, 2), 3, "the list does not say");
+    assert_eq!(
+        holder.version(Some(2_000), 1),
+        1,
+        "the engine has restarted"
+    );
+    assert_eq!(holder.version(Some(2_000), 0), 0, "it has no weights");
+}
+
+#[test]
+fn credits_of_agents_that_do_not_number_them_count_as_they_arrive() {
+    let mut holder = Holder::new(HolderId(1));
+    for version in [2, 1, 3] {
+        let unnumbered = Credit {
+            sequence: 0,
+            version,
+            ..credit(0, false)
+        };
+        holder.receive(Duration::ZERO, &unnumbered);
+        assert_eq!(holder.version(None, 0), version);
+    }
+}
+
+#[test]
+fn a_late_credit_of_a_former_agent_counts() {
+    let [mut former, mut current] = [issuer(), issuer()];
+    former.set_id(IssuerId(1));
+    current.set_id(IssuerId(2));
+    former.set_capacity(SLOTS, 3);
+    let mut holder = Holder::new(HolderId(1));
+    holder.receive(Duration::ZERO, &former.credit(Duration::ZERO, HolderId(1)));
+    let late = former.credit(Duration::ZERO, HolderId(1));
+    current.set_capacity(SLOTS, 2);
+    holder.receive(Duration::ZERO, &current.credit(Duration::ZERO, HolderId(1)));
+    holder.receive(Duration::ZERO, &late);
+    assert_eq!(holder.last_credit().map(|credit| credit.version), Some(2));
+}
