Withdraw a request by the version that its engine reports now

Cause: a withdrawal counted the newer one of the version that the engine was believed to hold at sending and the one reported since. A belief that was wrong held until the request began. And nothing looked again when a report changed.

Change: the version reported now decides, unless the agent reports none, as it does of an engine that does not answer. A change of the version that a backend server holds, by a credit or by the list, wakes the requests that have not begun.

The engine of the test keeps a request while its version goes back, which engines of the platform do not do.

--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -244,11 +244,13 @@
         backend.started_ms.is_none().then_some(backend.server)
     }
 
-    /// Applies updates of the list.
-    pub(crate) fn apply_updates(&mut self, updates: Vec<Update>) {
+    /// Applies updates of the list; true if a known backend server holds another
+    /// version by them.
+    pub(crate) fn apply_updates(&mut self, updates: Vec<Update>) -> bool {
+        let mut has_changed = false;
         for update in updates {
             match update {
-                Update::Listed(id, entry) => self.upsert(id, entry),
+                Update::Listed(id, entry) => has_changed |= self.upsert(id, entry),
                 Update::Missing(id) => {
                     let key = self.ids.get(&id).copied();
                     if let Some(backend) = key.and_then(|key| self.arena.get_mut(key)) {
@@ -262,15 +264,18 @@
                 }
             }
         }
+        has_changed
     }
 
-    /// Adds a backend server, or updates it if its address is unchanged.
-    fn upsert(&mut self, id: SmolStr, entry: BackendServer) {
+    /// Adds a backend server, or updates it if its address is unchanged; true if
+    /// it then holds another version.
+    fn upsert(&mut self, id: SmolStr, entry: BackendServer) -> bool {
         let leaving = entry.state == State::Draining;
         let version = loaded_version(&entry);
         let known = self.ids.get(&id).and_then(|key| self.arena.get_mut(*key));
         match known {
             Some(backend) if backend.address == entry.address => {
+                let held = backend.version();
                 let server = Server::of(&id, entry.started_ms);
                 if backend.server != server {
                     // Its weights are gone.
@@ -283,6 +288,7 @@
                 backend.slots = entry.slots;
                 backend.service = entry.service;
                 backend.listed_version = version;
+                backend.version() != held
             }
             Some(_) | None => {
                 let backend = Backend {
@@ -311,6 +317,7 @@
                 if let Some(before) = self.ids.insert(id, key) {
                     self.arena.remove(before);
                 }
+                false
             }
         }
     }
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -132,8 +132,9 @@
     state: Rc<RefCell<State>>,
     /// Notified when a request begins to wait.
     queued: Rc<Notify>,
-    /// Notified when more is known of published versions.
-    published: Rc<Notify>,
+    /// Notified when more is known of published versions, or of the one that a
+    /// backend server holds.
+    versions_changed: Rc<Notify>,
 }
 
 /// A slot at a backend server, released on drop.
@@ -184,7 +185,7 @@
             clock,
             state: Rc::new(RefCell::new(state)),
             queued: Rc::default(),
-            published: Rc::default(),
+            versions_changed: Rc::default(),
         }
     }
 
@@ -203,7 +204,9 @@
                 state.limits.forget_wishes(server);
             }
         }
-        state.backends.apply_updates(updates);
+        if state.backends.apply_updates(updates) {
+            self.versions_changed.notify_waiters();
+        }
         let services: Vec<SmolStr> = state.services.keys().cloned().collect();
         drop(state);
         services
@@ -296,7 +299,11 @@
         if backend.bypass_agent_until.take().is_some() {
             log::info!("E7051 agent of backend server {} answers again", backend.id);
         }
+        let held = backend.version();
         backend.holder.receive(now, credit);
+        if backend.version() != held {
+            self.versions_changed.notify_waiters();
+        }
         let service = backend.service.clone();
         state.send_engine_config(key, now, credit);
         drop(state);
--- a/crates/node/src/entry/dispatcher/weights.rs
+++ b/crates/node/src/entry/dispatcher/weights.rs
@@ -79,15 +79,18 @@
         let state = self.state.borrow();
         let versions = &state.services.get(&slot.service)?.versions;
         let backend = state.backends.get(slot.key);
-        let held = backend.map_or(weights.held, |one| one.version().max(weights.held));
+        // 0 also while the backend server does not answer its agent.
+        let reported = backend.map(Backend::version).filter(|one| *one > 0);
+        let held = reported.unwrap_or(weights.held);
         let begin_by = cutover::begin_by(&versions.publications, held, versions.bound)?;
         let transfer = backend.map(Backend::transfer).unwrap_or_default();
         Some(cutover::withdraw_at(begin_by, transfer))
     }
 
-    /// Waits until a version is published, or it becomes known when.
+    /// Waits until a version is published, it becomes known when, or a backend
+    /// server holds another one.
     pub(crate) async fn versions_changed(&self) {
-        self.published.notified().await;
+        self.versions_changed.notified().await;
     }
 
     /// Sets the versions of the weights of a service. The newest published one is
@@ -106,7 +109,7 @@
         service_state.min_version =
             grant::min_version(local, versions.of_unknown_age, credits.iter());
         if service_state.versions.publications != versions.publications {
-            self.published.notify_waiters();
+            self.versions_changed.notify_waiters();
         }
         service_state.versions = versions;
     }
--- a/crates/node/tests/old_weights.rs
+++ b/crates/node/tests/old_weights.rs
@@ -234,3 +234,30 @@
     asked.join_all().await;
     site.assert_none_late(at);
 }
+
+/// Guards against an engine that holds less than it was believed to hold when the request
+/// was sent: that belief counted until the request began.
+#[tokio::test]
+async fn a_request_begins_on_older_weights_than_its_engine_was_believed_to_hold() {
+    let slow = Behavior {
+        wait: BOUND + Duration::from_millis(400),
+        ..Behavior::default()
+    };
+    let mut site = Site::start(&engine_configuration()).await;
+    site.add_host(slow).await;
+    site.wait_serving().await;
+    let at = site.publish(2);
+    site.hosts[0].engine.set_version(2);
+    sleep_until(at + Duration::from_millis(600)).await;
+    let callers = site.entry.callers;
+    let mut asked = JoinSet::new();
+    for path in ["/grant/", "/draft/"] {
+        let text = request("POST", path, "X-Token-Usage: 100,3\r\n", "x");
+        asked.spawn(async move { exchange(callers, &text).await });
+    }
+    sleep_until(at + Duration::from_millis(800)).await;
+    assert_eq!(site.hosts[0].engine.runs().len(), 3, "requests sent");
+    site.hosts[0].engine.set_version(1);
+    asked.join_all().await;
+    site.assert_none_late(at);
+}
