Let no engine reload out of turn when the wall clock is set back

Cause: an age by a wall clock that had been set back counted as infinite, so no wait for a turn in the rollout was left.

Change: for turns such a wall clock says nothing, the monotonic one counts. For the age of verified chunks it stays infinite: they are read back.

--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -69,12 +69,21 @@
         }
     }
 
-    /// The time since then: the longer one of the two clocks.
+    /// The time since then: the longer one of the two clocks. The wall clock says
+    /// nothing once it was set back.
     fn age(&self, clock: &Clock) -> Duration {
         let monotonic = clock.now().saturating_sub(self.monotonic);
-        let wall = self.wall.elapsed().unwrap_or(Duration::MAX);
+        let wall = self.wall.elapsed().unwrap_or_default();
         monotonic.max(wall)
     }
+
+    /// The longest time since then; without limit if the wall clock was set back.
+    fn age_max(&self, clock: &Clock) -> Duration {
+        match self.wall.elapsed() {
+            Ok(_) => self.age(clock),
+            Err(_) => Duration::MAX,
+        }
+    }
 }
 
 /// Since when something is the case for the newest versions.
@@ -390,7 +399,7 @@
         staged_at: Timestamp,
     ) -> bool {
         let mut verified_at = staged_at;
-        while verified_at.age(&self.agent.clock) > VERIFICATION_AGE_MAX {
+        while verified_at.age_max(&self.agent.clock) > VERIFICATION_AGE_MAX {
             verified_at = Timestamp::now(&self.agent.clock);
             if !self.verify_staged(known, all).await {
                 return false;
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use peer::FleetKey;
 use platform::boot::Bounds;
@@ -43,6 +44,7 @@
 use super::Milestones;
 use super::POLL_INTERVAL;
 use super::Staged;
+use super::Timestamp;
 use crate::agent::Agent;
 use crate::agent::Target;
 use crate::agent::chunks;
@@ -504,3 +506,15 @@
     });
     run.await;
 }
+
+/// Guards against engines that all reload at once, as no turn is left to wait for.
+#[test]
+fn a_version_is_infinitely_old_once_the_wall_clock_is_set_back() {
+    let clock = Clock::start();
+    let set_back = Timestamp {
+        monotonic: clock.now(),
+        wall: SystemTime::now() + Duration::from_secs(3_600),
+    };
+    let age = set_back.age(&clock);
+    assert!(age < Duration::from_secs(60), "{age:?}");
+}
