--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -59,8 +59,8 @@
     pub(crate) id: SmolStr,
     /// Identifies its start among all servers.
     pub(crate) server: Server,
-    /// Whether its row tells when it started.
-    is_start_known: bool,
+    /// When it started by its row, in milliseconds since the Unix epoch.
+    started_ms: Option<u64>,
     pub(crate) address: SocketAddr,
     pub(crate) service: SmolStr,
     /// 0 in the availability zone of this entry, 1 in its region, 2 elsewhere.
@@ -97,8 +97,7 @@
     /// The version of the weights that it holds: from the agent's last credit
     /// if there is one, from the list otherwise.
     pub(crate) fn version(&self) -> u64 {
-        let reported = self.holder.last_credit().map(|credit| credit.version);
-        reported.unwrap_or(self.listed_version)
+        self.holder.version(self.started_ms, self.listed_version)
     }
 
     /// Whether it may hold weights of a version or newer. One whose agent has
@@ -242,14 +241,16 @@
     /// a later start under its id cannot be told apart.
     pub(crate) fn unknown_start(&self, id: &str) -> Option<Server> {
         let backend = self.arena.get(*self.ids.get(id)?)?;
-        (!backend.is_start_known).then_some(backend.server)
+        backend.started_ms.is_none().then_some(backend.server)
     }
 
-    /// Applies updates of the list.
-    pub(crate) fn apply_updates(&mut self, updates: Vec<Update>) {
+    /// Applies updates of the list; true if a known backend server holds another
+    /// version by them.
+    pub(crate) fn apply_updates(&mut self, updates: Vec<Update>) -> bool {
+        let mut has_changed = false;
         for update in updates {
             match update {
-                Update::Listed(id, entry) => self.upsert(id, entry),
+                Update::Listed(id, entry) => has_changed |= self.upsert(id, entry),
                 Update::Missing(id) => {
                     let key = self.ids.get(&id).copied();
                     if let Some(backend) = key.and_then(|key| self.arena.get_mut(key)) {
@@ -263,15 +264,18 @@
                 }
             }
         }
+        has_changed
     }
 
-    /// Adds a backend server, or updates it if its address is unchanged.
-    fn upsert(&mut self, id: SmolStr, entry: BackendServer) {
+    /// Adds a backend server, or updates it if its address is unchanged; true if
+    /// it then holds another version.
+    fn upsert(&mut self, id: SmolStr, entry: BackendServer) -> bool {
         let leaving = entry.state == State::Draining;
         let version = loaded_version(&entry);
         let known = self.ids.get(&id).and_then(|key| self.arena.get_mut(*key));
         match known {
             Some(backend) if backend.address == entry.address => {
+                let held = backend.version();
                 let server = Server::of(&id, entry.started_ms);
                 if backend.server != server {
                     // Its weights are gone.
@@ -280,10 +284,11 @@
                 backend.leaving = leaving;
                 backend.is_missing = false;
                 backend.server = server;
-                backend.is_start_known = entry.started_ms.is_some();
+                backend.started_ms = entry.started_ms;
                 backend.slots = entry.slots;
                 backend.service = entry.service;
                 backend.listed_version = version;
+                backend.version() != held
             }
             Some(_) | None => {
                 let backend = Backend {
@@ -299,7 +304,7 @@
                     suspected: 0,
                     load: None,
                     server: Server::of(&id, entry.started_ms),
-                    is_start_known: entry.started_ms.is_some(),
+                    started_ms: entry.started_ms,
                     health: Health::default(),
                     round_trip: Duration::ZERO,
                     holder: Holder::new(self.holder_id),
@@ -312,6 +317,7 @@
                 if let Some(before) = self.ids.insert(id, key) {
                     self.arena.remove(before);
                 }
+                false
             }
         }
     }
--- a/crates/node/src/entry/old_weights.rs
+++ b/crates/node/src/entry/old_weights.rs
@@ -2,6 +2,7 @@
 //! newest.
 
 use std::future::pending;
+use std::pin::pin;
 use std::time::Duration;
 
 use platform::header;
@@ -22,7 +23,7 @@
 /// a host that does not answer any more may arrive when the weights there are
 /// too old, so the other end must have been heard of just before.
 pub(super) fn idle_max(slot: &Slot) -> Duration {
-    match slot.weights.and_then(|one| one.replaced_by) {
+    match slot.weights.replaced_by {
         Some(_) => OLD_WEIGHTS_IDLE_MAX,
         None => Duration::MAX,
     }
@@ -31,9 +32,7 @@
 /// Logs that a request goes to a backend server with older weights than the
 /// newest.
 pub(super) fn log_sent(call: &Call, slot: &Slot, now: Duration, withdraw_at: Option<Duration>) {
-    let Some(weights) = slot.weights else {
-        return;
-    };
+    let weights = slot.weights;
     if let Some(newest) = weights.replaced_by {
         log::info!(
             "E7126 request {} is sent to backend server {} with version {} of the weights; version {} is known for {} ms, time left to begin {} ms",
@@ -52,9 +51,7 @@
 
 /// Records on which version a request has begun, if a newer one is published.
 pub(super) fn record_begin(entry: &Entry, call: &Call, attempt: &Attempt, now: Duration) {
-    let Some(weights) = attempt.slot.weights else {
-        return;
-    };
+    let weights = attempt.slot.weights;
     let head = attempt.head();
     let field = head.and_then(|head| head.fields.get(header::WEIGHTS_VERSION));
     let begun_on = field.and_then(|field| field.trim().parse().ok());
@@ -180,3 +177,24 @@
         }
     }
 }
+
+/// Waits for `work`, and withdraws open attempts that are due meanwhile. Returns also
+/// what to do next because of these.
+pub(super) async fn withdraw_beside<T>(
+    entry: &Entry,
+    call: &Call,
+    progress: &mut Progress,
+    work: impl Future<Output = T>,
+) -> (T, Step) {
+    let mut work = pin!(work);
+    let mut step = Step::Wait;
+    loop {
+        let withdrawal = wait_withdrawal(entry, &progress.open);
+        tokio::select! {
+            biased;
+            () = withdrawal => {}
+            output = &mut work => return (output, step),
+        }
+        step = step.or(withdraw(entry, call, progress));
+    }
+}
