Cut answers at each byte before the entry

Other operators report a 200 with a short body after a server that stopped in the middle of its head. The entry is asked for answers with a length, with chunks, with a trailer and with neither, for refusals, failures, interim heads, long answers, streams and resumed streams; each is cut at each byte (long ones near their bounds) and then closed or reset, on new connections and once on kept ones.

--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -28,6 +28,7 @@
 use tokio::time::timeout;
 
 pub(crate) mod crashing;
+pub(crate) mod cutting;
 pub(crate) mod engine;
 pub(crate) mod fleet;
 pub(crate) mod limited;
@@ -131,6 +132,17 @@
         server
     }
 
+    /// A server that something else serves.
+    pub(crate) fn listed_at(address: SocketAddr) -> Server {
+        Server {
+            address,
+            seen: RequestLog::default(),
+            opened: Arc::default(),
+            closed: Arc::default(),
+            flood: Arc::default(),
+        }
+    }
+
     pub(crate) fn requests(&self) -> Vec<String> {
         self.seen.lock().unwrap().clone()
     }
