Refuse heads that end with bare line feeds

Cause: a head was looked for up to an empty line with CRLF, and httparse, which also takes bare line feeds, read a shorter one of those bytes. The rest was lost: fields, and the beginning of a body that ends with its connection. Requests had the same fault.

Change: a head that httparse ends elsewhere is malformed.

Both tests failed before. a_head_that_ends_with_a_bare_line_feed_is_rejected (http1): left None, right Some(Malformed). a_head_with_bare_line_feeds_does_not_shorten_the_body (node): the caller got "HTTP/1.1 200 OK ... Content-Length: 6" with "second" for a body of "first", an empty line and "second". Both pass now, and so do the files cuts, hostile (57 tests) and resume of the entry and all tests of http1.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -136,7 +136,8 @@
         let status = parsed
             .parse_with_uninit_headers(&head, &mut slots)
             .map_err(convert_error)?;
-        if status.is_partial() {
+        // `httparse` also ends a head at bare line feeds.
+        if status != httparse::Status::Complete(head.len()) {
             return Err(ParseError::Malformed);
         }
         let is_1_1 = parsed.version == Some(1);
@@ -216,7 +217,8 @@
         let status = httparse::ParserConfig::default()
             .parse_response_with_uninit_headers(&mut parsed, head, &mut slots)
             .map_err(convert_error)?;
-        if status.is_partial() {
+        // `httparse` also ends a head at bare line feeds.
+        if status != httparse::Status::Complete(head.len()) {
             return Err(ParseError::Malformed);
         }
         let is_1_1 = parsed.version == Some(1);
--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -108,6 +108,24 @@
     assert!(head.keeps_alive());
 }
 
+/// Guards against fields or a body that are lost, as one part of the parser ends the head
+/// at bare line feeds and another one only at the next empty line with CRLF.
+#[test]
+fn a_head_that_ends_with_a_bare_line_feed_is_rejected() {
+    let ends = ["\n\n", "\r\n\n", "\n\r\n"];
+    for end in ends {
+        let answer = format!("HTTP/1.1 200 OK\r\nA: b{end}first\r\n\r\nsecond");
+        let found = Response::decode(&mut BytesMut::from(&*answer), "GET", HEAD_MAX_BYTES);
+        assert_eq!(found.err(), Some(ParseError::Malformed), "{end:?}");
+        let request = format!("GET / HTTP/1.1\r\nHost: a{end}GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert_eq!(
+            parse_request(&request).err(),
+            Some(ParseError::Malformed),
+            "{end:?}"
+        );
+    }
+}
+
 #[test]
 fn malformed_chunks_are_rejected() {
     let cases: [&[u8]; 7] = [
--- a/crates/node/tests/cuts.rs
+++ b/crates/node/tests/cuts.rs
@@ -10,8 +10,10 @@
 
 mod harness;
 
+use harness::Action;
 use harness::Harness;
 use harness::Options;
+use harness::Server;
 use harness::body;
 use harness::chunk;
 use harness::configuration;
@@ -345,3 +347,24 @@
     }
     assert_no_faults(cases).await;
 }
+
+/// Guards against a body that loses its beginning where its head ends with bare line feeds
+/// and an empty line follows in the body.
+#[tokio::test]
+async fn a_head_with_bare_line_feeds_does_not_shorten_the_body() {
+    let lines = "HTTP/1.1 200 OK|X-Attempt-Id: {id}|X-Server-Signature: sig||";
+    for line_end in ["\n", "\r\n"] {
+        let mut head = lines.replace('|', line_end);
+        // The empty line alone suffices.
+        head.truncate(head.len() - line_end.len());
+        let text = format!("{head}\nfirst\r\n\r\nsecond");
+        let server = Server::spawn(vec![Action::SendAndClose(text)]).await;
+        let harness = Harness::start(&[&server]).await;
+        for (method, path) in [("GET", "/read/"), ("POST", "/grant/")] {
+            let answer = harness.ask(&request(method, path, "", "")).await;
+            let found = body(&answer);
+            let is_whole = found.as_deref() == Some("first\r\n\r\nsecond");
+            assert!(is_whole || status(&answer) == 502, "{answer:?}");
+        }
+    }
+}
