Tell what a version replaces beside its age, as of the last own read

Cause: an agent that hears of a version without its age takes its own last read as the earliest time, and passes that on without what the read showed as replaced. A process that starts later joined that time with what an agent said that had missed a version: of four versions, the fourth seemed to replace the second one, from the time of the read that had shown the third.

Change: where the own read gives the time, it gives the replaced version, too.

Measured: a_late_process_passes_over_the_third_of_four_versions_that_an_agent_read failed on (requests could begin on version 2 until 16.8 s, by a bound of 7 s from the fourth, though the third may be older) and passes; so do the other 12 tests of the module.

--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -202,12 +202,18 @@
             .last()
             .is_none_or(|last| last.version < announced.version);
         let confirmed = self.confirmed.filter(|_| is_newest);
+        // A read that bounds the time of a version also bounds what it replaced.
+        let before = publications
+            .last()
+            .map_or(FIRST_VERSION, |last| last.version);
+        let is_vouched = age.is_none() || announced.replaces.is_some();
+        let own = confirmed.filter(|_| is_vouched).map(|_| before);
         let published = cutover::Estimate::first_heard(now, age, confirmed);
         insert(
             publications,
             Publication {
                 version: announced.version,
-                replaces: announced.replaces,
+                replaces: announced.replaces.max(own),
                 learned_at: age.map_or(now, |age| {
                     now.saturating_sub(age.most.saturating_sub(age.uncertainty))
                 }),
--- a/crates/node/src/operator/tests.rs
+++ b/crates/node/src/operator/tests.rs
@@ -278,3 +278,32 @@
     state.apply(later, published(2));
     assert_eq!(min_version(&state, "m", seconds(25)), 2, "read once more");
 }
+
+/// Another agent had missed the third version and named the second as replaced.
+#[test]
+fn a_late_process_passes_over_the_third_of_four_versions_that_an_agent_read() {
+    let mut polling = OperatorState::default();
+    polling.apply(at(0), Change::Snapshot(Vec::new()));
+    polling.apply(at(10), published(3));
+    polling.confirm(seconds(10));
+    polling.record_published(seconds(14), "m".into(), published_ago(4, None));
+    let told = |state: &OperatorState, now| {
+        let newest = state.newest("m").expect("it is published").to_cutover();
+        grant::Published::of(&newest, now)
+    };
+    let mut missed = OperatorState::default();
+    missed.apply(at(5), Change::Snapshot(Vec::new()));
+    missed.apply(at(5), published(2));
+    let made = cutover::Interval {
+        earliest: seconds(5),
+        latest: seconds(15),
+    };
+    missed.apply(made, published(4));
+    let mut late = OperatorState::default();
+    late.apply(at(15), published(4));
+    for state in [&missed, &polling] {
+        late.record_published(seconds(15), "m".into(), told(state, seconds(15)));
+    }
+    let begin_by = cutover::begin_by(&late.publications("m"), 2, VERSION_BOUND);
+    assert_eq!(begin_by, Some(Duration::ZERO), "3 may be of any age");
+}
