Test that restarts beside two versions refuse nothing that the first weights may serve

The decision that counts weights as too old until others tell what replaced them could have become an outage, above all where version numbers skip. An entry and one of two agents start after the second publication (1, 5, 9); all requests until 3 s before the bound are served.

--- a/crates/node/tests/cutover.rs
+++ b/crates/node/tests/cutover.rs
@@ -680,3 +680,27 @@
     traffic.join_all().await;
     site.assert_none_late();
 }
+
+/// Guards against an outage beside processes that started after two versions.
+#[tokio::test]
+async fn requests_are_refused_beside_restarts_although_the_first_weights_may_be_used() {
+    let quick = Behavior::default();
+    let mut site = Site::start_within(&[quick, quick], Agents::Running, RECORDED_BOUND).await;
+    let at = site.publish(5);
+    let before = site.send_until(at + Duration::from_millis(200));
+    sleep_until(at + Duration::from_millis(1_000)).await;
+    site.publish(9);
+    let between = site.send_until(at + Duration::from_millis(1_200));
+    sleep_until(at + Duration::from_millis(1_200)).await;
+    site.restart_agent(1);
+    site.entry.restart().await;
+    for asked in [before, between] {
+        asked.join_all().await;
+    }
+    let traffic = site.send_until(at + Duration::from_millis(5_000));
+    let answers: Vec<Answer> = traffic.join_all().await.into_iter().flatten().collect();
+    assert!(answers.len() >= 20, "the restart took too long");
+    let refused: Vec<&Answer> = answers.iter().filter(|one| !one.is_complete(3)).collect();
+    assert!(refused.is_empty(), "{refused:?}");
+    site.assert_none_late();
+}
