Believe who has seen a version before the store that lost it was restored

Cause: a process that starts after a restore sees a lost version being written again and takes it for just published. What others told of its first publication contradicted that and was dropped, so requests could begin on the version before it by the second date.

Change: of two times that are more than the usual uncertainty apart the earlier one counts.

Measured: a_version_that_is_written_again_after_a_restore_seems_new_to_a_late_process failed before (27 s in place of at most 18 s) and passes, as do the tests of publication_age and grant. Not shown with real processes.

--- a/crates/node/src/operator/tests.rs
+++ b/crates/node/src/operator/tests.rs
@@ -307,3 +307,19 @@
     let begin_by = cutover::begin_by(&late.publications("m"), 2, VERSION_BOUND);
     assert_eq!(begin_by, Some(Duration::ZERO), "3 may be of any age");
 }
+
+/// A process that started after a store was restored reads a version as it is written again.
+#[test]
+fn a_version_that_is_written_again_after_a_restore_seems_new_to_a_late_process() {
+    let mut late = OperatorState::default();
+    late.apply(at(19), published(2));
+    late.apply(at(20), published(3));
+    let third = published_ago(3, Some(9_000));
+    late.record_published(seconds(20), "m".into(), third);
+    let begin_by = cutover::begin_by(&late.publications("m"), 2, VERSION_BOUND);
+    assert!(begin_by <= Some(seconds(18)), "{begin_by:?}");
+    let again = published_ago(3, Some(0));
+    late.record_published(seconds(20), "m".into(), again);
+    let later = cutover::begin_by(&late.publications("m"), 2, VERSION_BOUND);
+    assert_eq!(later, begin_by, "it does not grow younger");
+}
--- a/crates/snipewinch/src/cutover.rs
+++ b/crates/snipewinch/src/cutover.rs
@@ -45,7 +45,7 @@
 
 impl Interval {
     /// What is known by two observations of the same moment; the first one if
-    /// they contradict each other.
+    /// they contradict each other, unless the other is of an earlier publication.
     fn intersection(self, other: Interval) -> Interval {
         let both = Interval {
             earliest: self.earliest.max(other.earliest),
@@ -53,10 +53,17 @@
         };
         match both.earliest <= both.latest {
             true => both,
+            false if other.is_before(self) => other,
             false => self,
         }
     }
 
+    /// Whether it is so much earlier that it is of another publication of the same
+    /// version: what a store that was restored had lost is written again.
+    fn is_before(self, later: Interval) -> bool {
+        self.latest + VAGUE_MIN < later.earliest
+    }
+
     fn width(self) -> Duration {
         self.latest.saturating_sub(self.earliest)
     }
@@ -140,15 +147,17 @@
     }
 
     /// Makes it more precise by another estimate; true if it changed. What other
-    /// processes say counts only while it is vague: the delays of their messages
-    /// would add up.
+    /// processes say counts only while it is vague, as the delays of their messages
+    /// would add up, or if it is of an earlier publication.
     pub fn narrow(&mut self, other: Estimate) -> bool {
-        let is_believed = other.relays == 0 || self.interval.width() > VAGUE_MIN;
+        let is_believed = other.relays == 0
+            || self.interval.width() > VAGUE_MIN
+            || other.interval.is_before(self.interval);
         let interval = self.interval.intersection(other.interval);
         if !is_believed || interval == self.interval {
             return false;
         }
-        if interval.earliest > self.interval.earliest {
+        if interval.earliest != self.interval.earliest {
             self.relays = other.relays;
         }
         self.interval = interval;
