Plan withdrawals earlier by how late the process acts

Cause: a request that has not begun is withdrawn 0.1 s and two round trips before the bound, by a timer of the entry. A processor that is shared or has a quota may not run the process then: it may stand still for a tenth of a second at a time. A timer decides when an act ends, and nothing measures by how much it is late.

Change: the entry records by how much its timer fires late.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -386,7 +386,9 @@
 
     /// Records how late a timer has fired that was due at a time.
     fn record_timer(&self, due: Duration) {
-        let delay = self.clock.now().saturating_sub(due);
+        let now = self.clock.now();
+        let delay = now.saturating_sub(due);
+        self.dispatcher.record_lateness(now, delay);
         self.metrics.timer_delay.observe(delay.as_secs_f64());
         if delay >= LATE_TIMER_MIN {
             log::info!(
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -24,6 +24,7 @@
 use snipewinch::grant::Message;
 use snipewinch::grant::Published;
 use snipewinch::health::Outcome;
+use snipewinch::lateness::Lateness;
 use snipewinch::server_limit::Admission;
 use snipewinch::server_limit::Board;
 use snipewinch::server_limit::Server;
@@ -121,6 +122,8 @@
     backends: Backends,
     services: HashMap<SmolStr, Service>,
     limits: Board,
+    /// How late this process acts.
+    lateness: Lateness,
     /// The socket for messages to agents and the key that protects them.
     agent_link: Option<(Rc<Socket>, FleetKey)>,
 }
@@ -179,6 +182,7 @@
             backends: Backends::new(settings, holder),
             services: HashMap::new(),
             limits: Board::open(settings.identity.host.as_str().into()),
+            lateness: Lateness::default(),
             agent_link: None,
         };
         Dispatcher {
--- a/crates/node/src/entry/dispatcher/weights.rs
+++ b/crates/node/src/entry/dispatcher/weights.rs
@@ -102,7 +102,13 @@
         let held = reported.unwrap_or(weights.held);
         let begin_by = cutover::begin_by(&versions.publications, held, versions.bound)?;
         let transfer = backend.map(Backend::transfer).unwrap_or_default();
-        Some(cutover::withdraw_at(begin_by, transfer))
+        let lateness = state.lateness.longest();
+        Some(cutover::withdraw_at(begin_by, transfer + lateness))
+    }
+
+    /// Records that a timer of this process fired `delay` after it was due.
+    pub(crate) fn record_lateness(&self, now: Duration, delay: Duration) {
+        self.state.borrow_mut().lateness.record(now, delay);
     }
 
     /// The newest published version of the weights of a service, if it is newer
@@ -165,6 +171,8 @@
                 ..cutover::Delay::default()
             },
         };
-        cutover::admit(now, begin_by, delay)
+        // A withdrawal comes later by it.
+        let transfer = delay.transfer + self.lateness.longest();
+        cutover::admit(now, begin_by, cutover::Delay { transfer, ..delay })
     }
 }
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -90,6 +90,7 @@
 pub mod grant;
 pub mod health;
 pub mod host;
+pub mod lateness;
 pub mod lease;
 pub mod limit;
 pub mod membership;
