Model entries with a quota, full links and withdrawals that come late

Cause: in the model without a network a withdrawal was late only at a host that froze, so it could not tell a margin from another one.

Change: Conditions say whether half of the entries exhaust a quota of processor time per tenth of a second (at times for up to four further tenths), whether links between three regions queue for up to 0.5 s, how much older a version seems, and which margin entries use: the fixed one, or one that adds the longest time for which the process stood still in the last 10 s. Each withdrawal records by how much it was late. Plays without such trouble draw the same as before.

--- a/crates/snipewinch/tests/cutover_fleet/engine.rs
+++ b/crates/snipewinch/tests/cutover_fleet/engine.rs
@@ -64,6 +64,15 @@
         current.map(|one| one.end).max()
     }
 
+    /// The length of the longest one that ended in a window.
+    pub(crate) fn longest_ended(&self, window: Range<Duration>) -> Duration {
+        let ended = self.0.iter().filter(|one| window.contains(&one.end));
+        ended
+            .map(|one| one.end - one.start)
+            .max()
+            .unwrap_or_default()
+    }
+
     pub(crate) fn is_on(&self, at: Duration) -> bool {
         self.end(at).is_some()
     }
--- a/crates/snipewinch/tests/cutover_fleet/mod.rs
+++ b/crates/snipewinch/tests/cutover_fleet/mod.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -43,6 +44,13 @@
 const HEARD_WITHIN: Duration = Duration::from_millis(100);
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 const SENDS_MAX: u32 = 4;
+const REGIONS: usize = 3;
+/// How long packets wait at most before a full link.
+const LINK_QUEUE_MAX_S: f64 = 0.5;
+/// The period over which processor time is granted.
+const QUOTA_PERIOD_S: f64 = 0.1;
+/// How long a process remembers that it stood still.
+const STILL_MEMORY: Duration = Duration::from_secs(10);
 
 /// How entries decide whether old weights may still be used.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -66,6 +74,38 @@
     }
 }
 
+/// By how much earlier than [`cutover`] says entries decide and withdraw.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum Margin {
+    #[default]
+    Fixed,
+    /// By the longest time for which the process has lately stood still.
+    Measured,
+}
+
+/// What is out of order beside hosts and agents.
+#[derive(Clone, Debug)]
+pub(crate) struct Conditions {
+    pub(crate) margin: Margin,
+    /// Whether entries have a quota of processor time, and some exhaust it.
+    pub(crate) has_quotas: bool,
+    /// Whether links between regions are full at times.
+    pub(crate) has_full_links: bool,
+    /// How much older than it is a version seems to an entry, in seconds.
+    pub(crate) excess_s: Range<f64>,
+}
+
+impl Default for Conditions {
+    fn default() -> Conditions {
+        Conditions {
+            margin: Margin::Fixed,
+            has_quotas: false,
+            has_full_links: false,
+            excess_s: 0.0..0.7,
+        }
+    }
+}
+
 /// Why a request begins late.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Cause {
@@ -114,6 +154,8 @@
 pub(crate) struct Outcome {
     pub(crate) late: Vec<Late>,
     pub(crate) withdrawn: u32,
+    /// How long after its planned time each withdrawal was done.
+    pub(crate) withdrawal_delays: Vec<Duration>,
     pub(crate) begun_after_withdrawal: u32,
     pub(crate) before: Goodput,
     pub(crate) after: Goodput,
@@ -163,10 +205,25 @@
 struct Entry {
     news: Vec<News>,
     frozen: Outages,
+    /// When it stands still as its processor time is used up.
+    throttled: Outages,
     restarted: Option<Duration>,
 }
 
+/// A time at which packets wait before a full link between two regions.
+#[derive(Clone, Debug)]
+struct LinkQueue {
+    regions: (usize, usize),
+    time: Range<Duration>,
+    wait: Duration,
+}
+
 impl Entry {
+    /// When it goes on, if it stands still.
+    fn still_until(&self, now: Duration) -> Option<Duration> {
+        self.frozen.end(now).max(self.throttled.end(now))
+    }
+
     fn publications(&self, now: Duration) -> Vec<Publication> {
         let known = self.news.iter().filter(|one| one.interval.latest <= now);
         let before = |one: &News| self.restarted.is_some_and(|at| one.interval.latest <= at);
@@ -210,6 +267,10 @@
     transfer: Duration,
     has_slot: bool,
     queue: Duration,
+    /// How long its connection took to open.
+    opening: Duration,
+    /// When it is to be withdrawn.
+    withdraw_at: Option<Duration>,
     /// How long its prompt is read, by the engine's own model.
     prompt: Duration,
     heard: Duration,
@@ -229,6 +290,8 @@
 pub(crate) struct Fleet {
     rng: ChaCha8Rng,
     remedy: Remedy,
+    conditions: Conditions,
+    links: Vec<LinkQueue>,
     bound: Duration,
     versions: Vec<Version>,
     entries: Vec<Entry>,
@@ -247,7 +310,13 @@
 }
 
 impl Fleet {
-    pub(crate) fn new(entries: usize, engines: usize, seed: u64, remedy: Remedy) -> Fleet {
+    pub(crate) fn new(
+        entries: usize,
+        engines: usize,
+        seed: u64,
+        remedy: Remedy,
+        conditions: Conditions,
+    ) -> Fleet {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let bound = Duration::from_secs(if rng.random_bool(0.5) { 8 } else { 10 });
         let mut versions = vec![Version {
@@ -269,6 +338,8 @@
         let mut fleet = Fleet {
             rng,
             remedy,
+            conditions,
+            links: Vec::new(),
             bound,
             versions,
             entries: Vec::new(),
@@ -284,9 +355,75 @@
         fleet.add_entries(entries);
         fleet.add_engines(engines);
         fleet.add_requests();
+        // They have draws of their own, so that plays without them stay as they are.
+        let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+        if fleet.conditions.has_quotas {
+            fleet.add_quotas(&mut rng);
+        }
+        if fleet.conditions.has_full_links {
+            fleet.add_full_links(&mut rng);
+        }
         fleet
     }
 
+    /// Half of the entries are busy: each runs for a part of a period and stands
+    /// still for the rest of it, at times for some further ones.
+    fn add_quotas(&mut self, rng: &mut ChaCha8Rng) {
+        let end = self.bound_end().as_secs_f64() + 1.0;
+        for entry in &mut self.entries {
+            if rng.random_bool(0.5) {
+                continue;
+            }
+            let mut period = end - rng.random_range(2.0..6.0);
+            while period < end {
+                let runs = rng.random_range(0.2..0.9) * QUOTA_PERIOD_S;
+                let further = match rng.random_bool(0.25) {
+                    true => f64::from(rng.random_range(1..5)) * QUOTA_PERIOD_S,
+                    false => 0.0,
+                };
+                let next = period + QUOTA_PERIOD_S + further;
+                entry.throttled.push(secs(period + runs)..secs(next));
+                period = next;
+            }
+        }
+    }
+
+    fn add_full_links(&mut self, rng: &mut ChaCha8Rng) {
+        let end = self.bound_end().as_secs_f64() + 1.0;
+        for regions in [(0, 1), (0, 2), (1, 2)] {
+            let mut at = end - rng.random_range(2.0..6.0);
+            while at < end {
+                let next = at + rng.random_range(0.1..0.6);
+                self.links.push(LinkQueue {
+                    regions,
+                    time: secs(at)..secs(next),
+                    wait: secs(rng.random_range(0.0..LINK_QUEUE_MAX_S)),
+                });
+                at = next;
+            }
+        }
+    }
+
+    /// How long packets of an attempt wait before a link between regions.
+    fn link_wait(&self, attempt: usize) -> Duration {
+        let one = self.attempts[attempt];
+        let entry = self.requests[one.request].entry % REGIONS;
+        let engine = one.engine % REGIONS;
+        let regions = (entry.min(engine), entry.max(engine));
+        let mut links = self.links.iter();
+        let link = links.find(|link| link.regions == regions && link.time.contains(&self.now));
+        link.map_or(Duration::ZERO, |link| link.wait)
+    }
+
+    /// By how much earlier an entry decides than by [`cutover`] alone.
+    fn further_margin(&self, entry: usize) -> Duration {
+        let since = self.now.saturating_sub(STILL_MEMORY);
+        match self.conditions.margin {
+            Margin::Fixed => Duration::ZERO,
+            Margin::Measured => self.entries[entry].throttled.longest_ended(since..self.now),
+        }
+    }
+
     pub(crate) fn play(mut self) -> Outcome {
         let end = self.bound_end() + WARM_UP + WINDOW;
         while let Some(Reverse((at, _, event))) = self.events.pop() {
@@ -320,7 +457,7 @@
         for index in 0..count {
             let mut entry = Entry::default();
             for version in &versions {
-                let before = secs(self.rng.random_range(0.0..0.7));
+                let before = secs(self.rng.random_range(self.conditions.excess_s.clone()));
                 let late = match self.rng.random_bool(0.3) {
                     true => secs(self.rng.random_range(0.0..2.0)),
                     false => secs(self.rng.random_range(0.0..0.4)),
@@ -431,7 +568,7 @@
 
     fn handle(&mut self, event: Event) {
         if let Some(entry) = self.entry_of(event)
-            && let Some(thaw) = self.entries[entry].frozen.end(self.now)
+            && let Some(thaw) = self.entries[entry].still_until(self.now)
         {
             self.push(thaw, event);
             return;
@@ -485,7 +622,8 @@
     fn begin_by(&self, entry: usize, held: u64) -> Option<Duration> {
         let publications = self.entries[entry].publications(self.now);
         if self.remedy == Remedy::Predicted {
-            return cutover::begin_by(&publications, held, self.bound);
+            let begin_by = cutover::begin_by(&publications, held, self.bound);
+            return begin_by.map(|at| at.saturating_sub(self.further_margin(entry)));
         }
         let newer = publications.iter().filter(|one| one.version > held);
         let heard = newer.map(|one| one.published.map(|at| at.interval().latest + self.bound));
@@ -541,6 +679,8 @@
             transfer,
             has_slot: false,
             queue: self.hints[engine].delay,
+            opening: Duration::ZERO,
+            withdraw_at: None,
             prompt: Duration::ZERO,
             heard: self.hints[engine].at,
             is_placed: false,
@@ -559,7 +699,8 @@
             self.open_connection(attempt);
             return;
         }
-        self.push(self.now + transfer, Event::Asked(attempt));
+        let asked = self.now + transfer + self.link_wait(attempt);
+        self.push(asked, Event::Asked(attempt));
         self.push(self.now + ASK_TIMEOUT, Event::AskExpired(attempt));
     }
 
@@ -622,7 +763,7 @@
         one.prompt = prompt;
         one.heard = self.now;
         let heard = self.now + one.transfer;
-        self.push(heard, Event::Granted(attempt));
+        self.push(heard + self.link_wait(attempt), Event::Granted(attempt));
     }
 
     fn connect(&mut self, attempt: usize) {
@@ -653,7 +794,8 @@
             self.send(attempt);
             return;
         }
-        let arrives = self.now + one.transfer;
+        let link_wait = self.link_wait(attempt);
+        let arrives = self.now + one.transfer + link_wait;
         let back = match self.engines[one.engine].cut.end(arrives) {
             Some(end) => end + secs(self.rng.random_range(0.0..0.5)),
             None => arrives,
@@ -662,7 +804,8 @@
             true => secs(self.rng.random_range(0.05..0.9)),
             false => Duration::ZERO,
         };
-        match back + one.transfer + slow {
+        self.attempts[attempt].opening = one.transfer * 2 + link_wait * 2;
+        match back + one.transfer + link_wait + slow {
             opened if opened > self.now + CONNECT_TIMEOUT => {
                 self.push(self.now + CONNECT_TIMEOUT, Event::Rejected(attempt));
             }
@@ -672,7 +815,7 @@
 
     fn delay(&self, attempt: usize) -> Delay {
         let one = self.attempts[attempt];
-        Delay::new(one.transfer * 2, one.queue, one.prompt)
+        Delay::new((one.transfer * 2).max(one.opening), one.queue, one.prompt)
     }
 
     /// Sends a request over its open connection.
@@ -685,6 +828,7 @@
             match self.admit_attempt(attempt) {
                 Verdict::Current => {}
                 Verdict::Until(at) if self.now <= one.heard + HEARD_WITHIN => {
+                    self.attempts[attempt].withdraw_at = Some(at);
                     self.push(at, Event::Withdraw(attempt));
                 }
                 Verdict::Until(_) | Verdict::Outdated => {
@@ -695,7 +839,7 @@
         }
         self.requests[one.request].sends += 1;
         self.push(self.now + SILENCE, Event::Silent(attempt));
-        let arrives = self.now + one.transfer;
+        let arrives = self.now + one.transfer + self.link_wait(attempt);
         let received = match self.engines[one.engine].cut.end(arrives) {
             Some(end) => end + secs(self.rng.random_range(0.0..0.2)),
             None => arrives,
@@ -736,7 +880,7 @@
     fn heard_at(&self, attempt: usize) -> Duration {
         let one = self.attempts[attempt];
         let back = self.engines[one.engine].cut.end(self.now);
-        back.unwrap_or(self.now) + one.transfer
+        back.unwrap_or(self.now) + one.transfer + self.link_wait(attempt)
     }
 
     fn start_step(&mut self, engine: usize) {
@@ -866,7 +1010,7 @@
         let Some(sent_arrives) = one.arrives else {
             return;
         };
-        let arrives = self.now + one.transfer;
+        let arrives = self.now + one.transfer + self.link_wait(attempt);
         let engine = &self.engines[one.engine];
         let seen = match engine.cut.end(arrives) {
             Some(_) if is_reset => return,
@@ -908,6 +1052,9 @@
             return;
         }
         self.outcome.withdrawn += 1;
+        let planned = one.withdraw_at.unwrap_or(self.now);
+        let delay = self.now.saturating_sub(planned);
+        self.outcome.withdrawal_delays.push(delay);
         self.attempts[attempt].is_withdrawn = !one.is_begun;
         self.give_up(attempt, false);
     }
