Name the terms that routing decisions share: regions, cold servers, evacuation

Cause: the configuration allows regions to routes and customers, says how servers start and evacuates availability zones, and nothing read it. A demand told an agent neither how urgent its request is nor whose.

Change: the types that the parts build on. region::Set, cold::Terms and placement::Exclusion in the library; the configuration and the settings are decoded; a demand and a credit have fields for priority, customer and coldness, which older processes ignore and default. Nothing decides by them yet.

--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -126,6 +126,9 @@
             configuration_apply: Duration::from_secs(2),
             retry_ratio: 0.2,
             retry_burst: 10.0,
+            cold_overage: 1.0,
+            cold_burst: 0.0,
+            evacuate: Duration::from_secs(5),
         },
     }
 }
@@ -292,6 +295,7 @@
             zone: None,
             link_mbit: 1.0,
         }),
+        cold: None,
     }
 }
 
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -18,6 +18,7 @@
 use snipewinch::attempt::Event;
 use snipewinch::attempt::Step;
 use snipewinch::cutover;
+use snipewinch::dispatch;
 use snipewinch::dispatch::Waiter;
 use snipewinch::health::Outcome;
 use snipewinch::health::stall_timeout;
@@ -517,6 +518,10 @@
                 false => call.arrived + wait_max,
             },
             priority: call.priority,
+            customer: call
+                .customer
+                .as_ref()
+                .map_or(0, |name| dispatch::customer_digest(name)),
             resumes,
         },
     }
--- a/crates/snipewinch/src/dispatch.rs
+++ b/crates/snipewinch/src/dispatch.rs
@@ -13,6 +13,7 @@
 
 use slotmap::SlotMap;
 
+use crate::mix;
 use crate::mix::Rng;
 
 slotmap::new_key_type! {
@@ -89,6 +90,11 @@
     remaining.mul_f64(RETRY_WINDOW_FRACTION * fraction)
 }
 
+/// The digest by which messages name a customer; never 0.
+pub fn customer_digest(name: &str) -> u32 {
+    (mix::hash(name) as u32).max(1)
+}
+
 /// A waiting request.
 #[derive(Clone, Copy, Debug)]
 pub struct Waiter {
@@ -102,6 +108,8 @@
     pub expires: Duration,
     /// Its priority; 0 is the most urgent.
     pub priority: u32,
+    /// A digest of the name of its customer; 0 if there is none.
+    pub customer: u32,
     /// Whether it continues an answer that has begun; it then goes before all
     /// others.
     pub resumes: bool,
--- a/crates/snipewinch/src/engine_config.rs
+++ b/crates/snipewinch/src/engine_config.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::cold;
 use crate::route::Engine;
 use crate::route::Origin;
 use crate::route::Repeat;
@@ -34,13 +35,18 @@
     /// Where their weights come from.
     #[serde(rename = "o")]
     pub origin: Option<Origin>,
+    /// How the engines start.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<cold::Terms>,
 }
 
 impl EngineConfig {
     /// The configuration of a service's engines; none if it has no engines.
     pub fn for_service(table: &Table, service: &SmolStr) -> Option<EngineConfig> {
         let configuration = table.configuration();
-        let engine = table.service(service)?.engine.clone()?;
+        let own = table.service(service)?;
+        let engine = own.engine.clone()?;
+        let cold = own.cold;
         let routes = configuration.routes.iter();
         let matching_routes =
             routes.filter(|route| route.targets.iter().any(|one| one.service == *service));
@@ -54,13 +60,20 @@
             engine,
             max_gap: max_gaps.min().unwrap_or_default(),
             origin: services.find_map(|service| service.origin.clone()),
+            cold,
         })
     }
 
     /// A digest of the content without the version.
     pub fn digest(&self) -> u32 {
+        // Processes that know nothing of cold servers compute the same digest where
+        // there are none.
         let content = (&self.engine, self.max_gap, &self.origin);
-        let bytes = serde_json::to_vec(&content).expect("an engine configuration is serializable");
+        let bytes = match &self.cold {
+            Some(cold) => serde_json::to_vec(&(content, cold)),
+            None => serde_json::to_vec(&content),
+        };
+        let bytes = bytes.expect("an engine configuration is serializable");
         let hash = blake3::hash(&bytes);
         let first = hash
             .as_bytes()
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -77,6 +77,13 @@
     /// The prompt tokens of the most urgent of them.
     #[serde(rename = "k", default)]
     pub tokens: u32,
+    /// The priority of the most urgent of them; 0 is the most urgent, 255 if the entry
+    /// does not say.
+    #[serde(rename = "p", default = "unknown_priority")]
+    pub priority: u8,
+    /// A digest of the name of its customer; 0 if there is none.
+    #[serde(rename = "c", default)]
+    pub customer: u32,
     /// Slots that the entry has released without using them.
     #[serde(rename = "u", default)]
     pub unused: u64,
@@ -96,6 +103,10 @@
     pub first_newer: Option<Published>,
 }
 
+fn unknown_priority() -> u8 {
+    u8::MAX
+}
+
 /// What an entry sends to an agent.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
@@ -214,6 +225,9 @@
     /// How many entries send demands to the agent.
     #[serde(rename = "n", default)]
     pub holders: u16,
+    /// How much longer the backend server is cold, in milliseconds; 0 if it is not.
+    #[serde(rename = "x", default)]
+    pub cold_ms: u32,
     /// Whether the agent grants any slots for now.
     #[serde(rename = "o")]
     pub open: bool,
@@ -516,6 +530,7 @@
             min_version: self.min_version,
             publish_time_known: self.publish_time_known,
             holders: self.accounts.len().min(usize::from(u16::MAX)) as u16,
+            cold_ms: 0,
             open: self.capacity > 0,
             config_digest: self.config_digest,
         }
@@ -687,6 +702,8 @@
             waiting,
             slack_ms,
             tokens,
+            priority: unknown_priority(),
+            customer: 0,
             unused: self.unused,
             granted: self.granted,
             released: self.released,
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod attempt;
 pub mod call;
 pub mod claim;
+pub mod cold;
 pub mod concurrency;
 pub mod configuration;
 pub mod contact;
@@ -95,8 +96,10 @@
 pub mod limit;
 pub mod membership;
 mod mix;
+pub mod placement;
 pub mod position;
 pub mod quarantine;
+pub mod region;
 pub mod retry;
 pub mod route;
 pub mod routing;
--- a/crates/snipewinch/src/route.rs
+++ b/crates/snipewinch/src/route.rs
@@ -9,8 +9,10 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::cold;
 use crate::engine::Spec;
 use crate::mix;
+use crate::region;
 
 /// The operators' configuration of requests.
 #[derive(Clone, Debug, Default)]
@@ -51,6 +53,8 @@
     pub attempts_max: u32,
     /// Whether requests need no key.
     pub public: bool,
+    /// Where its requests may be served and kept.
+    pub regions: region::Set,
 }
 
 /// Whether a request may be executed more than once.
@@ -106,6 +110,8 @@
     pub engine: Option<Engine>,
     /// The origin of weights, if the service is one.
     pub origin: Option<Origin>,
+    /// How its backend servers start; none if they take any number of requests at once.
+    pub cold: Option<cold::Terms>,
 }
 
 /// The parameters of the model engines of a service.
@@ -183,6 +189,8 @@
     pub keys: Vec<SmolStr>,
     /// A priority that overrides that of the routes.
     pub priority: Option<u32>,
+    /// Where its requests may be served and kept.
+    pub regions: region::Set,
 }
 
 /// Why a request has no route.
@@ -213,6 +221,14 @@
         customer.unwrap_or(self.route.priority)
     }
 
+    /// The regions that both the route and the customer allow.
+    pub fn regions(&self) -> region::Set {
+        match self.customer {
+            Some(customer) => self.route.regions.intersection(&customer.regions),
+            None => self.route.regions.clone(),
+        }
+    }
+
     /// The service for a request, chosen at random by weight with `seed`; none
     /// if the route has no target with a positive weight.
     pub fn service(&self, seed: u64) -> Option<&SmolStr> {
--- a/crates/snipewinch/tests/dispatch.rs
+++ b/crates/snipewinch/tests/dispatch.rs
@@ -20,6 +20,7 @@
         expires: ms(arrived + 2_000),
         tokens: 900,
         priority: 1,
+        customer: 0,
         resumes: false,
     }
 }
--- a/crates/snipewinch/tests/engine_config.rs
+++ b/crates/snipewinch/tests/engine_config.rs
@@ -4,6 +4,7 @@
 
 use snipewinch::engine_config::EngineConfig;
 use snipewinch::grant::Message;
+use snipewinch::region;
 use snipewinch::route::Configuration;
 use snipewinch::route::Engine;
 use snipewinch::route::Origin;
@@ -34,6 +35,7 @@
         }],
         attempts_max: 2,
         public: false,
+        regions: region::Set::All,
     }
 }
 
@@ -43,6 +45,7 @@
         connections_max: Some(976),
         engine,
         origin,
+        cold: None,
     }
 }
 
--- a/crates/snipewinch/tests/grant.rs
+++ b/crates/snipewinch/tests/grant.rs
@@ -149,6 +149,8 @@
         waiting,
         slack_ms,
         tokens,
+        priority: 0,
+        customer: 0,
         unused: 0,
         granted: 0,
         released: 0,
--- a/crates/snipewinch/tests/route.rs
+++ b/crates/snipewinch/tests/route.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use snipewinch::region;
 use snipewinch::route::Configuration;
 use snipewinch::route::Customer;
 use snipewinch::route::Refusal;
@@ -23,6 +24,7 @@
         targets: vec![target("s", 1.0)],
         attempts_max: 1,
         public,
+        regions: region::Set::All,
     }
 }
 
@@ -45,6 +47,7 @@
             name: "songs".into(),
             keys: vec!["k1".into(), "k2".into()],
             priority: Some(0),
+            regions: region::Set::All,
         }]),
         ..Configuration::default()
     })
