--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -22,6 +22,7 @@
 use platform::follow::Urgency;
 use platform::http::Transport;
 use platform::listing;
+use platform::rows::Row;
 use platform::rows::Store;
 use prometheus::Registry;
 use rand::RngExt;
@@ -460,8 +461,12 @@
         let sent = agent.clock.now();
         let read = store.read_range(platform::operator::TABLE, from, until);
         let delay = match read.await {
-            Ok(rows) => {
+            Ok(mut rows) => {
                 failures = 0;
+                // Entries demand nothing in an evacuated zone.
+                let is_evacuation =
+                    |row: &Row| platform::operator::evacuated_zone(&row.key).is_some();
+                rows.rows.retain(|row| !is_evacuation(row));
                 agent.apply_rows(read_at, sent, Change::Rows(rows.rows));
                 read_at = sent;
                 VERSION_READ_INTERVAL
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -3,7 +3,9 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -30,8 +32,11 @@
 use snipewinch::engine_config::EngineConfig;
 use snipewinch::grant::Credit;
 use snipewinch::grant::Published;
+use snipewinch::region;
+use snipewinch::region::Mask;
 use snipewinch::retry;
 use snipewinch::route::Limits;
+use snipewinch::route::Match;
 use snipewinch::route::Table;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -49,6 +54,7 @@
 use crate::fleet_key;
 use crate::metrics::EntryMetrics;
 use crate::operator::OperatorState;
+use crate::operator::log_evacuations;
 use crate::shutdown;
 use crate::shutdown::Phase;
 use crate::shutdown::Schedule;
@@ -122,6 +128,9 @@
 const OUTDATED_BOUNDS: f64 = 2.2;
 /// How long the last answers of a process that ends may take to be sent.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+/// The most routes and customers without an allowed region that are reported while one
+/// configuration is in force.
+const NO_REGION_REPORTS_MAX: usize = 256;
 /// The pause after an error of the listening socket or the agents' socket.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(20);
 
@@ -135,6 +144,10 @@
     bounds: Cell<Bounds>,
     operator: RefCell<OperatorState>,
     listing: RefCell<Listing>,
+    region_index: region::Index,
+    /// The route and customer of requests that were refused because of their regions,
+    /// since the configuration of a version came into force.
+    without_region: RefCell<(u64, HashSet<(SmolStr, Option<SmolStr>)>)>,
     retry_budgets: RefCell<HashMap<SmolStr, retry::Budget>>,
     phase: watch::Sender<Phase>,
     /// Whether a configuration and the list of backend servers are known.
@@ -183,6 +196,119 @@
         self.operator.borrow().configuration_version()
     }
 
+    /// The regions that a route and a customer allow.
+    pub(crate) fn regions_of(&self, matched: &Match<'_>) -> Mask {
+        let route = self.region_index.mask(&matched.route.regions);
+        let customer = matched.customer.map(|one| &one.regions);
+        let customer = customer.map_or(Mask::ALL, |set| self.region_index.mask(set));
+        route.intersection(customer)
+    }
+
+    /// The regions to which a request may go by the configuration in force.
+    pub(crate) fn regions(&self, call: &Call) -> Mask {
+        match self.table() {
+            Some(table) if table.configuration().version != call.configuration_version => {
+                let customer = call.customer.as_deref();
+                self.named_regions(&table, &call.route.name, customer, call.regions)
+            }
+            Some(_) | None => call.regions,
+        }
+    }
+
+    /// The regions that a route and a customer allow by a configuration; `known` takes
+    /// the place of one that it does not have.
+    fn named_regions(
+        &self,
+        table: &Table,
+        route: &str,
+        customer: Option<&str>,
+        known: Mask,
+    ) -> Mask {
+        let by_route = match table.route_named(route) {
+            Some(route) => self.region_index.mask(&route.regions),
+            None => known,
+        };
+        let by_customer = match customer.map(|name| table.customer(name)) {
+            Some(Some(customer)) => self.region_index.mask(&customer.regions),
+            Some(None) => known,
+            None => Mask::ALL,
+        };
+        by_route.intersection(by_customer)
+    }
+
+    /// Applies the regions of a new configuration to the requests that wait.
+    fn update_regions(&self) {
+        let Some(table) = self.table() else {
+            return;
+        };
+        self.dispatcher.update_regions(|request| {
+            let customer = request.customer.as_deref();
+            self.named_regions(&table, &request.route, customer, request.regions)
+        });
+    }
+
+    /// Passes the evacuated availability zones on to the dispatcher.
+    fn update_evacuations(&self) {
+        let zones: BTreeSet<SmolStr> = {
+            let operator = self.operator.borrow();
+            operator.evacuations.names().cloned().collect()
+        };
+        self.metrics.evacuated_zones.set(zones.len() as i64);
+        for zone in zones
+            .iter()
+            .filter(|zone| !self.region_index.has_zone(zone))
+        {
+            if self.dispatcher.is_evacuated(zone) {
+                continue;
+            }
+            log::error!(
+                "E7145 the row {}{zone} evacuates an availability zone that the settings do not name; check its name, or add it to the settings",
+                platform::operator::EVACUATION_PREFIX
+            );
+        }
+        self.dispatcher.set_evacuated(zones);
+    }
+
+    /// Ends evacuations that a restored store does not have again in time.
+    fn expire_evacuations(&self) {
+        let expired = {
+            let mut operator = self.operator.borrow_mut();
+            operator.evacuations.expire(self.clock.now())
+        };
+        if !expired.is_empty() {
+            log_evacuations(expired);
+            self.update_evacuations();
+        }
+    }
+
+    /// Records that no backend server is where a request may go, once for its route and
+    /// customer while a configuration is in force.
+    pub(crate) fn record_no_region(&self, call: &Call) {
+        let mut without_region = self.without_region.borrow_mut();
+        let (version, reported) = &mut *without_region;
+        if std::mem::replace(version, self.configuration_version()) != *version {
+            reported.clear();
+        }
+        let customer = call.customer.clone();
+        if reported.len() >= NO_REGION_REPORTS_MAX
+            || !reported.insert((call.route.name.clone(), customer))
+        {
+            return;
+        }
+        let customer = call.customer.as_deref().unwrap_or("(none)");
+        match self.regions(call).is_empty() {
+            true => log::error!(
+                "E7144 requests of route {} and customer {customer} are refused: no region of the settings is allowed by both; give them a common one",
+                call.route.name
+            ),
+            false => log::error!(
+                "E7144 requests of route {} and customer {customer} are refused: service {} has no backend server in a region that both allow; start one there, or allow further regions",
+                call.route.name,
+                call.service
+            ),
+        }
+    }
+
     pub(crate) fn phase(&self) -> Phase {
         *self.phase.borrow()
     }
@@ -314,7 +440,9 @@
         match reason {
             Reason::Starting => RETRY_AFTER_STARTING,
             Reason::Leaving => Duration::ZERO,
-            Reason::Nobody => dispatch::retry_after(Shortage::NoServer, left, jitter),
+            Reason::Evacuated | Reason::Nobody | Reason::Region => {
+                dispatch::retry_after(Shortage::NoServer, left, jitter)
+            }
             Reason::Resting(rest) => dispatch::retry_after(Shortage::Rest(rest), left, jitter),
             _ => dispatch::retry_after(Shortage::Busy, left, jitter),
         }
@@ -425,6 +553,8 @@
         bounds: Cell::new(settings.bounds),
         operator: RefCell::default(),
         listing: RefCell::default(),
+        region_index: region::Index::new(settings.regions.iter()),
+        without_region: RefCell::default(),
         retry_budgets: RefCell::default(),
         phase: watch::Sender::new(Phase::Running),
         started: watch::Sender::new(false),
@@ -555,7 +685,9 @@
         };
         if entry.operator.borrow_mut().apply(made, update.change) {
             entry.update_engine_configs();
+            entry.update_regions();
         }
+        entry.update_evacuations();
         entry.update_started();
     }
 }
@@ -641,6 +773,7 @@
         }
         entry.update_versions();
         entry.check_tables();
+        entry.expire_evacuations();
         entry.dispatcher.tick();
         prober.tick(&entry);
         entry.pool.sweep();
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -15,6 +15,10 @@
     Nobody,
     /// All backend servers that could take it rest, the first for this long.
     Resting(Duration),
+    /// No backend server is in a region to which it may go.
+    Region,
+    /// All backend servers that could take it are in evacuated availability zones.
+    Evacuated,
     /// Its deadline passed before it was executed anywhere.
     DeadlinePassed,
     /// No configuration is known yet.
@@ -52,8 +56,10 @@
         match self {
             Reason::Busy
             | Reason::DeadlinePassed
+            | Reason::Evacuated
             | Reason::Leaving
             | Reason::Nobody
+            | Reason::Region
             | Reason::Resting(_)
             | Reason::Starting => 503,
             Reason::AnswerTimeout | Reason::Stopped => 504,
@@ -73,6 +79,8 @@
             Reason::Busy => "busy",
             Reason::Nobody => "nobody",
             Reason::Resting(_) => "resting",
+            Reason::Region => "region",
+            Reason::Evacuated => "evacuated",
             Reason::DeadlinePassed => "deadline",
             Reason::Starting => "starting",
             Reason::Leaving => "leaving",
@@ -97,6 +105,12 @@
             Reason::Resting(_) => {
                 "not run: all backend servers ask for rest; come back after Retry-After"
             }
+            Reason::Region => {
+                "not run: no backend server is in a region that its route and customer allow; come back after Retry-After"
+            }
+            Reason::Evacuated => {
+                "not run: the availability zones of all backend servers are evacuated; come back after Retry-After"
+            }
             Reason::DeadlinePassed => "not run: its deadline passed while it waited",
             Reason::Starting => "not run: this host has no configuration yet; come back shortly",
             Reason::Leaving => "not run: this host stops; come back at once",
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -1,6 +1,7 @@
 //! The backend servers that an entry knows, with their agents, load and health.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,12 +11,15 @@
 use platform::listing::State;
 use slotmap::SlotMap;
 use smol_str::SmolStr;
+use snipewinch::cold;
 use snipewinch::contact::Contact;
 use snipewinch::cutover;
 use snipewinch::grant::Holder;
 use snipewinch::grant::HolderId;
 use snipewinch::health::Health;
 use snipewinch::host::Identity;
+use snipewinch::region;
+use snipewinch::region::Region;
 use snipewinch::route;
 use snipewinch::server_limit::Server;
 
@@ -63,6 +67,11 @@
     started_ms: Option<u64>,
     pub(crate) address: SocketAddr,
     pub(crate) service: SmolStr,
+    /// Its availability zone.
+    zone: SmolStr,
+    pub(crate) region: Region,
+    /// Whether its availability zone is evacuated.
+    pub(crate) is_evacuated: bool,
     /// 0 in the availability zone of this entry, 1 in its region, 2 elsewhere.
     pub(crate) distance: u8,
     pub(crate) slots: u32,
@@ -106,6 +115,11 @@
         self.holder.last_credit().is_none() || self.version().max(self.listed_version) >= version
     }
 
+    /// Whether it is cold and has taken all requests that it bears.
+    pub(crate) fn cold_admission(&self, _now: Duration) -> cold::Admission {
+        cold::Admission::Open
+    }
+
     /// Whether its agent has recently reported that it grants no slots, as it
     /// does while the engine loads weights.
     pub(crate) fn is_closed(&self, now: Duration) -> bool {
@@ -188,6 +202,9 @@
     ids: HashMap<SmolStr, Key>,
     identity: Identity,
     regions: BTreeMap<SmolStr, SmolStr>,
+    index: region::Index,
+    /// The evacuated availability zones.
+    evacuated: BTreeSet<SmolStr>,
     peer_port: u16,
     holder_id: HolderId,
 }
@@ -199,6 +216,8 @@
             ids: HashMap::new(),
             identity: settings.identity.clone(),
             regions: settings.regions.clone(),
+            index: region::Index::new(settings.regions.iter()),
+            evacuated: BTreeSet::new(),
             peer_port: settings.peer_port,
             holder_id,
         }
@@ -230,6 +249,37 @@
         all.filter(move |(_, backend)| may_serve(backend) && !(any_listed && backend.is_missing))
     }
 
+    /// The same, as [`Self::of_service`] gives them.
+    pub(crate) fn iter_service<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (Key, &'a Backend)> {
+        let may_serve = move |backend: &Backend| !backend.leaving && backend.service == service;
+        let any_listed = self
+            .arena
+            .values()
+            .any(|backend| may_serve(backend) && !backend.is_missing);
+        let all = self.arena.iter();
+        all.filter(move |(_, backend)| may_serve(backend) && !(any_listed && backend.is_missing))
+    }
+
+    /// Sets the evacuated availability zones; true if others were before.
+    pub(crate) fn set_evacuated(&mut self, zones: BTreeSet<SmolStr>) -> bool {
+        if zones == self.evacuated {
+            return false;
+        }
+        for backend in self.arena.values_mut() {
+            backend.is_evacuated = zones.contains(&backend.zone);
+        }
+        self.evacuated = zones;
+        true
+    }
+
+    /// Whether an availability zone is evacuated.
+    pub(crate) fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuated.contains(zone)
+    }
+
     /// The backend server whose agent has an address.
     pub(crate) fn find_by_agent(&self, address: SocketAddr) -> Option<Key> {
         let mut all = self.arena.iter();
@@ -287,12 +337,18 @@
                 backend.started_ms = entry.started_ms;
                 backend.slots = entry.slots;
                 backend.service = entry.service;
+                backend.region = self.index.region(&entry.zone);
+                backend.is_evacuated = self.evacuated.contains(&entry.zone);
+                backend.zone = entry.zone;
                 backend.listed_version = version;
                 backend.version() != held
             }
             Some(_) | None => {
                 let backend = Backend {
                     distance: self.distance(&entry.zone),
+                    region: self.index.region(&entry.zone),
+                    is_evacuated: self.evacuated.contains(&entry.zone),
+                    zone: entry.zone,
                     agent: SocketAddr::new(entry.address.ip(), self.peer_port),
                     address: entry.address,
                     service: entry.service,
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -22,8 +22,10 @@
 use snipewinch::dispatch::Waiter;
 use snipewinch::health::Outcome;
 use snipewinch::health::stall_timeout;
+use snipewinch::placement::Exclusion;
 use snipewinch::quarantine::Key as QuarantineKey;
 use snipewinch::quarantine::Verdict;
+use snipewinch::region::Mask;
 use snipewinch::route::Repeat;
 use snipewinch::route::Route;
 use tokio::net::tcp::WriteHalf;
@@ -78,6 +80,9 @@
     /// The priority; 0 is the most urgent.
     pub(crate) priority: u32,
     pub(crate) service: SmolStr,
+    /// The regions that its route and its customer allow by the configuration with
+    /// which it arrived; [`Entry::regions`] has those in force.
+    pub(crate) regions: Mask,
     /// Whether the service runs model engines, whose agents grant slots.
     pub(crate) has_engine: bool,
     /// What it has in common with other requests, which may end servers.
@@ -445,15 +450,6 @@
             None => connect(entry, &slot).await,
         };
         match opened {
-            // It may have asked for rest, or be about to leave, in the meantime.
-            Ok(_) if !entry.dispatcher.takes_requests(slot.key) => {
-                log::info!(
-                    "E7103 request {} was not sent to backend server {}: it rests or leaves",
-                    call.id,
-                    slot.id
-                );
-                Err(StartError::Unreached(slot.key))
-            }
             Ok(connection) => Ok((slot, connection)),
             Err(error) => {
                 log::info!(
@@ -503,6 +499,9 @@
     let resumes = !progress.tried.is_empty();
     SlotRequest {
         service: call.service.clone(),
+        regions: entry.regions(call),
+        route: call.route.name.clone(),
+        customer: call.customer.clone(),
         has_engine: call.has_engine,
         is_suspected: entry.quarantine.is_suspected(now, &call.keys),
         tried: progress.tried.clone(),
@@ -541,7 +540,12 @@
                 Refusal::NoServer => Reason::Nobody,
                 Refusal::Busy => Reason::Busy,
                 Refusal::Resting(rest) => Reason::Resting(rest),
+                Refusal::Region => Reason::Region,
+                Refusal::Evacuated => Reason::Evacuated,
             };
+            if refusal == Refusal::Region {
+                entry.record_no_region(call);
+            }
             progress.cut_cause = Cause::NoSlot;
             return progress.attempts.handle(Event::Refused);
         }
@@ -552,6 +556,12 @@
             return step;
         }
     };
+    // It may have asked for rest, be about to leave or have been evacuated in the
+    // meantime, or the request may no longer go to its region.
+    let placed = entry.dispatcher.check_held(slot.key, entry.regions(call));
+    if let Err(exclusion) = placed {
+        return record_excluded(entry, call, progress, &slot, exclusion);
+    }
     let now = entry.clock.now();
     if is_quarantined(entry, call, progress) {
         progress.shortage = Reason::Quarantined;
@@ -589,6 +599,31 @@
     Step::Wait
 }
 
+/// Records that a request is not sent to the backend server of which it has a slot.
+fn record_excluded(
+    entry: &Entry,
+    call: &Call,
+    progress: &mut Progress,
+    slot: &Slot,
+    exclusion: Exclusion,
+) -> Step {
+    log::info!(
+        "E7103 request {} was not sent to backend server {}: {}",
+        call.id,
+        slot.id,
+        exclusion.name()
+    );
+    entry
+        .metrics
+        .exclusions
+        .with_label_values(&[exclusion.name()])
+        .inc();
+    progress.tried.push(slot.key);
+    let step = progress.attempts.handle(Event::Unreached);
+    log_attempt_end(entry, call, progress, slot.key, step);
+    step
+}
+
 /// Whether a request may be sent to a further backend server: no more than one
 /// has ended under it, or under a part of its prompt that nothing clears.
 fn may_retry(entry: &Entry, call: &Call) -> bool {
--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -334,6 +334,7 @@
         customer: matched.customer.map(|customer| customer.name.clone()),
         priority: matched.priority(),
         service: service.clone(),
+        regions: entry.regions_of(&matched),
         has_engine: engine.is_some(),
         keys,
         configuration_version: table.configuration().version,
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,7 +12,6 @@
 use rand::RngExt;
 use smol_str::SmolStr;
 use snipewinch::cutover;
-use snipewinch::cutover::Verdict;
 use snipewinch::dispatch;
 use snipewinch::dispatch::Candidate;
 use snipewinch::dispatch::Queue;
@@ -25,6 +25,9 @@
 use snipewinch::grant::Published;
 use snipewinch::health::Outcome;
 use snipewinch::lateness::Lateness;
+use snipewinch::placement::Exclusion;
+use snipewinch::placement::Facts;
+use snipewinch::region::Mask;
 use snipewinch::server_limit::Admission;
 use snipewinch::server_limit::Board;
 use snipewinch::server_limit::Server;
@@ -40,9 +43,11 @@
 
 mod direct;
 mod limited;
+mod placing;
 mod probe;
 mod weights;
 
+use placing::Place;
 pub(crate) use probe::Prober;
 pub(crate) use weights::Versions;
 pub(crate) use weights::Weights;
@@ -72,6 +77,12 @@
     pub(crate) is_suspected: bool,
     /// Backend servers to which the request was sent before.
     pub(crate) tried: Vec<Key>,
+    /// The regions to which it may go.
+    pub(crate) regions: Mask,
+    /// The name of its route.
+    pub(crate) route: SmolStr,
+    /// The name of its customer.
+    pub(crate) customer: Option<SmolStr>,
     pub(crate) waiter: Waiter,
 }
 
@@ -93,6 +104,10 @@
     Busy,
     /// All backend servers that could take it rest, the first for this long.
     Resting(Duration),
+    /// No backend server is in a region to which it may go.
+    Region,
+    /// All backend servers that could take it are in evacuated availability zones.
+    Evacuated,
 }
 
 /// Receives the slot of a waiting request, or its refusal.
@@ -383,16 +398,6 @@
         })
     }
 
-    /// Whether a backend server is serving and does not rest.
-    pub(crate) fn takes_requests(&self, key: Key) -> bool {
-        let now = self.clock.now();
-        let state = self.state.borrow();
-        state.backends.get(key).is_some_and(|one| {
-            let admission = state.limits.admission(now, one.server);
-            !one.leaving && !matches!(admission, Admission::Resting(_) | Admission::Leaving)
-        })
-    }
-
     /// The id of a backend server, for logs.
     pub(crate) fn backend_name(&self, key: Key) -> SmolStr {
         let state = self.state.borrow();
@@ -463,9 +468,6 @@
         for key in keys {
             while let Some(ticket) = state.best_request(service, key, now) {
                 let backend = state.backends.get_mut(key).expect("it was just found");
-                if !state.limits.admission(now, backend.server).is_open() {
-                    break;
-                }
                 let granted = backend.holder.acquire();
                 let begin_by = state
                     .services
@@ -527,14 +529,24 @@
         let span = request.waiter.expires.saturating_sub(now);
         let mut permits = 0.0;
         let mut refusal = Refusal::NoServer;
-        for (key, backend) in self.backends.of_service(&request.service) {
-            if request.tried.contains(&key) || !backend.may_hold(min_version) {
+        let mut place = Place::of(request);
+        for (key, backend) in self.backends.iter_service(&request.service) {
+            let server = self.standing(now, key, backend);
+            // What keeps a suspected request apart passes, and which weights a server
+            // can hold is asked below.
+            let facts = Facts {
+                apart: request.tried.contains(&key),
+                weights: cutover::Verdict::Current,
+                ..self.facts(&server, request)
+            };
+            place.record(&facts);
+            if facts.apart || !facts.is_in_place() || !backend.may_hold(min_version) {
                 continue;
             }
-            refusal = match (self.limits.admission(now, backend.server), refusal) {
-                (Admission::Leaving, refusal) => refusal,
-                (Admission::Resting(left), Refusal::NoServer) => Refusal::Resting(left),
-                (Admission::Resting(left), Refusal::Resting(known)) => {
+            refusal = match (facts.check(), refusal) {
+                (Err(Exclusion::Leaving), refusal) => refusal,
+                (Err(Exclusion::Resting(left)), Refusal::NoServer) => Refusal::Resting(left),
+                (Err(Exclusion::Resting(left)), Refusal::Resting(known)) => {
                     Refusal::Resting(left.min(known))
                 }
                 (_, _) => Refusal::Busy,
@@ -543,24 +555,8 @@
         }
         match permits >= queued as f64 + 1.0 {
             true => Ok(()),
-            false => Err(refusal),
-        }
-    }
-
-    /// How long all backend servers of a service rest that do not leave; none if
-    /// one of them takes requests.
-    fn rest_of_all(&mut self, service: &str, now: Duration) -> Option<Duration> {
-        let mut rest: Option<Duration> = None;
-        for (_, backend) in self.backends.of_service(service) {
-            match self.limits.admission(now, backend.server) {
-                Admission::Resting(left) => {
-                    rest = Some(rest.map_or(left, |known| known.min(left)));
-                }
-                Admission::Leaving => {}
-                _ => return None,
-            }
+            false => Err(place.explain(refusal)),
         }
-        rest
     }
 
     /// Sends an agent the configuration of its engine if its credit shows that
@@ -593,6 +589,9 @@
     /// The waiting request that should get the next slot of a backend server.
     fn best_request(&self, service: &str, key: Key, now: Duration) -> Option<Ticket> {
         let service_state = self.services.get(service)?;
+        if service_state.queue.is_empty() {
+            return None;
+        }
         let backend = self.backends.get(key)?;
         let version = backend.version();
         let reported = backend
@@ -604,17 +603,12 @@
         if version < service_state.min_version.max(reported) {
             return None;
         }
-        let is_newest = service_state.versions.begin_by(backend).is_none();
-        let may_begin = |request: &SlotRequest| {
-            let tokens = request.waiter.tokens;
-            let verdict = || self.admit_weights(backend, now, tokens);
-            is_newest || verdict() != Verdict::Outdated
-        };
+        let server = self.standing(now, key, backend);
+        server.for_regions(Mask::ALL).check().ok()?;
         service_state.queue.best(now, |ticket| {
             let waiting = service_state.waiting.get(&ticket);
-            waiting.is_some_and(|Waiting { request, .. }| {
-                request.admits(key, backend) && may_begin(request)
-            })
+            waiting
+                .is_some_and(|Waiting { request, .. }| self.facts(&server, request).check().is_ok())
         })
     }
 
@@ -626,29 +620,42 @@
     }
 
     /// Refuses requests whose waiting time is over, one late request if too many
-    /// wait, and all if all backend servers rest.
+    /// wait, and all for which all backend servers rest or are in another place than
+    /// those to which they may go.
     fn refuse_expired(
         &mut self,
         service: &str,
         now: Duration,
         results: &mut Vec<(Waiting, Result<Slot, Refusal>)>,
     ) {
-        let rest = self.rest_of_all(service, now);
+        let groups = self.groups(service).into_iter();
+        let shortages: Vec<(Mask, Refusal)> = groups
+            .filter_map(|group| {
+                let refusal = self.shortage(service, group.regions, now)?;
+                Some((group.regions, refusal))
+            })
+            .collect();
         let Some(service_state) = self.services.get(service) else {
             return;
         };
-        let (refused, refusal) = match rest {
-            Some(left) => {
-                let all = service_state.waiting.keys().copied().collect();
-                (all, Refusal::Resting(left))
-            }
-            None => {
-                let mut expired = service_state.queue.expired(now);
-                expired.extend(service_state.queue.to_shed(now));
-                (expired, Refusal::Busy)
-            }
+        let refusal_of = |request: &SlotRequest| {
+            let mut shortages = shortages.iter();
+            let (_, refusal) = shortages.find(|(regions, _)| *regions == request.regions)?;
+            Some(*refusal)
         };
-        for ticket in refused {
+        let mut refused: Vec<(Ticket, Refusal)> = Vec::new();
+        if !shortages.is_empty() {
+            let waiting = service_state.waiting.iter();
+            refused.extend(
+                waiting.filter_map(|(ticket, one)| Some((*ticket, refusal_of(&one.request)?))),
+            );
+        }
+        if refused.len() < service_state.waiting.len() {
+            let expired = service_state.queue.expired(now).into_iter();
+            let expired = expired.chain(service_state.queue.to_shed(now));
+            refused.extend(expired.map(|ticket| (ticket, Refusal::Busy)));
+        }
+        for (ticket, refusal) in refused {
             let waiting = self.dequeue(service, ticket);
             results.extend(waiting.map(|waiting| (waiting, Err(refusal))));
         }
@@ -660,29 +667,37 @@
         let Some((socket, fleet_key)) = self.agent_link.clone() else {
             return;
         };
-        let service_state = self.services.entry(service.into()).or_default();
-        let waiting = service_state.queue.len();
+        let groups = self.groups(service);
+        // An agent that is silent is noted, which changes its backend server.
+        let silent: HashSet<Key> = self
+            .backends
+            .of_service(service)
+            .filter_map(|(key, backend)| (!backend.agent_answers(now)).then_some(key))
+            .collect();
+        self.services.entry(service.into()).or_default();
+        let service_state = &self.services[service];
         let (slack_ms, tokens) = service_state.queue.most_urgent(now).unwrap_or_default();
-        let oldest = service_state
-            .queue
-            .oldest()
-            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let min_version = service_state.min_version;
         let versions = &service_state.versions;
         let published = versions
             .newest
             .map(|newest| Published::of(&newest.to_cutover(), now));
         let mut keys = Vec::new();
+        let mut regions = Vec::new();
         let mut candidates = Vec::new();
-        for (key, backend) in self.backends.of_service(service) {
-            let is_limited = match self.limits.admission(now, backend.server) {
-                Admission::Unlimited | Admission::Granted => false,
-                Admission::Later(wait) => wait > LIMIT_WAIT_MAX,
-                Admission::Elsewhere | Admission::Leaving | Admission::Resting(_) => true,
+        for (key, backend) in self.backends.iter_service(service) {
+            let server = self.standing(now, key, backend);
+            let is_open = match server.for_regions(Mask::ALL).check() {
+                Ok(()) => true,
+                Err(Exclusion::Limited(Some(wait)) | Exclusion::Cold(wait)) => {
+                    wait <= LIMIT_WAIT_MAX
+                }
+                Err(_) => false,
             };
-            let usable = backend.agent_answers(now) && backend.health.admits(now) && !is_limited;
+            let usable = !silent.contains(&key) && backend.health.admits(now) && is_open;
             if usable && backend.may_hold(min_version.max(1)) {
                 keys.push(key);
+                regions.push(backend.region);
                 let begin_by = versions.begin_by(backend);
                 candidates.push(Candidate {
                     is_last_choice: cutover::is_last_choice(now, begin_by),
@@ -702,8 +717,18 @@
             }
         }
         let seed = self.seed ^ (now.as_millis() / DEMAND_ROTATION_INTERVAL.as_millis()) as u64;
-        let demands = dispatch::plan(waiting, oldest, &candidates, seed);
-        let demands: HashMap<Key, u16> = keys.into_iter().zip(demands).collect();
+        let mut demands: HashMap<Key, u16> = HashMap::new();
+        for group in groups {
+            let allowed = (0..keys.len()).filter(|index| group.regions.contains(regions[*index]));
+            let allowed: Vec<usize> = allowed.collect();
+            let candidates: Vec<Candidate> = allowed.iter().map(|one| candidates[*one]).collect();
+            let oldest = now.saturating_sub(group.arrived);
+            let planned = dispatch::plan(group.waiting, oldest, &candidates, seed);
+            for (index, demanded) in allowed.into_iter().zip(planned) {
+                let sum = demands.entry(keys[index]).or_default();
+                *sum = sum.saturating_add(demanded);
+            }
+        }
         for (key, backend) in self.backends.iter_mut() {
             if backend.service != service {
                 continue;
@@ -712,6 +737,7 @@
             let Some(demand) = backend.holder.demand(now, demanded, slack_ms, tokens) else {
                 continue;
             };
+            let versions = &self.services[service].versions;
             let message = Message::Demand(Demand {
                 published,
                 first_newer: versions.first_newer(now, backend.version()),
--- a/crates/node/src/entry/dispatcher/direct.rs
+++ b/crates/node/src/entry/dispatcher/direct.rs
@@ -3,16 +3,16 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use snipewinch::server_limit::Admission;
+use snipewinch::placement::Exclusion;
 use tokio::time::sleep;
 
 use super::Dispatcher;
 use super::Key;
 use super::LIMIT_WAIT_MAX;
+use super::Place;
 use super::Refusal;
 use super::Slot;
 use super::SlotRequest;
-use super::State;
 
 /// The backend server for a request of a service without agents.
 enum Pick {
@@ -33,7 +33,7 @@
                 Pick::Slot(slot) => return Ok(slot),
                 Pick::Reserved(slot, wait) => {
                     sleep(wait).await;
-                    if self.takes_requests(slot.key) {
+                    if self.check_held(slot.key, request.regions).is_ok() {
                         return Ok(slot);
                     }
                 }
@@ -48,22 +48,21 @@
     fn pick_least_loaded(&self, request: &SlotRequest) -> Pick {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let State {
-            backends, limits, ..
-        } = &mut *state;
+        let mut place = Place::of(request);
         let mut rng = rand::rng();
         let mut ranked = Vec::new();
         let mut soonest: Option<(Duration, Key)> = None;
         let mut refusal = Refusal::NoServer;
         let mut rest: Option<Duration> = None;
-        let untried = backends
-            .of_service(&request.service)
-            .filter(|(key, backend)| request.admits(*key, backend))
-            .filter(|(_, backend)| !backend.health.is_unreachable(now));
-        for (key, backend) in untried {
-            match limits.admission(now, backend.server) {
-                Admission::Unlimited | Admission::Granted => {}
-                Admission::Later(wait) => {
+        for (key, backend) in state.backends.iter_service(&request.service) {
+            let facts = state.facts(&state.standing(now, key, backend), request);
+            place.record(&facts);
+            if facts.apart || backend.health.is_unreachable(now) {
+                continue;
+            }
+            match facts.check() {
+                Ok(()) => {}
+                Err(Exclusion::Limited(Some(wait)) | Exclusion::Cold(wait)) => {
                     let is_sooner = soonest.is_none_or(|(known, _)| wait < known);
                     if wait <= LIMIT_WAIT_MAX && is_sooner {
                         soonest = Some((wait, key));
@@ -71,15 +70,20 @@
                     refusal = Refusal::Busy;
                     continue;
                 }
-                Admission::Elsewhere => {
+                Err(Exclusion::Limited(None) | Exclusion::OldWeights) => {
                     refusal = Refusal::Busy;
                     continue;
                 }
-                Admission::Resting(left) => {
+                Err(Exclusion::Resting(left)) => {
                     rest = Some(rest.map_or(left, |known| known.min(left)));
                     continue;
                 }
-                Admission::Leaving => continue,
+                Err(
+                    Exclusion::Region
+                    | Exclusion::Evacuated
+                    | Exclusion::Leaving
+                    | Exclusion::Apart,
+                ) => continue,
             }
             let load_ratio = backend.load_ratio(now);
             // A server of another availability zone is preferred only if it has
@@ -98,7 +102,7 @@
             }
             (None, None) => Pick::None(match rest {
                 Some(left) if refusal == Refusal::NoServer => Refusal::Resting(left),
-                Some(_) | None => refusal,
+                Some(_) | None => place.explain(refusal),
             }),
         }
     }
--- a/crates/node/src/entry/dispatcher/probe.rs
+++ b/crates/node/src/entry/dispatcher/probe.rs
@@ -37,8 +37,15 @@
         let state = &mut *state;
         let mut due = Vec::new();
         let services = state.services.iter();
-        for (service, service_state) in services.filter(|(_, one)| !one.queue.is_empty()) {
-            for (key, backend) in state.backends.of_service(service) {
+        let services = services.filter(|(_, one)| !one.queue.is_empty());
+        let services: Vec<SmolStr> = services.map(|(service, _)| service.clone()).collect();
+        for service in services {
+            for key in state.servers_in_place(&service, now) {
+                let (Some(backend), Some(service_state)) =
+                    (state.backends.get_mut(key), state.services.get(&service))
+                else {
+                    continue;
+                };
                 let begin_by = service_state.versions.begin_by(backend);
                 if backend.contact.may_ask(now) && may_use_without_agent(backend, now, begin_by) {
                     due.push((backend.contact.asked(), key, backend.address));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -104,6 +104,11 @@
     pub(crate) limited_servers: IntGauge,
     /// Backend servers that rest or say in their answers that they leave.
     pub(crate) resting_servers: IntGauge,
+    /// Availability zones that operators have evacuated.
+    pub(crate) evacuated_zones: IntGauge,
+    /// Requests that were not sent to the backend server of which they had a slot, by
+    /// reason.
+    pub(crate) exclusions: IntCounterVec,
     /// How old what is known of each followed table is, in seconds.
     pub(crate) table_age: GaugeVec,
     /// Answers that this entry ended before they were complete, by cause.
@@ -195,6 +200,15 @@
                 "snipewinch_resting_servers",
                 "Backend servers that rest or say in their answers that they leave",
             ),
+            evacuated_zones: gauge(
+                "snipewinch_evacuated_zones",
+                "Availability zones that operators have evacuated",
+            ),
+            exclusions: counters(
+                "snipewinch_exclusions_total",
+                "Requests not sent to the backend server whose slot they had",
+                "reason",
+            ),
             table_age,
             answers: counters("snipewinch_answers_total", "Answers to callers", "status"),
             refusals: counters(
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -11,6 +11,7 @@
 use platform::rows::Row;
 use smol_str::SmolStr;
 use snipewinch::cutover;
+use snipewinch::evacuation;
 use snipewinch::grant;
 use snipewinch::route::Table;
 
@@ -42,6 +43,8 @@
     pub(crate) table: Option<Rc<Table>>,
     /// The published versions of each model, the newest last.
     pub(crate) weights: HashMap<SmolStr, Vec<Publication>>,
+    /// The evacuated availability zones.
+    pub(crate) evacuations: evacuation::Zones,
     /// Whether the store has been read.
     loaded: bool,
     /// When the last read was sent that is applied; none where the store is followed
@@ -84,8 +87,18 @@
     /// Applies a change of the store that was made within an interval; true if a
     /// configuration came into force.
     pub(crate) fn apply(&mut self, made: cutover::Interval, change: Change) -> bool {
+        if let Change::Snapshot(rows) = &change {
+            let listed = rows.iter().filter(|row| row.value.is_some());
+            let listed = listed.filter_map(|row| operator::evacuated_zone(&row.key));
+            let listed: Vec<&str> = listed.collect();
+            log_evacuations(self.evacuations.replace(made.latest, &listed));
+        }
         match change {
-            Change::Disconnected | Change::Restored => false,
+            Change::Disconnected => false,
+            Change::Restored => {
+                self.evacuations.record_restored();
+                false
+            }
             Change::Rows(rows) | Change::Snapshot(rows) => {
                 let before = self.configuration_version();
                 for row in rows {
@@ -109,6 +122,13 @@
     }
 
     fn apply_row(&mut self, made: cutover::Interval, row: &Row) {
+        let now = made.latest;
+        let event = match (operator::evacuated_zone(&row.key), &row.value) {
+            (Some(zone), Some(_)) => self.evacuations.record(now, zone),
+            (Some(zone), None) => self.evacuations.remove(now, zone),
+            (None, _) => None,
+        };
+        log_evacuations(event);
         let Some(value) = &row.value else {
             return;
         };
@@ -270,6 +290,30 @@
     }
 }
 
+/// Logs what has changed of evacuations.
+pub(crate) fn log_evacuations(events: impl IntoIterator<Item = evacuation::Event>) {
+    for event in events {
+        match event {
+            evacuation::Event::Begun(zone) => log::warn!(
+                "E7140 availability zone {zone} is evacuated: its backend servers get no new requests"
+            ),
+            evacuation::Event::Ended(zone, after) => log::info!(
+                "E7141 availability zone {zone} is taken back after {} ms: its backend servers get requests again",
+                after.as_millis()
+            ),
+            evacuation::Event::Kept(zone) => log::warn!(
+                "E7142 the restored store has no row {}{zone}: the zone stays evacuated for {} s; write the row again within that time, or it is taken back",
+                operator::EVACUATION_PREFIX,
+                evacuation::RESTORED_HOLD.as_secs()
+            ),
+            evacuation::Event::Lapsed(zone) => log::warn!(
+                "E7143 availability zone {zone} is taken back: the row {}{zone} was not written again after the store was restored",
+                operator::EVACUATION_PREFIX
+            ),
+        }
+    }
+}
+
 /// Inserts a publication, the newest last.
 fn insert(publications: &mut Vec<Publication>, new: Publication) {
     let index = publications.partition_point(|one| one.version < new.version);
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -88,6 +88,7 @@
 pub mod document;
 pub mod engine;
 pub mod engine_config;
+pub mod evacuation;
 pub mod grant;
 pub mod health;
 pub mod host;
--- a/crates/snipewinch/src/placement.rs
+++ b/crates/snipewinch/src/placement.rs
@@ -76,6 +76,11 @@
 }
 
 impl Facts {
+    /// Whether the server is where the request may go.
+    pub fn is_in_place(&self) -> bool {
+        self.region_allowed && !self.evacuated
+    }
+
     /// The reason why the request may not go to the server now, the most lasting one
     /// if there are several.
     ///
@@ -97,4 +102,28 @@
             (Admission::Unlimited | Admission::Granted, _) => Ok(()),
         }
     }
+
+    /// The same for a request that holds a slot of the server, and its share of what
+    /// the server's limits and start allow.
+    ///
+    /// # Errors
+    ///
+    /// The [`Exclusion`].
+    pub fn check_held(&self) -> Result<(), Exclusion> {
+        let limit = match self.limit {
+            Admission::Leaving | Admission::Resting(_) => self.limit,
+            Admission::Unlimited
+            | Admission::Granted
+            | Admission::Later(_)
+            | Admission::Elsewhere => Admission::Unlimited,
+        };
+        let held = Facts {
+            apart: false,
+            limit,
+            cold: cold::Admission::Open,
+            weights: cutover::Verdict::Current,
+            ..*self
+        };
+        held.check()
+    }
 }
--- a/crates/snipewinch/src/route.rs
+++ b/crates/snipewinch/src/route.rs
@@ -286,6 +286,18 @@
         services.find(|service| service.name == name)
     }
 
+    /// A route by its name.
+    pub fn route_named(&self, name: &str) -> Option<&Route> {
+        let mut routes = self.configuration.routes.iter();
+        routes.find(|route| route.name == name)
+    }
+
+    /// A customer by its name.
+    pub fn customer(&self, name: &str) -> Option<&Customer> {
+        let mut customers = self.configuration.customers.iter().flatten();
+        customers.find(|customer| customer.name == name)
+    }
+
     /// Finds the route and the customer of a request. `host` may have a port.
     ///
     /// # Errors
