Send cold servers no more than they take

Cause: nothing knew that a backend server was cold; its agent granted all slots at once, and all entries passed a silent agent by at the same moment. Change: the agent grants one by one while its engine is cold, by its own start, its health, the list as entries tell it, and only entries that own a share send without a grant.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -28,6 +28,7 @@
 use smol_str::SmolStr;
 use snafu::OptionExt;
 use snafu::ResultExt;
+use snipewinch::cold;
 use snipewinch::cutover;
 use snipewinch::engine_config::EngineConfig;
 use snipewinch::grant;
@@ -146,6 +147,18 @@
             .unwrap_or_default()
     }
 
+    /// How fast slots may be granted while the engine is cold; none if its service has no
+    /// cold servers.
+    fn cold_pace(&self) -> Option<cold::Pace> {
+        let terms = self.engine_config.borrow().as_ref()?.cold?;
+        let bounds = self.bounds.get();
+        Some(cold::Pace::new(
+            terms,
+            bounds.cold_overage,
+            bounds.cold_burst,
+        ))
+    }
+
     /// Applies a configuration of the engine unless it is older than the
     /// current one or equal to it.
     fn apply_engine_config(&self, new: EngineConfig) {
--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -5,11 +5,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use peer::FleetKey;
 use peer::datagram::Socket;
 use platform::engine::Report;
 use rand::RngExt;
+use snipewinch::cold;
 use snipewinch::cutover;
 use snipewinch::grant::HolderId;
 use snipewinch::grant::Issuer;
@@ -61,6 +64,8 @@
     /// The status last sent to entries: whether slots are granted, and the
     /// loaded version.
     announced: (bool, u64),
+    /// The start of the engine in its last report; 0 before the first.
+    started_ms: u64,
 }
 
 impl SlotPool {
@@ -117,13 +122,24 @@
 
     /// Updates the gauges.
     pub(super) fn update_metrics(&self, metrics: &AgentMetrics) {
-        let state = self.state.borrow();
+        let mut state = self.state.borrow_mut();
         metrics.slots.set(state.issuer.capacity() as i64);
         metrics.in_use.set(state.issuer.in_use() as i64);
         metrics.waiting.set(state.issuer.waiting() as i64);
+        let now = state.now;
+        let cold = state.issuer.cold();
+        metrics.cold_ms.set(cold.left(now).as_millis() as i64);
+        metrics.cold_held_back.set(cold.held_back() as i64);
         metrics.weights_version.set(state.announced.1 as i64);
     }
 
+    /// Sets how fast slots are granted while the engine is cold; none if its service has
+    /// no cold servers.
+    fn set_cold_pace(&self, now: Duration, pace: Option<cold::Pace>) {
+        let mut state = self.state.borrow_mut();
+        state.issuer.cold().set_pace(now, pace);
+    }
+
     /// Stops granting slots, or resumes it.
     pub(super) fn set_closed(&self, closed: bool) {
         let mut state = self.state.borrow_mut();
@@ -141,6 +157,7 @@
             Some(report) => {
                 state.missed_reports = 0;
                 state.issuer.set_slowness(report.pace);
+                state.observe_cold(&report);
                 state.report = Some(report);
             }
             None => {
@@ -191,13 +208,47 @@
         self.announce((capacity > 0, version));
     }
 
+    /// Records what a report says of how long the engine is cold. One that has started
+    /// since the last report is cold from now on, and so is one that has started not
+    /// long ago by the clock of its host.
+    fn observe_cold(&mut self, report: &Report) {
+        let now = self.now;
+        let before = std::mem::replace(&mut self.started_ms, report.started_ms);
+        let duration = self.issuer.cold().pace().map(|pace| pace.duration);
+        let from_start = match (before, report.started_ms) {
+            (_, 0) => None,
+            (0, started_ms) => {
+                duration.map(|duration| duration.saturating_sub(since_epoch(started_ms)))
+            }
+            (before, started_ms) => duration.filter(|_| before != started_ms),
+        };
+        for left in [from_start, report.cold_left].into_iter().flatten() {
+            self.record_cold(now, left);
+        }
+    }
+
+    /// Records that the engine is cold for `left`, and tells entries if that is new.
+    fn record_cold(&mut self, now: Duration, left: Duration) {
+        if self.issuer.cold().record_left(now, left) {
+            log::info!(
+                "E7150 engine is cold for {} ms, slots are granted one by one",
+                left.as_millis()
+            );
+            self.send_credits();
+        }
+    }
+
+    fn send_credits(&mut self) {
+        let holders: Vec<HolderId> = self.issuer.holders().collect();
+        holders
+            .into_iter()
+            .for_each(|holder| self.send_credit(holder));
+    }
+
     /// Sends credits to all entries if the status has changed.
     fn announce(&mut self, status: (bool, u64)) {
         if std::mem::replace(&mut self.announced, status) != status {
-            let holders: Vec<HolderId> = self.issuer.holders().collect();
-            holders
-                .into_iter()
-                .for_each(|holder| self.send_credit(holder));
+            self.send_credits();
         }
     }
 
@@ -212,6 +263,12 @@
     }
 }
 
+/// How long ago something was by the clock of this host; zero if it is to come.
+fn since_epoch(at_ms: u64) -> Duration {
+    let at = UNIX_EPOCH + Duration::from_millis(at_ms);
+    SystemTime::now().duration_since(at).unwrap_or_default()
+}
+
 /// The newest version of weights that an engine has loaded; 0 if none.
 pub(super) fn loaded_version(report: &Report) -> u64 {
     let loaded = report
@@ -224,7 +281,12 @@
 /// Polls the engine's state.
 pub(super) async fn poll_engine(agent: Rc<Agent>) {
     loop {
+        let cold_pace = agent.cold_pace();
         let report = match agent.engine.report().await {
+            Ok(report) if cold_pace.is_some() && report.cold_left.is_none() => Some(Report {
+                cold_left: agent.engine.cold_left().await.ok().flatten(),
+                ..report
+            }),
             Ok(report) => Some(report),
             Err(error) => {
                 log::debug!("E7211 reading the engine's state failed: {error}");
@@ -233,6 +295,7 @@
         };
         let spec = agent.engine_spec();
         let slots = spec.as_ref().map_or(0, |spec| spec.slots);
+        agent.slot_pool.set_cold_pace(agent.clock.now(), cold_pace);
         if let Some(spec) = &spec {
             agent.slot_pool.set_engine(spec, agent.max_gap());
         }
@@ -308,6 +371,9 @@
         let state = &mut *state;
         state.now = now;
         state.addresses.insert(demand.holder, from);
+        if demand.cold_ms > 0 {
+            state.record_cold(now, Duration::from_millis(demand.cold_ms.into()));
+        }
         let expired = state.issuer.expire(now);
         if expired > 0 {
             log::info!("E7213 reclaimed {expired} slots of entries that sent no demand in time");
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -24,6 +24,7 @@
 use smol_str::SmolStr;
 use snafu::OptionExt;
 use snafu::ResultExt;
+use snipewinch::cold;
 use snipewinch::cutover;
 use snipewinch::dispatch;
 use snipewinch::dispatch::Shortage;
@@ -265,7 +266,12 @@
         let Some(table) = self.table() else {
             return;
         };
+        let bounds = self.bounds.get();
         for service in &table.configuration().services {
+            let pace = service
+                .cold
+                .map(|terms| cold::Pace::new(terms, bounds.cold_overage, bounds.cold_burst));
+            self.dispatcher.set_cold_pace(&service.name, pace);
             if let Some(engine_config) = EngineConfig::for_service(&table, &service.name) {
                 self.dispatcher
                     .set_engine_config(&service.name, engine_config);
@@ -648,6 +654,9 @@
         entry.metrics.blocked_parts.set(blocked as i64);
         let limited = entry.dispatcher.limited_servers();
         entry.metrics.limited_servers.set(limited as i64);
+        let (cold_servers, cold_held_back) = entry.dispatcher.cold_servers();
+        entry.metrics.cold_servers.set(cold_servers as i64);
+        entry.metrics.cold_held_back.set(cold_held_back as i64);
         let resting = entry.dispatcher.resting_servers();
         entry.metrics.resting_servers.set(resting as i64);
     }
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use platform::boot::Settings;
+use platform::engine::Report;
 use platform::listing::BackendServer;
 use platform::listing::State;
 use slotmap::SlotMap;
 use smol_str::SmolStr;
+use snipewinch::cold;
 use snipewinch::contact::Contact;
 use snipewinch::cutover;
 use snipewinch::grant::Holder;
@@ -89,6 +91,13 @@
     pub(crate) bypass_agent_until: Option<Duration>,
     /// Whether it can be reached while its agent is silent.
     pub(crate) contact: Contact,
+    /// Until when it is cold.
+    pub(crate) cold: cold::Until,
+    /// How fast it takes requests while it is cold; none if servers of its service are
+    /// not.
+    pub(crate) cold_pace: Option<cold::Pace>,
+    /// What this entry may send to it without a grant while it is cold.
+    pub(crate) cold_share: cold::Share,
     /// When the agent was last sent the configuration of its engine.
     pub(crate) config_sent: Option<Duration>,
 }
@@ -137,6 +146,33 @@
         }
     }
 
+    /// How much longer it is cold; zero if it is not.
+    pub(crate) fn cold_left(&self, now: Duration) -> Duration {
+        match self.cold_pace {
+            Some(_) => self.cold.left(now),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Whether a request may go there without a grant of its agent, as far as its start
+    /// decides. One with a grant may: the agent spaces its grants.
+    pub(crate) fn cold_admission(&self, now: Duration) -> cold::Admission {
+        match self.cold_left(now) {
+            Duration::ZERO => cold::Admission::Open,
+            left => self.cold_share.admission(now, left),
+        }
+    }
+
+    /// Applies what it says of itself while its agent is silent. A start that is not
+    /// the listed one is new.
+    pub(crate) fn record_report(&mut self, now: Duration, report: &Report) {
+        let is_new = report.started_ms > 0 && self.started_ms != Some(report.started_ms);
+        let duration = self.cold_pace.filter(|_| is_new).map(|pace| pace.duration);
+        for left in [duration, report.cold_left].into_iter().flatten() {
+            self.cold.record_heard(now, left);
+        }
+    }
+
     /// Records how long a connection took to open.
     pub(crate) fn record_connected(&mut self, took: Duration) {
         let decayed = self.round_trip.mul_f64(1.0 - ROUND_TRIP_DECAY);
@@ -246,11 +282,11 @@
 
     /// Applies updates of the list; true if a known backend server holds another
     /// version by them.
-    pub(crate) fn apply_updates(&mut self, updates: Vec<Update>) -> bool {
+    pub(crate) fn apply_updates(&mut self, now: Duration, updates: Vec<Update>) -> bool {
         let mut has_changed = false;
         for update in updates {
             match update {
-                Update::Listed(id, entry) => has_changed |= self.upsert(id, entry),
+                Update::Listed(id, entry) => has_changed |= self.upsert(now, id, entry),
                 Update::Missing(id) => {
                     let key = self.ids.get(&id).copied();
                     if let Some(backend) = key.and_then(|key| self.arena.get_mut(key)) {
@@ -269,7 +305,7 @@
 
     /// Adds a backend server, or updates it if its address is unchanged; true if
     /// it then holds another version.
-    fn upsert(&mut self, id: SmolStr, entry: BackendServer) -> bool {
+    fn upsert(&mut self, now: Duration, id: SmolStr, entry: BackendServer) -> bool {
         let leaving = entry.state == State::Draining;
         let version = loaded_version(&entry);
         let known = self.ids.get(&id).and_then(|key| self.arena.get_mut(*key));
@@ -280,7 +316,11 @@
                 if backend.server != server {
                     // Its weights are gone.
                     backend.holder.forget_credit();
+                    if let Some(pace) = backend.cold_pace {
+                        backend.cold.record_heard(now, pace.duration);
+                    }
                 }
+                backend.cold.record_listed(now, entry.cold_left);
                 backend.leaving = leaving;
                 backend.is_missing = false;
                 backend.server = server;
@@ -291,7 +331,12 @@
                 backend.version() != held
             }
             Some(_) | None => {
+                let mut cold = cold::Until::default();
+                cold.record_listed(now, entry.cold_left);
                 let backend = Backend {
+                    cold,
+                    cold_pace: None,
+                    cold_share: cold::Share::default(),
                     distance: self.distance(&entry.zone),
                     agent: SocketAddr::new(entry.address.ip(), self.peer_port),
                     address: entry.address,
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -10,6 +10,7 @@
 use platform::boot::Settings;
 use rand::RngExt;
 use smol_str::SmolStr;
+use snipewinch::cold;
 use snipewinch::cutover;
 use snipewinch::cutover::Verdict;
 use snipewinch::dispatch;
@@ -38,6 +39,7 @@
 use crate::clock::Clock;
 use crate::discovery::Update;
 
+mod cold_start;
 mod direct;
 mod limited;
 mod probe;
@@ -112,6 +114,8 @@
     versions: Versions,
     /// The configuration that agents of the service must have, and its digest.
     engine_config: Option<(EngineConfig, u32)>,
+    /// How fast requests may go to its cold servers; none if it has none.
+    cold_pace: Option<cold::Pace>,
     queue: Queue,
     waiting: HashMap<Ticket, Waiting>,
 }
@@ -124,6 +128,8 @@
     limits: Board,
     /// How late this process acts.
     lateness: Lateness,
+    /// How often a request was not sent to a cold server without a grant.
+    cold_held_back: u64,
     /// The socket for messages to agents and the key that protects them.
     agent_link: Option<(Rc<Socket>, FleetKey)>,
 }
@@ -183,6 +189,7 @@
             services: HashMap::new(),
             limits: Board::open(settings.identity.host.as_str().into()),
             lateness: Lateness::default(),
+            cold_held_back: 0,
             agent_link: None,
         };
         Dispatcher {
@@ -208,7 +215,9 @@
                 state.limits.forget_wishes(server);
             }
         }
-        if state.backends.apply_updates(updates) {
+        let changed = state.backends.apply_updates(self.clock.now(), updates);
+        state.update_cold_paces();
+        if changed {
             self.versions_changed.notify_waiters();
         }
         let services: Vec<SmolStr> = state.services.keys().cloned().collect();
@@ -262,6 +271,9 @@
         backend.suspected += u32::from(request.is_suspected);
         backend.health.record_sent(now);
         state.limits.record_sent(now, backend.server);
+        if !granted {
+            backend.cold_share.record_sent(now);
+        }
         let held = backend.version();
         let service_state = state.services.get(&request.service);
         let weights = Weights {
@@ -298,6 +310,9 @@
         }
         let held = backend.version();
         backend.holder.receive(now, credit);
+        backend
+            .cold
+            .record_heard(now, Duration::from_millis(credit.cold_ms.into()));
         if backend.version() != held {
             self.versions_changed.notify_waiters();
         }
@@ -471,7 +486,10 @@
                     .services
                     .get(service)
                     .and_then(|one| one.versions.begin_by(backend));
-                if !granted && !may_bypass_agent(backend, now, begin_by) {
+                if !granted
+                    && !(may_bypass_agent(backend, now, begin_by)
+                        && state.admits_ungranted(key, now))
+                {
                     break;
                 }
                 let waiting = state.dequeue(service, ticket);
@@ -715,6 +733,10 @@
             let message = Message::Demand(Demand {
                 published,
                 first_newer: versions.first_newer(now, backend.version()),
+                cold_ms: match backend.cold_pace {
+                    Some(_) => cold::to_millis(backend.cold.listed_left(now)),
+                    None => 0,
+                },
                 ..demand
             });
             if let Err(error) = socket.send(&fleet_key, &message, backend.agent) {
--- a/crates/node/src/entry/dispatcher/direct.rs
+++ b/crates/node/src/entry/dispatcher/direct.rs
@@ -61,7 +61,8 @@
             .filter(|(key, backend)| request.admits(*key, backend))
             .filter(|(_, backend)| !backend.health.is_unreachable(now));
         for (key, backend) in untried {
-            match limits.admission(now, backend.server) {
+            let by_limit = limits.admission(now, backend.server);
+            match by_limit.with_cold(backend.cold_direct(now, limits)) {
                 Admission::Unlimited | Admission::Granted => {}
                 Admission::Later(wait) => {
                     let is_sooner = soonest.is_none_or(|(known, _)| wait < known);
--- a/crates/node/src/entry/dispatcher/probe.rs
+++ b/crates/node/src/entry/dispatcher/probe.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use platform::engine::Engine;
+use platform::engine::Report;
 use platform::http::Transport;
 use smol_str::SmolStr;
 use snipewinch::contact::ANSWER_TIME_MAX;
@@ -27,6 +28,8 @@
     key: Key,
     address: SocketAddr,
     asked: Duration,
+    /// Whether its service has cold servers.
+    may_be_cold: bool,
 }
 
 impl Dispatcher {
@@ -41,17 +44,21 @@
             for (key, backend) in state.backends.of_service(service) {
                 let begin_by = service_state.versions.begin_by(backend);
                 if backend.contact.may_ask(now) && may_use_without_agent(backend, now, begin_by) {
-                    due.push((backend.contact.asked(), key, backend.address));
+                    let may_be_cold = backend.cold_pace.is_some();
+                    due.push((backend.contact.asked(), key, backend.address, may_be_cold));
                 }
             }
         }
         due.sort_by_key(|(asked, ..)| *asked);
         due.truncate(ENGINES_AT_ONCE_MAX);
-        let targets = due.into_iter().map(|(_, key, address)| Target {
-            key,
-            address,
-            asked: now,
-        });
+        let targets = due
+            .into_iter()
+            .map(|(_, key, address, may_be_cold)| Target {
+                may_be_cold,
+                key,
+                address,
+                asked: now,
+            });
         let targets: Vec<Target> = targets.collect();
         for target in &targets {
             if let Some(backend) = state.backends.get_mut(target.key) {
@@ -62,11 +69,12 @@
     }
 
     /// Records that an engine has answered, so that requests may go to it.
-    fn record_state(&self, target: Target) {
+    fn record_state(&self, target: Target, report: &Report) {
         let now = self.clock.now();
         let service: Option<SmolStr> = {
             let mut state = self.state.borrow_mut();
             state.backends.get_mut(target.key).map(|backend| {
+                backend.record_report(now, report);
                 backend.contact.record_answered(target.asked, now);
                 backend.service.clone()
             })
@@ -104,8 +112,19 @@
             let dispatcher = entry.dispatcher.clone();
             entry.metrics.engine_probes.inc();
             spawn_local(async move {
-                if let Ok(Ok(_)) = timeout(ANSWER_TIME_MAX, engine.report()).await {
-                    dispatcher.record_state(target);
+                let answers = async {
+                    let report = engine.report().await?;
+                    let cold_left = match target.may_be_cold && report.cold_left.is_none() {
+                        true => engine.cold_left().await?,
+                        false => report.cold_left,
+                    };
+                    Ok::<_, platform::engine::Error>(Report {
+                        cold_left,
+                        ..report
+                    })
+                };
+                if let Ok(Ok(report)) = timeout(ANSWER_TIME_MAX, answers).await {
+                    dispatcher.record_state(target, &report);
                 }
             });
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -27,6 +27,10 @@
     pub(crate) in_use: IntGauge,
     /// Requests that wait for a slot here, at all entries.
     pub(crate) waiting: IntGauge,
+    /// How much longer the engine is cold, in milliseconds.
+    pub(crate) cold_ms: IntGauge,
+    /// How often grants were held back because the engine was cold.
+    pub(crate) cold_held_back: IntGauge,
     /// The version of the weights that the engine has loaded; 0 if none.
     pub(crate) weights_version: IntGauge,
     /// The time that the engine took to get a version into use, in seconds, by
@@ -66,6 +70,14 @@
                 "snipewinch_places_wanted",
                 "Requests that wait for a place here",
             ),
+            cold_ms: gauge(
+                "snipewinch_cold_milliseconds",
+                "How much longer the engine is cold",
+            ),
+            cold_held_back: gauge(
+                "snipewinch_cold_held_back",
+                "How often grants were held back because the engine was cold",
+            ),
             weights_version: gauge(
                 "snipewinch_weights_version",
                 "The version that the engine holds",
@@ -91,6 +103,10 @@
     pub(crate) refusals: IntCounterVec,
     /// Requests sent to backend servers, by outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Backend servers that are cold.
+    pub(crate) cold_servers: IntGauge,
+    /// How often a request was not sent to a cold server without a grant.
+    pub(crate) cold_held_back: IntGauge,
     /// Engines that were asked whether they can be reached, as their agents were
     /// silent.
     pub(crate) engine_probes: IntCounter,
@@ -187,6 +203,14 @@
             .register(Box::new(table_age.clone()))
             .expect("each name is registered once");
         EntryMetrics {
+            cold_servers: gauge(
+                "snipewinch_cold_servers",
+                "Backend servers that are cold and take few requests",
+            ),
+            cold_held_back: gauge(
+                "snipewinch_cold_held_back",
+                "How often a request was not sent to a cold server without a grant",
+            ),
             limited_servers: gauge(
                 "snipewinch_limited_servers",
                 "Backend servers that name a limit of requests",
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -17,6 +17,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::cold;
 use crate::cutover;
 use crate::cutover::Verdict;
 use crate::engine::Predictor;
@@ -84,6 +85,10 @@
     /// A digest of the name of its customer; 0 if there is none.
     #[serde(rename = "c", default)]
     pub customer: u32,
+    /// How much longer the backend server is cold by the list, in milliseconds: entries
+    /// follow it closely, agents need not.
+    #[serde(rename = "x", default, skip_serializing_if = "is_zero")]
+    pub cold_ms: u32,
     /// Slots that the entry has released without using them.
     #[serde(rename = "u", default)]
     pub unused: u64,
@@ -107,6 +112,10 @@
     u8::MAX
 }
 
+fn is_zero(millis: &u32) -> bool {
+    *millis == 0
+}
+
 /// What an entry sends to an agent.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
@@ -290,6 +299,8 @@
     slowness: f64,
     typical_tokens: f64,
     max_gap: Duration,
+    /// Holds back grants while the backend server is cold.
+    cold: cold::Gate,
 }
 
 impl Issuer {
@@ -356,6 +367,11 @@
         self.config_digest = digest;
     }
 
+    /// What holds back grants while the backend server is cold.
+    pub fn cold(&mut self) -> &mut cold::Gate {
+        &mut self.cold
+    }
+
     /// Slots in total.
     pub fn capacity(&self) -> u64 {
         self.capacity
@@ -425,12 +441,17 @@
         loop {
             let in_use = self.in_use();
             self.predictor.advance(now, in_use);
+            if !self.cold.admission(now).is_open() {
+                self.cold.record_held_back(self.waiting());
+                return notified;
+            }
             let Some(holder) = self.next_holder(now, in_use) else {
                 return notified;
             };
             let account = self.accounts.get_mut(&holder).expect("it was just found");
             account.waiting -= 1;
             account.granted += 1;
+            self.cold.record_grant(now);
             self.predictor.admit(now, in_use, account.tokens);
             if !notified.contains(&holder) {
                 notified.push(holder);
@@ -498,7 +519,11 @@
             Some(_) => now + OLD_WEIGHTS_WAKEUP,
             None => now,
         };
-        waits.then(|| self.predictor.pass_end().max(earliest))
+        let admitted = match self.cold.admission(now) {
+            cold::Admission::Open => now,
+            cold::Admission::Later(wait) => now + wait,
+        };
+        waits.then(|| self.predictor.pass_end().max(earliest).max(admitted))
     }
 
     /// The credit to send to an entry.
@@ -506,6 +531,7 @@
         self.sequence += 1;
         let in_use = self.in_use();
         let free = self.capacity.saturating_sub(in_use + self.waiting());
+        let free = self.cold.free(now, free, self.waiting());
         let delay = self.first_event_delay(now, in_use, self.typical_tokens);
         let announce = |publication: Option<cutover::Publication>| {
             let known = publication.filter(|one| one.published.is_some());
@@ -530,7 +556,7 @@
             min_version: self.min_version,
             publish_time_known: self.publish_time_known,
             holders: self.accounts.len().min(usize::from(u16::MAX)) as u16,
-            cold_ms: 0,
+            cold_ms: cold::to_millis(self.cold.left(now)),
             open: self.capacity > 0,
             config_digest: self.config_digest,
         }
@@ -704,6 +730,7 @@
             tokens,
             priority: unknown_priority(),
             customer: 0,
+            cold_ms: 0,
             unused: self.unused,
             granted: self.granted,
             released: self.released,
--- a/crates/snipewinch/src/server_limit.rs
+++ b/crates/snipewinch/src/server_limit.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::cold;
 use crate::mix;
 
 mod rest;
@@ -27,7 +28,7 @@
 /// How many owners a limit has beyond one for each request per second. With a
 /// few more than that, each of which sends [`TOKENS_MAX`] at once, a server
 /// still gets no more in 4 s than one and a half times its limit and 5.
-const OWNERS_EXTRA: f64 = 2.0;
+pub(crate) const OWNERS_EXTRA: f64 = 2.0;
 /// The requests that an owner may send at once after it has sent none for a
 /// while.
 const TOKENS_MAX: f64 = 1.25;
@@ -113,6 +114,19 @@
     pub fn is_open(self) -> bool {
         matches!(self, Admission::Unlimited | Admission::Granted)
     }
+
+    /// What is allowed beside what the server's recent start allows.
+    pub fn with_cold(self, cold: cold::Admission) -> Admission {
+        match (self, cold) {
+            (Admission::Unlimited | Admission::Granted, cold::Admission::Later(wait)) => {
+                Admission::Later(wait)
+            }
+            (Admission::Later(one), cold::Admission::Later(other)) => {
+                Admission::Later(one.max(other))
+            }
+            (by_limit, _) => by_limit,
+        }
+    }
 }
 
 /// What is known of the limit of one server.
@@ -337,6 +351,12 @@
         }
     }
 
+    /// This entry's share of `per_s` requests per second to a server; none if others
+    /// share them, or if it has not read yet who the others are.
+    pub fn share(&self, server: Server, per_s: f64) -> Option<f64> {
+        share(&self.view, &self.entry, server, per_s)
+    }
+
     /// How many requests this entry may send to a server within `span`; none to
     /// one that rests now or leaves.
     pub fn permits_within(&self, now: Duration, server: Server, span: Duration) -> f64 {
@@ -383,16 +403,9 @@
         let Some(limit) = self.limits.get_mut(&server) else {
             return;
         };
-        let share = limit.per_s.and_then(|per_s| {
-            let owners = ((per_s + OWNERS_EXTRA) as usize).min(self.view.len());
-            let own = mix::combine(server.0, *self.view.get(&self.entry)?);
-            let scores = self
-                .view
-                .values()
-                .map(|entry| mix::combine(server.0, *entry));
-            let is_owner = scores.filter(|score| *score > own).count() < owners;
-            is_owner.then(|| per_s / owners as f64)
-        });
+        let share = limit
+            .per_s
+            .and_then(|per_s| share(&self.view, &self.entry, server, per_s));
         limit.tokens = limit.tokens_at(now);
         limit.tokens_updated = now;
         if limit.share.is_none() {
@@ -403,6 +416,20 @@
     }
 }
 
+/// The share of `entry` in `per_s` requests per second; none if it is no owner.
+fn share(
+    view: &BTreeMap<SmolStr, u64>,
+    entry: &SmolStr,
+    server: Server,
+    per_s: f64,
+) -> Option<f64> {
+    let owners = ((per_s + OWNERS_EXTRA) as usize).min(view.len());
+    let own = mix::combine(server.0, *view.get(entry)?);
+    let scores = view.values().map(|entry| mix::combine(server.0, *entry));
+    let is_owner = scores.filter(|score| *score > own).count() < owners;
+    is_owner.then(|| per_s / owners as f64)
+}
+
 impl Limit {
     fn tokens_at(&self, now: Duration) -> f64 {
         let elapsed = now.saturating_sub(self.tokens_updated).as_secs_f64();
