--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -486,10 +486,10 @@
                     .services
                     .get(service)
                     .and_then(|one| one.versions.begin_by(backend));
-                if !granted
-                    && !(may_bypass_agent(backend, now, begin_by)
-                        && state.admits_ungranted(key, now))
-                {
+                let may_start = granted
+                    || (may_bypass_agent(backend, now, begin_by)
+                        && state.admits_ungranted(key, now));
+                if !may_start {
                     break;
                 }
                 let waiting = state.dequeue(service, ticket);
--- a/crates/snipewinch/tests/grant.rs
+++ b/crates/snipewinch/tests/grant.rs
@@ -144,6 +144,7 @@
 
 fn demand(holder: u64, sequence: u32, waiting: u16, slack_ms: i32, tokens: u32) -> Demand {
     Demand {
+        cold_ms: 0,
         holder: HolderId(holder),
         sequence,
         waiting,
