--- a/crates/node/src/entry/dispatcher/direct.rs
+++ b/crates/node/src/entry/dispatcher/direct.rs
@@ -4,6 +4,7 @@
 
 use rand::RngExt;
 use snipewinch::placement::Exclusion;
+use snipewinch::placement::Facts;
 use tokio::time::sleep;
 
 use super::Dispatcher;
@@ -54,8 +55,12 @@
         let mut soonest: Option<(Duration, Key)> = None;
         let mut refusal = Refusal::NoServer;
         let mut rest: Option<Duration> = None;
+        state.update_cold_shares(&request.service, now);
         for (key, backend) in state.backends.iter_service(&request.service) {
-            let facts = state.facts(&state.standing(now, key, backend), request);
+            let facts = Facts {
+                cold: backend.cold_admission(now),
+                ..state.facts(&state.standing(now, key, backend), request)
+            };
             place.record(&facts);
             if facts.apart || backend.health.is_unreachable(now) {
                 continue;
--- a/crates/node/src/entry/dispatcher/placing.rs
+++ b/crates/node/src/entry/dispatcher/placing.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
+use snipewinch::cold;
 use snipewinch::cutover::Verdict;
 use snipewinch::placement::Exclusion;
 use snipewinch::placement::Facts;
@@ -101,7 +102,8 @@
                 leaving: backend.leaving,
                 apart: false,
                 limit: self.limits.admission(now, backend.server),
-                cold: backend.cold_admission(now),
+                // The agent spaces its grants while its engine is cold.
+                cold: cold::Admission::Open,
                 weights: Verdict::Current,
             },
         }
