--- a/crates/snipewinch/src/server_limit.rs
+++ b/crates/snipewinch/src/server_limit.rs
@@ -17,7 +17,6 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
-use crate::cold;
 use crate::mix;
 
 mod rest;
