--- a/crates/node/tests/places.rs
+++ b/crates/node/tests/places.rs
@@ -175,16 +175,16 @@
     let start = Instant::now();
     let (here, there) = (answering().await, answering().await);
     let servers = [(here.address, "za"), (there.address, "zb")];
-    let site = Site::start(&servers, &bound(1, &["ra"])).await;
-    for (version, faulty) in [(2, json!("rb")), (3, json!([7]))] {
-        let mut configuration = bound(version, &["rb"]);
+    let site = Site::start(&servers, &bound(1, &["rb"])).await;
+    for (version, faulty) in [(2, json!("ra")), (3, json!([7]))] {
+        let mut configuration = bound(version, &["ra"]);
         configuration["routes"][0]["regionsAllowed"] = faulty;
         site.store.put("op", "config", &configuration);
     }
     site.entry.wait_lines("E7021", 1).await;
     let answers = site.send_for(Duration::from_millis(300)).await;
     assert!(answers.iter().all(|answer| status(&answer.text) == 200));
-    assert_eq!(arrived(&there, start), 0);
+    assert_eq!(arrived(&here, start), 0);
 }
 
 /// Guards against requests to servers of an evacuated zone while many come, and against
