--- /dev/null
+++ b/crates/snipewinch/tests/cold.rs
@@ -0,0 +1,257 @@
+//! A cold server gets no more than it bears from all entries together, however their
+//! requests bunch on the way, and most of what it bears.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use snipewinch::cold::Admission;
+use snipewinch::cold::Gate;
+use snipewinch::cold::Pace;
+use snipewinch::cold::Share;
+use snipewinch::cold::Terms;
+use snipewinch::cold::Until;
+use snipewinch::grant::Credit;
+use snipewinch::grant::Demand;
+use snipewinch::grant::Holder;
+use snipewinch::grant::HolderId;
+use snipewinch::grant::Issuer;
+use snipewinch::server_limit::Board;
+use snipewinch::server_limit::Published;
+use snipewinch::server_limit::Row;
+use snipewinch::server_limit::Server;
+
+const TERMS: Terms = Terms {
+    duration: Duration::from_secs(3),
+    per_s: 17.0,
+};
+const OVERAGE: f64 = 1.5;
+const BURST: f64 = 5.0;
+const BOUND: f64 = 30.5;
+const SLOTS: u32 = 12;
+const ENTRIES: [usize; 3] = [18, 69, 360];
+const SEEDS: u64 = 40;
+/// When the server starts, cold.
+const START: u64 = 1_000;
+/// When it becomes cold again without a start, and when its agent hears of it.
+const AGAIN: u64 = 6_000;
+const HEARD: u64 = 6_250;
+/// When its agent is killed, and started again.
+const KILLED: u64 = 7_400;
+const RESTARTED: u64 = 7_700;
+const END: u64 = 9_000;
+/// How long a request runs.
+const RUN: u64 = 250;
+/// The longest way of a message.
+const WAY: u64 = 300;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Policy {
+    Nothing,
+    ShareByEntry,
+    NoSpacing,
+    Gate,
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn pace() -> Pace {
+    Pace::new(TERMS, OVERAGE, BURST)
+}
+
+fn shares(entries: usize, per_s: f64) -> Vec<Option<f64>> {
+    let name = |index: usize| format!("edge-{index}").as_str().into();
+    let view: Vec<Published> = (0..entries)
+        .map(|index| Published {
+            row: Row {
+                entry: name(index),
+                news: Vec::new(),
+            },
+            age: Duration::ZERO,
+        })
+        .collect();
+    let share = |index| {
+        let mut board = Board::open(name(index));
+        board.apply_view(Duration::ZERO, &view);
+        board.share(Server::of("s", Some(1)), per_s)
+    };
+    (0..entries).map(share).collect()
+}
+
+#[derive(Debug)]
+enum Event {
+    Demand(usize, Demand),
+    Credit(usize, Credit),
+    Done(usize, bool),
+    Tick,
+}
+
+/// The times at which requests arrive at the server. Of the entries a quarter cannot
+/// reach the agent, and all have requests all the time.
+fn arrivals(entries: usize, seed: u64, policy: Policy, ungranted: &[Option<f64>]) -> Vec<u64> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut events: BTreeMap<(u64, u64), Event> = BTreeMap::new();
+    let mut count = 0;
+    let mut push = |at: u64, event: Event, events: &mut BTreeMap<(u64, u64), Event>| {
+        count += 1;
+        events.insert((at, count), event);
+    };
+    let new_issuer = |now: u64| {
+        let mut issuer = Issuer::new();
+        issuer.set_capacity(SLOTS, 1);
+        if policy == Policy::Gate {
+            issuer.cold().set_pace(ms(now), Some(pace()));
+        }
+        issuer
+    };
+    let mut issuer = new_issuer(START);
+    issuer.cold().record_left(ms(START), TERMS.duration);
+    let mut holders: Vec<Holder> = (0..entries)
+        .map(|index| Holder::new(HolderId(index as u64)))
+        .collect();
+    let mut by_entry = vec![Share::default(); entries];
+    let mut running = vec![0; entries];
+    let mut arrived = Vec::new();
+    let mut granted_in_second = (0, 0.0);
+    (START..END)
+        .step_by(10)
+        .for_each(|at| push(at, Event::Tick, &mut events));
+    while let Some(((now, _), event)) = events.pop_first() {
+        let is_up = !(KILLED..RESTARTED).contains(&now);
+        let mut way = || rng.random_range(1..=WAY);
+        match event {
+            Event::Tick => {
+                if now == HEARD {
+                    issuer.cold().record_left(ms(now), ms(AGAIN + 3_000 - now));
+                }
+                if now == RESTARTED {
+                    issuer = new_issuer(now);
+                }
+                for index in 0..entries {
+                    let is_cut = index % 4 == 0;
+                    let rate = match policy {
+                        Policy::ShareByEntry => Some(TERMS.per_s / entries as f64),
+                        Policy::Nothing | Policy::NoSpacing => Some(f64::INFINITY),
+                        Policy::Gate => ungranted[index],
+                    };
+                    let passes_by = is_cut || policy == Policy::ShareByEntry || !is_up;
+                    by_entry[index].set(ms(now), rate);
+                    let is_open = by_entry[index].admission(ms(now), TERMS.duration).is_open();
+                    if passes_by && running[index] == 0 && is_open {
+                        by_entry[index].record_sent(ms(now));
+                        running[index] += 1;
+                        let at = now + way();
+                        arrived.push(at);
+                        push(at + RUN, Event::Done(index, false), &mut events);
+                    }
+                    let waits = !is_cut && policy != Policy::ShareByEntry;
+                    let demand = holders[index]
+                        .demand(ms(now), 3, 500, 500)
+                        .filter(|_| waits);
+                    if let Some(mut demand) = demand {
+                        let left = (AGAIN + 3_000).saturating_sub(now) as u32;
+                        demand.cold_ms = if now >= HEARD { left } else { 0 };
+                        push(now + way() / 10, Event::Demand(index, demand), &mut events);
+                    }
+                }
+            }
+            Event::Demand(_, demand) if is_up => {
+                if demand.cold_ms > 0 {
+                    issuer
+                        .cold()
+                        .record_left(ms(now), ms(demand.cold_ms.into()));
+                }
+                issuer.expire(ms(now));
+                issuer.receive(ms(now), &demand);
+            }
+            Event::Demand(..) => {}
+            Event::Credit(index, credit) => {
+                holders[index].receive(ms(now), &credit);
+                while holders[index].acquire() {
+                    let at = now + way() / 4;
+                    arrived.push(at);
+                    push(at + RUN, Event::Done(index, true), &mut events);
+                }
+            }
+            Event::Done(index, true) => holders[index].release(),
+            Event::Done(index, false) => running[index] -= 1,
+        }
+        if !is_up {
+            continue;
+        }
+        if granted_in_second.0 != now / 1_000 {
+            granted_in_second = (now / 1_000, 0.0);
+        }
+        if policy == Policy::NoSpacing && granted_in_second.1 >= TERMS.per_s {
+            continue;
+        }
+        for holder in issuer.grant(ms(now)) {
+            granted_in_second.1 += 1.0;
+            let credit = issuer.credit(ms(now), holder);
+            let late = way();
+            push(
+                now + late,
+                Event::Credit(holder.0 as usize, credit),
+                &mut events,
+            );
+        }
+    }
+    arrived.sort_unstable();
+    arrived
+}
+
+/// The most requests that arrive in a second while the server is cold, and the part
+/// used of those that it takes after its start.
+fn figures(arrived: &[u64]) -> (usize, f64) {
+    let cold = |at: &&u64| (START..START + 3_000).contains(*at) || (AGAIN..END).contains(*at);
+    let cold: Vec<u64> = arrived.iter().filter(cold).copied().collect();
+    let in_second = |(index, at): (usize, &u64)| {
+        cold[index..]
+            .iter()
+            .take_while(|other| **other < at + 1_000)
+            .count()
+    };
+    let most = cold.iter().enumerate().map(in_second).max().unwrap_or(0);
+    let first = cold.iter().filter(|at| **at < START + 3_000).count();
+    (most, first as f64 / (TERMS.per_s * 3.0))
+}
+
+/// The worst of all seeds.
+fn worst(entries: usize, policy: Policy) -> (usize, f64) {
+    let ungranted = shares(entries, pace().ungranted_per_s);
+    let all = (0..SEEDS).map(|seed| figures(&arrivals(entries, seed, policy, &ungranted)));
+    let worst = all.fold((0, f64::INFINITY), |worst, one| {
+        (worst.0.max(one.0), worst.1.min(one.1))
+    });
+    println!(
+        "{entries} entries, {policy:?}: at most {} a second, {:.2} used",
+        worst.0, worst.1
+    );
+    worst
+}
+
+#[test]
+fn a_cold_server_gets_no_more_than_its_bound_from_entries_in_touch_and_out_of_it() {
+    for entries in ENTRIES {
+        let (most, used) = worst(entries, Policy::Gate);
+        assert!(
+            most as f64 <= BOUND,
+            "{entries} entries: {most} in a second"
+        );
+        assert!(used >= 0.85, "{entries} entries: {used} used");
+    }
+}
+
+#[test]
+fn other_ways_break_the_bound_or_starve() {
+    for entries in ENTRIES {
+        let (most, _) = worst(entries, Policy::Nothing);
+        assert!(most as f64 > BOUND);
+        worst(entries, Policy::NoSpacing);
+        worst(entries, Policy::ShareByEntry);
+    }
+}
