--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -222,16 +222,20 @@
             }
             (before, started_ms) => duration.filter(|_| before != started_ms),
         };
-        for left in [from_start, report.cold_left].into_iter().flatten() {
-            self.record_cold(now, left);
+        let sources = [(from_start, "its start"), (report.cold_left, "its answers")];
+        for (left, source) in sources {
+            if let Some(left) = left {
+                self.record_cold(now, left, source);
+            }
         }
     }
 
-    /// Records that the engine is cold for `left`, and tells entries if that is new.
-    fn record_cold(&mut self, now: Duration, left: Duration) {
+    /// Records that the engine is cold for `left` by what `source` says, and tells
+    /// entries if that is new.
+    fn record_cold(&mut self, now: Duration, left: Duration, source: &str) {
         if self.issuer.cold().record_left(now, left) {
             log::info!(
-                "E7150 engine is cold for {} ms, slots are granted one by one",
+                "E7150 engine is cold for {} ms by {source}, slots are granted one by one",
                 left.as_millis()
             );
             self.send_credits();
@@ -372,7 +376,8 @@
         state.now = now;
         state.addresses.insert(demand.holder, from);
         if demand.cold_ms > 0 {
-            state.record_cold(now, Duration::from_millis(demand.cold_ms.into()));
+            let left = Duration::from_millis(demand.cold_ms.into());
+            state.record_cold(now, left, "the list");
         }
         let expired = state.issuer.expire(now);
         if expired > 0 {
--- a/crates/node/tests/contact.rs
+++ b/crates/node/tests/contact.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
 use serde_json::json;
 use standin::store::Store;
 use tokio::task::JoinSet;
@@ -48,6 +49,7 @@
 
 /// An entry with engines.
 struct Site {
+    store: Store,
     entry: Harness,
     hosts: Vec<Host>,
 }
@@ -62,6 +64,11 @@
 
 impl Site {
     async fn start(engines: usize) -> Site {
+        Site::start_with(engines, json!({})).await
+    }
+
+    /// Starts with more fields of the service.
+    async fn start_with(engines: usize, terms: Value) -> Site {
         let (store, address) = Store::spawn((Ipv4Addr::LOCALHOST, 0).into()).await.unwrap();
         let mut configuration = configuration(1);
         configuration["services"][0]["engine"] = json!({
@@ -69,6 +76,9 @@
             "step_ms": 20.0, "per_seq_ms": 0.5, "context_per_k": 0.0, "read_per_s": READ_PER_S,
             "usual": {"prompt": 400.0, "answer": 3.0},
         });
+        for (name, value) in terms.as_object().into_iter().flatten() {
+            configuration["services"][0][name] = value.clone();
+        }
         store.put("op", "config", &configuration);
         let version = json!({"model": MODEL, "version": 1});
         store.put("op", &format!("version/{MODEL}"), &version);
@@ -90,7 +100,11 @@
                 agent,
             });
         }
-        let site = Site { entry, hosts };
+        let site = Site {
+            store,
+            entry,
+            hosts,
+        };
         site.wait_serving().await;
         site
     }
@@ -167,3 +181,24 @@
     // One request at a time, of 60 ms and more each, and of those that wait.
     assert!(answered >= 12, "{answered} of {}", late.len());
 }
+
+/// Guards against a cold engine that crashes: all entries passed its silent agent by,
+/// each with one request after the other.
+#[tokio::test]
+async fn a_cold_engine_gets_requests_past_its_silent_agent() {
+    let terms = json!({"coldStartS": 2.0, "coldPerS": 4.0});
+    let site = Site::start_with(1, terms).await;
+    let host = &site.hosts[0];
+    // It becomes cold without a start.
+    let mut row = listed(host.proxy.address, "za", "ready");
+    row["models"] = json!([{"name": MODEL, "version": 1, "adapters": []}]);
+    row["coldLeftMs"] = json!(30_000);
+    row["seq"] = json!(2);
+    host.agent.signal("-STOP");
+    site.store.put("servers", "s0", &row);
+    sleep(Duration::from_millis(500)).await;
+    let before = host.engine.runs().len();
+    site.send_for(OUTAGE).await;
+    let runs = host.engine.runs().len() - before;
+    assert!(runs <= 4 * OUTAGE.as_secs() as usize, "{runs} runs");
+}
--- a/crates/snipewinch/tests/cold.rs
+++ b/crates/snipewinch/tests/cold.rs
@@ -7,12 +7,9 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use snipewinch::cold::Admission;
-use snipewinch::cold::Gate;
 use snipewinch::cold::Pace;
 use snipewinch::cold::Share;
 use snipewinch::cold::Terms;
-use snipewinch::cold::Until;
 use snipewinch::grant::Credit;
 use snipewinch::grant::Demand;
 use snipewinch::grant::Holder;
@@ -84,7 +81,7 @@
 
 #[derive(Debug)]
 enum Event {
-    Demand(usize, Demand),
+    Demand(Demand),
     Credit(usize, Credit),
     Done(usize, bool),
     Tick,
@@ -114,6 +111,13 @@
         .map(|index| Holder::new(HolderId(index as u64)))
         .collect();
     let mut by_entry = vec![Share::default(); entries];
+    if policy == Policy::ShareByEntry {
+        let rate = TERMS.per_s / entries as f64;
+        for share in &mut by_entry {
+            share.set(Duration::ZERO, Some(rate));
+            share.record_sent(ms(rng.random_range(0..START)));
+        }
+    }
     let mut running = vec![0; entries];
     let mut arrived = Vec::new();
     let mut granted_in_second = (0, 0.0);
@@ -135,10 +139,12 @@
                     let is_cut = index % 4 == 0;
                     let rate = match policy {
                         Policy::ShareByEntry => Some(TERMS.per_s / entries as f64),
-                        Policy::Nothing | Policy::NoSpacing => Some(f64::INFINITY),
-                        Policy::Gate => ungranted[index],
+                        Policy::Nothing => Some(f64::INFINITY),
+                        Policy::Gate | Policy::NoSpacing => ungranted[index],
                     };
+                    let has_requests = policy != Policy::ShareByEntry || index % 3 == 0;
                     let passes_by = is_cut || policy == Policy::ShareByEntry || !is_up;
+                    let passes_by = passes_by && has_requests;
                     by_entry[index].set(ms(now), rate);
                     let is_open = by_entry[index].admission(ms(now), TERMS.duration).is_open();
                     if passes_by && running[index] == 0 && is_open {
@@ -155,11 +161,11 @@
                     if let Some(mut demand) = demand {
                         let left = (AGAIN + 3_000).saturating_sub(now) as u32;
                         demand.cold_ms = if now >= HEARD { left } else { 0 };
-                        push(now + way() / 10, Event::Demand(index, demand), &mut events);
+                        push(now + way() / 10, Event::Demand(demand), &mut events);
                     }
                 }
             }
-            Event::Demand(_, demand) if is_up => {
+            Event::Demand(demand) if is_up => {
                 if demand.cold_ms > 0 {
                     issuer
                         .cold()
