Complete the same one of two versions in all agents

Agents decided by the chunks that each of them held which of two versions to fetch first, and dropped the other one from what they exchange. After an outage of the origin in the middle of the older version some read it and others the newer one over the same link, and neither was whole when the oldest ran out.

The decision now counts the chunks that the fleet holds as far as the agent knows, both versions stay in the exchange while the older one can be of use, and the newer one is brought into a region only once the older one is there. What waits counts as no delay of its gateways, and hosts that stand in for others read one chunk at a time.

--- a/crates/daemon/src/agent/weights.rs
+++ b/crates/daemon/src/agent/weights.rs
@@ -140,6 +140,7 @@
     targets
         .into_iter()
         .map(|target| Want {
+            waits: false,
             manifest: target.manifest,
             services: services.clone(),
         })
--- a/crates/node/src/agent/chunks.rs
+++ b/crates/node/src/agent/chunks.rs
@@ -26,6 +26,7 @@
 use snipewinch::weights::Message;
 use snipewinch::weights::fetch_order;
 use snipewinch::weights::fetch_order::Download;
+use snipewinch::weights::fetch_order::Order;
 use snipewinch::weights::manifest::Id;
 use snipewinch::weights::manifest::Manifest;
 use snipewinch::weights::plan;
@@ -291,8 +292,8 @@
             .iter()
             .any(|known| Id::of(&known.digest) == manifest);
         let has_started = state.known.iter().any(|known| {
-            let held = state.download(known, Duration::ZERO).fraction_held;
-            known.target.version == target.version && held > 0.0
+            let held = state.held(known);
+            known.target.version == target.version && held > 0
         });
         !is_known && !has_started
     }
@@ -380,10 +381,12 @@
         if wanted == state.wanted {
             return;
         }
+        state.log_order(&wanted);
         state.wanted.clone_from(&wanted);
         let wants = wanted.iter().map(|manifest| Want {
             manifest: *manifest,
             services: vec![agent.service.clone()],
+            waits: true,
         });
         let wants = wants.collect();
         let objective = Objective::Time;
@@ -399,33 +402,76 @@
 }
 
 impl State {
-    /// The versions to fetch and keep, the newest first; only an older one if
-    /// it should be finished first.
+    /// The versions to fetch and keep, those to complete first in front.
     fn wanted(&self, agent: &Agent) -> Vec<Digest> {
         let Some((newest, older)) = self.known.split_last() else {
             return Vec::new();
         };
+        let is_here = |known: &KnownVersion| {
+            let swarm = self.swarm.as_ref();
+            swarm.is_some_and(|swarm| swarm.has_all_chunks(&known.digest))
+        };
+        let mut wanted = vec![newest.digest];
+        wanted.extend(
+            older
+                .iter()
+                .filter(|one| is_here(one))
+                .map(|one| one.digest),
+        );
+        if is_here(newest) {
+            return wanted;
+        }
         let now = agent.clock.now();
         let bound = agent
             .bounds
             .get()
             .version_skew
             .saturating_sub(cutover::SEND_MARGIN);
-        let rate = newest.target.origin.link_mbit * BYTES_PER_MBIT;
+        let host_mbit = agent.settings.link_mbit * HOST_LINK_FRACTION;
+        let rate = newest.target.origin.link_mbit.min(host_mbit) * BYTES_PER_MBIT;
         let newest_download = self.download(newest, bound);
-        let finish_first = |known: &&KnownVersion| {
-            fetch_order::finish_older_first(now, self.download(known, bound), newest_download, rate)
+        for known in older.iter().filter(|one| !is_here(one)) {
+            match fetch_order::order(now, self.download(known, bound), newest_download, rate) {
+                Order::OlderFirst => wanted.insert(0, known.digest),
+                Order::NewestFirst => wanted.push(known.digest),
+                Order::NewestOnly => {}
+            }
+        }
+        wanted
+    }
+
+    /// Logs that another version is to be completed first than before.
+    fn log_order(&self, wanted: &[Digest]) {
+        let version = |digest: Option<&Digest>| {
+            let known = self
+                .known
+                .iter()
+                .find(|known| Some(&known.digest) == digest);
+            known.map(|known| known.target.version)
         };
-        let unfinished = older.iter().find(finish_first);
-        match unfinished {
-            Some(unfinished) => vec![unfinished.digest],
-            None => {
-                let complete = older
-                    .iter()
-                    .filter(|known| self.download(known, bound).is_complete());
-                let all = std::iter::once(newest).chain(complete);
-                all.map(|known| known.digest).collect()
+        let newest = self.known.last().map(|known| known.target.version);
+        let (first, before) = (version(wanted.first()), version(self.wanted.first()));
+        match (first, newest) {
+            (Some(first), Some(newest)) if Some(first) != before && first < newest => {
+                log::info!("E7241 version {first} is completed before version {newest}");
             }
+            _ => {}
+        }
+        let is_here = |known: &KnownVersion| {
+            let swarm = self.swarm.as_ref();
+            swarm.is_some_and(|swarm| swarm.has_all_chunks(&known.digest))
+        };
+        if self.known.last().is_some_and(is_here) {
+            return;
+        }
+        let is_dropped = |known: &&KnownVersion| {
+            self.wanted.contains(&known.digest) && !wanted.contains(&known.digest)
+        };
+        for known in self.known.iter().filter(is_dropped) {
+            log::info!(
+                "E7242 version {} is given up: it would be outdated before the engine serves with it",
+                known.target.version
+            );
         }
     }
 
@@ -435,15 +481,24 @@
         Some(known.manifest.to_bytes().into())
     }
 
-    /// The progress of a version that must be in use `bound` after this process
-    /// learned of it.
+    /// How many chunks of a version are here.
+    fn held(&self, known: &KnownVersion) -> usize {
+        let progress = self
+            .swarm
+            .as_ref()
+            .and_then(|swarm| swarm.progress(&known.digest));
+        progress.map_or(0, |progress| progress.held)
+    }
+
+    /// The progress in the fleet, as far as it is known here, of a version that
+    /// must be in use `bound` after this process learned of it.
     fn download(&self, known: &KnownVersion, bound: Duration) -> Download {
         let swarm = self.swarm.as_ref();
         let progress = swarm.and_then(|swarm| swarm.progress(&known.digest));
         let progress = progress.unwrap_or_default();
         Download {
             size_bytes: known.manifest.size as f64,
-            fraction_held: progress.held as f64 / progress.chunks.max(1) as f64,
+            fraction_held: progress.reachable as f64 / progress.chunks.max(1) as f64,
             due: known.target.learned_at + bound,
         }
     }
--- a/crates/snipewinch/src/weights/fetch_order.rs
+++ b/crates/snipewinch/src/weights/fetch_order.rs
@@ -41,6 +41,33 @@
     }
 }
 
+/// In which order the chunks of two versions are fetched.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// The older version until all its chunks are in the fleet, then the newest.
+    OlderFirst,
+    /// The newest version first. What the fleet holds of the older one is still
+    /// exchanged, as engines may need it if the newest stays incomplete.
+    NewestFirst,
+    /// The older version would be outdated before an engine serves with it.
+    NewestOnly,
+}
+
+/// What to do with an `older` version that is not complete here, over links of
+/// `bytes_per_s`.
+///
+/// `fraction_held` is that of the fleet in both: agents that decide by their own
+/// share would split the origin's link between the versions.
+pub fn order(now: Duration, older: Download, newest: Download, bytes_per_s: f64) -> Order {
+    let older_ready = now + older.time_left(bytes_per_s) + ACTIVATION_TIME;
+    match older_ready < newest.due {
+        _ if finish_older_first(now, older, newest, bytes_per_s) => Order::OlderFirst,
+        true if older.is_complete() => Order::OlderFirst,
+        true => Order::NewestFirst,
+        false => Order::NewestOnly,
+    }
+}
+
 /// Whether to finish `older` before starting `newest`, over a link of
 /// `bytes_per_s`.
 pub fn finish_older_first(
--- a/crates/snipewinch/src/weights/swarm.rs
+++ b/crates/snipewinch/src/weights/swarm.rs
@@ -91,6 +91,10 @@
     pub manifest: Digest,
     /// The services whose hosts want the manifest too.
     pub services: Vec<smol_str::SmolStr>,
+    /// Whether its chunks are brought into the region only once those of the
+    /// manifests before it in the list are there; what is in the region already
+    /// is exchanged meanwhile.
+    pub waits: bool,
 }
 
 /// Input to a swarm.
@@ -117,7 +121,7 @@
     },
     /// The manifests that this host must hold have changed.
     Wants {
-        /// All manifests that it must hold.
+        /// All manifests that it must hold, those to complete first in front.
         wants: Vec<Want>,
         /// Whether to prefer short transfer times or few bytes from the origin.
         objective: Objective,
@@ -247,6 +251,8 @@
 pub struct Progress {
     /// The number of chunks held.
     pub held: usize,
+    /// The number of chunks held by this host or by one to which it has a link.
+    pub reachable: usize,
     /// The number of chunks of the manifest, 0 until the manifest has arrived.
     pub chunks: usize,
     /// Whether every chunk is held, or the engine has loaded them all.
@@ -360,9 +366,14 @@
 
     /// Returns the progress of a manifest, or `None` if it is not wanted.
     pub fn progress(&self, manifest: &Digest) -> Option<Progress> {
-        let transfer = self.transfers.get(&Id::of(manifest))?;
+        let id = Id::of(manifest);
+        let transfer = self.transfers.get(&id)?;
+        let elsewhere = transfer.held.missing();
+        let elsewhere =
+            elsewhere.filter(|chunk| self.peers.values().any(|one| one.holds(id, *chunk)));
         Some(Progress {
             held: transfer.held.count(),
+            reachable: transfer.held.count() + elsewhere.count(),
             chunks: transfer.held.length(),
             complete: transfer.is_complete(),
         })
@@ -461,7 +472,11 @@
     }
 
     fn advance(&mut self, now: Duration) {
-        let ids: Vec<Id> = self.transfers.keys().copied().collect();
+        let ids: Vec<Id> = self
+            .wants
+            .iter()
+            .map(|want| Id::of(&want.manifest))
+            .collect();
         for id in &ids {
             self.request_manifest(now, *id);
             self.cancel_stalled(now, *id);
--- a/crates/snipewinch/src/weights/swarm/gateway.rs
+++ b/crates/snipewinch/src/weights/swarm/gateway.rs
@@ -59,6 +59,13 @@
         if !ready || transfer.is_complete() || transfer.rejected {
             return;
         }
+        if self.waits_for_others(id) {
+            // No gateway is late with what waits.
+            if let Some(transfer) = self.transfers.get_mut(&id) {
+                transfer.yield_stripes(now);
+            }
+            return;
+        }
         for stripe in 0..STRIPES {
             let Some(rank) = self.transfers[&id].plan.ranks[stripe as usize] else {
                 continue;
@@ -69,6 +76,21 @@
         }
     }
 
+    /// Returns whether manifests that come first still lack chunks in the region.
+    fn waits_for_others(&self, id: Id) -> bool {
+        let position = self
+            .wants
+            .iter()
+            .position(|want| Id::of(&want.manifest) == id);
+        let Some((want, before)) = position.and_then(|end| self.wants[..=end].split_last()) else {
+            return false;
+        };
+        let mut before = before
+            .iter()
+            .filter_map(|one| self.transfers.get(&Id::of(&one.manifest)));
+        want.waits && before.any(Transfer::lacks_chunks)
+    }
+
     /// Returns whether this host fetches a stripe: it is the first gateway, or
     /// the stripe made no progress under the gateways before it.
     fn is_responsible(&mut self, now: Duration, id: Id, stripe: u32, rank: usize) -> bool {
@@ -153,10 +175,15 @@
             return;
         }
         if from_origin {
-            self.fetch_from_origin(now, id, chunk);
+            let is_first = fallback_level == 0 && self.is_first_gateway(id, chunk);
+            self.fetch_from_origin(now, id, chunk, is_first);
         }
     }
 
+    fn is_first_gateway(&self, id: Id, chunk: u32) -> bool {
+        self.transfers[&id].plan.ranks[plan::stripe(chunk) as usize] == Some(0)
+    }
+
     fn chunk_length(&self, id: Id, chunk: u32) -> u32 {
         let manifest = self.transfers[&id].manifest.as_ref();
         manifest.map_or(0, |manifest| manifest.length(chunk))
@@ -248,7 +275,10 @@
         }
     }
 
-    fn fetch_from_origin(&mut self, now: Duration, id: Id, chunk: u32) {
+    /// Reads a chunk from the origin. A host that stands in for another one, and
+    /// one whose last read failed, reads one at a time: once the origin is back,
+    /// others may be reading the same chunks.
+    fn fetch_from_origin(&mut self, now: Duration, id: Id, chunk: u32, is_first: bool) {
         let Some(transfer) = self.transfers.get_mut(&id) else {
             return;
         };
@@ -257,7 +287,11 @@
         };
         let busy = transfer.partials.values().flatten();
         let busy = busy.filter(|one| one.source == Source::Origin).count();
-        if busy >= ORIGIN_REQUESTS_MAX || !transfer.origin_backoff.has_elapsed(now) {
+        let max = match is_first && !transfer.origin_backoff.has_failed() {
+            true => ORIGIN_REQUESTS_MAX,
+            false => 1,
+        };
+        if busy >= max || !transfer.origin_backoff.has_elapsed(now) {
             return;
         }
         transfer.start_partial(chunk, Source::Origin, now);
--- a/crates/snipewinch/src/weights/swarm/transfer.rs
+++ b/crates/snipewinch/src/weights/swarm/transfer.rs
@@ -101,7 +101,7 @@
 /// one.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 /// How often the backoff doubles.
-const BACKOFF_DOUBLINGS_MAX: u32 = 2;
+const BACKOFF_DOUBLINGS_MAX: u32 = 1;
 
 impl Backoff {
     /// Returns whether a request may be sent and none is in flight.
@@ -109,6 +109,11 @@
         !self.in_flight && self.until <= now
     }
 
+    /// Returns whether the last request failed.
+    pub(super) fn has_failed(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Returns whether the backoff has elapsed, even if a request is in flight.
     pub(super) fn has_elapsed(&self, now: Duration) -> bool {
         self.until <= now
@@ -159,6 +164,14 @@
         self.manifest.is_some() && (self.loaded || self.held.is_full())
     }
 
+    /// Returns whether neither this host nor a peer of the local region holds
+    /// some of the chunks.
+    pub(super) fn lacks_chunks(&self) -> bool {
+        let mut missing = self.held.missing();
+        let lacks = missing.any(|chunk| self.availability[chunk as usize] == 0);
+        lacks && !self.rejected && !self.is_complete()
+    }
+
     /// Returns whether nothing is left to fetch or to announce.
     pub(super) fn is_settled(&self) -> bool {
         self.rejected || (self.is_complete() && self.unannounced.is_empty())
--- a/crates/snipewinch/tests/fleet/mod.rs
+++ b/crates/snipewinch/tests/fleet/mod.rs
@@ -185,12 +185,28 @@
     /// Makes every host want exactly this version.
     pub(crate) fn set_wanted(&mut self, manifest: Digest) {
         let services = vec!["verse-engine".into()];
-        self.wants = vec![Want { manifest, services }];
+        self.wants = vec![Want {
+            manifest,
+            services,
+            waits: false,
+        }];
         for index in 0..self.agents.len() {
             self.send_wants(index);
         }
     }
 
+    /// Makes one host want these versions, those to complete first in front.
+    pub(crate) fn set_wants_of(&mut self, index: usize, manifests: &[Digest], waits: bool) {
+        let wants = manifests.iter().map(|manifest| Want {
+            manifest: *manifest,
+            services: vec!["verse-engine".into()],
+            waits,
+        });
+        let wants = wants.collect();
+        let objective = self.setup.objective;
+        self.handle(index, Event::Wants { wants, objective });
+    }
+
     fn send_wants(&mut self, index: usize) {
         let wants = self.wants.clone();
         let objective = self.setup.objective;
