--- a/crates/snipewinch/src/weights/fetch_order.rs
+++ b/crates/snipewinch/src/weights/fetch_order.rs
@@ -16,6 +16,9 @@
 /// The time from the arrival of the last chunk at the host that reads it from
 /// the origin until engines serve with the version: distribution and loading.
 const ACTIVATION_TIME: Duration = Duration::from_millis(1_500);
+/// The time from the arrival of the last chunk at a host until its engine serves
+/// with the version.
+const LOAD_TIME: Duration = Duration::from_millis(500);
 
 /// The download of one version.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -59,7 +62,11 @@
 /// `fraction_held` is that of the fleet in both: agents that decide by their own
 /// share would split the origin's link between the versions.
 pub fn order(now: Duration, older: Download, newest: Download, bytes_per_s: f64) -> Order {
-    let older_ready = now + older.time_left(bytes_per_s) + ACTIVATION_TIME;
+    let activation_time = match older.is_complete() {
+        true => LOAD_TIME,
+        false => ACTIVATION_TIME,
+    };
+    let older_ready = now + older.time_left(bytes_per_s) + activation_time;
     match older_ready < newest.due {
         _ if finish_older_first(now, older, newest, bytes_per_s) => Order::OlderFirst,
         true if older.is_complete() => Order::OlderFirst,
--- a/crates/snipewinch/tests/fetch_order.rs
+++ b/crates/snipewinch/tests/fetch_order.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use snipewinch::weights::fetch_order::Download;
+use snipewinch::weights::fetch_order::Order;
 use snipewinch::weights::fetch_order::finish_older_first;
+use snipewinch::weights::fetch_order::order;
 
 const SIZE_BYTES: f64 = 2_359_296.0;
 /// The rate of an origin's link of 7.3 Mbit/s: a copy takes 2.6 s.
@@ -69,3 +71,25 @@
         RATE_BYTES_PER_S
     ));
 }
+
+/// Guards against an agent that gives up a version which the fleet holds whole,
+/// when only its own last chunks and the load lie before its use.
+#[test]
+fn a_version_that_the_fleet_holds_is_not_given_up_while_engines_can_use_it() {
+    let newest = download(0.0, 9_700);
+    let at = |now_ms| order(ms(now_ms), download(1.0, 7_700), newest, RATE_BYTES_PER_S);
+    assert_eq!(at(8_600), Order::OlderFirst);
+    assert_eq!(at(9_100), Order::OlderFirst);
+    assert_eq!(at(9_300), Order::NewestOnly);
+}
+
+/// Guards against a newest version that waits for one that comes too late, and
+/// against agents that stop passing that one on while it may still be of use.
+#[test]
+fn a_version_too_late_to_be_first_is_still_exchanged_until_it_is_outdated() {
+    let newest = download(0.0, 9_700);
+    let at = |now_ms| order(ms(now_ms), download(0.7, 7_700), newest, RATE_BYTES_PER_S);
+    assert_eq!(at(6_000), Order::OlderFirst);
+    assert_eq!(at(7_300), Order::NewestFirst);
+    assert_eq!(at(7_500), Order::NewestOnly);
+}
