End turns of reloads before the weights that engines hold run out

The window of a rollout ended before the weights ran out that precede the newest version. An engine that skips a version holds older ones, which run out earlier by the time between both: it waited for its turn while no request could begin at it. The test in rollout.rs asserts that the former window is longer than what is left.

--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -281,7 +281,12 @@
         let view = agent.view.borrow().clone();
         let progress = self.progress(known);
         let bound = agent.bounds.get().version_skew;
-        let window = progress.window(bound.saturating_sub(RELOAD_MARGIN));
+        let begin_by = agent.begin_by(slot_pool::loaded_version(report));
+        let left = begin_by.map_or(bound, |by| by.saturating_sub(agent.clock.now()));
+        let window = progress.window_within(
+            bound.saturating_sub(RELOAD_MARGIN),
+            left.saturating_sub(RELOAD_MARGIN),
+        );
         rollout::reload_delay(&view, &agent.host(), &agent.service, &known.digest, window)
             .saturating_sub(progress.complete)
     }
--- a/crates/snipewinch/src/weights/rollout.rs
+++ b/crates/snipewinch/src/weights/rollout.rs
@@ -63,6 +63,13 @@
             }
         }
     }
+
+    /// The same if the last reload also has to start `left` from now. That is
+    /// sooner if the engine skips a version: what it holds may be used for the
+    /// bound after the skipped version was published, and not after this one.
+    pub fn window_within(self, bound: Duration, left: Duration) -> Duration {
+        self.window(bound).min(self.complete + left)
+    }
 }
 
 /// How long after all chunks of a version are on this host it may take its
--- a/crates/snipewinch/tests/rollout.rs
+++ b/crates/snipewinch/tests/rollout.rs
@@ -151,6 +151,26 @@
     assert_eq!(wait(Some(6.5), 0.0, 0.5), seconds(0.2), "less time is left");
 }
 
+/// Guards against an engine that skips a version and waits for its turn by the
+/// newest one, while requests may no longer begin on what it holds: it was
+/// published 2 s before the newest one.
+#[test]
+fn turns_end_before_the_weights_that_engines_hold_run_out() {
+    for (newest_age, complete) in [(3.0, 0.0), (4.5, 1.5), (5.0, 0.5), (7.0, 0.0)] {
+        let progress = Progress {
+            published: Some(seconds(newest_age)),
+            complete: seconds(complete),
+            uptime: seconds(100.0),
+        };
+        let left = BOUND.saturating_sub(seconds(newest_age + 2.0));
+        let wait = progress
+            .window_within(BOUND, left)
+            .saturating_sub(progress.complete);
+        assert_eq!(wait, left, "{progress:?}");
+        assert!(progress.window(BOUND).saturating_sub(progress.complete) > left || left.is_zero());
+    }
+}
+
 /// Guards against an engine whose host was suspended and that waits for its
 /// turn as if no time had passed.
 #[test]
