Pick servers without agents by the predicted time of their answers

Cause: servers that share their hosts work several times slower for parts of a second and say so in the fourth figure of their load header, which nothing read. A slow server got the next request as long as it was near.

Change: one estimate for each backend server, from that figure and from the answers' own time, both going back to the usual as they age. Services whose servers tell the figure are picked by answer time x pace x load plus the way; all others in the earlier order. Nothing is ejected by it.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -650,5 +650,7 @@
         entry.metrics.limited_servers.set(limited as i64);
         let resting = entry.dispatcher.resting_servers();
         entry.metrics.resting_servers.set(resting as i64);
+        let slowed = entry.dispatcher.slowed_servers();
+        entry.metrics.slowed_servers.set(slowed as i64);
     }
 }
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -10,6 +10,7 @@
 use platform::notice::Notice;
 use smol_str::SmolStr;
 use snipewinch::attempt;
+use snipewinch::pace::Load;
 use tokio::time::timeout;
 
 use super::Entry;
@@ -174,11 +175,9 @@
             .is_some_and(|head| head.status == BAD_GATEWAY && !head.keeps_alive)
     }
 
-    /// The running and waiting requests that the backend server reported.
-    pub(crate) fn load(&self) -> Option<(u32, u32)> {
-        let value = self.head()?.fields.get(header::LOAD)?;
-        let mut numbers = value.split(',').map(|number| number.trim().parse().ok());
-        Some((numbers.next()??, numbers.next()??))
+    /// The load that the backend server reported.
+    pub(crate) fn load(&self) -> Option<Load> {
+        Load::parse(self.head()?.fields.get(header::LOAD)?)
     }
 
     /// What the backend server says of itself, and when the request was sent;
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -16,6 +16,7 @@
 use snipewinch::grant::HolderId;
 use snipewinch::health::Health;
 use snipewinch::host::Identity;
+use snipewinch::pace;
 use snipewinch::route;
 use snipewinch::server_limit::Server;
 
@@ -49,6 +50,8 @@
 pub(crate) struct Load {
     pub(crate) running: u32,
     pub(crate) waiting: u32,
+    /// Requests of this entry in flight there when the report arrived.
+    pub(crate) own: u32,
     /// When the report arrived.
     pub(crate) reported: Duration,
 }
@@ -79,6 +82,7 @@
     /// Those of them under which another backend server has ended.
     pub(crate) suspected: u32,
     pub(crate) load: Option<Load>,
+    pub(crate) pace: pace::Estimate,
     pub(crate) health: Health,
     /// How long connections to it took to open: the longest recent time.
     round_trip: Duration,
@@ -179,6 +183,33 @@
             .map_or(0, |load| load.running + load.waiting);
         f64::from(self.running.max(reported)) / f64::from(self.slots.max(1))
     }
+
+    /// Its requests by its last report, with those of this entry that came and went since.
+    fn ahead(&self, now: Duration) -> u32 {
+        let recent = self
+            .load
+            .filter(|load| now.saturating_sub(load.reported) <= LOAD_AGE_MAX);
+        let reported = recent.map_or(0, |load| {
+            (load.running + load.waiting + self.running).saturating_sub(load.own)
+        });
+        reported.max(self.running)
+    }
+
+    /// The predicted time until the answer to a request that is sent now, with opening a
+    /// connection. `usual` is the time of answers at all servers of the service.
+    pub(crate) fn predicted_answer(&self, now: Duration, usual: Duration) -> Duration {
+        let way = match self.round_trip.is_zero() && self.distance > 0 {
+            true => ROUND_TRIP_MIN,
+            false => self.round_trip,
+        };
+        self.pace.predict(now, usual, self.ahead(now), self.slots) + way * 2
+    }
+
+    /// Records how long an answer took from sending its request.
+    pub(crate) fn record_answer_time(&mut self, now: Duration, took: Duration) {
+        self.pace
+            .record_answer(now, took.saturating_sub(self.round_trip));
+    }
 }
 
 /// All listed backend servers.
@@ -303,6 +334,7 @@
                     running: 0,
                     suspected: 0,
                     load: None,
+                    pace: pace::Estimate::default(),
                     server: Server::of(&id, entry.started_ms),
                     started_ms: entry.started_ms,
                     health: Health::default(),
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -733,6 +733,10 @@
     entry
         .dispatcher
         .record_outcome(attempt.slot.key, Outcome::Answered, attempt.load());
+    if head.status < 500 {
+        let took = entry.clock.now().saturating_sub(attempt.sent);
+        entry.dispatcher.record_answer_time(attempt.slot.key, took);
+    }
     attempt.finish(entry);
     if head.status < 500 {
         entry
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -25,6 +25,7 @@
 use snipewinch::grant::Published;
 use snipewinch::health::Outcome;
 use snipewinch::lateness::Lateness;
+use snipewinch::pace;
 use snipewinch::server_limit::Admission;
 use snipewinch::server_limit::Board;
 use snipewinch::server_limit::Server;
@@ -337,18 +338,37 @@
         service_state.engine_config = Some((engine_config, digest));
     }
 
+    /// Records how long an answer of a backend server took from sending its request.
+    pub(crate) fn record_answer_time(&self, key: Key, took: Duration) {
+        let now = self.clock.now();
+        if let Some(backend) = self.state.borrow_mut().backends.get_mut(key) {
+            backend.record_answer_time(now, took);
+        }
+    }
+
+    /// How many backend servers say that work takes longer there than usual now.
+    pub(crate) fn slowed_servers(&self) -> usize {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let all = state.backends.iter_mut();
+        all.filter(|(_, backend)| backend.pace.is_slowed(now))
+            .count()
+    }
+
     /// Records the outcome of a request at a backend server and the load that
-    /// the server reported, in running and waiting requests.
-    pub(crate) fn record_outcome(&self, key: Key, outcome: Outcome, load: Option<(u32, u32)>) {
+    /// the server reported.
+    pub(crate) fn record_outcome(&self, key: Key, outcome: Outcome, load: Option<pace::Load>) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let Some(backend) = state.backends.get_mut(key) else {
             return;
         };
-        if let Some((running, waiting)) = load {
+        if let Some(load) = load {
+            backend.pace.record_told(now, &load);
             backend.load = Some(Load {
-                running,
-                waiting,
+                running: load.running,
+                waiting: load.waiting,
+                own: backend.running,
                 reported: now,
             });
         }
--- a/crates/node/src/entry/dispatcher/direct.rs
+++ b/crates/node/src/entry/dispatcher/direct.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use snipewinch::pace;
 use snipewinch::server_limit::Admission;
 use tokio::time::sleep;
 
+use super::Backends;
 use super::Dispatcher;
 use super::Key;
 use super::LIMIT_WAIT_MAX;
@@ -14,6 +16,10 @@
 use super::SlotRequest;
 use super::State;
 
+/// The largest difference of two scores that is left to chance: a tenth of a queue, or
+/// of the usual time of an answer.
+const TIE_BREAK: f64 = 0.1;
+
 /// The backend server for a request of a service without agents.
 enum Pick {
     /// The request may be sent.
@@ -52,6 +58,7 @@
             backends, limits, ..
         } = &mut *state;
         let mut rng = rand::rng();
+        let usual = usual_answer(backends, &request.service);
         let mut ranked = Vec::new();
         let mut soonest: Option<(Duration, Key)> = None;
         let mut refusal = Refusal::NoServer;
@@ -81,11 +88,17 @@
                 }
                 Admission::Leaving => continue,
             }
-            let load_ratio = backend.load_ratio(now);
-            // A server of another availability zone is preferred only if it has
-            // a whole queue less.
-            let remote_penalty = if backend.distance > 0 { 1.0 } else { 0.0 };
-            let score = load_ratio + remote_penalty + rng.random_range(0.0..0.1);
+            let tie_break = rng.random_range(0.0..TIE_BREAK);
+            let score = match usual {
+                Some(usual) => {
+                    let predicted = backend.predicted_answer(now, usual);
+                    predicted.as_secs_f64() / usual.as_secs_f64().max(f64::EPSILON) + tie_break
+                }
+                // A server of another availability zone is preferred only if it
+                // has a whole queue less.
+                None if backend.distance > 0 => backend.load_ratio(now) + 1.0 + tie_break,
+                None => backend.load_ratio(now) + tie_break,
+            };
             // A server that may end under a suspected request is the last resort.
             let rank = (!backend.health.admits(now), backend.suspected > 0);
             ranked.push((rank, score, key));
@@ -103,3 +116,14 @@
         }
     }
 }
+
+/// The usual time of an answer of a service, if any of its servers tells how long work
+/// takes there.
+fn usual_answer(backends: &mut Backends, service: &str) -> Option<Duration> {
+    let estimates: Vec<pace::Estimate> = backends
+        .of_service(service)
+        .map(|(_, backend)| backend.pace)
+        .collect();
+    let any_told = estimates.iter().any(pace::Estimate::is_told);
+    any_told.then(|| pace::usual(estimates.into_iter()))
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -104,6 +104,8 @@
     pub(crate) limited_servers: IntGauge,
     /// Backend servers that rest or say in their answers that they leave.
     pub(crate) resting_servers: IntGauge,
+    /// Backend servers on which work takes longer than usual, as they say.
+    pub(crate) slowed_servers: IntGauge,
     /// How old what is known of each followed table is, in seconds.
     pub(crate) table_age: GaugeVec,
     /// Answers that this entry ended before they were complete, by cause.
@@ -195,6 +197,10 @@
                 "snipewinch_resting_servers",
                 "Backend servers that rest or say in their answers that they leave",
             ),
+            slowed_servers: gauge(
+                "snipewinch_slowed_servers",
+                "Backend servers on which work takes at least half as long again as usual, as they say",
+            ),
             table_age,
             answers: counters("snipewinch_answers_total", "Answers to callers", "status"),
             refusals: counters(
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -27,6 +27,7 @@
 //! | [`grant`] | [`grant::Issuer`], [`grant::Holder`] | which entry may use a slot of a backend server |
 //! | [`attempt`] | [`attempt::Attempts`] | when a request goes to another backend server, and when it ends without an answer |
 //! | [`health`] | [`health::Health`] | when a backend server is ejected and readmitted |
+//! | [`pace`] | [`pace::Estimate`] | how long work takes at a backend server now |
 //! | [`quarantine`] | [`quarantine::Ledger`] | which work is blocked because servers end under it |
 //! | [`limit`] | [`limit::Limiter`] | which calls are admitted, wait or are refused |
 //! | [`concurrency`], [`deadline`], [`retry`] | | how many calls run at once, until when, and how often they are retried |
@@ -96,6 +97,7 @@
 pub mod limit;
 pub mod membership;
 mod mix;
+pub mod pace;
 pub mod placement;
 pub mod position;
 pub mod quarantine;
