--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -125,6 +125,8 @@
     /// Requests that were not sent to the backend server of which they had a slot, by
     /// reason.
     pub(crate) exclusions: IntCounterVec,
+    /// Backend servers on which work takes longer than usual, as they say.
+    pub(crate) slowed_servers: IntGauge,
     /// How old what is known of each followed table is, in seconds.
     pub(crate) table_age: GaugeVec,
     /// Answers that this entry ended before they were complete, by cause.
@@ -233,6 +235,10 @@
                 "Requests not sent to the backend server whose slot they had",
                 "reason",
             ),
+            slowed_servers: gauge(
+                "snipewinch_slowed_servers",
+                "Backend servers on which work takes at least half as long again as usual, as they say",
+            ),
             table_age,
             answers: counters("snipewinch_answers_total", "Answers to callers", "status"),
             refusals: counters(
