--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -662,7 +662,7 @@
         };
         let service_state = self.services.entry(service.into()).or_default();
         let waiting = service_state.queue.len();
-        let (slack_ms, tokens) = service_state.queue.most_urgent(now).unwrap_or_default();
+        let wants = service_state.queue.wants(now);
         let oldest = service_state
             .queue
             .oldest()
@@ -709,7 +709,7 @@
                 continue;
             }
             let demanded = demands.get(&key).copied().unwrap_or(0);
-            let Some(demand) = backend.holder.demand(now, demanded, slack_ms, tokens) else {
+            let Some(demand) = backend.holder.demand_wants(now, demanded, &wants) else {
                 continue;
             };
             let message = Message::Demand(Demand {
--- a/crates/snipewinch/src/dispatch.rs
+++ b/crates/snipewinch/src/dispatch.rs
@@ -8,6 +8,7 @@
 //! can still be on time, and is refused once more requests wait than will get
 //! slots in useful time.
 
+use std::collections::BTreeMap;
 use std::ops::Range;
 use std::time::Duration;
 
@@ -15,6 +16,9 @@
 
 use crate::mix;
 use crate::mix::Rng;
+use crate::urgency;
+use crate::urgency::Want;
+use crate::urgency::Wants;
 
 slotmap::new_key_type! {
     /// Identifies a request while it waits.
@@ -115,6 +119,19 @@
     pub resumes: bool,
 }
 
+impl Waiter {
+    fn want(&self, now: Duration) -> Want {
+        let slack = self.due.as_millis() as i64 - now.as_millis() as i64;
+        Want {
+            waiting: 1,
+            slack_ms: slack.clamp(-60_000, 60_000) as i32,
+            tokens: self.tokens,
+            priority: self.priority.min(u32::from(urgency::UNKNOWN) - 1) as u8,
+            customer: self.customer,
+        }
+    }
+}
+
 /// The requests that wait for a slot of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
@@ -184,12 +201,32 @@
         expired.map(|(ticket, _)| ticket).collect()
     }
 
-    /// The slack of the most urgent request in milliseconds, negative if all
-    /// are late, and the length of its prompt in tokens.
-    pub fn most_urgent(&self, now: Duration) -> Option<(i32, u32)> {
-        let urgent = self.waiters.values().min_by_key(|one| rank(now, one))?;
-        let slack = urgent.due.as_millis() as i64 - now.as_millis() as i64;
-        Some((slack.clamp(-60_000, 60_000) as i32, urgent.tokens))
+    /// What waits, in groups of one urgency, the most urgent first.
+    pub fn wants(&self, now: Duration) -> Wants {
+        let mut groups: BTreeMap<(bool, bool, u32), (Duration, Want)> = BTreeMap::new();
+        for waiter in self.waiters.values() {
+            let (resumes, is_late, priority, place) = rank(now, waiter);
+            let group = groups.entry((resumes, is_late, priority));
+            let (first, want) = group.or_insert((Duration::MAX, Want::default()));
+            let waiting = want.waiting.saturating_add(1);
+            if place < *first {
+                *first = place;
+                *want = waiter.want(now);
+            }
+            want.waiting = waiting;
+        }
+        let mut wants = Wants::default();
+        for (place, (_, want)) in groups.into_values().enumerate() {
+            match wants.get_mut(place) {
+                Some(free) => *free = Some(want),
+                None => {
+                    let last = wants[urgency::WANTS_MAX - 1].as_mut();
+                    let last = last.expect("the groups before fill it");
+                    last.waiting = last.waiting.saturating_add(want.waiting);
+                }
+            }
+        }
+        wants
     }
 
     /// The arrival time of the request that arrived first.
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -22,6 +22,11 @@
 use crate::engine::Predictor;
 use crate::engine::Spec;
 use crate::engine_config::EngineConfig;
+use crate::urgency;
+use crate::urgency::Order;
+use crate::urgency::Rank;
+use crate::urgency::Want;
+use crate::urgency::Wants;
 
 /// How long a holder may send nothing before its slots are granted to others;
 /// it sends a demand at least each [`RENEWAL_INTERVAL`] while it has any.
@@ -84,6 +89,9 @@
     /// A digest of the name of its customer; 0 if there is none.
     #[serde(rename = "c", default)]
     pub customer: u32,
+    /// All of them by urgency, the most urgent first; none if the entry does not say.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    pub wants: Option<Wants>,
     /// Slots that the entry has released without using them.
     #[serde(rename = "u", default)]
     pub unused: u64,
@@ -104,7 +112,21 @@
 }
 
 fn unknown_priority() -> u8 {
-    u8::MAX
+    urgency::UNKNOWN
+}
+
+impl Demand {
+    /// What waits, by urgency.
+    fn wants(&self) -> Wants {
+        let first = Want {
+            waiting: self.waiting,
+            slack_ms: self.slack_ms,
+            tokens: self.tokens,
+            priority: self.priority,
+            customer: self.customer,
+        };
+        urgency::truncate(&self.wants.unwrap_or([Some(first), None, None, None]), self.waiting)
+    }
 }
 
 /// What an entry sends to an agent.
@@ -248,10 +270,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Account {
     sequence: u32,
-    waiting: u16,
-    /// Until when the most urgent request can wait and still be on time, in
-    /// milliseconds of the issuer's clock.
-    due_ms: i64,
+    /// The requests that wait, with slack from `last_demand_at` on.
+    wants: Wants,
     granted: u64,
     released: u64,
     unused: u64,
@@ -263,6 +283,17 @@
     fn in_use(&self) -> u64 {
         self.granted.saturating_sub(self.released)
     }
+
+    fn waiting(&self) -> u64 {
+        let wants = self.wants.iter().flatten();
+        wants.map(|want| u64::from(want.waiting)).sum()
+    }
+
+    /// Until when the first of some requests can wait and still be on time, in
+    /// milliseconds of the issuer's clock.
+    fn due_ms(&self, want: &Want) -> i64 {
+        self.last_demand_at.as_millis() as i64 + i64::from(want.slack_ms)
+    }
 }
 
 /// The agent's side: grants the slots of one backend server.
@@ -272,6 +303,7 @@
     /// Credits issued so far.
     sequence: u64,
     accounts: BTreeMap<HolderId, Account>,
+    order: Order,
     capacity: u64,
     version: u64,
     started_ms: u64,
@@ -368,10 +400,7 @@
 
     /// Requests that wait for a slot, at all entries.
     pub fn waiting(&self) -> u64 {
-        self.accounts
-            .values()
-            .map(|one| u64::from(one.waiting))
-            .sum()
+        self.accounts.values().map(Account::waiting).sum()
     }
 
     /// Whether the entry that sent `demand` must be answered: it waits, or does
@@ -385,8 +414,7 @@
     pub fn receive(&mut self, now: Duration, demand: &Demand) -> bool {
         let fresh = Account {
             sequence: 0,
-            waiting: 0,
-            due_ms: 0,
+            wants: Wants::default(),
             granted: demand.granted,
             released: demand.released,
             unused: demand.unused,
@@ -408,63 +436,90 @@
         self.predictor.withdraw(tokens * unused as f64);
         // The entry does not know yet of slots whose credits are in transit.
         let in_transit = account.granted - demand.granted;
-        account.waiting = demand
-            .waiting
-            .saturating_sub(in_transit.min(u64::from(u16::MAX)) as u16);
-        account.due_ms = now.as_millis() as i64 + i64::from(demand.slack_ms);
+        account.wants = demand.wants();
+        urgency::skip(&mut account.wants, in_transit);
         true
     }
 
     /// Grants the slots that can be granted now and returns the entries that
-    /// got some. Requests that can still be on time here go first, the most
-    /// urgent of them first; then those that are late, the one with the latest
-    /// due time first. No slot is granted while the prompts that wait already
-    /// make the next pass too long.
+    /// got some, in the order of [`Order`]. No slot is granted while the prompts that
+    /// wait already make the next pass too long.
     pub fn grant(&mut self, now: Duration) -> Vec<HolderId> {
         let mut notified = Vec::new();
         loop {
             let in_use = self.in_use();
             self.predictor.advance(now, in_use);
-            let Some(holder) = self.next_holder(now, in_use) else {
+            let Some((holder, index)) = self.next_holder(now, in_use) else {
                 return notified;
             };
             let account = self.accounts.get_mut(&holder).expect("it was just found");
-            account.waiting -= 1;
+            let want = account.wants[index].as_mut().expect("it was just found");
+            want.waiting -= 1;
+            let tokens = f64::from(want.tokens);
+            if want.waiting == 0 {
+                account.wants[index] = None;
+            }
             account.granted += 1;
-            self.predictor.admit(now, in_use, account.tokens);
+            account.tokens = tokens;
+            self.predictor.admit(now, in_use, tokens);
             if !notified.contains(&holder) {
                 notified.push(holder);
             }
         }
     }
 
-    /// The entry that gets the next slot, if one can be granted now.
-    fn next_holder(&self, now: Duration, in_use: u64) -> Option<HolderId> {
+    /// The entry that gets the next slot, if one can be granted now, and for which of
+    /// its requests.
+    fn next_holder(&mut self, now: Duration, in_use: u64) -> Option<(HolderId, usize)> {
         if in_use >= self.capacity {
             return None;
         }
-        let now_ms = now.as_millis() as i64;
-        let waiting = self.accounts.iter().filter(|(_, one)| one.waiting > 0);
-        let rank = |one: &Account| {
-            let first = self.predictor.first_event_delay(now, in_use, one.tokens);
-            match now_ms + first.as_millis() as i64 <= one.due_ms {
-                true => (false, one.due_ms),
-                false => (true, -one.due_ms),
-            }
-        };
-        let (holder, account) = waiting.min_by_key(|(_, one)| rank(one))?;
+        let ranked = self.ranked(now, in_use);
+        let (rank, holder, index, want) = *ranked.iter().min_by_key(|one| one.0)?;
+        let tokens = f64::from(want.tokens);
         let delay = cutover::Delay::new(
             ENTRY_ROUND_TRIP,
-            self.first_event_delay(now, in_use, account.tokens),
-            self.scale(self.predictor.prefill_time(account.tokens)),
+            self.first_event_delay(now, in_use, tokens),
+            self.scale(self.predictor.prefill_time(tokens)),
         );
         if cutover::admit(now, self.begin_by, delay) == Verdict::Outdated {
             return None;
         }
-        let pass = self.predictor.next_pass_time(in_use, account.tokens);
+        let pass = self.predictor.next_pass_time(in_use, tokens);
         let fits =
-            self.predictor.has_no_pending_prompt() || pass <= self.max_pass_time(rank(account).0);
-        fits.then_some(*holder)
+            self.predictor.has_no_pending_prompt() || pass <= self.max_pass_time(rank.is_late);
+        if !fits {
+            return None;
+        }
+        if !rank.is_late {
+            let on_time = ranked.iter().filter(|one| !one.0.is_late);
+            self.order
+                .record_granted(want.priority, on_time.map(|one| one.3.priority));
+        }
+        Some((holder, index))
+    }
+
+    /// All that waits, with its place in the order.
+    fn ranked(&self, now: Duration, in_use: u64) -> Vec<(Rank, HolderId, usize, Want)> {
+        let now_ms = now.as_millis() as i64;
+        let wants = || {
+            self.accounts.iter().flat_map(|(holder, account)| {
+                let wants = account.wants.iter().enumerate();
+                wants.filter_map(move |(index, want)| Some((holder, account, index, (*want)?)))
+            })
+        };
+        // Entries that do not say how urgent their requests are may not lose by it.
+        let is_known = wants().all(|(_, _, _, want)| want.priority != urgency::UNKNOWN);
+        let ranked = wants().map(|(holder, account, index, want)| {
+            let due_ms = account.due_ms(&want);
+            let tokens = f64::from(want.tokens);
+            let first = self.predictor.first_event_delay(now, in_use, tokens);
+            let is_late = now_ms + first.as_millis() as i64 > due_ms;
+            let priority = if is_known { want.priority } else { 0 };
+            let rank = self.order.rank(priority, due_ms, is_late);
+            (rank, *holder, index, want)
+        });
+        ranked.collect()
     }
 
     /// The time from `now` to the first event of a request with a prompt of
@@ -588,6 +643,8 @@
     issuers: [Option<IssuerId>; 2],
     credit_sequence: u64,
     changed: bool,
+    /// The priority of the most urgent request that the last demand named.
+    told_priority: Option<u8>,
 }
 
 impl Holder {
@@ -608,6 +665,7 @@
             issuers: [None; 2],
             credit_sequence: 0,
             changed: false,
+            told_priority: None,
         }
     }
 
@@ -670,6 +728,29 @@
         self.granted - self.released
     }
 
+    /// The demand to send now, if any. `waiting` of the requests `wants` wait for a
+    /// slot here.
+    pub fn demand_wants(&mut self, now: Duration, waiting: u16, wants: &Wants) -> Option<Demand> {
+        let wants = urgency::truncate(wants, waiting);
+        let first = wants[0].unwrap_or_default();
+        let priority = wants[0].map(|want| want.priority);
+        // One that is more urgent than those demanded for is told at once.
+        self.changed |= match (priority, self.told_priority) {
+            (Some(priority), Some(told)) => priority < told,
+            _ => false,
+        };
+        let demand = self.demand(now, waiting, first.slack_ms, first.tokens)?;
+        self.told_priority = priority;
+        // One group is what the other fields say.
+        let is_one = wants[1].is_none();
+        Some(Demand {
+            priority: priority.unwrap_or(urgency::UNKNOWN),
+            customer: first.customer,
+            wants: (!is_one).then_some(wants),
+            ..demand
+        })
+    }
+
     /// The demand to send now, if any. `waiting` requests wait for a slot here;
     /// the most urgent one has a prompt of `tokens` and can wait `slack_ms`
     /// more.
@@ -704,6 +785,7 @@
             tokens,
             priority: unknown_priority(),
             customer: 0,
+            wants: None,
             unused: self.unused,
             granted: self.granted,
             released: self.released,
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -105,6 +105,7 @@
 pub mod routing;
 pub mod server_limit;
 pub mod transit;
+pub mod urgency;
 pub mod weights;
 pub mod wire;
 
--- a/crates/snipewinch/tests/grant.rs
+++ b/crates/snipewinch/tests/grant.rs
@@ -151,6 +151,7 @@
         tokens,
         priority: 0,
         customer: 0,
+        wants: None,
         unused: 0,
         granted: 0,
         released: 0,
