Grant slots by urgency at the agent

Cause: past capacity the requests of all entries compete at the agents, which ordered them by the time left. A less urgent kind with a longer latency goal took the slots of the most urgent one, and an entry with one urgent request got slots for all its others by that one's rank. A request counted as on time up to the last moment at which it could be by the mean of its engine's time, so that half of those granted then were late.

The agent grants the next slot to the most urgent that can be on time, with a pass and the way to the engine as a margin; a priority that is passed over six times in a row goes next. Beside entries that name no priority the time left decides, as before.

--- a/crates/snipewinch/src/engine.rs
+++ b/crates/snipewinch/src/engine.rs
@@ -86,6 +86,11 @@
         self.pass_end.saturating_sub(now) + self.next_pass_time(running, tokens)
     }
 
+    /// How long a pass without prompts takes with `running` requests.
+    pub fn decode_time(&self, running: u64) -> Duration {
+        self.spec.decode_time(running)
+    }
+
     /// How long prefilling a prompt of `tokens` takes.
     pub fn prefill_time(&self, tokens: f64) -> Duration {
         self.spec.prefill_time(tokens)
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -509,11 +509,12 @@
             })
         };
         // Entries that do not say how urgent their requests are may not lose by it.
+        let margin = ENTRY_ROUND_TRIP + self.scale(self.predictor.decode_time(in_use));
         let is_known = wants().all(|(_, _, _, want)| want.priority != urgency::UNKNOWN);
         let ranked = wants().map(|(holder, account, index, want)| {
             let due_ms = account.due_ms(&want);
             let tokens = f64::from(want.tokens);
-            let first = self.predictor.first_event_delay(now, in_use, tokens);
+            let first = self.first_event_delay(now, in_use, tokens) + margin;
             let is_late = now_ms + first.as_millis() as i64 > due_ms;
             let priority = if is_known { want.priority } else { 0 };
             let rank = self.order.rank(priority, due_ms, is_late);
--- /dev/null
+++ b/crates/snipewinch/tests/urgency.rs
@@ -0,0 +1,293 @@
+//! The order in which the requests of all entries get the slots of a backend server.
+
+use std::time::Duration;
+
+use snipewinch::dispatch::Queue;
+use snipewinch::dispatch::Waiter;
+use snipewinch::engine::Spec;
+use snipewinch::grant::Demand;
+use snipewinch::grant::Holder;
+use snipewinch::grant::HolderId;
+use snipewinch::grant::Issuer;
+use snipewinch::urgency::UNKNOWN;
+use snipewinch::urgency::Want;
+use snipewinch::urgency::Wants;
+
+const URGENT: u8 = 0;
+const LESS_URGENT: u8 = 2;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn want(priority: u8, waiting: u16, slack_ms: i32) -> Option<Want> {
+    Some(Want {
+        waiting,
+        slack_ms,
+        tokens: 500,
+        priority,
+        customer: 0,
+    })
+}
+
+/// The demand of an entry that `wants` this.
+fn demand(holder: u64, wants: Wants) -> Demand {
+    let waiting = wants.iter().flatten().map(|want| want.waiting).sum();
+    let mut holder = Holder::new(HolderId(holder));
+    let demand = holder.demand_wants(ms(1), waiting, &wants);
+    demand.expect("requests wait")
+}
+
+fn issuer(slots: u32) -> Issuer {
+    let mut issuer = Issuer::new();
+    issuer.set_capacity(slots, 1);
+    issuer
+}
+
+/// How many of `slots` slots each of the entries 1 and 2 gets.
+fn shares(slots: u32, demands: [Demand; 2]) -> [u64; 2] {
+    let mut issuer = issuer(slots);
+    for demand in &demands {
+        issuer.receive(ms(1), demand);
+    }
+    issuer.grant(ms(1));
+    [1, 2].map(|holder| issuer.credit(ms(1), HolderId(holder)).granted)
+}
+
+/// Guards against a burst of the least urgent kind, with the longer latency goal or
+/// with less time left, that takes the slots of the most urgent one.
+#[test]
+fn an_urgent_request_goes_before_a_less_urgent_one_that_is_due_sooner() {
+    let urgent = demand(1, [want(URGENT, 2, 300), None, None, None]);
+    let sooner = demand(2, [want(LESS_URGENT, 2, 100), None, None, None]);
+    assert_eq!(shares(2, [urgent, sooner]), [2, 0]);
+}
+
+#[test]
+fn an_urgent_request_that_is_late_takes_no_slot_of_one_on_time() {
+    let late = demand(1, [want(URGENT, 1, -50), None, None, None]);
+    let on_time = demand(2, [want(LESS_URGENT, 1, 800), None, None, None]);
+    assert_eq!(shares(1, [late, on_time]), [0, 1]);
+}
+
+/// Guards against an entry with one urgent request that gets the slots for all its
+/// others by that one's rank.
+#[test]
+fn the_less_urgent_requests_of_an_entry_wait_for_the_urgent_ones_of_another() {
+    let mixed = [want(URGENT, 1, 100), want(LESS_URGENT, 5, 100), None, None];
+    let urgent = [want(URGENT, 3, 300), None, None, None];
+    assert_eq!(shares(4, [demand(1, mixed), demand(2, urgent)]), [1, 3]);
+}
+
+/// Guards against a less urgent kind that gets nothing while more urgent ones fill all
+/// slots.
+#[test]
+fn a_less_urgent_kind_keeps_a_seventh_of_the_slots() {
+    let urgent = demand(1, [want(URGENT, 100, 300), None, None, None]);
+    let other = demand(2, [want(LESS_URGENT, 100, 300), None, None, None]);
+    assert_eq!(shares(70, [urgent, other]), [60, 10]);
+}
+
+/// Guards against entries of a former release that get nothing, or everything, beside
+/// newer ones: they do not say how urgent their requests are.
+#[test]
+fn beside_an_entry_that_names_no_priority_the_due_time_decides() {
+    let unknown = Demand {
+        priority: UNKNOWN,
+        ..demand(1, [want(LESS_URGENT, 1, 100), None, None, None])
+    };
+    let urgent = demand(2, [want(URGENT, 1, 300), None, None, None]);
+    let later = demand(2, [want(URGENT, 1, 50), None, None, None]);
+    assert_eq!(shares(1, [unknown, urgent]), [1, 0]);
+    assert_eq!(shares(1, [unknown, later]), [0, 1]);
+}
+
+/// A more urgent request that came just after a demand was told 50 ms later, an eighth
+/// of its time.
+#[test]
+fn a_more_urgent_request_is_told_at_once() {
+    let mut holder = Holder::new(HolderId(1));
+    let before = [want(LESS_URGENT, 3, 800), None, None, None];
+    assert!(holder.demand_wants(ms(1_000), 3, &before).is_some());
+    let same = [want(LESS_URGENT, 4, 800), None, None, None];
+    assert!(holder.demand_wants(ms(1_002), 4, &same).is_none());
+    let urgent = [want(URGENT, 1, 400), want(LESS_URGENT, 3, 800), None, None];
+    assert!(holder.demand_wants(ms(1_003), 4, &urgent).is_some());
+}
+
+/// Guards against demands that grow with the number of priorities: one is sent to a
+/// dozen agents many times a second.
+#[test]
+fn an_entry_names_a_few_groups_whatever_waits() {
+    let mut queue = Queue::default();
+    for place in 0..40_u64 {
+        queue.push(Waiter {
+            arrived: ms(0),
+            due: ms(400 + place),
+            tokens: 900,
+            expires: ms(2_000),
+            priority: (place % 10) as u32,
+            customer: 7,
+            resumes: false,
+        });
+    }
+    let wants = queue.wants(ms(1));
+    let waiting: u16 = wants.iter().flatten().map(|want| want.waiting).sum();
+    assert_eq!(waiting, 40, "{wants:?}");
+    let first = wants[0].expect("requests wait");
+    assert_eq!((first.priority, first.slack_ms, first.waiting), (0, 399, 4));
+    let mut holder = Holder::new(HolderId(u64::MAX));
+    let demand = holder.demand_wants(ms(1), 40, &wants).expect("they wait");
+    let bytes = serde_json::to_vec(&demand).expect("a demand is serializable");
+    assert!(bytes.len() < 400, "{} bytes", bytes.len());
+}
+
+/// What an entry tells after a slot was granted that it does not know of yet.
+#[test]
+fn slots_in_transit_are_taken_off_the_most_urgent() {
+    let mut issuer = issuer(1);
+    let mut holder = Holder::new(HolderId(1));
+    let wants = [want(URGENT, 1, 300), want(LESS_URGENT, 1, 300), None, None];
+    let first = holder.demand_wants(ms(1), 2, &wants).expect("they wait");
+    issuer.receive(ms(1), &first);
+    issuer.grant(ms(1));
+    let again = Demand {
+        sequence: 2,
+        ..first
+    };
+    issuer.receive(ms(2), &again);
+    assert_eq!(issuer.waiting(), 1);
+    issuer.set_capacity(2, 1);
+    issuer.receive(ms(2), &demand(2, [want(1, 1, 300), None, None, None]));
+    assert_eq!(issuer.grant(ms(2)), [HolderId(2)], "1 is more urgent than 2");
+}
+
+/// An engine as in `engine`, of 12 slots, whose requests take a second on average.
+fn spec() -> Spec {
+    Spec {
+        slots: 12,
+        stride: 5,
+        step: Duration::from_micros(9_270),
+        step_per_call: Duration::from_micros(23),
+        read_per_s: 20_700.0,
+    }
+}
+
+/// The time from a slot to the first event, past capacity.
+const FIRST_EVENT_DELAY: Duration = Duration::from_millis(170);
+
+/// What requests of each priority got.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    arrived: u32,
+    on_time: u32,
+}
+
+impl Tally {
+    fn share(self) -> f64 {
+        f64::from(self.on_time) / f64::from(self.arrived)
+    }
+}
+
+/// Plays 20 s at one engine with `per_s` arrivals a second of the priorities 0, 1 and 2
+/// with goals of 400, 400 and 1,000 ms, at eight entries.
+fn play(per_s: [f64; 3], is_told: bool) -> [Tally; 3] {
+    // From 0.4 to 1.6 s, so that slots do not become free all at once.
+    let hold = |count: usize| ms(400 + count as u64 * 7_919 % 1_200);
+    let mut started = 0;
+    let mut issuer = issuer(12);
+    issuer.set_engine(spec(), 900.0, ms(400));
+    let mut entries: Vec<(Queue, Holder)> = (0..8)
+        .map(|id| (Queue::default(), Holder::new(HolderId(id))))
+        .collect();
+    let mut running: Vec<(Duration, usize)> = Vec::new();
+    let mut tallies = [Tally::default(); 3];
+    let mut owed = [0.0; 3];
+    for tick in 0..20_000_u64 {
+        let now = ms(tick);
+        for (priority, rate) in per_s.iter().enumerate() {
+            owed[priority] += rate / 1_000.0;
+            if owed[priority] >= 1.0 {
+                owed[priority] -= 1.0;
+                tallies[priority].arrived += 1;
+                let goal = if priority == 2 { 1_000 } else { 400 };
+                let entry = (tick as usize * 31 + priority) % entries.len();
+                entries[entry].0.push(Waiter {
+                    arrived: now,
+                    due: now + ms(goal),
+                    tokens: 600,
+                    expires: now + ms(2_000),
+                    priority: priority as u32,
+                    customer: 0,
+                    resumes: false,
+                });
+            }
+        }
+        running.retain(|(end, entry)| {
+            let runs = *end > now;
+            if !runs {
+                entries[*entry].1.release();
+            }
+            runs
+        });
+        for (queue, holder) in &mut entries {
+            for ticket in queue.expired(now) {
+                queue.remove(ticket);
+            }
+            let demand = holder.demand_wants(now, queue.len() as u16, &queue.wants(now));
+            if let Some(mut demand) = demand {
+                if !is_told {
+                    demand.priority = UNKNOWN;
+                    demand.wants = None;
+                }
+                issuer.receive(now, &demand);
+            }
+        }
+        issuer.grant(now);
+        for (index, (queue, holder)) in entries.iter_mut().enumerate() {
+            let granted = holder.receive(now, &issuer.credit(now, HolderId(index as u64)));
+            for _ in 0..granted {
+                let Some(ticket) = queue.best(now, |_| true) else {
+                    break;
+                };
+                holder.acquire();
+                let waiter = queue.remove(ticket).expect("it waits");
+                let is_on_time = now + FIRST_EVENT_DELAY <= waiter.due;
+                tallies[waiter.priority as usize].on_time += u32::from(is_on_time);
+                started += 1;
+                running.push((now + hold(started), index));
+            }
+            holder.release_unused();
+        }
+    }
+    tallies
+}
+
+/// One engine serves 12 a second. Without the order each kind lost about as much.
+#[test]
+fn past_capacity_the_most_urgent_lack_nothing_and_the_least_urgent_get_the_rest() {
+    let per_s = [5.0, 4.0, 5.4];
+    let told = play(per_s, true).map(Tally::share);
+    assert!(told[0] > 0.95 && told[1] > 0.85, "{told:?}");
+    assert!(told[2] > 0.25, "{told:?}");
+    let untold = play(per_s, false).map(Tally::share);
+    assert!(untold[0] < told[0] - 0.1, "{untold:?}");
+}
+
+#[test]
+fn a_burst_of_the_least_urgent_leaves_the_most_urgent_what_they_had() {
+    let told = play([5.0, 4.0, 16.2], true).map(Tally::share);
+    assert!(told[0] > 0.95 && told[1] > 0.85, "{told:?}");
+}
+
+/// 1.8 of what the engine serves, the urgent kinds alone 1.25.
+#[test]
+fn far_past_capacity_each_kind_keeps_a_quarter_of_what_all_get() {
+    let tallies = play([9.0, 6.0, 6.6], true);
+    let all: u32 = tallies.iter().map(|one| one.on_time).sum();
+    let arrived: u32 = tallies.iter().map(|one| one.arrived).sum();
+    let mean = f64::from(all) / f64::from(arrived);
+    for one in tallies {
+        assert!(one.share() >= 0.25 * mean, "{tallies:?}");
+    }
+}
