--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -714,7 +714,7 @@
             .collect();
         self.services.entry(service.into()).or_default();
         let service_state = &self.services[service];
-        let (slack_ms, tokens) = service_state.queue.most_urgent(now).unwrap_or_default();
+        let wants = service_state.queue.wants(now);
         let min_version = service_state.min_version;
         let versions = &service_state.versions;
         let published = versions
@@ -772,7 +772,7 @@
                 continue;
             }
             let demanded = demands.get(&key).copied().unwrap_or(0);
-            let Some(demand) = backend.holder.demand(now, demanded, slack_ms, tokens) else {
+            let Some(demand) = backend.holder.demand_wants(now, demanded, &wants) else {
                 continue;
             };
             let versions = &self.services[service].versions;
