--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -134,6 +134,9 @@
 /// The pause after an error of the listening socket or the agents' socket.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(20);
 
+/// The route and the customer of requests.
+type Origin = (SmolStr, Option<SmolStr>);
+
 /// The state that all connections share.
 pub(crate) struct Entry {
     pub(crate) clock: Clock,
@@ -147,7 +150,7 @@
     region_index: region::Index,
     /// The route and customer of requests that were refused because of their regions,
     /// since the configuration of a version came into force.
-    without_region: RefCell<(u64, HashSet<(SmolStr, Option<SmolStr>)>)>,
+    without_region: RefCell<(u64, HashSet<Origin>)>,
     retry_budgets: RefCell<HashMap<SmolStr, retry::Budget>>,
     phase: watch::Sender<Phase>,
     /// Whether a configuration and the list of backend servers are known.
