Know that an engine is cold though its configuration comes after its first report

An agent that started with its engine read the start before it knew the terms and never looked again. The health path is asked once a second, as each call has a price.

--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -30,6 +30,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// How often the engine is polled while it does not answer or is idle.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the engine's health is asked whether it is cold, where engines are at first.
+const HEALTH_INTERVAL: Duration = Duration::from_secs(1);
 /// Failed reports in a row after which the engine counts as down.
 const MISSED_REPORTS_MAX: u32 = 3;
 /// The delay after a failed read from the socket.
@@ -215,14 +217,13 @@
         let now = self.now;
         let before = std::mem::replace(&mut self.started_ms, report.started_ms);
         let duration = self.issuer.cold().pace().map(|pace| pace.duration);
-        let from_start = match (before, report.started_ms) {
-            (_, 0) => None,
-            (0, started_ms) => {
-                duration.map(|duration| duration.saturating_sub(since_epoch(started_ms)))
-            }
-            (before, started_ms) => duration.filter(|_| before != started_ms),
-        };
-        let sources = [(from_start, "its start"), (report.cold_left, "its answers")];
+        // The configuration may come after the first report.
+        let from_start = duration.map(|duration| match (before, report.started_ms) {
+            (_, 0) => Duration::ZERO,
+            (1.., started_ms) if before != started_ms => duration,
+            (_, started_ms) => duration.saturating_sub(since_epoch(started_ms)),
+        });
+        let sources = [(report.cold_left, "its health"), (from_start, "its start")];
         for (left, source) in sources {
             if let Some(left) = left {
                 self.record_cold(now, left, source);
@@ -284,13 +285,21 @@
 
 /// Polls the engine's state.
 pub(super) async fn poll_engine(agent: Rc<Agent>) {
+    let mut health_due = Duration::ZERO;
     loop {
         let cold_pace = agent.cold_pace();
         let report = match agent.engine.report().await {
-            Ok(report) if cold_pace.is_some() && report.cold_left.is_none() => Some(Report {
-                cold_left: agent.engine.cold_left().await.ok().flatten(),
-                ..report
-            }),
+            Ok(report)
+                if cold_pace.is_some()
+                    && report.cold_left.is_none()
+                    && agent.clock.now() >= health_due =>
+            {
+                health_due = agent.clock.now() + HEALTH_INTERVAL;
+                Some(Report {
+                    cold_left: agent.engine.cold_left().await.ok().flatten(),
+                    ..report
+                })
+            }
             Ok(report) => Some(report),
             Err(error) => {
                 log::debug!("E7211 reading the engine's state failed: {error}");
