--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -166,7 +166,8 @@
     /// Applies what it says of itself while its agent is silent. A start that is not
     /// the listed one is new.
     pub(crate) fn record_report(&mut self, now: Duration, report: &Report) {
-        let is_new = report.started_ms > 0 && self.started_ms != Some(report.started_ms);
+        let listed = self.started_ms.filter(|_| report.started_ms > 0);
+        let is_new = listed.is_some_and(|listed| listed != report.started_ms);
         let duration = self.cold_pace.filter(|_| is_new).map(|pace| pace.duration);
         for left in [duration, report.cold_left].into_iter().flatten() {
             self.cold.record_heard(now, left);
--- a/crates/snipewinch/tests/cold.rs
+++ b/crates/snipewinch/tests/cold.rs
@@ -7,9 +7,12 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use snipewinch::cold::Admission;
+use snipewinch::cold::Gate;
 use snipewinch::cold::Pace;
 use snipewinch::cold::Share;
 use snipewinch::cold::Terms;
+use snipewinch::cold::Until;
 use snipewinch::grant::Credit;
 use snipewinch::grant::Demand;
 use snipewinch::grant::Holder;
@@ -261,3 +264,79 @@
         worst(entries, Policy::ShareByEntry);
     }
 }
+
+#[test]
+fn a_shorter_time_from_another_source_ends_a_cold_time() {
+    let mut until = Until::default();
+    until.record_listed(ms(0), ms(2_000));
+    until.record_heard(ms(100), ms(0));
+    until.record_heard(ms(100), ms(500));
+    assert_eq!(until.left(ms(1_500)), ms(500));
+    assert_eq!(until.left(ms(2_000)), ms(0));
+}
+
+#[test]
+fn a_cold_time_grows_as_entry_and_agent_tell_it_to_each_other() {
+    let mut until = Until::default();
+    until.record_listed(ms(0), ms(1_000));
+    until.record_heard(ms(200), ms(5_000));
+    assert_eq!(until.listed_left(ms(400)), ms(600));
+}
+
+#[test]
+fn grants_made_before_a_server_was_known_to_be_cold_are_not_counted() {
+    let mut gate = Gate::default();
+    gate.set_pace(ms(0), Some(pace()));
+    (0..30).for_each(|index| gate.record_grant(ms(1_000 + index * 10)));
+    assert!(gate.record_left(ms(1_300), ms(3_000)));
+    assert_ne!(gate.admission(ms(1_400)), Admission::Open);
+    let later = ms(1_300) + Pace::WINDOW;
+    assert_eq!(gate.admission(later), Admission::Open);
+}
+
+#[test]
+fn a_service_without_cold_servers_is_held_back() {
+    let mut gate = Gate::default();
+    gate.record_left(ms(0), ms(3_000));
+    gate.record_grant(ms(0));
+    assert_eq!(gate.admission(ms(0)), Admission::Open);
+    assert_eq!(gate.free(ms(0), 12, 3), 12);
+}
+
+#[test]
+fn grants_and_requests_without_one_break_a_tight_bound_together() {
+    for per_s in [0.5, 1.0, 4.0, 17.0, 300.0] {
+        for (overage, burst) in [(1.0, 0.0), (1.5, 5.0), (1.0, 20.0), (3.0, 0.0)] {
+            let terms = Terms { per_s, ..TERMS };
+            let pace = Pace::new(terms, overage, burst);
+            let bound: f64 = (per_s * overage + burst).max(1.0);
+            let owners = match pace.ungranted_per_s > 0.0 {
+                true => pace.ungranted_per_s + 2.0,
+                false => 0.0,
+            };
+            let most = pace.grants_max as f64 + owners;
+            assert!(
+                most <= bound + 1e-6,
+                "{per_s} x {overage} + {burst}: {most}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_process_that_just_started_counts_as_an_owner() {
+    let board = Board::open("edge-1".into());
+    assert_eq!(board.share(Server::of("s", Some(1)), 17.0), None);
+    let share = Share::default();
+    assert_eq!(share.admission(ms(5), ms(700)), Admission::Later(ms(700)));
+}
+
+#[test]
+fn older_processes_do_not_understand_demands_and_credits() {
+    let mut holder = Holder::new(HolderId(1));
+    let demand = holder.demand(ms(1_000), 1, 5, 5).expect("a request waits");
+    let bytes = serde_json::to_string(&demand).expect("a demand is serializable");
+    assert!(!bytes.contains("\"x\""));
+    let read: Demand = serde_json::from_str(&bytes).expect("a demand without it is valid");
+    assert_eq!(read.cold_ms, 0);
+}
