--- a/crates/snipewinch/tests/fleet/mod.rs
+++ b/crates/snipewinch/tests/fleet/mod.rs
@@ -107,7 +107,7 @@
     region_links_free_at: BTreeMap<(usize, usize), Duration>,
     origin_free_at: Duration,
     objects: BTreeMap<Digest, (Manifest, Bytes)>,
-    wants: Vec<Want>,
+    wanted: Vec<Digest>,
     view: Arc<View>,
 }
 
@@ -134,7 +134,7 @@
             region_links_free_at: BTreeMap::new(),
             origin_free_at: Duration::ZERO,
             objects: BTreeMap::new(),
-            wants: Vec::new(),
+            wanted: Vec::new(),
             view: Arc::default(),
             setup,
         };
@@ -184,14 +184,9 @@
 
     /// Makes every host want exactly this version.
     pub(crate) fn set_wanted(&mut self, manifest: Digest) {
-        let services = vec!["verse-engine".into()];
-        self.wants = vec![Want {
-            manifest,
-            services,
-            waits: false,
-        }];
+        self.wanted = vec![manifest];
         for index in 0..self.agents.len() {
-            self.send_wants(index);
+            self.set_wants_of(index, &[manifest], false);
         }
     }
 
@@ -207,12 +202,6 @@
         self.handle(index, Event::Wants { wants, objective });
     }
 
-    fn send_wants(&mut self, index: usize) {
-        let wants = self.wants.clone();
-        let objective = self.setup.objective;
-        self.handle(index, Event::Wants { wants, objective });
-    }
-
     /// Sends every host the view of the hosts that are alive.
     pub(crate) fn update_views(&mut self) {
         let agents = self.agents.iter().enumerate();
@@ -249,7 +238,8 @@
         let incarnation = self.agents[index].incarnation + 1;
         self.agents[index] = self.agent(index, incarnation);
         self.handle(index, Event::View(self.view.clone()));
-        self.send_wants(index);
+        let wanted = self.wanted.clone();
+        self.set_wants_of(index, &wanted, false);
         for other in 0..self.agents.len() {
             if self.agents[other].dialed.contains(&index) {
                 self.schedule(Duration::from_millis(60), Task::Connect(other, index));
