Send slow requests that may be repeated to a second server, within a limit

Cause: a request whose server is slow or silent waited for three times its latency goal before it went elsewhere, also while other servers had room.

After a delay learned for each route and size, a repeatable request that has not begun goes to another server as well; the first answer is used, the other attempt's connection is closed. The share holds in any 10 s of each entry, and each second attempt also counts in the retry budget. None while requests wait or were just refused, for suspected requests and past maxAttempts; it takes a slot only after all others. A value that is no share ends the start.

--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -10,6 +10,7 @@
 use platform::boot;
 use snafu::OptionExt;
 use snafu::ResultExt;
+use snipewinch::hedge;
 use snipewinch::host::Role;
 use tokio::runtime;
 use tokio::task::LocalSet;
@@ -21,6 +22,7 @@
 use crate::error::NoSettingsSnafu;
 use crate::error::SettingsSnafu;
 use crate::error::SystemSnafu;
+use crate::error::UsageSnafu;
 use crate::log;
 
 /// The exit code for an invalid command line or setting.
@@ -29,6 +31,8 @@
 const DEFAULT_METRICS_PORT: &str = "9464";
 /// How long the last log lines may take to be written.
 const LOG_FINISH_TIME: Duration = Duration::from_millis(300);
+/// The default share of requests that get a second attempt: none.
+const DEFAULT_SECOND_ATTEMPTS: &str = "0";
 /// The default log level.
 const DEFAULT_LOG_LEVEL: &str = "info";
 
@@ -50,6 +54,10 @@
             /// The least severe level that is logged: `error`, `warn`, `info`
             /// or `debug`. Default: info. Variable: SNIPEWINCH_LOG_LEVEL.
             optional --log-level level: String
+            /// The share of each service's requests, from 0 to 1, that may go to a
+            /// second backend server beside a slow one (entries). Default: 0, none.
+            /// Variable: SNIPEWINCH_SECOND_ATTEMPTS.
+            optional --second-attempts share: String
         }
     }
 }
@@ -104,12 +112,23 @@
     let log_level = level.parse().map_err(|_| Error::Usage {
         detail: format!("invalid log level {level:?}; give error, warn, info or debug"),
     })?;
+    let share = setting(
+        flags.second_attempts,
+        "SNIPEWINCH_SECOND_ATTEMPTS",
+        DEFAULT_SECOND_ATTEMPTS,
+    );
+    let second_attempts = hedge::Limit::parse(&share).with_context(|| UsageSnafu {
+        detail: format!(
+            "invalid share of second attempts {share:?}; give a number from 0 to 1 such as 0.02, or 0 for none"
+        ),
+    })?;
     let settings = boot::read(&path, incarnation()).context(SettingsSnafu)?;
     Ok(Config {
         settings,
         path,
         metrics_port,
         log_level,
+        second_attempts,
     })
 }
 
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use platform::boot::Settings;
+use snipewinch::hedge;
 
 /// All settings, read and checked before the process starts its work.
 #[derive(Clone, Debug)]
@@ -15,4 +16,6 @@
     pub metrics_port: u16,
     /// The least severe level that is logged.
     pub log_level: log::LevelFilter,
+    /// The share of a service's requests that may get a second attempt.
+    pub second_attempts: hedge::Limit,
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -30,6 +30,7 @@
 use snipewinch::engine_config::EngineConfig;
 use snipewinch::grant::Credit;
 use snipewinch::grant::Published;
+use snipewinch::hedge::Hedge;
 use snipewinch::retry;
 use snipewinch::route::Limits;
 use snipewinch::route::Table;
@@ -69,6 +70,7 @@
 mod pool;
 mod quarantine;
 mod relay;
+mod second_attempt;
 
 use answer::Reason;
 use call::Call;
@@ -132,6 +134,7 @@
     pub(crate) pool: Pool,
     pub(crate) metrics: EntryMetrics,
     pub(crate) quarantine: Quarantine,
+    pub(crate) hedge: RefCell<Hedge>,
     bounds: Cell<Bounds>,
     operator: RefCell<OperatorState>,
     listing: RefCell<Listing>,
@@ -277,6 +280,8 @@
     /// service.
     pub(crate) fn record_first_attempt(&self, service: &SmolStr) {
         self.with_retry_budget(service, |budget| budget.deposit());
+        let now = self.clock.now();
+        self.hedge.borrow_mut().record_request(now, service);
     }
 
     /// Takes one retry out of this entry's share of the budget. Returns false
@@ -422,6 +427,7 @@
         pool: Pool::default(),
         metrics: EntryMetrics::new(),
         quarantine: Quarantine::open(),
+        hedge: RefCell::new(Hedge::open(config.second_attempts)),
         bounds: Cell::new(settings.bounds),
         operator: RefCell::default(),
         listing: RefCell::default(),
--- a/crates/node/src/entry/backends.rs
+++ b/crates/node/src/entry/backends.rs
@@ -195,6 +195,11 @@
         reported.max(self.running)
     }
 
+    /// Whether a request that is sent now would run at once and it is known to be healthy.
+    pub(crate) fn has_free_slot(&self, now: Duration) -> bool {
+        self.ahead(now) < self.slots && self.health.admits(now)
+    }
+
     /// The predicted time until the answer to a request that is sent now, with opening a
     /// connection. `usual` is the time of answers at all servers of the service.
     pub(crate) fn predicted_answer(&self, now: Duration, usual: Duration) -> Duration {
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -22,6 +22,7 @@
 use snipewinch::dispatch::Waiter;
 use snipewinch::health::Outcome;
 use snipewinch::health::stall_timeout;
+use snipewinch::hedge::Withheld;
 use snipewinch::quarantine::Key as QuarantineKey;
 use snipewinch::quarantine::Verdict;
 use snipewinch::route::Repeat;
@@ -46,6 +47,7 @@
 use super::pool::Connection;
 use super::quarantine;
 use super::relay;
+use super::second_attempt;
 use crate::shutdown::Phase;
 
 /// The time to the deadline of a request whose caller gives none.
@@ -127,6 +129,8 @@
     Output(usize, Result<Output, pool::Error>),
     /// It is time to check whether open attempts are silent.
     SilenceCheck,
+    /// The only attempt takes longer than most.
+    Slow,
     /// Open attempts may not have begun while their weights could be used.
     Withdrawal,
 }
@@ -135,6 +139,12 @@
 pub(super) struct Progress {
     pub(super) attempts: Attempts,
     pub(super) open: Vec<Attempt>,
+    /// When the request gets a second attempt unless it has begun.
+    pub(super) second_due: Option<Duration>,
+    /// Whether the attempt that is being started is a second one.
+    pub(super) starts_second: bool,
+    /// The second attempt.
+    pub(super) second: Option<attempt::Key>,
     /// Backend servers to which no further attempt goes.
     pub(super) tried: Vec<Key>,
     /// The error that a backend server answered last.
@@ -166,6 +176,9 @@
         Progress {
             attempts: Attempts::new(route.repeat, route.attempts_max),
             open: Vec::new(),
+            second_due: None,
+            starts_second: false,
+            second: None,
             tried: Vec::new(),
             failure: None,
             shortage: Reason::Busy,
@@ -194,7 +207,7 @@
     }
 
     /// The number of tokens of its prompt as given by its caller; 0 if none.
-    fn prompt_tokens(&self) -> u32 {
+    pub(super) fn prompt_tokens(&self) -> u32 {
         let tokens = self.head.fields.get(header::TOKENS).unwrap_or_default();
         let prompt = tokens.split(',').next().unwrap_or_default();
         prompt.trim().parse().unwrap_or(0)
@@ -352,6 +365,13 @@
                 step.or(record_broken(entry, call, progress, attempt, &error))
             }
             Wakeup::SilenceCheck => check_silence(entry, call, progress),
+            Wakeup::Slow => {
+                if second_attempt::may_start(entry, call, progress) {
+                    queued = entry.clock.now();
+                    start = Some(start_attempt(entry, call, progress));
+                }
+                Step::Wait
+            }
             Wakeup::Withdrawal => old_weights::withdraw(entry, call, progress),
         };
         match step {
@@ -399,6 +419,7 @@
             None => pending().await,
         }
     };
+    let slow = second_attempt::wait_slow(entry, progress, start.is_some());
     let started = async {
         match start {
             Some(start) => start.await,
@@ -410,6 +431,7 @@
         (index, output) = next_output(&mut progress.open) => Wakeup::Output(index, output),
         started = started => Wakeup::Started(Box::new(started)),
         () = withdrawal => Wakeup::Withdrawal,
+        () = slow => Wakeup::Slow,
         () = silence => Wakeup::SilenceCheck,
     }
 }
@@ -500,8 +522,12 @@
     let wait_max = goal
         .mul_f64(QUEUE_WAIT_GOALS)
         .min(left.mul_f64(QUEUE_WAIT_FRACTION));
+    if progress.starts_second {
+        return second_attempt::slot_request(entry, call, progress);
+    }
     let resumes = !progress.tried.is_empty();
     SlotRequest {
+        is_second: false,
         service: call.service.clone(),
         has_engine: call.has_engine,
         is_suspected: entry.quarantine.is_suspected(now, &call.keys),
@@ -534,14 +560,22 @@
     progress: &mut Progress,
     started: Result<Started, StartError>,
 ) -> Step {
+    let is_second = std::mem::take(&mut progress.starts_second);
     let (slot, connection) = match started {
         Ok(started) => started,
+        Err(StartError::Refused(_)) if is_second => {
+            second_attempt::record_withheld(entry, Withheld::NoSlot);
+            // Nothing was sent; if the first attempt has ended, this is the time to retry.
+            return progress.attempts.handle(Event::Unreached);
+        }
         Err(StartError::Refused(refusal)) => {
             progress.shortage = match refusal {
                 Refusal::NoServer => Reason::Nobody,
                 Refusal::Busy => Reason::Busy,
                 Refusal::Resting(rest) => Reason::Resting(rest),
             };
+            let now = entry.clock.now();
+            entry.hedge.borrow_mut().record_refusal(now, &call.service);
             progress.cut_cause = Cause::NoSlot;
             return progress.attempts.handle(Event::Refused);
         }
@@ -585,6 +619,7 @@
     let position = progress.last_event_id.clone();
     let mut attempt = Attempt::new(key, slot, entry.clock, exchange, is_stream, position);
     attempt.silence_check = now.saturating_add(silence_limit(&call.route));
+    second_attempt::record_sent(entry, call, progress, &attempt, is_second);
     progress.open.push(attempt);
     Step::Wait
 }
@@ -665,8 +700,12 @@
     entry
         .dispatcher
         .record_outcome(server, Outcome::Answered, attempt.load());
-    if attempt.is_misdirected() {
-        entry.dispatcher.record_misdirected(server);
+    match attempt.is_misdirected() {
+        true => entry.dispatcher.record_misdirected(server),
+        false => {
+            let now = entry.clock.now();
+            entry.hedge.borrow_mut().record_refusal(now, &call.service);
+        }
     }
     entry.metrics.attempts.with_label_values(&["not_run"]).inc();
     progress.shortage = Reason::Busy;
@@ -726,7 +765,7 @@
     attempt: Attempt,
     body: Bytes,
 ) -> Result<(Response, Bytes), Step> {
-    let key = attempt.key;
+    let (key, sent) = (attempt.key, attempt.sent);
     let Some(head) = attempt.head().cloned() else {
         return Err(progress.attempts.handle(Event::Broken(key)));
     };
@@ -745,6 +784,7 @@
     }
     match (200..300).contains(&head.status) {
         true => {
+            second_attempt::record_answer(entry, call, progress, key, sent);
             progress.open.clear();
             entry.metrics.attempts.with_label_values(&["success"]).inc();
             Ok((head, body))
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -71,6 +71,9 @@
     /// Whether a backend server has ended under it. Two such requests do not
     /// share a server, so that its next end tells which of them is the cause.
     pub(crate) is_suspected: bool,
+    /// Whether it is a second attempt beside a slow one, which only takes a slot that no
+    /// other request wants.
+    pub(crate) is_second: bool,
     /// Backend servers to which the request was sent before.
     pub(crate) tried: Vec<Key>,
     pub(crate) waiter: Waiter,
@@ -438,6 +441,13 @@
         self.queued.notified().await;
     }
 
+    /// Whether requests of a service wait.
+    pub(crate) fn is_service_waiting(&self, service: &str) -> bool {
+        let state = self.state.borrow();
+        let service_state = state.services.get(service);
+        service_state.is_some_and(|one| !one.queue.is_empty())
+    }
+
     /// Whether any request waits.
     pub(crate) fn is_waiting(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/node/src/entry/dispatcher/direct.rs
+++ b/crates/node/src/entry/dispatcher/direct.rs
@@ -66,7 +66,8 @@
         let untried = backends
             .of_service(&request.service)
             .filter(|(key, backend)| request.admits(*key, backend))
-            .filter(|(_, backend)| !backend.health.is_unreachable(now));
+            .filter(|(_, backend)| !backend.health.is_unreachable(now))
+            .filter(|(_, backend)| !request.is_second || backend.has_free_slot(now));
         for (key, backend) in untried {
             match limits.admission(now, backend.server) {
                 Admission::Unlimited | Admission::Granted => {}
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -25,6 +25,7 @@
 use super::cut::Cause;
 use super::old_weights;
 use super::quarantine;
+use super::second_attempt;
 
 /// The media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -107,6 +108,10 @@
     events: Bytes,
     out: &mut WriteHalf<'_>,
 ) -> Result<Step, End> {
+    if progress.open[index].first_event.is_none() {
+        let (key, sent) = (progress.open[index].key, progress.open[index].sent);
+        second_attempt::record_answer(entry, call, progress, key, sent);
+    }
     select_attempt(entry, call, progress, index);
     let attempt = &mut progress.open[0];
     let now = entry.clock.now();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -91,6 +91,10 @@
     pub(crate) refusals: IntCounterVec,
     /// Requests sent to backend servers, by outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Second attempts beside slow ones: sent, and won as they answered first.
+    pub(crate) second_attempts: IntCounterVec,
+    /// Slow requests that got no second attempt, by reason.
+    pub(crate) second_attempts_withheld: IntCounterVec,
     /// Engines that were asked whether they can be reached, as their agents were
     /// silent.
     pub(crate) engine_probes: IntCounter,
@@ -213,6 +217,16 @@
                 "Requests sent to backend servers",
                 "outcome",
             ),
+            second_attempts: counters(
+                "snipewinch_second_attempts_total",
+                "Second attempts beside slow ones",
+                "outcome",
+            ),
+            second_attempts_withheld: counters(
+                "snipewinch_second_attempts_withheld_total",
+                "Slow requests without a second attempt",
+                "reason",
+            ),
             engine_probes: counter(
                 "snipewinch_engine_probes_total",
                 "Engines that were asked for their state while their agents were silent",
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -306,6 +306,7 @@
     pub(crate) peers: SocketAddr,
     metrics: SocketAddr,
     logging: Logging,
+    second_attempts: &'static str,
     entry: Child,
     directory: TempDir,
     _reserved: [TcpSocket; 4],
@@ -370,6 +371,8 @@
     /// How long after a publication requests may begin on older weights.
     pub(crate) version_ms: u32,
     pub(crate) logging: Logging,
+    /// The share of requests that may get a second attempt.
+    pub(crate) second_attempts: &'static str,
 }
 
 impl Default for Options {
@@ -380,6 +383,7 @@
             slots: 4,
             version_ms: 8_000,
             logging: Logging::Discarded,
+            second_attempts: "0",
         }
     }
 }
@@ -456,7 +460,12 @@
         let path = directory.path().join(SETTINGS_FILE);
         let addresses = [callers, readiness, peers, store_address];
         std::fs::write(&path, settings(node_name, addresses, options)).unwrap();
-        let entry = spawn_entry(&directory, metrics, options.logging);
+        let entry = spawn_entry(
+            &directory,
+            metrics,
+            options.logging,
+            options.second_attempts,
+        );
         let harness = Harness {
             store,
             callers,
@@ -464,6 +473,7 @@
             peers,
             metrics,
             logging: options.logging,
+            second_attempts: options.second_attempts,
             entry,
             directory,
             _reserved: reserved,
@@ -486,7 +496,12 @@
     pub(crate) async fn restart(&mut self) {
         let _ = self.entry.kill();
         let _ = self.entry.wait();
-        self.entry = spawn_entry(&self.directory, self.metrics, self.logging);
+        self.entry = spawn_entry(
+            &self.directory,
+            self.metrics,
+            self.logging,
+            self.second_attempts,
+        );
         self.wait_listening().await;
         self.wait_ready(true).await;
     }
@@ -591,7 +606,12 @@
 }
 
 /// Starts the process of an entry whose settings are in a directory.
-fn spawn_entry(directory: &TempDir, metrics: SocketAddr, logging: Logging) -> Child {
+fn spawn_entry(
+    directory: &TempDir,
+    metrics: SocketAddr,
+    logging: Logging,
+    second_attempts: &str,
+) -> Child {
     let (lines, level) = match logging {
         Logging::Captured => {
             let mut options = File::options();
@@ -609,6 +629,7 @@
         )
         .env("SNIPEWINCH_METRICS_PORT", metrics.port().to_string())
         .env("SNIPEWINCH_LOG_LEVEL", level)
+        .env("SNIPEWINCH_SECOND_ATTEMPTS", second_attempts)
         .stdout(lines)
         .spawn()
         .unwrap()
--- a/crates/snipewinch/src/attempt.rs
+++ b/crates/snipewinch/src/attempt.rs
@@ -40,6 +40,8 @@
     Withdrawn(Key),
     /// Nothing has arrived for longer than usual.
     Silent(Key),
+    /// The request has taken longer than most, and may get an attempt beside this one.
+    Slow(Key),
     /// The next part of the answer has arrived and is used. The embedder ends
     /// all attempts that are not silent, except this one.
     Progressed(Key),
@@ -133,6 +135,7 @@
             }
             Event::Broken(key) | Event::Failed(key) | Event::Withdrawn(key) => self.close(key),
             Event::Silent(key) => self.set_silent(key, true),
+            Event::Slow(key) => return self.start_beside(key),
             Event::Progressed(key) => {
                 self.open.retain(|one| one.key == key || one.is_silent);
                 self.is_starting = false;
@@ -174,7 +177,7 @@
         let may_rerun = self.repeat.may_rerun() && !self.is_committed;
         let may_run = self.runs == 0 || may_rerun && self.runs < self.runs_max;
         match event {
-            Event::Dropped(_) | Event::Progressed(_) | Event::Refused => false,
+            Event::Dropped(_) | Event::Progressed(_) | Event::Refused | Event::Slow(_) => false,
             Event::Unreached => may_run && self.unreached < UNREACHED_MAX,
             Event::NotRun(_) => may_run && self.sends <= self.runs_max,
             Event::Failed(_) => may_run && self.repeat == Repeat::Idempotent,
@@ -184,6 +187,20 @@
         }
     }
 
+    /// Starts a second attempt beside the only one, if one more server may execute the
+    /// request.
+    fn start_beside(&mut self, key: Key) -> Step {
+        let is_only = self.open.len() == 1 && self.open[0].key == key;
+        let may_run = self.repeat.may_rerun() && !self.is_committed && self.runs < self.runs_max;
+        match is_only && may_run && !self.is_starting {
+            true => {
+                self.is_starting = true;
+                Step::Retry
+            }
+            false => Step::Wait,
+        }
+    }
+
     fn close(&mut self, key: Key) {
         self.open.retain(|one| one.key != key);
     }
--- a/crates/snipewinch/src/lib.rs
+++ b/crates/snipewinch/src/lib.rs
@@ -28,6 +28,7 @@
 //! | [`attempt`] | [`attempt::Attempts`] | when a request goes to another backend server, and when it ends without an answer |
 //! | [`health`] | [`health::Health`] | when a backend server is ejected and readmitted |
 //! | [`pace`] | [`pace::Estimate`] | how long work takes at a backend server now |
+//! | [`hedge`] | [`hedge::Hedge`] | which slow requests also go to a second backend server |
 //! | [`quarantine`] | [`quarantine::Ledger`] | which work is blocked because servers end under it |
 //! | [`limit`] | [`limit::Limiter`] | which calls are admitted, wait or are refused |
 //! | [`concurrency`], [`deadline`], [`retry`] | | how many calls run at once, until when, and how often they are retried |
@@ -91,6 +92,7 @@
 pub mod engine_config;
 pub mod grant;
 pub mod health;
+pub mod hedge;
 pub mod host;
 pub mod lateness;
 pub mod lease;
--- a/crates/snipewinch/tests/attempt.rs
+++ b/crates/snipewinch/tests/attempt.rs
@@ -143,6 +143,7 @@
     Dropped,
     Failed,
     Silent,
+    Slow,
     Progressed,
     Withdrawn,
 }
@@ -157,6 +158,7 @@
             Happening::Dropped,
             Happening::Failed,
             Happening::Silent,
+            Happening::Slow,
             Happening::Progressed,
             Happening::Withdrawn,
         ])
@@ -185,6 +187,7 @@
                 (Happening::Broken, Some(key)) => Event::Broken(key),
                 (Happening::Failed, Some(key)) => Event::Failed(key),
                 (Happening::Silent, Some(key)) => Event::Silent(key),
+                (Happening::Slow, Some(key)) => Event::Slow(key),
                 (Happening::Dropped, Some(key)) if silent.contains(&key) && open.len() > 1 => Event::Dropped(key),
                 (Happening::Progressed, Some(key)) => Event::Progressed(key),
                 (Happening::Withdrawn, Some(key)) => Event::Withdrawn(key),
@@ -199,6 +202,7 @@
                 Event::Unreached | Event::Refused => is_starting = false,
                 Event::NotRun(key) | Event::Broken(key) | Event::Dropped(key) | Event::Failed(key) | Event::Withdrawn(key) => open.retain(|one| *one != key),
                 Event::Silent(key) => silent.push(key),
+                Event::Slow(_) => {}
                 Event::Progressed(key) => {
                     open.retain(|one| *one == key || silent.contains(one));
                     silent.retain(|one| *one != key);
