--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -33,6 +33,7 @@
 use snipewinch::engine_config::EngineConfig;
 use snipewinch::grant::Credit;
 use snipewinch::grant::Published;
+use snipewinch::hedge::Hedge;
 use snipewinch::region;
 use snipewinch::region::Mask;
 use snipewinch::retry;
@@ -76,6 +77,7 @@
 mod pool;
 mod quarantine;
 mod relay;
+mod second_attempt;
 
 use answer::Reason;
 use call::Call;
@@ -145,6 +147,7 @@
     pub(crate) pool: Pool,
     pub(crate) metrics: EntryMetrics,
     pub(crate) quarantine: Quarantine,
+    pub(crate) hedge: RefCell<Hedge>,
     bounds: Cell<Bounds>,
     operator: RefCell<OperatorState>,
     listing: RefCell<Listing>,
@@ -412,6 +415,8 @@
     /// service.
     pub(crate) fn record_first_attempt(&self, service: &SmolStr) {
         self.with_retry_budget(service, |budget| budget.deposit());
+        let now = self.clock.now();
+        self.hedge.borrow_mut().record_request(now, service);
     }
 
     /// Takes one retry out of this entry's share of the budget. Returns false
@@ -559,6 +564,7 @@
         pool: Pool::default(),
         metrics: EntryMetrics::new(),
         quarantine: Quarantine::open(),
+        hedge: RefCell::new(Hedge::open(config.second_attempts)),
         bounds: Cell::new(settings.bounds),
         operator: RefCell::default(),
         listing: RefCell::default(),
--- a/crates/node/src/entry/dispatcher/direct.rs
+++ b/crates/node/src/entry/dispatcher/direct.rs
@@ -69,7 +69,8 @@
                 ..state.facts(&state.standing(now, key, backend), request)
             };
             place.record(&facts);
-            if facts.apart || backend.health.is_unreachable(now) {
+            let is_full = request.is_second && !backend.has_free_slot(now);
+            if facts.apart || is_full || backend.health.is_unreachable(now) {
                 continue;
             }
             match facts.check() {
