--- a/crates/snipewinch/src/cold.rs
+++ b/crates/snipewinch/src/cold.rs
@@ -21,6 +21,8 @@
 const LEFT_MAX: Duration = Duration::from_secs(60);
 /// The lowest rate, so that a bound that leaves next to nothing does not stop a server.
 const RATE_MIN_PER_S: f64 = 0.2;
+/// The longest time between two requests of one entry: a share without use.
+const SPACING_MAX: Duration = Duration::from_secs(3_600);
 /// The span whose grants a cold server counts as free.
 const FREE_SPAN: Duration = Duration::from_millis(250);
 
@@ -293,5 +295,7 @@
 }
 
 fn spacing(per_s: f64) -> Duration {
-    Duration::from_secs_f64(1.0 / per_s.max(RATE_MIN_PER_S))
+    Duration::try_from_secs_f64(1.0 / per_s)
+        .unwrap_or(SPACING_MAX)
+        .min(SPACING_MAX)
 }
