--- a/crates/snipewinch/tests/hedge.rs
+++ b/crates/snipewinch/tests/hedge.rs
@@ -237,7 +237,7 @@
             !is_over
         });
         let mut run_at = |servers: &mut [Vec<Run>; SERVERS], server: usize, request: usize| {
-            let is_slow = (now / 600 + server as u64 * 3) % 7 == 0;
+            let is_slow = (now / 600 + server as u64 * 3).is_multiple_of(7);
             let mut took = -WORK_MS * 0.5 * numbers.unit().ln() + WORK_MS * 0.5;
             took *= if is_slow { 2.5 } else { 1.0 };
             took += if numbers.unit() < 0.004 { 800.0 } else { 0.0 };
