--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -466,6 +466,15 @@
                 if !state.limits.admission(now, backend.server).is_open() {
                     break;
                 }
+                let waiter = state.services.get(service);
+                let waiter = waiter.and_then(|one| one.waiting.get(&ticket));
+                let admits = waiter.is_none_or(|one| {
+                    let waiter = &one.request.waiter;
+                    waiter.resumes || backend.holder.admits(waiter.priority)
+                });
+                if !admits {
+                    break;
+                }
                 let granted = backend.holder.acquire();
                 let begin_by = state
                     .services
--- a/crates/snipewinch/src/dispatch.rs
+++ b/crates/snipewinch/src/dispatch.rs
@@ -47,7 +47,7 @@
 /// preferred: the round trip, and the cost of traffic between zones.
 const REMOTE_PENALTY: Duration = Duration::from_millis(40);
 /// The shortest time that an idle engine takes to the first event.
-const FIRST_EVENT_DELAY_MIN: Duration = Duration::from_millis(90);
+const FIRST_EVENT_DELAY_MIN: Duration = Duration::from_millis(150);
 
 /// The time constant of the moving average of the start rate.
 const RATE_TIME_CONSTANT: Duration = Duration::from_secs(4);
@@ -197,7 +197,9 @@
 
     /// The requests whose waiting time is over.
     pub fn expired(&self, now: Duration) -> Vec<Ticket> {
-        let expired = self.waiters.iter().filter(|(_, one)| one.expires <= now);
+        let expired = self.waiters.iter().filter(|(_, one)| {
+            one.expires <= now || (!one.resumes && one.due < now + FIRST_EVENT_DELAY_MIN)
+        });
         expired.map(|(ticket, _)| ticket).collect()
     }
 
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -250,6 +250,10 @@
     /// How much longer the backend server is cold, in milliseconds; 0 if it is not.
     #[serde(rename = "x", default)]
     pub cold_ms: u32,
+    /// The priority of the least urgent request for which the last slots were granted;
+    /// 255 if they are for any.
+    #[serde(rename = "m", default = "unknown_priority")]
+    pub priority: u8,
     /// Whether the agent grants any slots for now.
     #[serde(rename = "o")]
     pub open: bool,
@@ -272,6 +276,8 @@
     sequence: u32,
     /// The requests that wait, with slack from `last_demand_at` on.
     wants: Wants,
+    /// The least urgent priority for which the last slots were granted.
+    priority: u8,
     granted: u64,
     released: u64,
     unused: u64,
@@ -415,6 +421,7 @@
         let fresh = Account {
             sequence: 0,
             wants: Wants::default(),
+            priority: urgency::UNKNOWN,
             granted: demand.granted,
             released: demand.released,
             unused: demand.unused,
@@ -449,7 +456,7 @@
         loop {
             let in_use = self.in_use();
             self.predictor.advance(now, in_use);
-            let Some((holder, index)) = self.next_holder(now, in_use) else {
+            let Some((holder, index, priority)) = self.next_holder(now, in_use) else {
                 return notified;
             };
             let account = self.accounts.get_mut(&holder).expect("it was just found");
@@ -461,6 +468,10 @@
             }
             account.granted += 1;
             account.tokens = tokens;
+            account.priority = match notified.contains(&holder) {
+                true => account.priority.max(priority),
+                false => priority,
+            };
             self.predictor.admit(now, in_use, tokens);
             if !notified.contains(&holder) {
                 notified.push(holder);
@@ -469,8 +480,8 @@
     }
 
     /// The entry that gets the next slot, if one can be granted now, and for which of
-    /// its requests.
-    fn next_holder(&mut self, now: Duration, in_use: u64) -> Option<(HolderId, usize)> {
+    /// its requests, with their priority; 255 for any.
+    fn next_holder(&mut self, now: Duration, in_use: u64) -> Option<(HolderId, usize, u8)> {
         if in_use >= self.capacity {
             return None;
         }
@@ -491,12 +502,14 @@
         if !fits {
             return None;
         }
+        let mut priority = urgency::UNKNOWN;
         if !rank.is_late {
+            priority = want.priority;
             let on_time = ranked.iter().filter(|one| !one.0.is_late);
             self.order
                 .record_granted(want.priority, on_time.map(|one| one.3.priority));
         }
-        Some((holder, index))
+        Some((holder, index, priority))
     }
 
     /// All that waits, with its place in the order.
@@ -587,6 +600,10 @@
             publish_time_known: self.publish_time_known,
             holders: self.accounts.len().min(usize::from(u16::MAX)) as u16,
             cold_ms: 0,
+            priority: self
+                .accounts
+                .get(&holder)
+                .map_or(urgency::UNKNOWN, |one| one.priority),
             open: self.capacity > 0,
             config_digest: self.config_digest,
         }
@@ -703,6 +720,16 @@
         new
     }
 
+    /// Whether a slot that was granted last may serve a request of `priority`: one
+    /// granted for a more urgent request, which another agent served meanwhile, goes
+    /// back, as more urgent ones may wait at other entries.
+    pub fn admits(&self, priority: u32) -> bool {
+        let granted_for = self
+            .last_credit
+            .map_or(urgency::UNKNOWN, |credit| credit.priority);
+        granted_for == urgency::UNKNOWN || priority <= u32::from(granted_for)
+    }
+
     /// Takes a granted slot into use. Returns false if there is none.
     pub fn acquire(&mut self) -> bool {
         let available = self.idle > 0;
