--- a/crates/node/src/entry/connection.rs
+++ b/crates/node/src/entry/connection.rs
@@ -332,7 +332,7 @@
         deadline,
         route: matched.route.clone(),
         customer: matched.customer.map(|customer| customer.name.clone()),
-        priority: matched.priority(),
+        priority: matched.urgency(),
         service: service.clone(),
         has_engine: engine.is_some(),
         keys,
--- a/crates/snipewinch/src/dispatch.rs
+++ b/crates/snipewinch/src/dispatch.rs
@@ -46,7 +46,7 @@
 /// How much sooner an engine of another availability zone must answer to be
 /// preferred: the round trip, and the cost of traffic between zones.
 const REMOTE_PENALTY: Duration = Duration::from_millis(40);
-/// The shortest time that an idle engine takes to the first event.
+/// The time that an engine takes from a slot to the first event when it is not idle.
 const FIRST_EVENT_DELAY_MIN: Duration = Duration::from_millis(150);
 
 /// The time constant of the moving average of the start rate.
@@ -197,9 +197,7 @@
 
     /// The requests whose waiting time is over.
     pub fn expired(&self, now: Duration) -> Vec<Ticket> {
-        let expired = self.waiters.iter().filter(|(_, one)| {
-            one.expires <= now || (!one.resumes && one.due < now + FIRST_EVENT_DELAY_MIN)
-        });
+        let expired = self.waiters.iter().filter(|(_, one)| one.expires <= now);
         expired.map(|(ticket, _)| ticket).collect()
     }
 
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -125,7 +125,9 @@
             priority: self.priority,
             customer: self.customer,
         };
-        urgency::truncate(&self.wants.unwrap_or([Some(first), None, None, None]), self.waiting)
+        let mut wants = Wants::default();
+        wants[0] = Some(first);
+        urgency::truncate(&self.wants.unwrap_or(wants), self.waiting)
     }
 }
 
--- a/crates/snipewinch/src/route.rs
+++ b/crates/snipewinch/src/route.rs
@@ -13,6 +13,7 @@
 use crate::engine::Spec;
 use crate::mix;
 use crate::region;
+use crate::urgency;
 
 /// The operators' configuration of requests.
 #[derive(Clone, Debug, Default)]
@@ -221,6 +222,12 @@
         customer.unwrap_or(self.route.priority)
     }
 
+    /// Its place in the order of requests: a customer's priority takes precedence, and
+    /// among equals that of the route counts; 0 is the most urgent.
+    pub fn urgency(&self) -> u32 {
+        urgency::level(self.priority(), self.route.priority)
+    }
+
     /// The regions that both the route and the customer allow.
     pub fn regions(&self) -> region::Set {
         match self.customer {
--- a/crates/snipewinch/src/urgency.rs
+++ b/crates/snipewinch/src/urgency.rs
@@ -16,10 +16,10 @@
 /// The priority of a request whose entry does not say which it has.
 pub const UNKNOWN: u8 = u8::MAX;
 /// How many groups of waiting requests a demand describes.
-pub const WANTS_MAX: usize = 4;
-/// Slots in a row that more urgent requests get while one of a priority waits that
-/// can be on time; the next one is that priority's. A seventh of the slots is a
-/// quarter of the share of a kind that makes up four sevenths of the load.
+pub const WANTS_MAX: usize = 6;
+/// Slots in a row that more urgent requests get while less urgent ones wait that can be
+/// on time; the next one goes to the priority that got none for longest. A seventh of
+/// the slots is a quarter of the share of kinds that make up four sevenths of the load.
 const PASSED_OVER_MAX: u32 = 6;
 
 /// Requests of one priority that wait at an entry.
@@ -86,15 +86,18 @@
 /// The order of requests at one backend server.
 #[derive(Clone, Debug, Default)]
 pub struct Order {
-    /// For each priority, slots in a row that more urgent requests got.
+    /// For each priority, slots that more urgent requests got since it got one.
     passed_over: BTreeMap<u8, u32>,
+    /// Slots in a row that went to more urgent requests while less urgent ones waited.
+    since_floor: u32,
+    /// The priority that gets the next slot whatever else waits.
+    below_floor: Option<u8>,
 }
 
 impl Order {
     /// The place of a request that is due at `due_ms` of any clock. Late ones go after
     /// all others, the one that is the least late first.
     pub fn rank(&self, priority: u8, due_ms: i64, is_late: bool) -> Rank {
-        let passed_over = self.passed_over.get(&priority).copied().unwrap_or(0);
         match is_late {
             true => Rank {
                 is_late,
@@ -104,7 +107,7 @@
             },
             false => Rank {
                 is_late,
-                is_below_floor: Reverse(passed_over >= PASSED_OVER_MAX),
+                is_below_floor: Reverse(self.below_floor == Some(priority)),
                 priority,
                 due_ms,
             },
@@ -115,9 +118,22 @@
     /// of the priorities `waiting` wait.
     pub fn record_granted(&mut self, priority: u8, waiting: impl Iterator<Item = u8>) {
         let less_urgent: BTreeSet<u8> = waiting.filter(|other| *other > priority).collect();
+        self.since_floor = match self.below_floor == Some(priority) || less_urgent.is_empty() {
+            true => 0,
+            false => self.since_floor + 1,
+        };
         for other in less_urgent {
             *self.passed_over.entry(other).or_default() += 1;
         }
         self.passed_over.remove(&priority);
+        let longest = self.passed_over.iter().max_by_key(|(_, count)| **count);
+        let longest = longest.map(|(priority, _)| *priority);
+        self.below_floor = longest.filter(|_| self.since_floor >= PASSED_OVER_MAX);
     }
 }
+
+/// How urgent a request is: by the priority of its customer, or of its route if the
+/// customer has none, and among equals by that of its route; 0 is the most urgent.
+pub fn level(priority: u32, route_priority: u32) -> u32 {
+    priority.min(14) * 16 + route_priority.min(15)
+}
