--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -287,7 +287,7 @@
             }
         };
         let (demand, from) = match received {
-            Ok((Message::Demand(demand), from)) => (demand, from),
+            Ok((Message::Demand(demand), from)) => (*demand, from),
             Ok((Message::EngineConfig(config), _)) => {
                 agent.apply_engine_config(*config);
                 continue;
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -721,11 +721,11 @@
             let Some(demand) = backend.holder.demand_wants(now, demanded, &wants) else {
                 continue;
             };
-            let message = Message::Demand(Demand {
+            let message = Message::Demand(Box::new(Demand {
                 published,
                 first_newer: versions.first_newer(now, backend.version()),
                 ..demand
-            });
+            }));
             if let Err(error) = socket.send(&fleet_key, &message, backend.agent) {
                 log::debug!(
                     "E7053 failed to send a demand to {}: {error}",
--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -136,7 +136,7 @@
 pub enum Message {
     /// Demands slots, or releases some.
     #[serde(rename = "a")]
-    Demand(Demand),
+    Demand(Box<Demand>),
     /// The configuration of the agent's engine.
     #[serde(rename = "t")]
     EngineConfig(Box<EngineConfig>),
