--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -513,6 +513,15 @@
         for key in keys {
             while let Some(ticket) = state.best_request(service, key, now) {
                 let backend = state.backends.get_mut(key).expect("it was just found");
+                let waiter = state.services.get(service);
+                let waiter = waiter.and_then(|one| one.waiting.get(&ticket));
+                let admits = waiter.is_none_or(|one| {
+                    let waiter = &one.request.waiter;
+                    waiter.resumes || backend.holder.admits(waiter.priority)
+                });
+                if !admits {
+                    break;
+                }
                 let granted = backend.holder.acquire();
                 let begin_by = state
                     .services
@@ -786,7 +795,7 @@
                 continue;
             };
             let versions = &self.services[service].versions;
-            let message = Message::Demand(Demand {
+            let message = Message::Demand(Box::new(Demand {
                 published,
                 first_newer: versions.first_newer(now, backend.version()),
                 cold_ms: match backend.cold_pace {
@@ -794,7 +803,7 @@
                     None => 0,
                 },
                 ..demand
-            });
+            }));
             if let Err(error) = socket.send(&fleet_key, &message, backend.agent) {
                 log::debug!(
                     "E7053 failed to send a demand to {}: {error}",
--- a/crates/snipewinch/src/dispatch.rs
+++ b/crates/snipewinch/src/dispatch.rs
@@ -46,8 +46,8 @@
 /// How much sooner an engine of another availability zone must answer to be
 /// preferred: the round trip, and the cost of traffic between zones.
 const REMOTE_PENALTY: Duration = Duration::from_millis(40);
-/// The shortest time that an idle engine takes to the first event.
-const FIRST_EVENT_DELAY_MIN: Duration = Duration::from_millis(90);
+/// The time that an engine takes from a slot to the first event when it is not idle.
+const FIRST_EVENT_DELAY_MIN: Duration = Duration::from_millis(150);
 
 /// The time constant of the moving average of the start rate.
 const RATE_TIME_CONSTANT: Duration = Duration::from_secs(4);
