Grant no slot of an engine that may have started while the agent stood still

Change: where the service has cold servers, slots are granted only within 750 ms of a request for the state that the engine has answered.

--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -288,6 +288,7 @@
     let mut health_due = Duration::ZERO;
     loop {
         let cold_pace = agent.cold_pace();
+        let asked = agent.clock.now();
         let report = match agent.engine.report().await {
             Ok(report)
                 if cold_pace.is_some()
@@ -316,6 +317,9 @@
             .as_ref()
             .is_some_and(|one| one.running + one.waiting > 0);
         if let Some(report) = &report {
+            let mut state = agent.slot_pool.state.borrow_mut();
+            state.issuer.cold().record_seen(asked);
+            drop(state);
             agent.observe_engine(report);
         }
         let before = agent.slot_pool.report();
--- a/crates/snipewinch/src/cold.rs
+++ b/crates/snipewinch/src/cold.rs
@@ -23,6 +23,11 @@
 const RATE_MIN_PER_S: f64 = 0.2;
 /// The longest time between two requests of one entry: a share without use.
 const SPACING_MAX: Duration = Duration::from_secs(3_600);
+/// How long after the last report a server is known not to have started anew: an agent
+/// that stood still does not know.
+const SEEN_AGE_MAX: Duration = Duration::from_millis(750);
+/// How soon it is looked again whether there is a report.
+const SEEN_RETRY: Duration = Duration::from_millis(50);
 /// The span whose grants a cold server counts as free.
 const FREE_SPAN: Duration = Duration::from_millis(250);
 
@@ -147,6 +152,8 @@
     until: Until,
     /// The grants of the last [`Pace::WINDOW`], also those made before it was cold.
     recent: VecDeque<Duration>,
+    /// When the last report was asked for that the server has answered.
+    seen: Option<Duration>,
     /// Before when nothing is granted while it is cold.
     not_before: Duration,
     /// How often grants were held back.
@@ -169,6 +176,12 @@
         self.pace
     }
 
+    /// Records that the server has answered a request for its state that was sent at a
+    /// time.
+    pub fn record_seen(&mut self, asked: Duration) {
+        self.seen = Some(asked);
+    }
+
     /// Records how much longer the server is cold; true if it was not known to be cold.
     pub fn record_left(&mut self, now: Duration, left: Duration) -> bool {
         let was_cold = self.is_cold(now);
@@ -191,8 +204,11 @@
 
     /// Whether a slot may be granted now, or when.
     pub fn admission(&self, now: Duration) -> Admission {
-        let Some(pace) = self.pace.filter(|_| self.is_cold(now)) else {
-            return Admission::Open;
+        let is_unseen = self.seen.is_some_and(|at| now > at + SEEN_AGE_MAX);
+        let pace = match self.pace {
+            Some(_) if is_unseen => return Admission::Later(SEEN_RETRY),
+            Some(pace) if self.is_cold(now) => pace,
+            Some(_) | None => return Admission::Open,
         };
         let spaced = self.recent.back().map(|last| *last + pace.interval);
         let oldest = self.recent.len().checked_sub(pace.grants_max);
--- a/crates/snipewinch/tests/cold.rs
+++ b/crates/snipewinch/tests/cold.rs
@@ -349,3 +349,14 @@
     let read: Demand = serde_json::from_str(&bytes).expect("a demand without it is valid");
     assert_eq!(read.cold_ms, 0);
 }
+
+#[test]
+fn an_agent_that_stood_still_grants_slots_of_a_server_that_started_meanwhile() {
+    let mut gate = Gate::default();
+    gate.set_pace(ms(0), Some(pace()));
+    gate.record_seen(ms(1_000));
+    assert_eq!(gate.admission(ms(1_200)), Admission::Open);
+    assert_ne!(gate.admission(ms(4_000)), Admission::Open);
+    gate.record_seen(ms(4_000));
+    assert_eq!(gate.admission(ms(4_010)), Admission::Open);
+}
