--- a/crates/snipewinch/src/cold.rs
+++ b/crates/snipewinch/src/cold.rs
@@ -65,7 +65,7 @@
     pub duration: Duration,
     /// The least time between two grants.
     pub interval: Duration,
-    /// The most grants within [`Pace::window`].
+    /// The most grants within [`Pace::WINDOW`].
     pub grants_max: usize,
     /// The requests per second that may go without a grant to a cold server of which
     /// other requests may come from its agent.
