Let less urgent requests pass an agent that has fallen silent

Cause: an entry compared a waiting request with the urgency for which the agent granted a slot last, also where no slot was left to give back. An engine whose agent fell silent after it had granted a slot for an urgent request got no less urgent one from that entry until the agent answered.

Change: the comparison holds only while a granted slot is idle.

Measured: the new test failed before.

--- a/crates/snipewinch/src/grant.rs
+++ b/crates/snipewinch/src/grant.rs
@@ -750,8 +750,12 @@
 
     /// Whether a slot that was granted last may serve a request of `priority`: one
     /// granted for a more urgent request, which another agent served meanwhile, goes
-    /// back, as more urgent ones may wait at other entries.
+    /// back, as more urgent ones may wait at other entries. Without such a slot there is
+    /// none to give back.
     pub fn admits(&self, priority: u32) -> bool {
+        if self.idle == 0 {
+            return true;
+        }
         let granted_for = self
             .last_credit
             .map_or(urgency::UNKNOWN, |credit| credit.priority);
--- a/crates/snipewinch/tests/urgency.rs
+++ b/crates/snipewinch/tests/urgency.rs
@@ -183,6 +183,22 @@
 }
 
 /// An engine as in `engine`, of 12 slots, whose requests take a second on average.
+/// Guards against an engine whose agent has fallen silent, and that gets nothing but
+/// requests as urgent as its agent granted a slot for last.
+#[test]
+fn a_slot_in_use_keeps_less_urgent_requests_from_an_engine_whose_agent_is_silent() {
+    let mut holder = Holder::new(HolderId(1));
+    let urgent = wants([want(URGENT, 1, 300)]);
+    let demand = holder.demand_wants(ms(1), 1, &urgent);
+    let mut issuer = issuer(1);
+    issuer.receive(ms(1), &demand.expect("a request waits"));
+    issuer.grant(ms(1));
+    holder.receive(ms(2), &issuer.credit(ms(1), HolderId(1)));
+    assert!(!holder.admits(LESS_URGENT.into()), "the slot goes back");
+    assert!(holder.acquire());
+    assert!(holder.admits(LESS_URGENT.into()));
+}
+
 fn spec() -> Spec {
     Spec {
         slots: 12,
