review: requests larger than a model runner's memory stop its agent

Cause: the predicted pass of the engine is as long as the prompt that was granted, also after the engine has rejected the request.

--- a/review/standin-2/all_end.rs
+++ b/review/standin-2/all_end.rs
@@ -17,7 +17,7 @@
 const WAVE_REQUESTS: usize = 60;
 
 pub fn run() {
-    let world = World::open("8", 88);
+    let world = World::open("9", 89);
     world.store.put("op", "config", CONFIGURATION);
     let zones = ["gulf-coast-a", "hill-country-a", "panhandle-a"];
     let runners: Vec<Runner> = (1..)
--- a/review/standin-2/retry_budget.rs
+++ b/review/standin-2/retry_budget.rs
@@ -29,7 +29,7 @@
 const BUDGET_BURST: f64 = 234.0;
 
 pub fn run() {
-    let world = World::open("9", 89);
+    let world = World::open("10", 90);
     world.store.put("op", "config", CONFIGURATION);
     let zones = ["gulf-coast-a", "hill-country-a", "panhandle-a"];
     for (number, zone) in (1..).zip(zones) {
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -27,6 +27,9 @@
 /// How often a runner writes its entry.
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+/// The memory of a model runner, in tokens.
+pub const MEMORY_TOKENS: u64 = 317_000;
+
 /// What does not change of a runner.
 #[derive(Clone)]
 pub struct Plan {
@@ -222,7 +225,11 @@
         if !expected.is_empty() && expected != plan.id {
             return http::reply(stream, 421, &format!("{echo}{instance}X-Not-Executed: 1\r\n"), b"").is_ok();
         }
-        if !self.begin() {
+        // A request that is larger than its memory is rejected as if it were full.
+        let usage = request.field("x-token-usage").split(',').next().unwrap_or_default();
+        let tokens: u64 = usage.trim().parse().unwrap_or(0);
+        let is_too_large = plan.model.is_some() && tokens > MEMORY_TOKENS;
+        if is_too_large || !self.begin() {
             self.record.line("runner", &detail("rejects"));
             let fields = format!("{echo}{}X-Not-Executed: 1\r\n", self.load_field());
             return http::reply(stream, 503, &fields, b"").is_ok();
@@ -274,7 +281,7 @@
         let load = self.load.0.lock().unwrap();
         let model = self.plan.model.unwrap_or_default();
         format!(
-            "{{\"phase\":\"unified\",\"models\":[{{\"name\":\"{model}\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\"seq\":0,\"queued\":{},\"active\":{},\"kvUsed\":0,\"kvTotal\":90000,\"handles\":0,\"pace\":1.0,\"born\":{born}}}",
+            "{{\"phase\":\"unified\",\"models\":[{{\"name\":\"{model}\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\"seq\":0,\"queued\":{},\"active\":{},\"kvUsed\":0,\"kvTotal\":317000,\"handles\":0,\"pace\":1.0,\"born\":{born}}}",
             load.waiting, load.running
         )
     }
