--- a/review/standin-2/all_end.rs
+++ b/review/standin-2/all_end.rs
@@ -79,7 +79,7 @@
         *counts.entry(one.as_str()).or_insert(0) += 1;
     }
     let denied = denied_usual + got.iter().filter(|one| is_denied(one)).count();
-    let total = world.record.sent();
+    let total = world.record.sent().len();
     let allowed = 5.0 + total as f64 / 500.0;
     world.record.say(&format!("answers to the {WAVE_REQUESTS} requests: {counts:?}"));
     world.record.say(&format!(
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod late_order;
 mod oversized;
 mod restored_store;
+mod retry_budget;
 mod runner;
 mod store;
 mod twice_at_once;
@@ -20,8 +21,10 @@
         Some("8") => restored_store::run(),
         Some("9") => oversized::run(),
         Some("10") => all_end::run(),
+        // Not among the cases; see `REPORT-2.md`.
+        Some("retry-budget") => retry_budget::run(),
         _ => {
-            eprintln!("usage: cases 6|7|8|9|10");
+            eprintln!("usage: cases 6|7|8|9|10|retry-budget");
             std::process::exit(2);
         }
     }
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -220,7 +220,7 @@
             return http::reply(stream, 400, "X-Not-Executed: 1\r\n", b"").is_ok();
         }
         self.record.line("runner", &detail("gets"));
-        self.record.arrival(&plan.id, request);
+        self.record.arrival(&plan.id, &id, request);
         let expected = request.field("x-expect-instance");
         if !expected.is_empty() && expected != plan.id {
             return http::reply(stream, 421, &format!("{echo}{instance}X-Not-Executed: 1\r\n"), b"").is_ok();
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -33,13 +33,23 @@
 pub struct Arrival {
     pub at: Duration,
     pub runner: String,
+    /// The id of the client's attempt.
+    pub attempt: String,
+    pub path: String,
     pub body: String,
 }
 
+/// A request that a client sent.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub at: Duration,
+    pub path: String,
+}
+
 struct Lines {
     file: File,
     arrivals: Vec<Arrival>,
-    sent: usize,
+    sent: Vec<Sent>,
 }
 
 /// The record of a run.
@@ -52,7 +62,7 @@
 impl Record {
     pub fn open(path: &Path) -> Record {
         let file = File::create(path).expect("the record can be written");
-        let lines = Lines { file, arrivals: Vec::new(), sent: 0 };
+        let lines = Lines { file, arrivals: Vec::new(), sent: Vec::new() };
         Record { started: Instant::now(), lines: Arc::new(Mutex::new(lines)) }
     }
 
@@ -72,10 +82,12 @@
         println!("{what}");
     }
 
-    pub fn arrival(&self, runner: &str, request: &Message) {
+    pub fn arrival(&self, runner: &str, attempt: &str, request: &Message) {
         let arrival = Arrival {
             at: self.now(),
             runner: runner.to_owned(),
+            attempt: attempt.to_owned(),
+            path: request.path().to_owned(),
             body: String::from_utf8_lossy(&request.body).into_owned(),
         };
         self.lines.lock().unwrap().arrivals.push(arrival);
@@ -85,9 +97,8 @@
         self.lines.lock().unwrap().arrivals.clone()
     }
 
-    /// How many requests clients have sent.
-    pub fn sent(&self) -> usize {
-        self.lines.lock().unwrap().sent
+    pub fn sent(&self) -> Vec<Sent> {
+        self.lines.lock().unwrap().sent.clone()
     }
 }
 
@@ -121,7 +132,11 @@
     /// Opens a case whose addresses are 127.`net`.0.1 and up.
     pub fn open(case: &str, net: u8) -> World {
         let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
-        let record = Record::open(&Path::new("review").join(case).join("record.txt"));
+        let folder = Path::new("review").join(case);
+        let record = match folder.is_dir() {
+            true => Record::open(&folder.join("record.txt")),
+            false => Record::open(&Path::new("target/review-2").join(format!("{case}.txt"))),
+        };
         let folder = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder can be made");
         let ports = [(); 7].map(|()| free_port());
@@ -361,6 +376,12 @@
     }
 }
 
+impl Drop for World {
+    fn drop(&mut self) {
+        end_all(&self.machines);
+    }
+}
+
 fn end_all(machines: &Mutex<Vec<Machine>>) {
     for machine in machines.lock().unwrap().iter_mut() {
         let _ = machine.process.kill();
@@ -393,7 +414,8 @@
             "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {deadline_ms}\r\nApi-Key: {KEY}\r\nConnection: close\r\n{fields}"
         );
         self.record.line("client", &format!("{attempt} {method} {path} to {}", entry.ip()));
-        self.record.lines.lock().unwrap().sent += 1;
+        let sent = Sent { at: self.record.now(), path: path.to_owned() };
+        self.record.lines.lock().unwrap().sent.push(sent);
         let limit = Duration::from_millis(deadline_ms);
         let got = http::ask(entry, &head, body.as_bytes(), limit);
         self.record.line("client", &format!("{attempt} is answered: {}", got.text()));
