--- a/review/standin-2/all_end.rs
+++ b/review/standin-2/all_end.rs
@@ -70,7 +70,10 @@
             .collect();
         ending.into_iter().for_each(|one| drop(one.join()));
     }
-    let got: Vec<String> = wave.into_iter().map(|one| one.join().expect("a client ends")).collect();
+    let got: Vec<String> = wave
+        .into_iter()
+        .map(|one| one.join().expect("a client ends"))
+        .collect();
     world.until(END);
     ends.store(true, Ordering::SeqCst);
     let denied_usual = usual.join().expect("a client ends");
@@ -81,7 +84,9 @@
     let denied = denied_usual + got.iter().filter(|one| is_denied(one)).count();
     let total = world.record.sent().len();
     let allowed = 5.0 + total as f64 / 500.0;
-    world.record.say(&format!("answers to the {WAVE_REQUESTS} requests: {counts:?}"));
+    world.record.say(&format!(
+        "answers to the {WAVE_REQUESTS} requests: {counts:?}"
+    ));
     world.record.say(&format!(
         "requests of {total} that were ended with 3xx or 4xx: {denied}, allowed {allowed:.1}"
     ));
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -83,7 +83,10 @@
             id,
             zone,
             address,
-            born: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis(),
+            born: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap()
+                .as_millis(),
             record: record.clone(),
             state: Arc::new(Mutex::new(State {
                 version: 1,
@@ -148,22 +151,40 @@
 
     /// Answers a request; false if the connection ends.
     fn handle(&self, out: &mut TcpStream, request: &Message) -> bool {
-        let number = request.query("num").and_then(|text| text.parse::<usize>().ok());
+        let number = request
+            .query("num")
+            .and_then(|text| text.parse::<usize>().ok());
         match (request.path(), number) {
             ("/report", _) => {
                 let state = self.state.lock().unwrap();
                 let body = format!(
                     "{{\"phase\":\"unified\",\"models\":{},\"busy\":{},\"seq\":{},\"queued\":0,\"active\":{},\"kvUsed\":0,\"kvTotal\":317000,\"handles\":0,\"pace\":1.0,\"born\":{}}}",
-                    self.models(&state), state.is_busy, state.orders, state.running, self.born
+                    self.models(&state),
+                    state.is_busy,
+                    state.orders,
+                    state.running,
+                    self.born
                 );
                 drop(state);
-                http::reply(out, 200, "Content-Type: application/json\r\n", body.as_bytes()).is_ok()
+                http::reply(
+                    out,
+                    200,
+                    "Content-Type: application/json\r\n",
+                    body.as_bytes(),
+                )
+                .is_ok()
+            }
+            ("/healthz", _) => {
+                http::reply(out, 200, &format!("X-Instance-Id: {}\r\n", self.id), b"").is_ok()
             }
-            ("/healthz", _) => http::reply(out, 200, &format!("X-Instance-Id: {}\r\n", self.id), b"").is_ok(),
             ("/order", _) => self.take_order(out, request),
             (path, Some(number)) if path.starts_with("/stage-put/") => {
                 thread::sleep(STAGE_TIME);
-                self.state.lock().unwrap().staged.insert(number, request.body.clone());
+                self.state
+                    .lock()
+                    .unwrap()
+                    .staged
+                    .insert(number, request.body.clone());
                 http::reply(out, 200, "", b"").is_ok()
             }
             (path, Some(number)) if path.starts_with("/stage-get/") => {
@@ -180,21 +201,31 @@
     fn take_order(&self, out: &mut TcpStream, request: &Message) -> bool {
         let body = Json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Json::Null);
         let version = body.get("version").number();
-        self.record.line("runner", &format!("{} gets the order to load version {version}", self.id));
+        self.record.line(
+            "runner",
+            &format!("{} gets the order to load version {version}", self.id),
+        );
         let mut state = self.state.lock().unwrap();
         let stall = state.stall.take_if(|stall| stall.version == version);
         drop(state);
         if let Some(stall) = stall {
-            self.record.line("runner", &format!("the worker of {} that takes it falls silent", self.id));
+            self.record.line(
+                "runner",
+                &format!("the worker of {} that takes it falls silent", self.id),
+            );
             thread::sleep(stall.time);
-            self.record.line("runner", &format!("the worker of {} goes on", self.id));
+            self.record
+                .line("runner", &format!("the worker of {} goes on", self.id));
         }
         let mut state = self.state.lock().unwrap();
         let expected = body.get("expectedRev");
         let is_expected = matches!(expected, Json::Null) || expected.number() == state.orders;
         if !is_expected || state.is_busy {
             drop(state);
-            self.record.line("runner", &format!("{} refuses the order: its state has changed", self.id));
+            self.record.line(
+                "runner",
+                &format!("{} refuses the order: its state has changed", self.id),
+            );
             return http::reply(out, 409, "", b"").is_ok();
         }
         if state.version == version {
@@ -202,9 +233,8 @@
             return http::reply(out, 200, "", b"").is_ok();
         }
         // The layers are those that are staged at this moment.
-        let is_foreign = |number: &usize| {
-            state.staged.get(number) != Some(&weights::piece(version, *number))
-        };
+        let is_foreign =
+            |number: &usize| state.staged.get(number) != Some(&weights::piece(version, *number));
         let foreign: Vec<usize> = (0..PIECES).filter(is_foreign).collect();
         self.record.line(
             "runner",
@@ -251,7 +281,10 @@
         if !is_same {
             return http::reply(out, 503, &refusal, b"").is_ok();
         }
-        self.record.line("runner", &format!("{} runs {id} on version {version}", self.id));
+        self.record.line(
+            "runner",
+            &format!("{} runs {id} on version {version}", self.id),
+        );
         let head = format!(
             "HTTP/1.1 200 OK\r\n{echo}X-Server-Signature: {}.{id}\r\nX-Weight-Versions: {version}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
             self.id
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -74,7 +74,10 @@
 impl Reader {
     pub fn new(stream: TcpStream) -> Reader {
         let _ = stream.set_nodelay(true);
-        Reader { stream, buffer: Vec::new() }
+        Reader {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     fn fill(&mut self) -> io::Result<usize> {
@@ -129,7 +132,11 @@
         let fields = fields
             .map(|(name, value)| (name.to_lowercase(), value.trim().to_owned()))
             .collect();
-        Some(Message { first, fields, body: Vec::new() })
+        Some(Message {
+            first,
+            fields,
+            body: Vec::new(),
+        })
     }
 
     fn line(&mut self) -> Option<String> {
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -14,7 +14,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = parser.value()?;
         parser.space();
         (parser.at == parser.bytes.len()).then_some(value)
--- a/review/standin-2/late_order.rs
+++ b/review/standin-2/late_order.rs
@@ -70,18 +70,25 @@
         world.until(at);
         if world.trouble && version == STALLED_VERSION {
             for engine in &engines[..STALLED_ENGINES] {
-                engine.set_stall(Stall { version, time: STALL });
+                engine.set_stall(Stall {
+                    version,
+                    time: STALL,
+                });
             }
         }
         let value = format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}");
         world.store.put("op", &format!("version/{MODEL}"), &value);
-        world.record.line("operator", &format!("version {version} is named"));
+        world
+            .record
+            .line("operator", &format!("version {version} is named"));
     }
     world.until(END);
     ends.store(true, Ordering::SeqCst);
     thread::sleep(Duration::from_secs(1));
     let tokens: usize = engines.iter().map(Engine::foreign_tokens).sum();
-    world.record.say(&format!("tokens that were made with layers from pieces of another version: {tokens}"));
+    world.record.say(&format!(
+        "tokens that were made with layers from pieces of another version: {tokens}"
+    ));
     world.finish(tokens > 0);
 }
 
--- a/review/standin-2/oversized.rs
+++ b/review/standin-2/oversized.rs
@@ -92,13 +92,20 @@
             thread::spawn(move || {
                 record.line("case", &format!("a request of {OVERSIZED_TOKENS} tokens, of {MEMORY_TOKENS} that fit, is sent"));
                 let got = client.send(entry, "POST", "/draft/notes", &fields, "notes", 6_000);
-                record.say(&format!("the request of {OVERSIZED_TOKENS} tokens is answered: {}", got.text()));
+                record.say(&format!(
+                    "the request of {OVERSIZED_TOKENS} tokens is answered: {}",
+                    got.text()
+                ));
             });
         }
         due += Duration::from_secs_f64(1.0 / PER_S);
         thread::sleep(due.saturating_sub(world.record.now()));
         for kind in [0, 1] {
-            let (client, entry, counts) = (world.client(), entries[number % entries.len()], counts.clone());
+            let (client, entry, counts) = (
+                world.client(),
+                entries[number % entries.len()],
+                counts.clone(),
+            );
             // Those sent before the large one don't count.
             let counted = world.record.now() > OVERSIZED;
             let sending = thread::Builder::new().stack_size(256 << 10);
@@ -121,7 +128,10 @@
     }
     thread::sleep(Duration::from_secs(6));
     let [drafts, lookups] = *counts.lock().unwrap();
-    let all = Count { sent: drafts.sent + lookups.sent, served: drafts.served + lookups.served };
+    let all = Count {
+        sent: drafts.sent + lookups.sent,
+        served: drafts.served + lookups.served,
+    };
     world.record.say(&format!(
         "served from {:.0} s on: {} of {} drafts, {} of {} lookups; shares: drafts {:.3}, all {:.3}",
         OVERSIZED.as_secs_f64(), drafts.served, drafts.sent, lookups.served, lookups.sent, drafts.share(), all.share()
--- a/review/standin-2/restored_store.rs
+++ b/review/standin-2/restored_store.rs
@@ -67,18 +67,25 @@
     leaving.is_listed.store(false, Ordering::SeqCst);
     world.store.remove("servers", &leaving.plan.id);
     let left = world.record.now();
-    world.record.line("store", "the entry of i-desk-1 is removed");
+    world
+        .record
+        .line("store", "the entry of i-desk-1 is removed");
     if world.trouble {
         world.until(AWAY);
         world.store.go_away();
         world.record.line("store", "it goes away");
         world.until(BACK);
         world.store.come_back(&copy);
-        world.record.line("store", "it is back from the copy, in the next era");
+        world
+            .record
+            .line("store", "it is back from the copy, in the next era");
         while world.store.has("servers", &leaving.plan.id) {
             thread::sleep(Duration::from_millis(10));
         }
-        world.record.line("store", "the entry of i-desk-1 is removed after three heartbeats of silence");
+        world.record.line(
+            "store",
+            "the entry of i-desk-1 is removed after three heartbeats of silence",
+        );
     }
     world.until(END);
     ends.store(true, Ordering::SeqCst);
--- a/review/standin-2/retry_budget.rs
+++ b/review/standin-2/retry_budget.rs
@@ -68,7 +68,9 @@
     world.wait_ready();
     let entries = world.entries();
     let ends = Arc::new(AtomicBool::new(false));
-    let interval = std::env::var("DRAFT_MS").ok().and_then(|text| text.parse().ok());
+    let interval = std::env::var("DRAFT_MS")
+        .ok()
+        .and_then(|text| text.parse().ok());
     let interval = Duration::from_millis(interval.unwrap_or(DRAFT_INTERVAL_MS));
     let (client, ended, targets) = (world.client(), ends.clone(), entries.clone());
     thread::spawn(move || {
@@ -78,7 +80,9 @@
             }
             let fields = "X-Model: folk\r\nX-Token-Usage: 600,50\r\nX-Prefix-Hash: 5c1e07a2:40,91bd3f06:560\r\n";
             let (client, entry) = (client.clone(), *entry);
-            thread::spawn(move || client.send(entry, "POST", "/draft/notes", fields, "notes", 6_000));
+            thread::spawn(move || {
+                client.send(entry, "POST", "/draft/notes", fields, "notes", 6_000)
+            });
             thread::sleep(interval);
         }
     });
@@ -117,7 +121,11 @@
     if answer.status() != 503 {
         return;
     }
-    let wait = answer.field("retry-after").parse().unwrap_or(0.0_f64).clamp(0.0, 1.0);
+    let wait = answer
+        .field("retry-after")
+        .parse()
+        .unwrap_or(0.0_f64)
+        .clamp(0.0, 1.0);
     thread::sleep(Duration::from_secs_f64(wait));
     let entry = entries[(number + 1) % entries.len()];
     client.send(entry, "GET", "/lookup/record", "", "", 2_000);
@@ -128,7 +136,9 @@
 fn worst_window(world: &World) -> (usize, f64, Duration) {
     let arrivals = world.record.arrivals();
     let mut seen = HashSet::new();
-    let plain = arrivals.iter().filter(|one| one.path.starts_with("/lookup/"));
+    let plain = arrivals
+        .iter()
+        .filter(|one| one.path.starts_with("/lookup/"));
     let extra: Vec<Duration> = plain
         .filter(|one| !seen.insert(one.attempt.clone()))
         .map(|one| one.at)
@@ -140,14 +150,24 @@
         .map(|one| one.at)
         .collect();
     let count = |times: &[Duration], from: Duration| {
-        let inside = times.iter().filter(|at| **at >= from && **at < from + WINDOW);
+        let inside = times
+            .iter()
+            .filter(|at| **at >= from && **at < from + WINDOW);
         inside.count()
     };
     let mut worst = (0, f64::MAX, Duration::ZERO);
     let mut from = Duration::ZERO;
     while from < END {
-        let windows = [from, from.saturating_sub(WINDOW), from.saturating_sub(WINDOW / 2)];
-        let requests = windows.map(|at| count(&sent, at)).into_iter().max().unwrap_or(0);
+        let windows = [
+            from,
+            from.saturating_sub(WINDOW),
+            from.saturating_sub(WINDOW / 2),
+        ];
+        let requests = windows
+            .map(|at| count(&sent, at))
+            .into_iter()
+            .max()
+            .unwrap_or(0);
         let allowed = RATIO * requests as f64 + BUDGET_BURST;
         let found = count(&extra, from);
         if found as f64 - allowed > worst.0 as f64 - worst.1 {
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -118,11 +118,13 @@
         loop {
             let now_born = self.born.load(Ordering::SeqCst);
             let is_new = std::mem::replace(&mut born, now_born) != now_born;
-            let is_on = self.is_alive.load(Ordering::SeqCst) && self.is_listed.load(Ordering::SeqCst);
+            let is_on =
+                self.is_alive.load(Ordering::SeqCst) && self.is_listed.load(Ordering::SeqCst);
             if is_on && (is_new || Instant::now() >= due) {
                 seq = if is_new { 1 } else { seq + 1 };
                 due = Instant::now() + HEARTBEAT;
-                self.store.put("servers", &self.plan.id, &self.entry("ready", seq, true));
+                self.store
+                    .put("servers", &self.plan.id, &self.entry("ready", seq, true));
             }
             thread::sleep(Duration::from_millis(5));
         }
@@ -149,7 +151,12 @@
                 let runner = self.clone();
                 let number = self.next.fetch_add(1, Ordering::SeqCst);
                 if let Ok(other) = stream.try_clone() {
-                    self.load.0.lock().unwrap().connections.insert(number, other);
+                    self.load
+                        .0
+                        .lock()
+                        .unwrap()
+                        .connections
+                        .insert(number, other);
                 }
                 let serving = thread::Builder::new().stack_size(256 << 10);
                 let _ = serving.spawn(move || {
@@ -168,7 +175,8 @@
         if !self.is_alive.swap(false, Ordering::SeqCst) {
             return;
         }
-        self.record.line("runner", &format!("{} ends", self.plan.id));
+        self.record
+            .line("runner", &format!("{} ends", self.plan.id));
         while self.is_listening.load(Ordering::SeqCst) {
             thread::sleep(Duration::from_micros(200));
         }
@@ -184,7 +192,9 @@
             thread::sleep(runner.plan.down);
             runner.born.store(now_ms(), Ordering::SeqCst);
             runner.is_alive.store(true, Ordering::SeqCst);
-            runner.record.line("runner", &format!("{} is back", runner.plan.id));
+            runner
+                .record
+                .line("runner", &format!("{} is back", runner.plan.id));
         });
     }
 
@@ -192,7 +202,8 @@
         let born = self.born.load(Ordering::SeqCst);
         let mut reader = Reader::new(stream);
         while let Some(request) = reader.request() {
-            let is_same = self.is_alive.load(Ordering::SeqCst) && born == self.born.load(Ordering::SeqCst);
+            let is_same =
+                self.is_alive.load(Ordering::SeqCst) && born == self.born.load(Ordering::SeqCst);
             if !is_same || !self.handle(&mut reader.stream, &request, born) {
                 return;
             }
@@ -208,9 +219,17 @@
             "/healthz" => return http::reply(stream, 200, &instance, b"").is_ok(),
             "/report" => {
                 let body = self.report(born);
-                return http::reply(stream, 200, "Content-Type: application/json\r\n", body.as_bytes()).is_ok();
+                return http::reply(
+                    stream,
+                    200,
+                    "Content-Type: application/json\r\n",
+                    body.as_bytes(),
+                )
+                .is_ok();
+            }
+            path if path.starts_with("/stage-") => {
+                return http::reply(stream, 404, "", b"").is_ok();
             }
-            path if path.starts_with("/stage-") => return http::reply(stream, 404, "", b"").is_ok(),
             "/order" => return http::reply(stream, 409, "", b"").is_ok(),
             _ => {}
         }
@@ -223,10 +242,20 @@
         self.record.arrival(&plan.id, &id, request);
         let expected = request.field("x-expect-instance");
         if !expected.is_empty() && expected != plan.id {
-            return http::reply(stream, 421, &format!("{echo}{instance}X-Not-Executed: 1\r\n"), b"").is_ok();
+            return http::reply(
+                stream,
+                421,
+                &format!("{echo}{instance}X-Not-Executed: 1\r\n"),
+                b"",
+            )
+            .is_ok();
         }
         // A request that is larger than its memory is rejected as if it were full.
-        let usage = request.field("x-token-usage").split(',').next().unwrap_or_default();
+        let usage = request
+            .field("x-token-usage")
+            .split(',')
+            .next()
+            .unwrap_or_default();
         let tokens: u64 = usage.trim().parse().unwrap_or(0);
         let is_too_large = plan.model.is_some() && tokens > MEMORY_TOKENS;
         if is_too_large || !self.begin() {
@@ -240,7 +269,11 @@
             self.crash();
             return false;
         }
-        let signature = format!("{echo}X-Server-Signature: {}.{id}\r\n{}", plan.id, self.load_field());
+        let signature = format!(
+            "{echo}X-Server-Signature: {}.{id}\r\n{}",
+            plan.id,
+            self.load_field()
+        );
         let is_sent = match plan.model {
             Some(_) => stream_events(stream, &signature, plan.work),
             None => {
@@ -274,7 +307,10 @@
 
     fn load_field(&self) -> String {
         let load = self.load.0.lock().unwrap();
-        format!("X-Server-Load: {},{},{}\r\n", load.running, load.waiting, self.plan.slots)
+        format!(
+            "X-Server-Load: {},{},{}\r\n",
+            load.running, load.waiting, self.plan.slots
+        )
     }
 
     fn report(&self, born: u64) -> String {
@@ -303,5 +339,8 @@
 }
 
 fn now_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -172,11 +172,12 @@
         let limit = limit.unwrap_or(PAGE_MAX).min(PAGE_MAX);
         let state = self.state.lock().unwrap();
         let range = state.rows.range((table.clone(), from)..);
-        let found = range
-            .take_while(|((other, _), _)| *other == table)
-            .filter(|((_, key), row)| {
-                row.value.is_some() && until.as_ref().is_none_or(|until| key < until)
-            });
+        let found =
+            range
+                .take_while(|((other, _), _)| *other == table)
+                .filter(|((_, key), row)| {
+                    row.value.is_some() && until.as_ref().is_none_or(|until| key < until)
+                });
         let rows: Vec<String> = found.take(limit + 1).map(encode).collect();
         let has_more = rows.len() > limit;
         let shown = rows[..rows.len().min(limit)].join(",");
@@ -185,7 +186,11 @@
 
     fn feed(&self, request: &Message) -> Option<(u16, Vec<u8>)> {
         let table = request.query("table").unwrap_or_default();
-        let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let since = number("sinceRev").unwrap_or(0);
         let wait = Duration::from_millis(number("waitMs").unwrap_or(0).min(WAIT_MAX_MS));
         let until = Instant::now() + wait;
@@ -219,7 +224,12 @@
         let Some(body) = Json::parse(&text) else {
             return (400, Vec::new());
         };
-        let id = |one: &Json| (one.get("table").text().to_owned(), one.get("key").text().to_owned());
+        let id = |one: &Json| {
+            (
+                one.get("table").text().to_owned(),
+                one.get("key").text().to_owned(),
+            )
+        };
         let mut state = self.state.lock().unwrap();
         let conditions = body.get("expectedRev").list();
         let holds = conditions.iter().all(|one| {
@@ -246,10 +256,24 @@
         let written = Instant::now();
         for one in writes {
             let value = Some(one.get("value").text().to_owned());
-            state.rows.insert(id(one), Row { value, version, written });
+            state.rows.insert(
+                id(one),
+                Row {
+                    value,
+                    version,
+                    written,
+                },
+            );
         }
         for one in deletions {
-            state.rows.insert(id(one), Row { value: None, version, written });
+            state.rows.insert(
+                id(one),
+                Row {
+                    value: None,
+                    version,
+                    written,
+                },
+            );
         }
         let answer = self.body(&state, "", false);
         drop(state);
@@ -282,7 +306,11 @@
         state.version += 1;
         let version = state.version;
         let written = Instant::now();
-        let row = Row { value, version, written };
+        let row = Row {
+            value,
+            version,
+            written,
+        };
         state.rows.insert((table.to_owned(), key.to_owned()), row);
         drop(state);
         self.changed.notify_all();
@@ -318,7 +346,10 @@
     /// What it holds now.
     pub fn copy(&self) -> Copy {
         let state = self.state.lock().unwrap();
-        Copy { rows: state.rows.clone(), version: state.version }
+        Copy {
+            rows: state.rows.clone(),
+            version: state.version,
+        }
     }
 
     /// Goes away: it closes all connections and refuses new ones.
--- a/review/standin-2/twice_at_once.rs
+++ b/review/standin-2/twice_at_once.rs
@@ -24,8 +24,12 @@
     let world = World::open("7", 87);
     world.store.put("op", "config", CONFIGURATION);
     let zones = [
-        "gulf-coast-a", "gulf-coast-a", "gulf-coast-a",
-        "hill-country-a", "hill-country-a", "hill-country-a",
+        "gulf-coast-a",
+        "gulf-coast-a",
+        "gulf-coast-a",
+        "hill-country-a",
+        "hill-country-a",
+        "hill-country-a",
     ];
     let runners: Vec<Runner> = (1..)
         .zip(zones)
@@ -50,7 +54,11 @@
     world.start_entry(2, "hill-country-a");
     world.wait_ready();
     let entries = world.entries();
-    let copies = if std::env::var_os("ALONE").is_some() { 1 } else { 2 };
+    let copies = if std::env::var_os("ALONE").is_some() {
+        1
+    } else {
+        2
+    };
     for time in 0..TIMES {
         world.until(FIRST + INTERVAL * time);
         let entry = entries[time as usize % entries.len()];
@@ -63,9 +71,15 @@
             })
         });
         let senders: Vec<_> = senders.collect();
-        let got = senders.into_iter().map(|one| one.join().expect("a client ends").text());
+        let got = senders
+            .into_iter()
+            .map(|one| one.join().expect("a client ends").text());
         let got: Vec<String> = got.collect();
-        world.record.say(&format!("time {}: answered {}", time + 1, got.join(" and ")));
+        world.record.say(&format!(
+            "time {}: answered {}",
+            time + 1,
+            got.join(" and ")
+        ));
     }
     thread::sleep(Duration::from_secs(1));
     let arrivals = world.record.arrivals();
@@ -78,11 +92,16 @@
     for one in arrivals.iter().filter(|one| one.body.contains(POISON)) {
         *by_runner.entry(&one.runner).or_default() += 1;
     }
-    world.record.say(&format!("it reached runners {} times: {by_runner:?}, of {} runners", poisoned.len(), runners.len()));
+    world.record.say(&format!(
+        "it reached runners {} times: {by_runner:?}, of {} runners",
+        poisoned.len(),
+        runners.len()
+    ));
     let late = match poisoned.get(2) {
-        Some(third) if world.trouble => {
-            poisoned.iter().filter(|at| **at > *third + STABLE_WINDOW).count()
-        }
+        Some(third) if world.trouble => poisoned
+            .iter()
+            .filter(|at| **at > *third + STABLE_WINDOW)
+            .count(),
         Some(_) | None => 0,
     };
     world.record.say(&format!(
--- a/review/standin-2/weights.rs
+++ b/review/standin-2/weights.rs
@@ -42,7 +42,9 @@
                 while let Some(request) = reader.request() {
                     let body = answer(&request);
                     let sending = link.lock().unwrap();
-                    thread::sleep(Duration::from_secs_f64(body.len() as f64 / LINK_BYTES_PER_S));
+                    thread::sleep(Duration::from_secs_f64(
+                        body.len() as f64 / LINK_BYTES_PER_S,
+                    ));
                     drop(sending);
                     if http::reply(&mut reader.stream, 200, "", &body).is_err() {
                         return;
@@ -87,7 +89,9 @@
             let (early, late) = (words[at - 15], words[at - 2]);
             let first = early.rotate_right(7) ^ early.rotate_right(18) ^ early >> 3;
             let second = late.rotate_right(17) ^ late.rotate_right(19) ^ late >> 10;
-            let sum = words[at - 16].wrapping_add(first).wrapping_add(words[at - 7]);
+            let sum = words[at - 16]
+                .wrapping_add(first)
+                .wrapping_add(words[at - 7]);
             words[at] = sum.wrapping_add(second);
         }
         let mut v = state;
@@ -100,7 +104,16 @@
             let majority = v[0] & v[1] ^ v[0] & v[2] ^ v[1] & v[2];
             let second = mixed.wrapping_add(majority);
             let next = first.wrapping_add(second);
-            v = [next, v[0], v[1], v[2], v[3].wrapping_add(first), v[4], v[5], v[6]];
+            v = [
+                next,
+                v[0],
+                v[1],
+                v[2],
+                v[3].wrapping_add(first),
+                v[4],
+                v[5],
+                v[6],
+            ];
         }
         for (sum, part) in state.iter_mut().zip(v) {
             *sum = sum.wrapping_add(part);
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -62,8 +62,15 @@
 impl Record {
     pub fn open(path: &Path) -> Record {
         let file = File::create(path).expect("the record can be written");
-        let lines = Lines { file, arrivals: Vec::new(), sent: Vec::new() };
-        Record { started: Instant::now(), lines: Arc::new(Mutex::new(lines)) }
+        let lines = Lines {
+            file,
+            arrivals: Vec::new(),
+            sent: Vec::new(),
+        };
+        Record {
+            started: Instant::now(),
+            lines: Arc::new(Mutex::new(lines)),
+        }
     }
 
     pub fn now(&self) -> Duration {
@@ -190,10 +197,21 @@
     pub fn start_agent(&self, number: u8, zone: &'static str, service: &'static str) {
         let app = self.runner_address(number);
         let frontend = self.address(1, number, self.ports[1]);
-        self.start(format!("side-{number}"), zone, frontend, Some((app, service)));
+        self.start(
+            format!("side-{number}"),
+            zone,
+            frontend,
+            Some((app, service)),
+        );
     }
 
-    fn start(&self, name: String, zone: &'static str, frontend: SocketAddr, app: Option<(SocketAddr, &'static str)>) {
+    fn start(
+        &self,
+        name: String,
+        zone: &'static str,
+        frontend: SocketAddr,
+        app: Option<(SocketAddr, &'static str)>,
+    ) {
         let ip = frontend.ip().to_string();
         let readiness = SocketAddr::new(frontend.ip(), self.ports[2]);
         let settings = self.settings(&name, &ip, zone, frontend, readiness, app);
@@ -211,7 +229,15 @@
             self.unable("target/release/snipewinch-node could not be started");
         };
         self.record.line("case", &format!("{name} is started"));
-        let machine = Machine { name, zone, frontend, readiness, ip, app, process };
+        let machine = Machine {
+            name,
+            zone,
+            frontend,
+            readiness,
+            ip,
+            app,
+            process,
+        };
         self.machines.lock().unwrap().push(machine);
     }
 
@@ -344,7 +370,10 @@
 
     /// A client that may be used from any thread.
     pub fn client(&self) -> Client {
-        Client { record: self.record.clone(), next: self.next_attempt.clone() }
+        Client {
+            record: self.record.clone(),
+            next: self.next_attempt.clone(),
+        }
     }
 
     /// Waits until a time of the run.
@@ -363,7 +392,9 @@
         for machine in self.machines.lock().unwrap().iter_mut() {
             if let Ok(Some(status)) = machine.process.try_wait() {
                 let (name, zone, ip) = (&machine.name, machine.zone, &machine.ip);
-                self.record.say(&format!("{name} in {zone} at {ip} had ended by itself: {status}"));
+                self.record.say(&format!(
+                    "{name} in {zone} at {ip} had ended by itself: {status}"
+                ));
             }
         }
         end_all(&self.machines);
@@ -371,7 +402,11 @@
             Ok(_) => println!("logs are in {}", self.folder.display()),
             Err(_) => drop(fs::remove_dir_all(&self.folder)),
         }
-        self.record.say(if is_broken { "the rule is broken" } else { "the rule holds" });
+        self.record.say(if is_broken {
+            "the rule is broken"
+        } else {
+            "the rule holds"
+        });
         std::process::exit(i32::from(is_broken));
     }
 }
@@ -407,18 +442,33 @@
 
 impl Client {
     /// Sends one request as an attempt of its own.
-    pub fn send(&self, entry: SocketAddr, method: &str, path: &str, fields: &str, body: &str, deadline_ms: u64) -> Got {
+    pub fn send(
+        &self,
+        entry: SocketAddr,
+        method: &str,
+        path: &str,
+        fields: &str,
+        body: &str,
+        deadline_ms: u64,
+    ) -> Got {
         let number = self.next.fetch_add(1, Ordering::SeqCst);
         let attempt = format!("a{number:06}");
         let head = format!(
             "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {deadline_ms}\r\nApi-Key: {KEY}\r\nConnection: close\r\n{fields}"
         );
-        self.record.line("client", &format!("{attempt} {method} {path} to {}", entry.ip()));
-        let sent = Sent { at: self.record.now(), path: path.to_owned() };
+        self.record.line(
+            "client",
+            &format!("{attempt} {method} {path} to {}", entry.ip()),
+        );
+        let sent = Sent {
+            at: self.record.now(),
+            path: path.to_owned(),
+        };
         self.record.lines.lock().unwrap().sent.push(sent);
         let limit = Duration::from_millis(deadline_ms);
         let got = http::ask(entry, &head, body.as_bytes(), limit);
-        self.record.line("client", &format!("{attempt} is answered: {}", got.text()));
+        self.record
+            .line("client", &format!("{attempt} is answered: {}", got.text()));
         got
     }
 }
