--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -429,7 +429,7 @@
 }
 
 fn free_port() -> u16 {
-    let listener = TcpListener::bind("0.0.0.0:0").expect("a free port");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.local_addr().unwrap().port()
 }
 
