Settle an order that had no answer before other chunks are staged

Cause: an order to load counted as refused once its answer had not come for 1 s and the next report did not show it. The engine may accept it later, as long as it has accepted no other order, and takes the chunks that are staged then: by that time those of the next version.

Change: an order is repeated under its precondition until the engine has accepted one, or a report that was requested after all answered ones shows that it cannot any more. Nothing else is staged until then.

--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -5,6 +5,10 @@
 //! staged when the engine accepts it. All chunks are therefore staged again just
 //! before the order; if the order is delayed, they are read back and those that
 //! are corrupt are staged again.
+//!
+//! A chunk that was given up may be staged later, and so may one of an agent that
+//! has ended, over a chunk of another version. The chunks are therefore read back
+//! once the engine has accepted an order, and it gets no requests before that.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -15,7 +19,6 @@
 
 use bytes::Bytes;
 use platform::engine;
-use platform::engine::Outcome;
 use platform::engine::Report;
 use snipewinch::weights::rollout;
 use snipewinch::weights::rollout::Progress;
@@ -29,6 +32,11 @@
 use super::timeline::Phase;
 use crate::clock::Clock;
 
+mod order;
+
+use order::Inherited;
+use order::Revision;
+
 /// How often to check whether the engine has drained or loaded.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// The longest wait for a change while there is nothing to do.
@@ -130,6 +138,41 @@
     }
 }
 
+/// Why the layers of an engine may be of several versions.
+#[derive(Clone, Debug)]
+enum Doubt {
+    /// Chunks were staged while an order for another version may have been
+    /// accepted.
+    Overwritten {
+        /// When the engine started.
+        started_ms: u64,
+    },
+    /// The engine has loaded a version, and its chunks were not read back since.
+    Unchecked {
+        /// When the engine started.
+        started_ms: u64,
+        known: KnownVersion,
+        all: Vec<Bytes>,
+    },
+}
+
+impl Doubt {
+    fn unchecked(started_ms: u64, known: KnownVersion, all: Vec<Bytes>) -> Doubt {
+        Doubt::Unchecked {
+            started_ms,
+            known,
+            all,
+        }
+    }
+
+    /// A doubt ends with the process of the engine, which loses its layers.
+    fn started_ms(&self) -> u64 {
+        match self {
+            Doubt::Overwritten { started_ms } | Doubt::Unchecked { started_ms, .. } => *started_ms,
+        }
+    }
+}
+
 /// Runs the loader until the process ends.
 pub(super) async fn run(agent: Rc<Agent>, chunks: Chunks) {
     let mut loader = Loader {
@@ -140,6 +183,8 @@
         seen: Milestones::default(),
         completed: Milestones::default(),
         reported: None,
+        inherited: Inherited::Unknown,
+        doubt: None,
     };
     loop {
         loader.step().await;
@@ -164,6 +209,9 @@
     /// What was last reported to the exchange: a version, and whether the
     /// engine has loaded it.
     reported: Option<(u64, bool)>,
+    inherited: Inherited,
+    /// Why the engine gets no requests; none if it may get some.
+    doubt: Option<Doubt>,
 }
 
 impl Loader {
@@ -173,13 +221,20 @@
         else {
             return;
         };
+        if !self.settle_doubt(&report).await {
+            return;
+        }
         let version = newest.target.version;
         self.seen.since(version, &self.agent.clock);
         let scan = Some((version, report.started_ms));
-        if self.scanned != scan && self.scan_staged(&newest).await {
+        if self.scanned != scan
+            && let Some(found) = self.scan_staged(&newest).await
+        {
             self.scanned = scan;
+            self.inherit(&newest, &report, found);
         }
-        if slot_pool::loaded_version(&report) < version && !report.busy {
+        let conflicts = self.inherited.conflicts(&report, version);
+        if slot_pool::loaded_version(&report) < version && !report.busy && !conflicts {
             self.stage_early(&newest, &report).await;
         }
         let Some((known, all)) = self.chunks.newest_complete() else {
@@ -191,6 +246,13 @@
             self.reported = Some((version, is_loaded));
             self.chunks.set_loaded(known.digest, is_loaded);
         }
+        if is_loaded && self.doubt.is_some() {
+            // Only an order for this version loads it, and none is sent while chunks of
+            // others are staged.
+            let doubt = Doubt::unchecked(report.started_ms, known, all);
+            self.set_doubt(Some(doubt));
+            return;
+        }
         if is_loaded || report.busy {
             return;
         }
@@ -200,8 +262,121 @@
         }
     }
 
+    /// Decides from the chunks of a version that were found staged whether an order
+    /// of an earlier process of the agent may be left: it orders a version only once
+    /// all chunks of it are staged, and stages no other until the order is settled.
+    fn inherit(&mut self, known: &KnownVersion, report: &Report, found: usize) {
+        if self.inherited != Inherited::Unknown {
+            return;
+        }
+        let version = known.target.version;
+        let all = known.manifest.chunks.len();
+        let is_loaded = slot_pool::loaded_version(report) == version;
+        let possible = |version| Inherited::Possible {
+            revision: Revision::of(report),
+            version,
+        };
+        self.inherited = match found {
+            0 => possible(0),
+            _ if found < all || is_loaded => Inherited::Excluded,
+            _ => possible(version),
+        };
+    }
+
+    /// Removes the doubt about the layers of the engine if that is possible now;
+    /// false if nothing may be staged or loaded before that.
+    async fn settle_doubt(&mut self, report: &Report) -> bool {
+        let Some(doubt) = self.doubt.take() else {
+            return true;
+        };
+        let started_ms = report.started_ms;
+        let (is_ready, doubt) = match doubt {
+            doubt if doubt.started_ms() != started_ms => (true, None),
+            doubt if report.busy => (false, Some(doubt)),
+            Doubt::Unchecked { known, all, .. }
+                if slot_pool::loaded_version(report) == known.target.version =>
+            {
+                match self.read_back(&known, &all).await {
+                    Some(differing) if differing.is_empty() => (true, None),
+                    Some(differing) => {
+                        self.shed_layers(&known, &all, &differing, report).await;
+                        (false, Some(Doubt::Overwritten { started_ms }))
+                    }
+                    None => (false, Some(Doubt::unchecked(started_ms, known, all))),
+                }
+            }
+            // The engine has accepted another order, or given up this one: the
+            // version has to be loaded.
+            Doubt::Unchecked { .. } | Doubt::Overwritten { .. } => {
+                (true, Some(Doubt::Overwritten { started_ms }))
+            }
+        };
+        self.set_doubt(doubt);
+        is_ready
+    }
+
+    /// Sets why the engine gets no requests, or that it may get some.
+    fn set_doubt(&mut self, doubt: Option<Doubt>) {
+        self.doubt = doubt;
+        self.agent.slot_pool.set_closed(self.doubt.is_some());
+    }
+
+    /// Reads the staged chunks back. Returns which of them differ from those that were
+    /// staged, or `None` if that is not known.
+    async fn read_back(&self, known: &KnownVersion, all: &[Bytes]) -> Option<Vec<usize>> {
+        let mut differing = Vec::new();
+        for (chunk, bytes) in all.iter().enumerate() {
+            let staged = self
+                .agent
+                .engine
+                .read_staged(&known.target.model, chunk as u32);
+            match staged.await {
+                Ok(Some(staged)) if staged == *bytes => {}
+                Ok(_) => differing.push(chunk),
+                Err(error) => {
+                    log::warn!("E7230 verifying staged chunk {chunk} failed: {error}");
+                    return None;
+                }
+            }
+        }
+        Some(differing)
+    }
+
+    /// Has the engine give up all layers but one, so that it takes them again when it
+    /// is ordered to load all: chunks that differ may have been replaced before it
+    /// accepted the order, by a request that had no answer.
+    async fn shed_layers(
+        &self,
+        known: &KnownVersion,
+        all: &[Bytes],
+        differing: &[usize],
+        report: &Report,
+    ) {
+        let version = known.target.version;
+        let Some(kept) = order::intact_layer(report, all.len(), differing) else {
+            log::error!(
+                "E7243 chunks {differing:?} of version {version} may have been replaced before the engine loaded them; it gets no requests until it is restarted"
+            );
+            sleep(IDLE_INTERVAL).await;
+            return;
+        };
+        log::warn!(
+            "E7244 chunks {differing:?} of version {version} may have been replaced before the engine loaded them; it loads all layers again"
+        );
+        let expected = Revision::of(report);
+        let now = Timestamp::now(&self.agent.clock);
+        let layers = Some(kept..kept + 1);
+        match self.order_load(known, all, layers, expected, now).await {
+            true => self.wait_until_loaded(version).await,
+            false => sleep(IDLE_INTERVAL).await,
+        }
+    }
+
     /// How long there is nothing to do unless something changes.
     fn idle_time(&self) -> Duration {
+        if self.doubt.is_some() {
+            return POLL_INTERVAL;
+        }
         match (self.chunks.newest_complete(), self.agent.slot_pool.report()) {
             (Some((known, _)), Some(report))
                 if slot_pool::loaded_version(&report) < known.target.version =>
@@ -212,9 +387,9 @@
         }
     }
 
-    /// Passes chunks that are already staged to the exchange; false if the
-    /// engine did not answer.
-    async fn scan_staged(&self, known: &KnownVersion) -> bool {
+    /// Passes chunks that are already staged to the exchange. Returns how many there
+    /// are, or `None` if the engine did not answer.
+    async fn scan_staged(&self, known: &KnownVersion) -> Option<usize> {
         let mut found = 0;
         for (chunk, digest) in known.manifest.chunks.iter().enumerate() {
             let chunk = chunk as u32;
@@ -231,11 +406,12 @@
                 // The first chunk is missing, corrupt or of another version:
                 // the others are not read, except after a start, as a version
                 // may have been staged in part by then.
-                Ok(Some(_)) | Ok(None) if chunk == 0 && self.scanned.is_some() => return true,
+                Ok(Some(_)) | Ok(None) if chunk == 0 && self.scanned.is_some() => return Some(0),
                 Ok(_) => {}
                 Err(error) => {
                     log::warn!("E7230 reading staged chunks failed: {error}");
-                    return !matches!(error, engine::Error::NoResponse { .. });
+                    let is_silent = matches!(error, engine::Error::NoResponse { .. });
+                    return (!is_silent).then_some(found);
                 }
             }
         }
@@ -247,7 +423,7 @@
                 self.agent.server_id()
             );
         }
-        true
+        Some(found)
     }
 
     /// Stages those chunks of a version that have arrived, once: an agent that
@@ -274,7 +450,7 @@
     /// How long this engine has to wait for its turn in the rollout; it does not
     /// if it serves no version.
     fn reload_wait(&self, known: &KnownVersion, report: &Report) -> Duration {
-        if slot_pool::loaded_version(report) == 0 {
+        if slot_pool::loaded_version(report) == 0 || self.doubt.is_some() {
             return Duration::ZERO;
         }
         let agent = &self.agent;
@@ -308,8 +484,12 @@
     }
 
     /// Stages a version, drains the engine and has it load the version.
-    async fn load(&self, known: &KnownVersion, all: &[Bytes], report: &Report) {
+    async fn load(&mut self, known: &KnownVersion, all: &[Bytes], report: &Report) {
         let version = known.target.version;
+        let started_ms = report.started_ms;
+        if self.inherited.conflicts(report, version) {
+            self.set_doubt(Some(Doubt::Overwritten { started_ms }));
+        }
         let staged_at = Timestamp::now(&self.agent.clock);
         self.agent.enter_phase(version, Phase::Staging);
         if !self.stage(known, all).await {
@@ -323,12 +503,22 @@
             self.drain().await;
         }
         self.agent.enter_phase(version, Phase::Order);
-        let ordered = self.order_load(known, all, report, staged_at).await;
-        if ordered {
+        let expected = Revision::of(report);
+        let ordered = self.order_load(known, all, None, expected, staged_at);
+        if ordered.await {
+            self.doubt = Some(Doubt::unchecked(started_ms, known.clone(), all.to_vec()));
             self.agent.enter_phase(version, Phase::Load);
+            let differing = self.read_back(known, all).await;
             self.wait_until_loaded(version).await;
+            let report = self.agent.slot_pool.report();
+            let is_loaded = report.is_some_and(|now| {
+                now.started_ms == started_ms && slot_pool::loaded_version(&now) == version
+            });
+            if is_loaded && differing.is_some_and(|chunks| chunks.is_empty()) {
+                self.doubt = None;
+            }
         }
-        self.agent.slot_pool.set_closed(false);
+        self.agent.slot_pool.set_closed(self.doubt.is_some());
     }
 
     /// Waits until the engine answers that it has no requests, at most
@@ -395,45 +585,6 @@
         true
     }
 
-    /// Orders the engine to load; true if it may have accepted the order.
-    async fn order_load(
-        &self,
-        known: &KnownVersion,
-        all: &[Bytes],
-        report: &Report,
-        staged_at: Timestamp,
-    ) -> bool {
-        let mut verified_at = staged_at;
-        while verified_at.age_max(&self.agent.clock) > VERIFICATION_AGE_MAX {
-            verified_at = Timestamp::now(&self.agent.clock);
-            if !self.verify_staged(known, all).await {
-                return false;
-            }
-        }
-        let version = known.target.version;
-        let model = &known.target.model;
-        match self
-            .agent
-            .engine
-            .load(model, version, report.accepted_orders, true)
-            .await
-        {
-            Ok(Outcome::Started | Outcome::AlreadyLoaded) => {
-                log::info!("E7233 engine accepted the order to load version {version}");
-                true
-            }
-            Ok(Outcome::Conflict) => {
-                log::info!("E7234 engine rejected the order as its state has changed; retrying");
-                false
-            }
-            // The next report shows whether the engine accepted the order.
-            Err(error) => {
-                log::warn!("E7235 order to load version {version} was not confirmed: {error}");
-                true
-            }
-        }
-    }
-
     /// Waits until the engine answers that it has loaded `version` or is not
     /// busy, at most [`LOAD_TIMEOUT`].
     async fn wait_until_loaded(&self, version: u64) {
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -40,6 +40,7 @@
 use tokio::time::sleep_until;
 
 use super::DRAIN_TIMEOUT;
+use super::Inherited;
 use super::Loader;
 use super::Milestones;
 use super::POLL_INTERVAL;
@@ -164,6 +165,8 @@
         seen: Milestones::default(),
         completed: Milestones::default(),
         reported: None,
+        inherited: Inherited::Unknown,
+        doubt: None,
     }
 }
 
--- a/crates/node/src/agent/slot_pool.rs
+++ b/crates/node/src/agent/slot_pool.rs
@@ -274,12 +274,13 @@
     SystemTime::now().duration_since(at).unwrap_or_default()
 }
 
-/// The newest version of weights that an engine has loaded; 0 if none.
+/// The newest version of weights that an engine has loaded; 0 if none. One whose first
+/// layers are missing is not loaded.
 pub(super) fn loaded_version(report: &Report) -> u64 {
-    let loaded = report
-        .model_states
-        .iter()
-        .filter(|model| model.has_layers());
+    let loaded = report.model_states.iter().filter(|model| {
+        let layers = report.layers_of(model);
+        model.has_layers() && layers.is_none_or(|layers| layers.from == 0)
+    });
     loaded.map(|model| model.version).max().unwrap_or(0)
 }
 
--- a/crates/node/tests/harness/loading.rs
+++ b/crates/node/tests/harness/loading.rs
@@ -1,10 +1,13 @@
 //! Runs an agent as a process between a store and a scripted engine, which is
 //! also the origin of its weights.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::fs::File;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::ops::Range;
+use std::path::Path;
 use std::process::Child;
 use std::process::Command;
 use std::sync::Arc;
@@ -31,8 +34,12 @@
 use super::read_request;
 use super::reserve_port;
 
-/// The chunks of each version.
-const CHUNKS: [&str; 2] = ["first", "other"];
+/// The number of chunks of each version.
+const CHUNKS: u64 = 2;
+/// The number of layers, half of them of each chunk.
+const LAYERS: u64 = 4;
+/// How long the engine takes to stage a chunk.
+const STAGE_TIME: Duration = Duration::from_millis(100);
 /// How long the engine takes to load.
 const LOAD_TIME: Duration = Duration::from_millis(300);
 
@@ -72,9 +79,27 @@
     }
 }
 
+/// A load that the engine has accepted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Load {
+    pub(crate) version: u64,
+    pub(crate) layers: Range<u64>,
+    /// The chunks of other versions that were staged for these layers.
+    pub(crate) foreign: Vec<String>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     held: u64,
+    layers: Range<u64>,
+    /// By layer, the chunk of another version that it was taken from.
+    foreign: BTreeMap<u64, String>,
+    loads: Vec<Load>,
+    /// Texts of requests that are executed once they are released, each once.
+    stalls: Vec<String>,
+    stalled: Vec<String>,
+    /// Texts of requests that are released.
+    released: Vec<String>,
     accepted_orders: u64,
     started_ms: u64,
     busy: bool,
@@ -97,6 +122,7 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
         let state = Arc::new(Mutex::new(State {
             held: 1,
+            layers: 0..LAYERS,
             started_ms: 1,
             ..State::default()
         }));
@@ -122,10 +148,48 @@
         self.state.lock().unwrap().floods_ended
     }
 
+    /// Has the next request with a text executed late, while others are answered.
+    pub(crate) fn stall(&self, text: &str) {
+        self.state.lock().unwrap().stalls.push(text.to_owned());
+    }
+
+    /// Waits until the request with a text has come that is executed late.
+    pub(crate) async fn wait_stalled(&self, text: &str) {
+        let stalled = || self.state.lock().unwrap().stalled.clone();
+        wait_until(|| stalled().iter().any(|one| one == text)).await;
+    }
+
+    /// Executes the request with a text.
+    pub(crate) fn release(&self, text: &str) {
+        self.state.lock().unwrap().released.push(text.to_owned());
+    }
+
+    /// The loads that it has accepted so far.
+    pub(crate) fn loads(&self) -> Vec<Load> {
+        self.state.lock().unwrap().loads.clone()
+    }
+
+    /// Whether it would make tokens with a layer from a chunk of another version.
+    pub(crate) fn is_mixed(&self) -> bool {
+        let state = self.state.lock().unwrap();
+        !state.busy && state.layers == (0..LAYERS) && !state.foreign.is_empty()
+    }
+
+    /// Whether it holds a version that was taken from its own chunks.
+    pub(crate) fn holds(&self, version: u64) -> bool {
+        let state = self.state.lock().unwrap();
+        !state.busy
+            && state.held == version
+            && state.layers == (0..LAYERS)
+            && state.foreign.is_empty()
+    }
+
     /// Restarts it without weights; what is staged stays.
     pub(crate) fn restart(&self) {
         let mut state = self.state.lock().unwrap();
         state.held = 0;
+        state.layers = 0..0;
+        state.foreign.clear();
         state.accepted_orders = 0;
         state.started_ms += 1;
     }
@@ -141,6 +205,10 @@
             state.lock().unwrap().floods_ended += 1;
             return;
         }
+        wait_for_release(&request, &state).await;
+        if request.starts_with("PUT ") {
+            sleep(STAGE_TIME).await;
+        }
         let (status, body) = respond(&request, &state);
         let length = body.len();
         let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{body}");
@@ -150,6 +218,31 @@
     }
 }
 
+/// Waits until a request is released, if it is to be executed late.
+async fn wait_for_release(request: &str, state: &Arc<Mutex<State>>) {
+    let text = {
+        let mut state = state.lock().unwrap();
+        let found = state.stalls.iter().position(|text| request.contains(text));
+        let Some(found) = found else {
+            return;
+        };
+        let text = state.stalls.remove(found);
+        state.stalled.push(text.clone());
+        text
+    };
+    wait_until(|| state.lock().unwrap().released.contains(&text)).await;
+}
+
+/// Waits for something, at most [`TIMEOUT`].
+async fn wait_until(is_so: impl Fn() -> bool) {
+    let waiting = async {
+        while !is_so() {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(TIMEOUT, waiting).await.expect("it comes about");
+}
+
 fn respond(request: &str, shared: &Arc<Mutex<State>>) -> (u16, String) {
     let path = request.split(' ').nth(1).unwrap_or_default();
     let body = request.split_once("\r\n\r\n").map_or("", |(_, body)| body);
@@ -158,17 +251,16 @@
     match name {
         "/report" => {
             let report = json!({
-                "models": [{"name": "m", "version": state.held}], "busy": state.busy,
+                "models": [{"name": "m", "version": state.held, "layers": {
+                    "from": state.layers.start, "target": state.layers.end, "version": state.held,
+                }}], "busy": state.busy,
                 "seq": state.accepted_orders, "queued": 0, "active": 0, "born": state.started_ms,
             });
             (200, report.to_string())
         }
         "/order" => {
             let order: Value = serde_json::from_str(body).unwrap();
-            state.accepted_orders += 1;
-            state.busy = true;
-            tokio::spawn(load(Arc::clone(shared), order["version"].as_u64().unwrap()));
-            (202, String::new())
+            (accept(&order, &mut state, shared), String::new())
         }
         "/stage-put/m" => {
             state.staged.insert(query.to_owned(), body.to_owned());
@@ -184,25 +276,65 @@
     }
 }
 
-async fn load(state: Arc<Mutex<State>>, version: u64) {
-    sleep(LOAD_TIME).await;
-    let mut state = state.lock().unwrap();
-    state.held = version;
-    state.busy = false;
+/// Decides on an order as the engine does; returns the status.
+fn accept(order: &Value, state: &mut State, shared: &Arc<Mutex<State>>) -> u16 {
+    let version = order["version"].as_u64().unwrap();
+    let layers = order["from"].as_u64().unwrap_or(0)..order["target"].as_u64().unwrap_or(LAYERS);
+    if state.busy || order["expectedRev"] != state.accepted_orders {
+        return 409;
+    }
+    let is_same = state.held == version;
+    if is_same && state.layers == layers {
+        return 200;
+    }
+    // Layers of the same version that it holds are not taken again.
+    let mut foreign = BTreeMap::new();
+    for layer in layers.clone() {
+        let known = state.foreign.get(&layer).cloned();
+        let chunk = layer * CHUNKS / LAYERS;
+        let staged = state.staged.get(&format!("num={chunk}")).cloned();
+        let taken = match is_same && state.layers.contains(&layer) {
+            true => known,
+            false => staged.filter(|staged| *staged != chunk_text(version, chunk)),
+        };
+        foreign.extend(taken.map(|chunk| (layer, chunk)));
+    }
+    state.loads.push(Load {
+        version,
+        layers: layers.clone(),
+        foreign: foreign.values().cloned().collect(),
+    });
+    state.accepted_orders += 1;
+    state.busy = true;
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        sleep(LOAD_TIME).await;
+        let mut state = shared.lock().unwrap();
+        (state.held, state.layers, state.foreign) = (version, layers, foreign);
+        state.busy = false;
+    });
+    202
 }
 
 fn digest_list(query: &str) -> String {
     let version: u64 = parameter(query, "version");
-    let digests = CHUNKS.map(|text| Hash::Sha256.digest(text.as_bytes()).to_string());
+    let digests: Vec<String> = (0..CHUNKS)
+        .map(|index| chunk_text(version, index))
+        .map(|text| Hash::Sha256.digest(text.as_bytes()).to_string())
+        .collect();
     let list = json!({
-        "model": "m", "version": version, "chunkBytes": CHUNKS[0].len(), "digests": digests,
+        "model": "m", "version": version, "chunkBytes": chunk_text(1, 0).len(), "digests": digests,
     });
     list.to_string()
 }
 
 fn chunk(query: &str) -> String {
-    let index = parameter(query, "num");
-    CHUNKS[index as usize].to_owned()
+    chunk_text(parameter(query, "version"), parameter(query, "num"))
+}
+
+/// The bytes of a chunk.
+pub(crate) fn chunk_text(version: u64, index: u64) -> String {
+    format!("chunk {index} of version {version}")
 }
 
 fn parameter(query: &str, name: &str) -> u64 {
@@ -241,13 +373,7 @@
         let directory = tempfile::tempdir().unwrap();
         let path = directory.path().join("local.toml");
         std::fs::write(&path, settings(engine.address, peers, address)).unwrap();
-        let lines = File::create(directory.path().join(LOG_FILE)).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_snipewinch-node"))
-            .env(platform::boot::PATH_VARIABLE, &path)
-            .env("SNIPEWINCH_METRICS_PORT", metrics.port().to_string())
-            .stdout(lines)
-            .spawn()
-            .unwrap();
+        let child = spawn(directory.path(), metrics);
         let agent = AgentProcess {
             store,
             metrics,
@@ -260,6 +386,20 @@
         agent
     }
 
+    /// Kills the process and starts it again, with an empty log.
+    pub(crate) fn replace(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = spawn(self.directory.path(), self.metrics);
+    }
+
+    /// The value of a gauge.
+    pub(crate) async fn gauge(&self, name: &str) -> Option<f64> {
+        let metrics = self.metrics().await;
+        let line = metrics.lines().find_map(|line| line.strip_prefix(name))?;
+        line.trim().parse().ok()
+    }
+
     /// Publishes a version of the weights.
     pub(crate) fn publish(&self, version: u64) {
         let row = json!({"model": "m", "version": version});
@@ -299,6 +439,17 @@
     }
 }
 
+/// Starts an agent with the settings in a directory.
+fn spawn(directory: &Path, metrics: SocketAddr) -> Child {
+    let lines = File::create(directory.join(LOG_FILE)).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_snipewinch-node"))
+        .env(platform::boot::PATH_VARIABLE, directory.join("local.toml"))
+        .env("SNIPEWINCH_METRICS_PORT", metrics.port().to_string())
+        .stdout(lines)
+        .spawn()
+        .unwrap()
+}
+
 fn configuration(origin: SocketAddr) -> Value {
     json!({
         "version": 1,
@@ -307,7 +458,7 @@
             {"name": "desk", "maxConns": 100, "engine": {
                 "slots": 4, "stride": 5, "models": [{"name": "m", "warmS": 0.3}], "step_ms": 9.0,
                 "per_seq_ms": 0.02, "read_per_s": 20_000.0, "usual": {"prompt": 900, "answer": 90},
-                "chunks": CHUNKS.len(), "chunkBytes": CHUNKS[0].len(),
+                "chunks": CHUNKS, "chunkBytes": chunk_text(1, 0).len(),
             }},
             {"name": "origin", "origin": origin, "zone": "za", "linkMbps": 100.0},
         ],
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -38,7 +38,7 @@
 pub(crate) mod traffic;
 
 /// The time limit of each step of a test.
-const TIMEOUT: Duration = Duration::from_secs(20);
+pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
 /// How many bytes a flood sends at once.
 const FLOOD_BLOCK_BYTES: usize = 64 << 10;
 
