Keep a late write of an entry from replacing a newer one

Evidence against a request that ends servers, and limits of servers, could vanish for all other entries.

Cause: an entry wrote its own row without a condition. A write without an answer may be executed seconds later, also after the entry was replaced, and then replaced the newer row.

Change: rows::OwnRow writes on the condition of the version that the host knows of its row, and takes the current one from the answer if it does not hold. Copies, stamps and the fleet key were conditional already.

--- a/crates/node/src/entry/limits.rs
+++ b/crates/node/src/entry/limits.rs
@@ -8,6 +8,7 @@
 use std::time::UNIX_EPOCH;
 
 use platform::rows;
+use platform::rows::OwnRow;
 use platform::rows::Rows;
 use platform::rows::Store;
 use rand::RngExt;
@@ -140,6 +141,7 @@
 /// Publishes what this entry has heard and reads what the others have.
 pub(crate) async fn run(entry: Rc<Entry>, store: Store, host: SmolStr) {
     let mut view = View::default();
+    let mut row = OwnRow::new(store.clone(), TABLE, host);
     let mut next_write = Instant::now();
     let mut viewed = Instant::now();
     let mut first_interval = Some(START_VIEW_DELAY);
@@ -158,7 +160,7 @@
         }
         let needs = entry.dispatcher.limit_needs(entry.clock.now());
         if needs.write || now >= next_write {
-            let delay = match publish(&entry, &store, &host).await {
+            let delay = match publish(&entry, &mut row).await {
                 Ok(()) => RENEWAL_INTERVAL,
                 Err(error) => {
                     log::warn!(
@@ -193,13 +195,13 @@
     }
 }
 
-async fn publish(entry: &Entry, store: &Store, host: &SmolStr) -> Result<(), rows::Error> {
+async fn publish(entry: &Entry, row: &mut OwnRow) -> Result<(), rows::Error> {
     let publication = Publication {
         written_ms: millis_since_epoch(),
         row: entry.dispatcher.take_limit_row(entry.clock.now()),
     };
     let value = serde_json::to_vec(&publication).expect("a row is serializable");
-    store.put(TABLE, host, &value).await
+    row.write(&value).await
 }
 
 fn jittered(interval: Duration) -> Instant {
--- a/crates/node/src/entry/quarantine.rs
+++ b/crates/node/src/entry/quarantine.rs
@@ -19,6 +19,7 @@
 use platform::follow::Refresh;
 use platform::header;
 use platform::prompt;
+use platform::rows::OwnRow;
 use platform::rows::Row;
 use platform::rows::Store;
 use rand::RngExt;
@@ -368,6 +369,7 @@
 }
 
 async fn publish(entry: Rc<Entry>, store: Store, host: SmolStr) {
+    let mut row = OwnRow::new(store, TABLE, host);
     loop {
         entry.quarantine.changed.notified().await;
         let evidence = entry.quarantine.ledger.borrow_mut().take_evidence();
@@ -379,7 +381,7 @@
             evidence,
         };
         let value = serde_json::to_vec(&publication).expect("evidence is serializable");
-        let delay = match store.put(TABLE, &host, &value).await {
+        let delay = match row.write(&value).await {
             Ok(()) => PUBLISH_INTERVAL,
             Err(error) => {
                 log::warn!(
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -86,6 +86,9 @@
     /// How many reads of rows, and of objects, are not answered from now on.
     lost_reads: usize,
     lost_objects: usize,
+    /// How many transactions are executed later and never answered from now on.
+    late_writes: usize,
+    late_transactions: Vec<Transaction>,
     /// When the link has sent what was given to it.
     link_free: Option<Instant>,
     /// The bytes of all responses with rows and objects.
@@ -99,7 +102,7 @@
     changed: Arc<Notify>,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Transaction {
     #[serde(default)]
@@ -110,21 +113,21 @@
     delete: Vec<Deletion>,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize)]
 struct Condition {
     table: String,
     key: String,
     ver: u64,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize)]
 struct Write {
     table: String,
     key: String,
     value: String,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize)]
 struct Deletion {
     table: String,
     key: String,
@@ -229,6 +232,20 @@
         self.state.lock().lost_reads = count;
     }
 
+    /// Never answers the next transactions, and executes them only when told to.
+    pub fn delay_writes(&self, count: usize) {
+        self.state.lock().late_writes = count;
+    }
+
+    /// Executes those transactions, in the order in which they came. Returns how many
+    /// have taken effect.
+    pub fn execute_late_writes(&self) -> usize {
+        let late = std::mem::take(&mut self.state.lock().late_transactions);
+        let executed = late.into_iter().map(|one| self.transact(one));
+        let is_success = |answer: &Result<Response, Refusal>| matches!(answer, Ok(response) if response.status() == StatusCode::OK);
+        executed.filter(is_success).count()
+    }
+
     /// Never answers the next reads of objects.
     pub fn lose_objects(&self, count: usize) {
         self.state.lock().lost_objects = count;
@@ -279,7 +296,13 @@
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/rows-get") => self.get(&request).await,
             (&Method::GET, "/rows-feed") => self.feed(&request).await,
-            (&Method::POST, "/rows-tx") => self.transact(read_json(request).await?),
+            (&Method::POST, "/rows-tx") => {
+                let transaction = read_json(request).await?;
+                match self.delay_write(transaction) {
+                    Some(transaction) => self.transact(transaction),
+                    None => std::future::pending().await,
+                }
+            }
             (method, path) if path.starts_with("/blob-") => {
                 let (method, path) = (method.clone(), path.to_owned());
                 let body = read_body(request).await?;
@@ -293,6 +316,16 @@
         }
     }
 
+    /// Keeps a transaction if it is to be executed later, else returns it.
+    fn delay_write(&self, transaction: Transaction) -> Option<Transaction> {
+        let mut state = self.state.lock();
+        if !take_one(&mut state.late_writes) {
+            return Some(transaction);
+        }
+        state.late_transactions.push(transaction);
+        None
+    }
+
     fn object(&self, method: &Method, path: &str, body: Bytes) -> Response {
         let mut state = self.state.lock();
         let id = path.split('/').next_back().unwrap_or_default().to_owned();
