Send a poll that was lost again before the bounds hold again

Callers of the couriers' deployment got 404 for routes, or were handled by an older configuration, up to 3.4 s after a configuration was acknowledged (rule CONFIG, 3 s are allowed).

Cause: an entry whose poll the store had dropped just before it came back waited 1.8 times the bound, 5.4 s, and 0.4 s more. Ruled out: the time from the answer to force (2 ms a version), the link, copies (not used there).

--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -130,6 +130,7 @@
             cold_overage: 1.0,
             cold_burst: 0.0,
             evacuate: Duration::from_secs(5),
+            recovery: Duration::from_secs(3),
         },
     }
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -92,10 +92,15 @@
 /// Heartbeats change the list all the time, so polls without a pause would
 /// return at once, and each costs a call to the store.
 const LISTING_INTERVAL_FRACTION: f64 = 0.45;
-/// How long the store may hold back the response to a poll, in multiples of the
-/// time within which a change of the table must take effect. A poll that is
-/// lost is missed for about that long.
+/// How long the store may hold back the response to a poll at most, in multiples of
+/// the time within which a change of the table must take effect.
 const POLL_WAIT_BOUNDS: f64 = 1.8;
+/// The time from the end of the wait of a poll that was lost until its changes are in
+/// force: it is suspected, the store is asked whether it answers, and the poll is sent
+/// again.
+const LOST_POLL_TIME: Duration = Duration::from_millis(1_200);
+/// The shortest such wait.
+const POLL_WAIT_MIN: Duration = Duration::from_millis(400);
 /// The maximum read rate of the list.
 const LISTING_BYTES_PER_S_MAX: f64 = 200_000.0;
 /// The minimum interval between two reads of the operators' table.
@@ -666,13 +671,18 @@
     Ok(())
 }
 
+/// How long the store may hold back the response to a poll of a table whose changes
+/// have a bound. The poll that was lost last, as a disturbance ended, must have been
+/// sent again when the bounds hold again.
+fn poll_wait(bounds: Bounds, bound: impl Fn(&Bounds) -> Duration) -> Duration {
+    let unnoticed = bounds.recovery.saturating_sub(LOST_POLL_TIME);
+    let wait = bound(&bounds).mul_f64(POLL_WAIT_BOUNDS);
+    wait.min(unnoticed).max(POLL_WAIT_MIN)
+}
+
 async fn follow_operators(entry: Rc<Entry>, store: Store) {
     let policy = PollPolicy {
-        wait_max: entry
-            .bounds
-            .get()
-            .configuration_apply
-            .mul_f64(POLL_WAIT_BOUNDS),
+        wait_max: poll_wait(entry.bounds.get(), |bounds| bounds.configuration_apply),
         interval_min: OPERATOR_INTERVAL_MIN,
         bytes_per_s: OPERATOR_BYTES_PER_S_MAX,
         pause_max: entry
@@ -710,7 +720,7 @@
 async fn follow_listing(entry: Rc<Entry>, store: Store) {
     let interval_min = entry.bounds.get().drain.mul_f64(LISTING_INTERVAL_FRACTION);
     let policy = PollPolicy {
-        wait_max: entry.bounds.get().drain.mul_f64(POLL_WAIT_BOUNDS),
+        wait_max: poll_wait(entry.bounds.get(), |bounds| bounds.drain),
         interval_min,
         bytes_per_s: LISTING_BYTES_PER_S_MAX,
         pause_max: interval_min,
