Take no answer whose status is outside 100 to 599

Callers got answers with statuses 600 to 999 from backend servers, and what followed an answer with 000 to 099 on its connection could be the answer.

Cause: parsers take any three digits; http1 skipped all below 200 as interim ones, and the HTTP library of the other readers takes those from 600 on and keeps the connection.

--- a/crates/backend/src/server.rs
+++ b/crates/backend/src/server.rs
@@ -6,13 +6,16 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
+use http1::head::STATUSES;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::rt::TokioExecutor;
 use smol_str::SmolStr;
 
 use crate::Error;
+use crate::error::StatusSnafu;
 
 /// How long an idle connection is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -62,14 +65,25 @@
     /// Sends a request without retries.
     pub(crate) async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
-        self.client.request(request).await.map_err(|source| {
+        let connection = capture_connection(&mut request);
+        let sent = self.client.request(request).await;
+        let response = sent.map_err(|source| {
             let authority = self.authority.to_string();
             match source.is_connect() {
                 true => Error::Connect { authority, source },
                 false => Error::Exchange { authority, source },
             }
-        })
+        })?;
+        let status = response.status();
+        if STATUSES.contains(&status.as_u16()) {
+            return Ok(response);
+        }
+        // What follows on the connection is no answer either.
+        if let Some(connected) = &*connection.connection_metadata() {
+            connected.poison();
+        }
+        StatusSnafu { status }.fail()
     }
 }
--- a/crates/backend/tests/cuts.rs
+++ b/crates/backend/tests/cuts.rs
@@ -378,3 +378,20 @@
     let shown = faults[..faults.len().min(20)].join("\n");
     assert!(faults.is_empty(), "{} faults:\n{shown}", faults.len());
 }
+
+/// Guards against an answer whose status is none that counts as one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_outside_100_to_599_is_no_answer() {
+    let server = Cutter::spawn().await;
+    for reader in Reader::ALL {
+        for status in ["000", "099", "600", "700", "999"] {
+            let (line, body) = reader.answer();
+            let line = format!("{status}{}", &line[3..]);
+            let (head, body) = Framing::Length.encode(&line, &body);
+            let found = server
+                .read(reader, &format!("{head}{body}"), End::Close)
+                .await;
+            assert_eq!(found, Err(false), "{reader:?} {status}");
+        }
+    }
+}
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -16,6 +16,9 @@
         "the body's length is ambiguous; send one Content-Length or one Transfer-Encoding"
     ))]
     AmbiguousLength,
+    /// The status of an answer is not from 100 to 599.
+    #[snafu(display("the answer's status is not from 100 to 599; send one of RFC 9110"))]
+    Status,
     /// The transfer coding is not supported.
     #[snafu(display("only the transfer coding \"chunked\" is understood; send no other"))]
     TransferCoding,
@@ -29,7 +32,7 @@
     pub fn status(self) -> u16 {
         match self {
             ParseError::TransferCoding => 501,
-            ParseError::AmbiguousLength | ParseError::Malformed => 400,
+            ParseError::AmbiguousLength | ParseError::Malformed | ParseError::Status => 400,
             ParseError::HeadTooLong => 431,
             ParseError::UnsupportedVersion => 505,
         }
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,6 +1,7 @@
 //! Parsing of request and response heads.
 
 use std::mem::MaybeUninit;
+use std::ops::RangeInclusive;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -12,6 +13,8 @@
 
 /// The most fields of a head; a head with more is rejected.
 const FIELDS_MAX: usize = 128;
+/// The status codes (RFC 9110, section 15). An answer with another one is none.
+pub const STATUSES: RangeInclusive<u16> = 100..=599;
 /// The empty line that ends a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -192,8 +195,9 @@
     ///
     /// # Errors
     ///
-    /// [`ParseError`] if the head is malformed or longer than `max_bytes`, or
-    /// if the length of the body is ambiguous.
+    /// [`ParseError`] if the head is malformed or longer than `max_bytes`, if its
+    /// status is none of [`STATUSES`], or if the length of the body is ambiguous.
+    /// Nothing that follows on the connection is an answer then.
     pub fn decode(
         buffer: &mut BytesMut,
         method: &str,
@@ -223,6 +227,9 @@
         }
         let is_1_1 = parsed.version == Some(1);
         let status = parsed.code.ok_or(ParseError::Malformed)?;
+        if !STATUSES.contains(&status) {
+            return Err(ParseError::Status);
+        }
         let fields = index_fields(head, parsed.headers);
         let without_body = status < 200 || status == 204 || status == 304 || method == "HEAD";
         let framing = match fields.framing()? {
--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -126,6 +126,24 @@
     }
 }
 
+/// Guards against an answer whose status is none, and against one that follows it: 000
+/// counted as an interim status and was skipped.
+#[test]
+fn a_status_outside_100_to_599_is_rejected() {
+    for status in 0..1_000_u16 {
+        let answer =
+            format!("HTTP/1.1 {status:03} X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n\r\n");
+        let found = Response::decode(&mut BytesMut::from(&*answer), "GET", HEAD_MAX_BYTES);
+        let found = found.map(|head| head.map(|head| head.status));
+        let expected = match status {
+            100..200 => Ok(Some(200)),
+            200..600 => Ok(Some(status)),
+            _ => Err(ParseError::Status),
+        };
+        assert_eq!(found, expected, "{status:03}");
+    }
+}
+
 #[test]
 fn malformed_chunks_are_rejected() {
     let cases: [&[u8]; 7] = [
