Split what is done in doubt about layers from the loader

Cause: the loader had grown to two concerns. Result: behaviour is the same; the tests of the loader, late_effect, rollout and lost_poll pass.

--- a/crates/node/src/agent/loader.rs
+++ b/crates/node/src/agent/loader.rs
@@ -32,8 +32,10 @@
 use super::timeline::Phase;
 use crate::clock::Clock;
 
+mod doubt;
 mod order;
 
+use doubt::Doubt;
 use order::Inherited;
 use order::Revision;
 
@@ -138,41 +140,6 @@
     }
 }
 
-/// Why the layers of an engine may be of several versions.
-#[derive(Clone, Debug)]
-enum Doubt {
-    /// Chunks were staged while an order for another version may have been
-    /// accepted.
-    Overwritten {
-        /// When the engine started.
-        started_ms: u64,
-    },
-    /// The engine has loaded a version, and its chunks were not read back since.
-    Unchecked {
-        /// When the engine started.
-        started_ms: u64,
-        known: KnownVersion,
-        all: Vec<Bytes>,
-    },
-}
-
-impl Doubt {
-    fn unchecked(started_ms: u64, known: KnownVersion, all: Vec<Bytes>) -> Doubt {
-        Doubt::Unchecked {
-            started_ms,
-            known,
-            all,
-        }
-    }
-
-    /// A doubt ends with the process of the engine, which loses its layers.
-    fn started_ms(&self) -> u64 {
-        match self {
-            Doubt::Overwritten { started_ms } | Doubt::Unchecked { started_ms, .. } => *started_ms,
-        }
-    }
-}
-
 /// Runs the loader until the process ends.
 pub(super) async fn run(agent: Rc<Agent>, chunks: Chunks) {
     let mut loader = Loader {
@@ -283,95 +250,6 @@
         };
     }
 
-    /// Removes the doubt about the layers of the engine if that is possible now;
-    /// false if nothing may be staged or loaded before that.
-    async fn settle_doubt(&mut self, report: &Report) -> bool {
-        let Some(doubt) = self.doubt.take() else {
-            return true;
-        };
-        let started_ms = report.started_ms;
-        let (is_ready, doubt) = match doubt {
-            doubt if doubt.started_ms() != started_ms => (true, None),
-            doubt if report.busy => (false, Some(doubt)),
-            Doubt::Unchecked { known, all, .. }
-                if slot_pool::loaded_version(report) == known.target.version =>
-            {
-                match self.read_back(&known, &all).await {
-                    Some(differing) if differing.is_empty() => (true, None),
-                    Some(differing) => {
-                        self.shed_layers(&known, &all, &differing, report).await;
-                        (false, Some(Doubt::Overwritten { started_ms }))
-                    }
-                    None => (false, Some(Doubt::unchecked(started_ms, known, all))),
-                }
-            }
-            // The engine has accepted another order, or given up this one: the
-            // version has to be loaded.
-            Doubt::Unchecked { .. } | Doubt::Overwritten { .. } => {
-                (true, Some(Doubt::Overwritten { started_ms }))
-            }
-        };
-        self.set_doubt(doubt);
-        is_ready
-    }
-
-    /// Sets why the engine gets no requests, or that it may get some.
-    fn set_doubt(&mut self, doubt: Option<Doubt>) {
-        self.doubt = doubt;
-        self.agent.slot_pool.set_closed(self.doubt.is_some());
-    }
-
-    /// Reads the staged chunks back. Returns which of them differ from those that were
-    /// staged, or `None` if that is not known.
-    async fn read_back(&self, known: &KnownVersion, all: &[Bytes]) -> Option<Vec<usize>> {
-        let mut differing = Vec::new();
-        for (chunk, bytes) in all.iter().enumerate() {
-            let staged = self
-                .agent
-                .engine
-                .read_staged(&known.target.model, chunk as u32);
-            match staged.await {
-                Ok(Some(staged)) if staged == *bytes => {}
-                Ok(_) => differing.push(chunk),
-                Err(error) => {
-                    log::warn!("E7230 verifying staged chunk {chunk} failed: {error}");
-                    return None;
-                }
-            }
-        }
-        Some(differing)
-    }
-
-    /// Has the engine give up all layers but one, so that it takes them again when it
-    /// is ordered to load all: chunks that differ may have been replaced before it
-    /// accepted the order, by a request that had no answer.
-    async fn shed_layers(
-        &self,
-        known: &KnownVersion,
-        all: &[Bytes],
-        differing: &[usize],
-        report: &Report,
-    ) {
-        let version = known.target.version;
-        let Some(kept) = order::intact_layer(report, all.len(), differing) else {
-            log::error!(
-                "E7243 chunks {differing:?} of version {version} may have been replaced before the engine loaded them; it gets no requests until it is restarted"
-            );
-            sleep(IDLE_INTERVAL).await;
-            return;
-        };
-        log::warn!(
-            "E7244 chunks {differing:?} of version {version} may have been replaced before the engine loaded them; it loads all layers again"
-        );
-        let expected = Revision::of(report);
-        let now = Timestamp::now(&self.agent.clock);
-        let layers = Some(kept..kept + 1);
-        match self.order_load(known, all, layers, expected, now).await {
-            true => self.wait_until_loaded(version).await,
-            false => sleep(IDLE_INTERVAL).await,
-        }
-    }
-
     /// How long there is nothing to do unless something changes.
     fn idle_time(&self) -> Duration {
         if self.doubt.is_some() {
--- a/crates/node/src/agent/loader/order.rs
+++ b/crates/node/src/agent/loader/order.rs
@@ -68,24 +68,6 @@
     }
 }
 
-/// The last layer that is made of chunks of which none differs; `None` if there is
-/// none after the first one, or the engine does not tell its layers.
-pub(super) fn intact_layer(report: &Report, chunks: usize, differing: &[usize]) -> Option<u32> {
-    let held = report
-        .model_states
-        .iter()
-        .find(|model| model.has_layers())?;
-    let layers = report.layers_of(held)?.until as usize;
-    let is_intact = |layer: &usize| {
-        let first = layer * chunks / layers;
-        let until = ((layer + 1) * chunks).div_ceil(layers);
-        differing
-            .iter()
-            .all(|chunk| !(first..until).contains(chunk))
-    };
-    (1..layers).rev().find(is_intact).map(|layer| layer as u32)
-}
-
 impl Loader {
     /// Orders the engine to load a version whose chunks are staged, or the given
     /// layers of it. Returns whether it has accepted an order; if not, it will not
