Guard streams against answers whose status is none

Cause: the fix of such answers had no test at the start of a stream, nor where one goes on. Change: one test for both, at the entry.

--- a/crates/node/tests/status.rs
+++ b/crates/node/tests/status.rs
@@ -7,8 +7,11 @@
 use harness::Server;
 use harness::body;
 use harness::complete_answer;
+use harness::event;
+use harness::events;
 use harness::request;
 use harness::status;
+use harness::stream_head;
 
 /// Statuses that no answer has.
 const NONE: [u16; 5] = [0, 99, 600, 700, 999];
@@ -74,3 +77,26 @@
         );
     }
 }
+
+/// Guards against a stream that begins with, or goes on by, an answer whose status is none.
+#[tokio::test]
+async fn a_stream_neither_begins_nor_goes_on_with_a_status_that_is_none() {
+    let whole = stream_head() + &events(1..=4) + "0\r\n\r\n";
+    let broken = stream_head() + &events(1..=2);
+    for odd in NONE {
+        let odd_head = stream_head().replacen("200", &format!("{odd:03}"), 1);
+        let odd_stream = Action::SendAndClose(odd_head + &events(3..=4) + "0\r\n\r\n");
+        for first in [Action::SendAndClose(broken.clone()), odd_stream.clone()] {
+            let first = Server::spawn(vec![first]).await;
+            let second = Server::spawn(vec![odd_stream.clone()]).await;
+            let harness = Harness::start(&[&first, &second]).await;
+            let answer = harness.ask(&request("POST", "/draft/", "", "")).await;
+            assert!(!answer.contains(&event(3)), "{odd:03}: {answer}");
+            assert!(!answer.ends_with("0\r\n\r\n"), "{odd:03}: {answer}");
+        }
+        let server = Server::spawn(vec![Action::Send(whole.clone())]).await;
+        let harness = Harness::start(&[&server]).await;
+        let answer = harness.ask(&request("POST", "/draft/", "", "")).await;
+        assert!(answer.contains(&event(3)), "{answer}");
+    }
+}
