review: an entry without born puts a draining runner back into use

Cause: an entry of the list without born, which no runner writes, counts as one of a runner to use and undoes what is known of its start.

--- a/review/standin-3.rs
+++ b/review/standin-3.rs
@@ -801,6 +801,7 @@
         "lost" => lost(&record, has_trouble),
         "refused" => refused(&record, has_trouble),
         "late" => late(&record, has_trouble),
+        "unborn" => unborn(&record, has_trouble),
         "memory" => memory(&record, has_trouble),
         _ => (NOT_RUN, "not run: there is no such case".to_owned()),
     };
--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -414,6 +414,84 @@
     }
 }
 
+/// Another writer leaves an entry without `born` for a runner that drains.
+fn unborn(record: &Arc<Record>, has_trouble: bool) -> (i32, String) {
+    let (store, address) = Store::spawn(record.clone());
+    let rows: Shared<BTreeMap<String, (SocketAddr, &'static str, u64)>> = Shared::default();
+    let leaves = Arc::new(AtomicBool::new(false));
+    let arrivals = Shared::<Vec<Instant>>::default();
+    let born = epoch_ms();
+    let mut leaving = None;
+    for index in 0..3 {
+        let (listener, runner) = listen();
+        let (leaves, arrivals, note) = (leaves.clone(), arrivals.clone(), record.clone());
+        serve(listener, move |request, _| {
+            let id = request.field("X-Attempt-Id").unwrap_or_default().to_owned();
+            let says_so = index == 0 && leaves.load(Ordering::Relaxed);
+            if index == 0 {
+                arrivals.lock().unwrap().push(Instant::now());
+                note.note(format!("{id} reaches runner 0, which leaves: {says_so}"));
+            }
+            sleep(millis(60));
+            let mut fields = vec![("X-Attempt-Id", id.as_str()), ("X-Server-Signature", "s")];
+            if says_so {
+                fields.push(("Server-Leaving", "1"));
+            }
+            Some(encode("HTTP/1.1 200 OK", &fields, b"served"))
+        });
+        let name = format!("i-{index}");
+        store.put("servers", &name, Some(&listed(runner, "ready", born, 1)));
+        rows.lock().unwrap().insert(name, (runner, "ready", born));
+        leaving = leaving.or(Some(runner));
+    }
+    let leaving = leaving.expect("there are runners");
+    keep_listed(&store, rows.clone());
+    Operator::open(&store).publish(record);
+    let entries: Vec<Entry> = (1..=3)
+        .map(|index| Entry::start(&format!("edge-{index}"), address, record))
+        .collect();
+    // 18 requests a second in all, as on the sheet.
+    let is_over = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = entries
+        .iter()
+        .map(|entry| {
+            let (callers, name) = (entry.callers, entry.name.clone());
+            let (is_over, record) = (is_over.clone(), record.clone());
+            thread::spawn(move || {
+                let mut number = 0;
+                while !is_over.load(Ordering::Relaxed) {
+                    number += 1;
+                    let id = format!("{name}-{number}");
+                    let bytes = request("GET", "/lookup/x", &id, 1_400, b"", true);
+                    record.note(format!("{id} answered {}", status_of(&ask(callers, &bytes))));
+                    sleep(millis(100));
+                }
+            })
+        })
+        .collect();
+    sleep(millis(4_000));
+    leaves.store(true, Ordering::Relaxed);
+    rows.lock().unwrap().insert("i-0".into(), (leaving, "draining", born));
+    store.put("servers", "i-0", Some(&listed(leaving, "draining", born, 900)));
+    let acknowledged = Instant::now();
+    record.note("the store accepts that i-0 is draining");
+    sleep(millis(4_000));
+    if has_trouble {
+        let row = listed(leaving, "ready", 0, 1).replace(",\"born\":0", "");
+        store.put("servers", "i-0", Some(&row));
+        record.note(format!("another writer leaves the entry {row}"));
+    }
+    sleep(millis(3_000));
+    is_over.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|one| drop(one.join()));
+    let bound = acknowledged + millis(2_000);
+    let late = arrivals.lock().unwrap().iter().filter(|at| **at > bound).count();
+    match late {
+        0 => (HELD, "DRAIN held: nothing reached the runner later than 2 s after it was draining".into()),
+        _ => (BROKEN, format!("DRAIN broken: {late} requests reached the runner later than 2 s after the store had accepted that it is draining")),
+    }
+}
+
 /// The clients of a zone send long bodies, all at once or one after the other.
 fn memory(record: &Arc<Record>, has_trouble: bool) -> (i32, String) {
     const CLIENTS: usize = 31;
