review: format the stand-ins of the third review

Cause: they were not formatted by the settings of the project, and a comment gave another length of the storms than the code. Change: formatting, and that comment.

--- a/review/standin-3.rs
+++ b/review/standin-3.rs
@@ -224,7 +224,10 @@
     }
 
     fn skip(chars: &[char], at: &mut usize) -> char {
-        while chars.get(*at).is_some_and(|c| c.is_whitespace() || *c == ',' || *c == ':') {
+        while chars
+            .get(*at)
+            .is_some_and(|c| c.is_whitespace() || *c == ',' || *c == ':')
+        {
             *at += 1;
         }
         chars.get(*at).copied().unwrap_or('\0')
@@ -236,7 +239,9 @@
                 *at += 1;
                 let mut object = BTreeMap::new();
                 while !matches!(Json::skip(chars, at), '}' | '\0') {
-                    let Json::Text(name) = Json::value(chars, at) else { break };
+                    let Json::Text(name) = Json::value(chars, at) else {
+                        break;
+                    };
                     object.insert(name, Json::value(chars, at));
                 }
                 *at += 1;
@@ -266,7 +271,10 @@
             }
             _ => {
                 let start = *at;
-                while chars.get(*at).is_some_and(|c| !matches!(c, ',' | '}' | ']')) {
+                while chars
+                    .get(*at)
+                    .is_some_and(|c| !matches!(c, ',' | '}' | ']'))
+                {
                     *at += 1;
                 }
                 let text: String = chars[start..(*at).min(chars.len())].iter().collect();
@@ -310,7 +318,9 @@
 fn to_base64(bytes: &[u8]) -> String {
     let mut out = String::new();
     for part in bytes.chunks(3) {
-        let sum = part.iter().fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte));
+        let sum = part
+            .iter()
+            .fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte));
         let sum = sum << (8 * (3 - part.len()));
         for index in 0..4 {
             let digit = BASE64[(sum >> (18 - 6 * index)) as usize & 63] as char;
@@ -321,7 +331,9 @@
 }
 
 fn from_base64(text: &str) -> Vec<u8> {
-    let digits = text.bytes().filter_map(|byte| BASE64.iter().position(|one| *one == byte));
+    let digits = text
+        .bytes()
+        .filter_map(|byte| BASE64.iter().position(|one| *one == byte));
     let digits: Vec<u32> = digits.map(|digit| digit as u32).collect();
     let mut out = Vec::new();
     for part in digits.chunks(4) {
@@ -424,7 +436,10 @@
             one_of > 0 && *count % one_of == 0
         };
         if is_lost {
-            record.note(format!("the store does {} {path} and does not answer", call.word(0)));
+            record.note(format!(
+                "the store does {} {path} and does not answer",
+                call.word(0)
+            ));
             // The connection stays open and delivers nothing further.
             sleep(TIME_MAX);
             return None;
@@ -531,13 +546,16 @@
     };
     let (table, part, key) = id;
     let version = row.1;
-    format!("{{\"table\":\"{table}\",\"part\":\"{part}\",\"key\":\"{key}\",\"ver\":{version},{value}}}")
+    format!(
+        "{{\"table\":\"{table}\",\"part\":\"{part}\",\"key\":\"{key}\",\"ver\":{version},{value}}}"
+    )
 }
 
 fn rows_json(rows: &[String], version: u64, more: bool) -> Vec<u8> {
     let rows = rows.join(",");
     let now = epoch_ms();
-    format!("{{\"rows\":[{rows}],\"ver\":{version},\"nowMs\":{now},\"hasMore\":{more}}}").into_bytes()
+    format!("{{\"rows\":[{rows}],\"ver\":{version},\"nowMs\":{now},\"hasMore\":{more}}}")
+        .into_bytes()
 }
 
 // ---------------------------------------------------------------- the operator and the list
@@ -593,11 +611,17 @@
 impl Entry {
     fn start(name: &str, store: SocketAddr, record: &Record) -> Entry {
         let Some(program) = entry_program() else {
-            record.finish(NOT_RUN, "not run: the program of the deploy file is not built");
+            record.finish(
+                NOT_RUN,
+                "not run: the program of the deploy file is not built",
+            );
         };
         let ports: Vec<TcpListener> = (0..4).map(|_| listen().0).collect();
-        let addresses: Vec<SocketAddr> = ports.iter().map(|one| one.local_addr().unwrap()).collect();
-        let [callers, readiness, peers, metrics] = addresses[..] else { unreachable!() };
+        let addresses: Vec<SocketAddr> =
+            ports.iter().map(|one| one.local_addr().unwrap()).collect();
+        let [callers, readiness, peers, metrics] = addresses[..] else {
+            unreachable!()
+        };
         drop(ports);
         let own = std::process::id();
         let directory = std::env::temp_dir().join(format!("snipewinch-review-{own}-{name}"));
@@ -685,7 +709,9 @@
 
     fn is_ready(&self) -> bool {
         let request = b"GET /readyz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
-        let Ok(mut stream) = TcpStream::connect(self.readiness) else { return false };
+        let Ok(mut stream) = TcpStream::connect(self.readiness) else {
+            return false;
+        };
         let _ = stream.set_read_timeout(Some(millis(500)));
         let _ = stream.write_all(request);
         let answer = read_message(&mut stream, &mut Vec::new());
@@ -702,13 +728,23 @@
         let page = page.unwrap_or_default();
         let line = page.lines().find(|line| line.starts_with("VmRSS:"));
         let number = line.and_then(|line| line.split_whitespace().nth(1));
-        number.and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+        number
+            .and_then(|text| text.parse::<f64>().ok())
+            .unwrap_or(0.0)
+            / 1024.0
     }
 }
 
 // ---------------------------------------------------------------- clients
 
-fn request(method: &str, path: &str, id: &str, deadline_ms: u32, body: &[u8], close: bool) -> Vec<u8> {
+fn request(
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u32,
+    body: &[u8],
+    close: bool,
+) -> Vec<u8> {
     request_of("k1", method, path, id, deadline_ms, body, close)
 }
 
--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -47,7 +47,9 @@
             route("page", "idempotent", 6_000, 2),
             route(&format!("added-{}", self.version), "idempotent", 1_500, 2),
         ];
-        routes.extend((0..self.idle).map(|one| route(&format!("idle-{one}"), "idempotent", 1_500, 2)));
+        routes.extend(
+            (0..self.idle).map(|one| route(&format!("idle-{one}"), "idempotent", 1_500, 2)),
+        );
         let text = configuration(self.version, &routes, &self.keys);
         self.store.put("op", "config", Some(&text));
         self.acknowledged.insert(self.version, Instant::now());
@@ -74,7 +76,11 @@
     let (store, address) = Store::spawn(record.clone());
     let runs = Shared::<Vec<String>>::default();
     let runner = sound_runner(20, runs.clone());
-    store.put("servers", "i-1", Some(&listed(runner, "ready", epoch_ms(), 1)));
+    store.put(
+        "servers",
+        "i-1",
+        Some(&listed(runner, "ready", epoch_ms(), 1)),
+    );
     let rows = BTreeMap::from([("i-1".to_owned(), (runner, "ready", epoch_ms()))]);
     keep_listed(&store, Arc::new(Mutex::new(rows)));
     let mut operator = Operator::open(&store);
@@ -136,8 +142,16 @@
         sleep(millis(1_000));
     }
     match broken + dropped {
-        0 => (HELD, "CONFIG held: all entries handle requests by the newest configuration".into()),
-        _ => (BROKEN, format!("CONFIG broken: {broken} requests refused with 404 though their route had been acknowledged for over 5 s, {dropped} run with a key that had been taken away 3 s to 8 s before")),
+        0 => (
+            HELD,
+            "CONFIG held: all entries handle requests by the newest configuration".into(),
+        ),
+        _ => (
+            BROKEN,
+            format!(
+                "CONFIG broken: {broken} requests refused with 404 though their route had been acknowledged for over 5 s, {dropped} run with a key that had been taken away 3 s to 8 s before"
+            ),
+        ),
     }
 }
 
@@ -146,7 +160,11 @@
     let (store, address) = Store::spawn(record.clone());
     let runs = Shared::<Vec<String>>::default();
     let runner = sound_runner(20, runs.clone());
-    store.put("servers", "i-1", Some(&listed(runner, "ready", epoch_ms(), 1)));
+    store.put(
+        "servers",
+        "i-1",
+        Some(&listed(runner, "ready", epoch_ms(), 1)),
+    );
     let rows = BTreeMap::from([("i-1".to_owned(), (runner, "ready", epoch_ms()))]);
     keep_listed(&store, Arc::new(Mutex::new(rows)));
     let mut operator = Operator::open(&store);
@@ -162,7 +180,7 @@
         store.lose_answers(4);
         record.note("the store loses answers: one in four writes is done and not answered");
     }
-    // Two storms of 4 s, one after the other; the loss lasts 4.5 s.
+    // Two storms one after the other, of 4 s and 1.5 s; the loss lasts 4.5 s.
     let begun = Instant::now();
     let mut is_over = false;
     let mut over = Instant::now();
@@ -179,7 +197,9 @@
     let newest = operator.version;
     let due = (over + STABLE_WINDOW).max(operator.acknowledged[&newest] + CONFIG_APPLY);
     sleep((due + millis(50)).saturating_duration_since(Instant::now()));
-    record.note(format!("all entries are in touch, and version {newest} was acknowledged over 2 s before"));
+    record.note(format!(
+        "all entries are in touch, and version {newest} was acknowledged over 2 s before"
+    ));
     let mut broken = 0;
     for round in 0..40 {
         for entry in &entries {
@@ -189,8 +209,16 @@
         sleep(millis(100));
     }
     match broken {
-        0 => (HELD, "CONFIG held: all entries handle requests by the newest configuration".into()),
-        _ => (BROKEN, format!("CONFIG broken: {broken} requests refused with 404 by entries in touch, later than 2 s after their route was acknowledged")),
+        0 => (
+            HELD,
+            "CONFIG held: all entries handle requests by the newest configuration".into(),
+        ),
+        _ => (
+            BROKEN,
+            format!(
+                "CONFIG broken: {broken} requests refused with 404 by entries in touch, later than 2 s after their route was acknowledged"
+            ),
+        ),
     }
 }
 
@@ -217,14 +245,24 @@
             let fails = index == 0
                 && is_grey.load(Ordering::Relaxed)
                 && random.lock().unwrap().unit() < 0.4;
-            let status = if fails { "503 Service Unavailable" } else { "200 OK" };
+            let status = if fails {
+                "503 Service Unavailable"
+            } else {
+                "200 OK"
+            };
             note.note(format!("runner {index} runs {id} for {grant} and answers {status}, signed, without X-Not-Executed"));
             let fields = [("X-Attempt-Id", id.as_str()), ("X-Server-Signature", "s")];
             Some(encode(&format!("HTTP/1.1 {status}"), &fields, b"done"))
         });
         let name = format!("i-{index}");
-        store.put("servers", &name, Some(&listed(runner, "ready", epoch_ms(), 1)));
-        rows.lock().unwrap().insert(name, (runner, "ready", epoch_ms()));
+        store.put(
+            "servers",
+            &name,
+            Some(&listed(runner, "ready", epoch_ms(), 1)),
+        );
+        rows.lock()
+            .unwrap()
+            .insert(name, (runner, "ready", epoch_ms()));
     }
     keep_listed(&store, rows);
     Operator::open(&store).publish(record);
@@ -240,7 +278,8 @@
             115 => is_grey.store(false, Ordering::Relaxed),
             _ => {}
         }
-        let (callers, record, broken, runs) = (entry.callers, record.clone(), broken.clone(), runs.clone());
+        let (callers, record, broken, runs) =
+            (entry.callers, record.clone(), broken.clone(), runs.clone());
         clients.push(thread::spawn(move || {
             for attempt in 0..2 {
                 let id = format!("a{number}-{attempt}");
@@ -248,7 +287,9 @@
                 let answer = ask(callers, &request("POST", &path, &id, 3_000, b"grant", true));
                 let status = status_of(&answer);
                 let has_run = runs.lock().unwrap().contains(&id);
-                record.note(format!("the client gets {status} for {id}, which has run: {has_run}"));
+                record.note(format!(
+                    "the client gets {status} for {id}, which has run: {has_run}"
+                ));
                 if matches!(status, 408 | 421 | 429 | 503) {
                     broken.fetch_add(u64::from(has_run), Ordering::Relaxed);
                     // A promise: not run. The client comes again, as the pages say.
@@ -262,10 +303,23 @@
         sleep(millis(77));
     }
     clients.into_iter().for_each(|one| drop(one.join()));
-    let doubled = books.lock().unwrap().values().filter(|count| **count > 1).count();
+    let doubled = books
+        .lock()
+        .unwrap()
+        .values()
+        .filter(|count| **count > 1)
+        .count();
     match broken.load(Ordering::Relaxed) {
-        0 => (HELD, format!("REFUSED held; {doubled} grants entered twice")),
-        count => (BROKEN, format!("REFUSED broken: {count} requests that may run once at most were answered 503 and had run; {doubled} grants were entered twice")),
+        0 => (
+            HELD,
+            format!("REFUSED held; {doubled} grants entered twice"),
+        ),
+        count => (
+            BROKEN,
+            format!(
+                "REFUSED broken: {count} requests that may run once at most were answered 503 and had run; {doubled} grants were entered twice"
+            ),
+        ),
     }
 }
 
@@ -276,9 +330,15 @@
     thread::spawn(move || {
         for near in listener.incoming() {
             let Ok(near) = near else { continue };
-            let Some(runner) = *runner.lock().unwrap() else { continue };
-            let Ok(far) = TcpStream::connect(runner) else { continue };
-            let (Ok(near_in), Ok(far_out)) = (near.try_clone(), far.try_clone()) else { continue };
+            let Some(runner) = *runner.lock().unwrap() else {
+                continue;
+            };
+            let Ok(far) = TcpStream::connect(runner) else {
+                continue;
+            };
+            let (Ok(near_in), Ok(far_out)) = (near.try_clone(), far.try_clone()) else {
+                continue;
+            };
             thread::spawn(move || copy_at_once(near_in, far_out));
             let (hold, last) = (hold.clone(), last.clone());
             thread::spawn(move || copy_held(far, near, hold, last));
@@ -297,8 +357,16 @@
     let _ = to.shutdown(Shutdown::Both);
 }
 
-fn copy_held(mut from: TcpStream, mut to: TcpStream, hold: Shared<Duration>, last: Shared<Instant>) {
-    let queue = Arc::new((Mutex::new(VecDeque::<(Instant, Vec<u8>)>::new()), Condvar::new()));
+fn copy_held(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    hold: Shared<Duration>,
+    last: Shared<Instant>,
+) {
+    let queue = Arc::new((
+        Mutex::new(VecDeque::<(Instant, Vec<u8>)>::new()),
+        Condvar::new(),
+    ));
     let arrivals = queue.clone();
     thread::spawn(move || {
         let mut block = [0; 16_384];
@@ -308,7 +376,11 @@
             let at = (Instant::now() + *hold.lock().unwrap()).max(*last);
             *last = at;
             drop(last);
-            arrivals.0.lock().unwrap().push_back((at, block[..read].to_vec()));
+            arrivals
+                .0
+                .lock()
+                .unwrap()
+                .push_back((at, block[..read].to_vec()));
             arrivals.1.notify_all();
             if read == 0 {
                 return;
@@ -320,7 +392,9 @@
         while waiting.is_empty() {
             waiting = queue.1.wait(waiting).unwrap();
         }
-        let Some((at, bytes)) = waiting.pop_front() else { return };
+        let Some((at, bytes)) = waiting.pop_front() else {
+            return;
+        };
         drop(waiting);
         sleep(at.saturating_duration_since(Instant::now()));
         if bytes.is_empty() || to.write_all(&bytes).is_err() {
@@ -336,7 +410,12 @@
     let (listener, address) = listen();
     serve(listener, move |request, _| {
         let id = request.field("X-Attempt-Id").unwrap_or_default().to_owned();
-        let work: u64 = request.word(1).rsplit('/').next().and_then(|text| text.parse().ok()).unwrap_or(20);
+        let work: u64 = request
+            .word(1)
+            .rsplit('/')
+            .next()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(20);
         sleep(millis(work));
         let mut fields = vec![("X-Attempt-Id", id.as_str()), ("X-Server-Signature", "s")];
         let leaves = leaving.load(Ordering::Relaxed);
@@ -359,7 +438,10 @@
     let current = Arc::new(Mutex::new(Some(first)));
     let link = held_link(current.clone(), hold.clone());
     let born = epoch_ms();
-    let rows = Arc::new(Mutex::new(BTreeMap::from([("i-1".to_owned(), (link, "ready", born))])));
+    let rows = Arc::new(Mutex::new(BTreeMap::from([(
+        "i-1".to_owned(),
+        (link, "ready", born),
+    )])));
     store.put("servers", "i-1", Some(&listed(link, "ready", born, 1)));
     keep_listed(&store, rows.clone());
     Operator::open(&store).publish(record);
@@ -368,7 +450,10 @@
         let mut count = 0;
         for round in 0..rounds {
             let id = format!("{from}-{round}");
-            let answer = ask(entry.callers, &request("GET", "/lookup/20", &id, 3_000, b"", true));
+            let answer = ask(
+                entry.callers,
+                &request("GET", "/lookup/20", &id, 3_000, b"", true),
+            );
             record.note(format!("the client gets {} for {id}", status_of(&answer)));
             count += u32::from(status_of(&answer) == 200);
             sleep(millis(100));
@@ -380,12 +465,17 @@
     let callers = entry.callers;
     let shared = record.clone();
     let slow = thread::spawn(move || {
-        let answer = ask(callers, &request("GET", "/page/2200", "slow", 6_000, b"", true));
+        let answer = ask(
+            callers,
+            &request("GET", "/page/2200", "slow", 6_000, b"", true),
+        );
         shared.note(format!("the client gets {} for slow", status_of(&answer)));
     });
     sleep(millis(150));
     leaving.store(true, Ordering::Relaxed);
-    rows.lock().unwrap().insert("i-1".into(), (link, "draining", born));
+    rows.lock()
+        .unwrap()
+        .insert("i-1".into(), (link, "draining", born));
     store.put("servers", "i-1", Some(&listed(link, "draining", born, 2)));
     record.note("the first start reports that it is draining");
     sleep(millis(1_950));
@@ -398,7 +488,9 @@
     record.note("the first start has answered all its requests and ends");
     sleep(millis(150));
     let born = epoch_ms();
-    rows.lock().unwrap().insert("i-1".into(), (link, "ready", born));
+    rows.lock()
+        .unwrap()
+        .insert("i-1".into(), (link, "ready", born));
     store.put("servers", "i-1", Some(&listed(link, "ready", born, 1)));
     record.note("the runner has started again under its id and is ready");
     sleep(millis(2_500));
@@ -409,8 +501,16 @@
     sleep(millis(12_000));
     let after = served("after", 60);
     match after * 4 < 60 && before * 4 >= 30 {
-        true => (BROKEN, format!("RECOVER broken: later than 12 s after the end of the trouble {after} of 60 requests are served, {before} of 30 were before it")),
-        false => (HELD, format!("RECOVER held: {after} of 60 requests are served, {before} of 30 were before")),
+        true => (
+            BROKEN,
+            format!(
+                "RECOVER broken: later than 12 s after the end of the trouble {after} of 60 requests are served, {before} of 30 were before it"
+            ),
+        ),
+        false => (
+            HELD,
+            format!("RECOVER held: {after} of 60 requests are served, {before} of 30 were before"),
+        ),
     }
 }
 
@@ -463,7 +563,10 @@
                     number += 1;
                     let id = format!("{name}-{number}");
                     let bytes = request("GET", "/lookup/x", &id, 1_400, b"", true);
-                    record.note(format!("{id} answered {}", status_of(&ask(callers, &bytes))));
+                    record.note(format!(
+                        "{id} answered {}",
+                        status_of(&ask(callers, &bytes))
+                    ));
                     sleep(millis(100));
                 }
             })
@@ -471,8 +574,14 @@
         .collect();
     sleep(millis(4_000));
     leaves.store(true, Ordering::Relaxed);
-    rows.lock().unwrap().insert("i-0".into(), (leaving, "draining", born));
-    store.put("servers", "i-0", Some(&listed(leaving, "draining", born, 900)));
+    rows.lock()
+        .unwrap()
+        .insert("i-0".into(), (leaving, "draining", born));
+    store.put(
+        "servers",
+        "i-0",
+        Some(&listed(leaving, "draining", born, 900)),
+    );
     let acknowledged = Instant::now();
     record.note("the store accepts that i-0 is draining");
     sleep(millis(4_000));
@@ -485,10 +594,23 @@
     is_over.store(true, Ordering::Relaxed);
     clients.into_iter().for_each(|one| drop(one.join()));
     let bound = acknowledged + millis(2_000);
-    let late = arrivals.lock().unwrap().iter().filter(|at| **at > bound).count();
+    let late = arrivals
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|at| **at > bound)
+        .count();
     match late {
-        0 => (HELD, "DRAIN held: nothing reached the runner later than 2 s after it was draining".into()),
-        _ => (BROKEN, format!("DRAIN broken: {late} requests reached the runner later than 2 s after the store had accepted that it is draining")),
+        0 => (
+            HELD,
+            "DRAIN held: nothing reached the runner later than 2 s after it was draining".into(),
+        ),
+        _ => (
+            BROKEN,
+            format!(
+                "DRAIN broken: {late} requests reached the runner later than 2 s after the store had accepted that it is draining"
+            ),
+        ),
     }
 }
 
@@ -502,13 +624,24 @@
     for index in 0..3 {
         let runner = sound_runner(450, runs.clone());
         let name = format!("i-{index}");
-        store.put("servers", &name, Some(&listed(runner, "ready", epoch_ms(), 1)));
-        rows.lock().unwrap().insert(name, (runner, "ready", epoch_ms()));
+        store.put(
+            "servers",
+            &name,
+            Some(&listed(runner, "ready", epoch_ms(), 1)),
+        );
+        rows.lock()
+            .unwrap()
+            .insert(name, (runner, "ready", epoch_ms()));
     }
     keep_listed(&store, rows);
     Operator::open(&store).publish(record);
     let entry = Arc::new(Mutex::new(Some(Entry::start("edge-1", address, record))));
-    let callers = entry.lock().unwrap().as_ref().map(|one| one.callers).unwrap();
+    let callers = entry
+        .lock()
+        .unwrap()
+        .as_ref()
+        .map(|one| one.callers)
+        .unwrap();
     // The platform kills a process over its memory.
     let peak = Shared::<f64>::default();
     let (shared, watched, highest) = (record.clone(), entry.clone(), peak.clone());
@@ -516,23 +649,41 @@
         loop {
             sleep(millis(2));
             let mut entry = watched.lock().unwrap();
-            let Some(used) = entry.as_ref().map(Entry::memory_mb) else { return };
+            let Some(used) = entry.as_ref().map(Entry::memory_mb) else {
+                return;
+            };
             let mut highest = highest.lock().unwrap();
             *highest = highest.max(used);
             if used > MEMORY_MB {
-                shared.note(format!("the entry uses {used:.0} MB of {MEMORY_MB} MB and is killed"));
+                shared.note(format!(
+                    "the entry uses {used:.0} MB of {MEMORY_MB} MB and is killed"
+                ));
                 drop(entry.take());
                 return;
             }
         }
     });
     let body = vec![b'x'; (4 << 20) - 64];
-    let send = move |number: usize, record: &Record, runs: &Mutex<Vec<String>>, wait: Duration, pace: Duration| -> bool {
-        let Ok(mut stream) = TcpStream::connect(callers) else { return false };
+    let send = move |number: usize,
+                     record: &Record,
+                     runs: &Mutex<Vec<String>>,
+                     wait: Duration,
+                     pace: Duration|
+          -> bool {
+        let Ok(mut stream) = TcpStream::connect(callers) else {
+            return false;
+        };
         let _ = stream.set_read_timeout(Some(Duration::from_secs(8)));
         let mut buffer = Vec::new();
         // The connection is kept: a short request goes before.
-        let _ = stream.write_all(&request("GET", "/lookup/x", &format!("s{number}"), 3_000, b"", false));
+        let _ = stream.write_all(&request(
+            "GET",
+            "/lookup/x",
+            &format!("s{number}"),
+            3_000,
+            b"",
+            false,
+        ));
         let _ = read_message(&mut stream, &mut buffer);
         sleep(wait);
         let id = format!("b{number}");
@@ -543,7 +694,9 @@
         }
         let status = status_of(&read_message(&mut stream, &mut buffer));
         let has_run = runs.lock().unwrap().contains(&id);
-        record.note(format!("{id}: answered {status} (0: the connection ended), passed on to a runner: {has_run}"));
+        record.note(format!(
+            "{id}: answered {status} (0: the connection ended), passed on to a runner: {has_run}"
+        ));
         status == 0 && has_run
     };
     let mut unanswered = 0;
@@ -564,7 +717,15 @@
     }
     let peak = *peak.lock().unwrap();
     match unanswered {
-        0..=3 => (HELD, format!("LOST held: {unanswered} requests lost, the entry used {peak:.0} MB at most")),
-        _ => (BROKEN, format!("LOST broken: {unanswered} requests from kept connections had been passed on to sound runners and got no answer, as the entry used {peak:.0} MB of {MEMORY_MB} MB")),
+        0..=3 => (
+            HELD,
+            format!("LOST held: {unanswered} requests lost, the entry used {peak:.0} MB at most"),
+        ),
+        _ => (
+            BROKEN,
+            format!(
+                "LOST broken: {unanswered} requests from kept connections had been passed on to sound runners and got no answer, as the entry used {peak:.0} MB of {MEMORY_MB} MB"
+            ),
+        ),
     }
 }
