Let the store's stand-in disturb single calls

Tests could lose reads, but not writings, deletions, claims or the rest of an answer, and not hold up a call on its way. Each kind of call can now be delayed, held, lost or stopped.

--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -14,6 +14,7 @@
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
 use bytes::Bytes;
+use futures_util::StreamExt;
 use futures_util::stream;
 use http::Method;
 use http::StatusCode;
@@ -54,6 +55,45 @@
 
 type RowId = (String, String);
 
+/// A kind of call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Call {
+    /// Waits for changed rows.
+    Feed,
+    /// Deletes an object.
+    ObjectDeletion,
+    /// Reads an object.
+    ObjectRead,
+    /// Creates an object.
+    ObjectWrite,
+    /// Reads rows.
+    Page,
+    /// Writes rows.
+    Transaction,
+}
+
+/// What becomes of a call beside its execution.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// It is executed and answered so much later, as over a link that is held up towards
+    /// the store.
+    Delayed(Duration),
+    /// It is executed at once and answered so much later, as to a host that stands still.
+    Held(Duration),
+    /// It is executed and never answered, as over a link that is cut one way.
+    Lost,
+    /// Its answer stops after the first part of the body.
+    Stopped,
+}
+
+/// A fault of the next calls of a kind.
+#[derive(Clone, Copy, Debug)]
+struct Disturbance {
+    call: Call,
+    fault: Fault,
+    left: usize,
+}
+
 #[derive(Clone, Debug)]
 struct Row {
     /// None if the row was deleted.
@@ -89,6 +129,7 @@
     /// How many transactions are executed later and never answered from now on.
     late_writes: usize,
     late_transactions: Vec<Transaction>,
+    disturbances: Vec<Disturbance>,
     /// When the link has sent what was given to it.
     link_free: Option<Instant>,
     /// The bytes of all responses with rows and objects.
@@ -246,6 +287,19 @@
         executed.filter(is_success).count()
     }
 
+    /// Disturbs the next `count` calls of a kind that come. Requests by which clients see
+    /// whether the store answers do not count.
+    pub fn disturb(&self, call: Call, count: usize, fault: Fault) {
+        let left = count;
+        let disturbance = Disturbance { call, fault, left };
+        self.state.lock().disturbances.push(disturbance);
+    }
+
+    /// Ends all disturbances.
+    pub fn end_disturbances(&self) {
+        self.state.lock().disturbances.clear();
+    }
+
     /// Never answers the next reads of objects.
     pub fn lose_objects(&self, count: usize) {
         self.state.lock().lost_objects = count;
@@ -290,6 +344,33 @@
     }
 
     async fn dispatch(&self, request: Request) -> Result<Response, Refusal> {
+        let fault = self.take_fault(&request);
+        if let Some(Fault::Delayed(delay)) = fault {
+            sleep(delay).await;
+        }
+        let response = self.execute(request).await;
+        match (fault, response) {
+            (Some(Fault::Held(delay)), response) => {
+                sleep(delay).await;
+                response
+            }
+            (Some(Fault::Lost), _) => std::future::pending().await,
+            (Some(Fault::Stopped), Ok(response)) => stop_body(response).await,
+            (Some(Fault::Delayed(_) | Fault::Stopped) | None, response) => response,
+        }
+    }
+
+    /// The fault of a call, if it is disturbed.
+    fn take_fault(&self, request: &Request) -> Option<Fault> {
+        let call = Call::of(request)?;
+        let mut state = self.state.lock();
+        let mut disturbances = state.disturbances.iter_mut();
+        let found = disturbances.find(|one| one.call == call && one.left > 0)?;
+        found.left -= 1;
+        Some(found.fault)
+    }
+
+    async fn execute(&self, request: Request) -> Result<Response, Refusal> {
         if self.state.lock().down {
             return Ok(error(StatusCode::SERVICE_UNAVAILABLE, "out of service"));
         }
@@ -469,6 +550,32 @@
     }
 }
 
+impl Call {
+    fn of(request: &Request) -> Option<Call> {
+        let name = request.uri().path().split('/').nth(1)?;
+        match name {
+            "blob-drop" => Some(Call::ObjectDeletion),
+            "blob-get" => Some(Call::ObjectRead),
+            "blob-put" => Some(Call::ObjectWrite),
+            "rows-feed" => Some(Call::Feed),
+            "rows-get" if !is_probe(request) => Some(Call::Page),
+            "rows-tx" => Some(Call::Transaction),
+            _ => None,
+        }
+    }
+}
+
+/// The response with the first half of its body, which never ends.
+async fn stop_body(response: Response) -> Result<Response, Refusal> {
+    let (head, body) = response.into_parts();
+    let whole = body.collect().await.map(|body| body.to_bytes());
+    let whole = whole.unwrap_or_default();
+    let half = Frame::data(whole.slice(..whole.len() / 2));
+    let frames = stream::once(async { Ok::<_, io::Error>(half) }).chain(stream::pending());
+    let body = StreamBody::new(frames).boxed_unsync();
+    Ok(http::Response::from_parts(head, body))
+}
+
 impl State {
     fn set(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
         self.version += 1;
