--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -106,6 +106,10 @@
     slot_pool: SlotPool,
     /// The versions of weights that operators have published.
     operator_state: RefCell<OperatorState>,
+    /// Notified when the published versions must be read again.
+    versions_doubted: Notify,
+    /// The version that the origin has refused last.
+    refused_version: Cell<Option<u64>>,
     /// The configuration of the engine; `None` until it is known.
     engine_config: RefCell<Option<EngineConfig>>,
     listing: RefCell<Listing>,
@@ -209,6 +213,14 @@
         self.changed.notify_waiters();
     }
 
+    /// Has the published versions read again, as the origin has refused one: it no longer
+    /// has a version once two newer ones are published.
+    fn doubt_version(&self, version: u64) {
+        if self.refused_version.replace(Some(version)) != Some(version) {
+            self.versions_doubted.notify_one();
+        }
+    }
+
     /// Records the newest published version of the weights as an entry
     /// announced it.
     fn record_published(&self, published: grant::Published) {
@@ -381,6 +393,8 @@
         origin_transport: Transport::without_idle(),
         slot_pool: SlotPool::default(),
         operator_state: RefCell::default(),
+        versions_doubted: Notify::new(),
+        refused_version: Cell::default(),
         engine_config: RefCell::default(),
         listing: RefCell::default(),
         view: RefCell::default(),
@@ -506,7 +520,13 @@
         } else {
             delay
         };
-        sleep(delay.mul_f64(rand::rng().random_range(READ_JITTER))).await;
+        let jitter = rand::rng().random_range(READ_JITTER);
+        tokio::select! {
+            () = sleep(delay.mul_f64(jitter)) => {}
+            () = agent.versions_doubted.notified() => {
+                sleep(READ_RETRY_DELAY.mul_f64(jitter)).await;
+            }
+        }
     }
 }
 
--- a/crates/node/src/agent/chunks.rs
+++ b/crates/node/src/agent/chunks.rs
@@ -193,7 +193,7 @@
                 }
                 let origin =
                     ChunkOrigin::open(agent.origin_transport.clone(), target.origin.address);
-                match read_list(&origin, &target).await {
+                match read_list(&agent, &origin, &target).await {
                     Some(list) => {
                         failures = 0;
                         chunks.add_list(&agent, target, &list);
@@ -223,7 +223,7 @@
 
 /// Reads a target's digest list from the origin; `None` if that failed
 /// or the list is of another target.
-async fn read_list(origin: &ChunkOrigin, target: &Target) -> Option<DigestList> {
+async fn read_list(agent: &Agent, origin: &ChunkOrigin, target: &Target) -> Option<DigestList> {
     match origin.digests(&target.model, target.version).await {
         Ok(list) if list.model == target.model && list.version == target.version => Some(list),
         Ok(_) => {
@@ -238,6 +238,9 @@
                 "E7220 reading the digest list of version {} from the origin failed, retrying: {error}",
                 target.version
             );
+            if error.is_outdated() {
+                agent.doubt_version(target.version);
+            }
             None
         }
     }
@@ -741,6 +744,7 @@
         let length = known.manifest.length(chunk);
         let origin = ChunkOrigin::open(self.agent.origin_transport.clone(), target.origin.address);
         let events = self.chunks.events.clone();
+        let agent = self.agent.clone();
         spawn_local(async move {
             let reading = origin.chunk(&target.model, target.version, chunk, length);
             let bytes = match reading.await {
@@ -753,6 +757,9 @@
                 }
                 Err(error) => {
                     log::info!("E7227 reading chunk {chunk} from the origin failed: {error}");
+                    if error.is_outdated() {
+                        agent.doubt_version(target.version);
+                    }
                     None
                 }
             };
--- a/crates/node/src/agent/loader/tests.rs
+++ b/crates/node/src/agent/loader/tests.rs
@@ -144,6 +144,8 @@
         origin_transport: Transport::without_idle(),
         slot_pool: SlotPool::default(),
         operator_state: RefCell::default(),
+        versions_doubted: Notify::new(),
+        refused_version: Cell::default(),
         engine_config: RefCell::default(),
         listing: RefCell::default(),
         view: RefCell::default(),
--- a/crates/node/tests/harness/loading.rs
+++ b/crates/node/tests/harness/loading.rs
@@ -103,6 +103,10 @@
     accepted_orders: u64,
     started_ms: u64,
     busy: bool,
+    /// The newest version that is refused with 410.
+    outdated: u64,
+    /// How often a version was refused.
+    refusals: usize,
     /// By path.
     staged: HashMap<String, String>,
     /// The path whose answers have no end.
@@ -148,6 +152,17 @@
         self.state.lock().unwrap().floods_ended
     }
 
+    /// Refuses lists and chunks of a version and older ones, as the origin no longer has
+    /// them.
+    pub(crate) fn outdate(&self, version: u64) {
+        self.state.lock().unwrap().outdated = version;
+    }
+
+    /// Waits until a version was refused.
+    pub(crate) async fn wait_refusal(&self) {
+        wait_until(|| self.state.lock().unwrap().refusals > 0).await;
+    }
+
     /// Has the next request with a text executed late, while others are answered.
     pub(crate) fn stall(&self, text: &str) {
         self.state.lock().unwrap().stalls.push(text.to_owned());
@@ -270,6 +285,10 @@
             Some(bytes) => (200, bytes.clone()),
             None => (404, String::new()),
         },
+        "/manifest/m" | "/piece/m" if parameter(query, "version") <= state.outdated => {
+            state.refusals += 1;
+            (410, String::new())
+        }
         "/manifest/m" => (200, digest_list(query)),
         "/piece/m" => (200, chunk(query)),
         _ => (404, String::new()),
--- a/crates/node/tests/rollout.rs
+++ b/crates/node/tests/rollout.rs
@@ -2,9 +2,15 @@
 
 mod harness;
 
+use std::time::Duration;
+use std::time::Instant;
+
 use harness::loading::AgentProcess;
 use harness::loading::Engine;
 
+/// The time within which requests must begin on a new version on the users' deployments.
+const VERSION_BOUND: Duration = Duration::from_secs(8);
+
 /// The names of the phases in a line and their sum, which is also the total.
 fn phases(message: &str) -> Vec<&str> {
     let (head, list) = message.split_once(": ").expect("a list of phases");
@@ -66,3 +72,19 @@
         assert!(metrics.contains(&line), "{line}{metrics}");
     }
 }
+
+/// Guards against an agent that asks the origin for a version again and again that it no
+/// longer has, as the newer one is read from the store only with the next interval.
+#[tokio::test]
+async fn an_agent_whose_version_the_origin_refuses_reads_newer_ones_at_once() {
+    let engine = Engine::spawn().await;
+    let agent = AgentProcess::start(&engine).await;
+    engine.outdate(2);
+    agent.publish(2);
+    engine.wait_refusal().await;
+    agent.publish(3);
+    let refused = Instant::now();
+    agent.wait_line("E7238", "has loaded version 3 ").await;
+    let took = refused.elapsed();
+    assert!(took < VERSION_BOUND / 2, "it took {took:?}");
+}
