--- a/crates/node/src/entry/limits.rs
+++ b/crates/node/src/entry/limits.rs
@@ -18,6 +18,8 @@
 use snipewinch::position::Position;
 use snipewinch::server_limit::Published;
 use snipewinch::server_limit::Row;
+use tokio::task::JoinHandle;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -141,7 +143,7 @@
 /// Publishes what this entry has heard and reads what the others have.
 pub(crate) async fn run(entry: Rc<Entry>, store: Store, host: SmolStr) {
     let mut view = View::default();
-    let mut row = OwnRow::new(store.clone(), TABLE, host);
+    let mut writer = Writer::new(OwnRow::new(store.clone(), TABLE, host));
     let mut next_write = Instant::now();
     let mut viewed = Instant::now();
     let mut first_interval = Some(START_VIEW_DELAY);
@@ -155,12 +157,8 @@
             view.restart();
             next_write = now + RESTORE_SPREAD.mul_f64(rand::rng().random());
         }
-        if now < next_request {
-            continue;
-        }
-        let needs = entry.dispatcher.limit_needs(entry.clock.now());
-        if needs.write || now >= next_write {
-            let delay = match publish(&entry, &mut row).await {
+        if let Some(result) = writer.take_result().await {
+            let delay = match result {
                 Ok(()) => RENEWAL_INTERVAL,
                 Err(error) => {
                     log::warn!(
@@ -169,7 +167,18 @@
                     Duration::from_secs(1)
                 }
             };
-            next_write = jittered(delay);
+            next_write = next_write.min(jittered(delay));
+        }
+        if now < next_request {
+            continue;
+        }
+        let needs = entry.dispatcher.limit_needs(entry.clock.now());
+        if (needs.write || now >= next_write) && writer.is_idle() {
+            writer.write(Publication {
+                written_ms: millis_since_epoch(),
+                row: entry.dispatcher.take_limit_row(entry.clock.now()),
+            });
+            next_write = jittered(RENEWAL_INTERVAL);
             next_request = jittered(REQUEST_INTERVAL_MIN);
             continue;
         }
@@ -195,13 +204,44 @@
     }
 }
 
-async fn publish(entry: &Entry, row: &mut OwnRow) -> Result<(), rows::Error> {
-    let publication = Publication {
-        written_ms: millis_since_epoch(),
-        row: entry.dispatcher.take_limit_row(entry.clock.now()),
-    };
-    let value = serde_json::to_vec(&publication).expect("a row is serializable");
-    row.write(&value).await
+/// Writes the row of this entry while the others are read: the answer may be lost.
+struct Writer {
+    /// `None` while it is written.
+    row: Option<OwnRow>,
+    task: Option<JoinHandle<(OwnRow, Result<(), rows::Error>)>>,
+}
+
+impl Writer {
+    fn new(row: OwnRow) -> Writer {
+        Writer {
+            row: Some(row),
+            task: None,
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.row.is_some()
+    }
+
+    /// Begins to write the row, unless it is being written.
+    fn write(&mut self, publication: Publication) {
+        let Some(mut row) = self.row.take() else {
+            return;
+        };
+        let value = serde_json::to_vec(&publication).expect("a row is serializable");
+        self.task = Some(spawn_local(async move {
+            let result = row.write(&value).await;
+            (row, result)
+        }));
+    }
+
+    /// The result of a write that has ended since the last call.
+    async fn take_result(&mut self) -> Option<Result<(), rows::Error>> {
+        let task = self.task.take_if(|task| task.is_finished())?;
+        let (row, result) = task.await.expect("a write does not panic");
+        self.row = Some(row);
+        Some(result)
+    }
 }
 
 fn jittered(interval: Duration) -> Instant {
